--- /dev/null
+++ b/findings/findings.go
@@ -0,0 +1,75 @@
+// Package findings collects errors about an input file with their place, so
+// that all of them are reported together.
+package findings
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Position is a place in a file. Line and column count from 1; 0 means that
+// the finding concerns the whole file.
+type Position struct {
+	File   string
+	Line   int
+	Column int
+}
+
+// String formats the position as file:line:column.
+func (p Position) String() string {
+	if p.Line == 0 {
+		return p.File
+	}
+	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+}
+
+// Finding is one error with its place.
+type Finding struct {
+	Position Position
+	Message  string
+}
+
+// String formats the finding on one line.
+func (f Finding) String() string {
+	return f.Position.String() + ": " + f.Message
+}
+
+// List collects findings. The zero value is ready for use.
+type List []Finding
+
+// Add appends a finding.
+func (l *List) Add(pos Position, format string, args ...any) {
+	*l = append(*l, Finding{Position: pos, Message: fmt.Sprintf(format, args...)})
+}
+
+// Sort orders the findings by file, line and column.
+func (l List) Sort() {
+	sort.SliceStable(l, func(i, j int) bool {
+		a, b := l[i].Position, l[j].Position
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+}
+
+// Error returns all findings, one a line.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, f := range l {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the list as an error, or nil when it is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/note/config.go
@@ -0,0 +1,112 @@
+// Package note defines release notes and the configuration that they change.
+package note
+
+import (
+	"encoding/json"
+)
+
+// ConfigKey is the store key of the configuration in force.
+const ConfigKey = "notes/current"
+
+// Config is the materialised configuration in force.
+type Config struct {
+	// Revision grows by one with every accepted note.
+	Revision int64     `json:"revision"`
+	Pools    []Pool    `json:"pools"`
+	Services []Service `json:"services"`
+	Waves    []Wave    `json:"waves"`
+	Teams    []Team    `json:"teams,omitempty"`
+	// Recent maps the publish identifiers of the last notes to revisions.
+	Recent []Published `json:"recent,omitempty"`
+	// LastNote is the text of the last accepted note.
+	LastNote string `json:"last_note,omitempty"`
+}
+
+// Published records the revision that a note got.
+type Published struct {
+	ID       string `json:"id"`
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+}
+
+// Pool is a group of VMs that serve one service, or the spare.
+type Pool struct {
+	Name string `json:"name"`
+	// VMs are the identifiers of the VMs that belong to the pool by the
+	// note; the fleet document says where each one is at the moment.
+	VMs []string `json:"vms"`
+	// Spare pools lend VMs to other pools.
+	Spare bool `json:"spare"`
+	// MinimumVMs is the number of VMs that the pool never goes below by moves.
+	MinimumVMs           int   `json:"minimum_vms"`
+	SlotsPerWorker       int   `json:"slots_per_worker"`
+	ConnectionsPerWorker int   `json:"connections_per_worker"`
+	TouchedRevision      int64 `json:"touched_revision"`
+}
+
+// Service is what callers call; its requests run on the workers of one pool.
+type Service struct {
+	Name string `json:"name"`
+	Pool string `json:"pool"`
+	// MaxUnavailable is the availability budget: the number of VMs of the
+	// pool that may be out of service at the same time.
+	MaxUnavailable  int     `json:"max_unavailable"`
+	DeadlineSeconds float64 `json:"deadline_seconds"`
+	MaxQueue        int     `json:"max_queue"`
+	MaxBodyBytes    int64   `json:"max_body_bytes"`
+	TouchedRevision int64   `json:"touched_revision"`
+}
+
+// Wave reboots every VM of its pools once.
+type Wave struct {
+	Name  string   `json:"name"`
+	Pools []string `json:"pools"`
+	// MaxConcurrent limits the VMs under maintenance at once, beyond the
+	// availability budgets of the services.
+	MaxConcurrent   int   `json:"max_concurrent"`
+	TouchedRevision int64 `json:"touched_revision"`
+}
+
+// Team is a group of callers with a quota of slots.
+type Team struct {
+	Name            string `json:"name"`
+	SlotQuota       int    `json:"slot_quota"`
+	TouchedRevision int64  `json:"touched_revision"`
+}
+
+// DecodeConfig reads the value of ConfigKey.
+func DecodeConfig(value []byte) (Config, error) {
+	var c Config
+	err := json.Unmarshal(value, &c)
+	return c, err
+}
+
+// Encode returns the value of ConfigKey.
+func (c Config) Encode() []byte {
+	value, err := json.Marshal(c)
+	if err != nil {
+		// The types of Config hold nothing that JSON cannot represent.
+		panic(err)
+	}
+	return value
+}
+
+// Pool returns the pool with the given name.
+func (c Config) Pool(name string) (Pool, bool) {
+	for _, p := range c.Pools {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pool{}, false
+}
+
+// Service returns the service with the given name.
+func (c Config) Service(name string) (Service, bool) {
+	for _, s := range c.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
