Add the request path from the caller listener to the backend server

The chain is ingress, dispatch, forward. The forwarder uses the request writer and response reader of net/http instead of http.Transport: the transport repeats requests with Idempotency-Key by itself when a kept connection breaks, and gives no place for the permit check between connection and first byte.

--- /dev/null
+++ b/dispatch/client.go
@@ -0,0 +1,302 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/peer"
+)
+
+// retryInterval is the pause before a request asks again after its dispatcher
+// changed or could not be reached.
+const retryInterval = 50 * time.Millisecond
+
+// ownerCheckInterval is how often a waiting call checks that its dispatcher
+// is still the one of the pool.
+const ownerCheckInterval = 250 * time.Millisecond
+
+// maxReleaseBatch bounds the results in one Release call.
+const maxReleaseBatch = 256
+
+// Refusal is the error of a request that got no slot.
+type Refusal struct {
+	Status     peer.AcquireResponse_Status
+	RetryAfter time.Duration
+}
+
+// Error names the reason.
+func (r *Refusal) Error() string { return "no slot: " + r.Status.String() }
+
+// Request asks for a slot.
+type Request struct {
+	Pool, Service, Operation, Team string
+	Declared                       time.Duration
+	// StartBy is the latest useful start.
+	StartBy time.Time
+	Avoid   []string
+	Urgent  bool
+}
+
+// Grant is a slot on a worker until it is released.
+type Grant struct {
+	ID         string
+	Pool       string
+	Service    string
+	Operation  string
+	Worker     string
+	Address    string
+	Generation int64
+	Since      time.Time
+	dispatcher string
+}
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	EntryID string
+	// Local serves the pools that this entry VM dispatches itself.
+	Local   *Server
+	Members func() []string
+	Peer    func(entry string) (peer.Peer, bool)
+	Now     func() time.Time
+}
+
+// Client asks the dispatchers for slots and gives them back.
+type Client struct {
+	options ClientOptions
+
+	mu       sync.Mutex
+	held     map[string]Grant
+	releases map[releaseTarget][]*peer.GrantResult
+	sending  map[releaseTarget]bool
+	wake     chan struct{}
+}
+
+type releaseTarget struct{ dispatcher, pool string }
+
+// NewClient returns a client that holds no grant.
+func NewClient(options ClientOptions) *Client {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Client{
+		options:  options,
+		held:     map[string]Grant{},
+		releases: map[releaseTarget][]*peer.GrantResult{},
+		sending:  map[releaseTarget]bool{},
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// acquirer is what Acquire needs of a dispatcher, local or remote.
+type acquirer interface {
+	Acquire(context.Context, *peer.AcquireRequest) (*peer.AcquireResponse, error)
+}
+
+func (c *Client) dispatcher(pool string) (string, acquirer, bool) {
+	owner := Owner(pool, c.options.Members())
+	if owner == c.options.EntryID {
+		return owner, c.options.Local, true
+	}
+	client, ok := c.options.Peer(owner)
+	return owner, client, ok
+}
+
+// Acquire waits for a slot until r.StartBy. The error is a *Refusal, or that
+// of ctx.
+func (c *Client) Acquire(ctx context.Context, r Request) (Grant, error) {
+	for {
+		wait := r.StartBy.Sub(c.options.Now())
+		if wait <= 0 {
+			return Grant{}, &Refusal{Status: peer.AcquireResponse_CANNOT_START_IN_TIME}
+		}
+		grant, err := c.acquireOnce(ctx, r, wait)
+		if err == nil {
+			return grant, nil
+		}
+		var refusal *Refusal
+		if errors.As(err, &refusal) && refusal.Status != peer.AcquireResponse_NOT_DISPATCHER {
+			return Grant{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return Grant{}, ctx.Err()
+		case <-time.After(min(retryInterval, wait)):
+		}
+	}
+}
+
+func (c *Client) acquireOnce(ctx context.Context, r Request, wait time.Duration) (Grant, error) {
+	owner, dispatcher, ok := c.dispatcher(r.Pool)
+	if !ok {
+		return Grant{}, &Refusal{Status: peer.AcquireResponse_NOT_DISPATCHER}
+	}
+	ctx, cancel := c.whileOwner(ctx, r.Pool, owner)
+	defer cancel()
+	answer, err := dispatcher.Acquire(ctx, &peer.AcquireRequest{
+		// Each call has an id of its own, so that a call that is repeated
+		// after a lost answer does not meet its predecessor.
+		RequestId:      uuid.NewString(),
+		Entry:          c.options.EntryID,
+		Pool:           r.Pool,
+		Service:        r.Service,
+		Operation:      r.Operation,
+		Team:           r.Team,
+		DeclaredMillis: r.Declared.Milliseconds(),
+		WaitMillis:     max(1, wait.Milliseconds()),
+		Avoid:          r.Avoid,
+		Urgent:         r.Urgent,
+	})
+	if err != nil {
+		return Grant{}, errors.Wrapf(err, "ask dispatcher %s", owner)
+	}
+	if answer.Status != peer.AcquireResponse_GRANTED {
+		return Grant{}, &Refusal{
+			Status:     answer.Status,
+			RetryAfter: time.Duration(answer.RetryAfterMillis) * time.Millisecond,
+		}
+	}
+	grant := Grant{
+		ID: answer.Grant, Pool: r.Pool, Service: r.Service, Operation: r.Operation,
+		Worker: answer.Worker, Address: answer.Address, Generation: answer.Generation,
+		Since: c.options.Now(), dispatcher: owner,
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held[grant.ID] = grant
+	return grant, nil
+}
+
+// whileOwner returns a context that ends when the pool gets another
+// dispatcher, so that a call to a frozen one does not use up the waiting time.
+func (c *Client) whileOwner(ctx context.Context, pool, owner string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if owner == c.options.EntryID {
+		return ctx, cancel
+	}
+	var check *time.Timer
+	check = time.AfterFunc(ownerCheckInterval, func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if Owner(pool, c.options.Members()) != owner {
+			cancel()
+			return
+		}
+		check.Reset(ownerCheckInterval)
+	})
+	return ctx, func() {
+		check.Stop()
+		cancel()
+	}
+}
+
+// Release gives a grant back and reports how its request went.
+func (c *Client) Release(g Grant, result peer.GrantResult_Result, run time.Duration) {
+	c.mu.Lock()
+	delete(c.held, g.ID)
+	dispatcher := g.dispatcher
+	if owner := Owner(g.Pool, c.options.Members()); owner != "" {
+		// A new dispatcher has adopted the grant under the same id.
+		dispatcher = owner
+	}
+	target := releaseTarget{dispatcher: dispatcher, pool: g.Pool}
+	c.releases[target] = append(c.releases[target], &peer.GrantResult{
+		Grant: g.ID, Worker: g.Worker, Service: g.Service, Operation: g.Operation,
+		Result: result, RunMicros: run.Microseconds(),
+	})
+	c.mu.Unlock()
+	c.wakeUp()
+}
+
+// Held returns the grants of a pool that this entry VM holds.
+func (c *Client) Held(pool string) []*peer.GrantInUse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Now()
+	var held []*peer.GrantInUse
+	for _, g := range c.held {
+		if g.Pool == pool {
+			held = append(held, &peer.GrantInUse{
+				Grant: g.ID, Worker: g.Worker, Service: g.Service, Operation: g.Operation,
+				RunningMillis: now.Sub(g.Since).Milliseconds(),
+			})
+		}
+	}
+	return held
+}
+
+// Run sends the released grants until ctx ends. Results that cannot be
+// delivered are dropped; the dispatcher's reconciliation frees their slots.
+func (c *Client) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for _, batch := range c.takeReleases() {
+			group.Go(func() {
+				c.send(ctx, batch)
+				c.finishSending(batch.target)
+			})
+		}
+	}
+}
+
+type releaseBatch struct {
+	target  releaseTarget
+	results []*peer.GrantResult
+}
+
+// takeReleases returns what can be sent now. A target has one batch under way
+// at a time, so that a dispatcher that does not answer delays only its own.
+func (c *Client) takeReleases() []releaseBatch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var batches []releaseBatch
+	for target, results := range c.releases {
+		if c.sending[target] {
+			continue
+		}
+		n := min(len(results), maxReleaseBatch)
+		batches = append(batches, releaseBatch{target: target, results: results[:n]})
+		if c.releases[target] = results[n:]; n == len(results) {
+			delete(c.releases, target)
+		}
+		c.sending[target] = true
+	}
+	return batches
+}
+
+func (c *Client) finishSending(target releaseTarget) {
+	c.mu.Lock()
+	delete(c.sending, target)
+	c.mu.Unlock()
+	c.wakeUp()
+}
+
+func (c *Client) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Client) send(ctx context.Context, batch releaseBatch) {
+	r := &peer.ReleaseRequest{Entry: c.options.EntryID, Pool: batch.target.pool, Results: batch.results}
+	if batch.target.dispatcher == c.options.EntryID {
+		c.options.Local.Release(ctx, r)
+		return
+	}
+	if client, ok := c.options.Peer(batch.target.dispatcher); ok {
+		ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+		defer cancel()
+		client.Release(ctx, r)
+	}
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,343 @@
+// Package forward sends requests to backend servers over connections of its
+// own and tells what is known about each attempt.
+//
+// It uses the request writer and the response reader of net/http instead of
+// http.Transport, because the transport repeats a request by itself when a
+// kept connection breaks, which must not happen to a request that carries
+// Idempotency-Key, and because the permit is checked between the connection
+// and the first byte.
+package forward
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"dotterelhead.example/dotterelhead/request"
+	"dotterelhead.example/dotterelhead/routing"
+)
+
+// wholeAnswerBytes is the size up to which an answer is read whole before the
+// caller gets its first byte.
+const wholeAnswerBytes = 64 << 10
+
+// silentMinimum is the shortest silence after which a connection is suspected.
+const silentMinimum = 2 * time.Second
+
+// Attempt is what is known after one attempt.
+type Attempt struct {
+	// Sent tells whether a byte of the request may have reached the worker.
+	Sent bool
+	// Answer is set when the worker answered.
+	Answer *request.Answer
+	// Silent tells that the connection went silent while the worker answered
+	// on a new one.
+	Silent bool
+	// Err is set when there is no answer.
+	Err error
+}
+
+// Options configure a Forwarder.
+type Options struct {
+	// ConnectionLimit returns the most connections to one worker.
+	ConnectionLimit func() int
+	// SilentAfter returns the time without progress after which a connection
+	// is suspected, from the learned run times of the operation.
+	SilentAfter func(service, operation string) time.Duration
+	Tracer      trace.Tracer
+	Now         func() time.Time
+}
+
+// Forwarder sends requests to workers.
+type Forwarder struct {
+	options     Options
+	connections *connections
+}
+
+// New returns a Forwarder without connections.
+func New(options Options) *Forwarder {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Tracer == nil {
+		options.Tracer = otel.Tracer("forward")
+	}
+	return &Forwarder{options: options, connections: newConnections(options.ConnectionLimit, options.Now)}
+}
+
+// CloseIdle closes the idle connections to a VM.
+func (f *Forwarder) CloseIdle(vm string) { f.connections.closeIdle(vm) }
+
+// Run closes expired connections until ctx ends, then all idle ones.
+func (f *Forwarder) Run(ctx context.Context) {
+	ticker := time.NewTicker(idleTimeout / 3)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.connections.closeAll()
+			return
+		case <-ticker.C:
+			f.connections.closeExpired()
+		}
+	}
+}
+
+// Send makes one attempt under a ticket. Send ends the ticket: at once when
+// the attempt ended, or when the rest of a long answer is closed.
+func (f *Forwarder) Send(ctx context.Context, ticket *routing.Ticket, r *request.Request) Attempt {
+	vm := ticket.VM()
+	ctx, span := f.options.Tracer.Start(ctx, "backend "+r.Service, trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("worker", vm.ID), attribute.String("pool", vm.Pool)))
+	defer span.End()
+	conn, err := f.connections.get(ctx, vm.ID, vm.Address)
+	if err != nil {
+		ticket.Leave()
+		return Attempt{Err: err}
+	}
+	if err := ticket.Check(); err != nil {
+		f.connections.discard(conn)
+		ticket.Leave()
+		return Attempt{Err: err}
+	}
+	x := &exchange{forwarder: f, conn: conn, ticket: ticket, request: r}
+	attempt := x.run(ctx)
+	if attempt.Err != nil {
+		span.RecordError(attempt.Err)
+	}
+	return attempt
+}
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	forwarder *Forwarder
+	conn      *connection
+	ticket    *routing.Ticket
+	request   *request.Request
+	// stop ends the guard that interrupts the connection.
+	stop   func()
+	silent chan struct{}
+}
+
+func (x *exchange) run(ctx context.Context) Attempt {
+	x.guard(ctx)
+	outgoing, err := newRequest(ctx, x.ticket.VM().Address, x.request)
+	if err != nil {
+		x.abandon()
+		return Attempt{Err: err}
+	}
+	outgoing.Header.Set("Dotterelhead-Pool", x.ticket.VM().Pool)
+	outgoing.Header.Set("Dotterelhead-Generation", fmt.Sprint(x.ticket.VM().Generation))
+	counter := &countingWriter{writer: x.conn}
+	if err := outgoing.Write(counter); err != nil {
+		return x.fail(ctx, counter.written > 0, errors.Wrap(err, "send request"))
+	}
+	answer, err := http.ReadResponse(x.conn.reader, outgoing)
+	for err == nil && answer.StatusCode >= 100 && answer.StatusCode < 200 {
+		answer, err = http.ReadResponse(x.conn.reader, outgoing)
+	}
+	if err != nil {
+		return x.fail(ctx, true, errors.Wrap(err, "read answer"))
+	}
+	return x.receive(ctx, answer)
+}
+
+func (x *exchange) receive(ctx context.Context, answer *http.Response) Attempt {
+	result := &request.Answer{Status: answer.StatusCode, Header: answer.Header}
+	head, err := io.ReadAll(io.LimitReader(answer.Body, wholeAnswerBytes))
+	if err != nil {
+		return x.fail(ctx, true, errors.Wrap(err, "read answer body"))
+	}
+	result.Body = head
+	rest := &rest{exchange: x, body: answer.Body, close: answer.Close}
+	if len(head) < wholeAnswerBytes {
+		rest.ended = true
+		rest.Close()
+		return Attempt{Sent: true, Answer: result}
+	}
+	result.Rest = rest
+	return Attempt{Sent: true, Answer: result}
+}
+
+// guard interrupts the connection when ctx ends, and suspects it when nothing
+// arrives for too long.
+func (x *exchange) guard(ctx context.Context) {
+	done := make(chan struct{})
+	finished := make(chan struct{})
+	x.silent = make(chan struct{})
+	go func() {
+		defer close(finished)
+		var suspect <-chan time.Time
+		if after := x.silentAfter(); after > 0 {
+			timer := time.NewTimer(after)
+			defer timer.Stop()
+			suspect = timer.C
+		}
+		for {
+			select {
+			case <-done:
+				return
+			case <-ctx.Done():
+				x.conn.SetDeadline(time.Unix(1, 0))
+				return
+			case <-suspect:
+				suspect = nil
+				if x.forwarder.isReachable(ctx, x.ticket.VM().Address) {
+					close(x.silent)
+					x.conn.SetDeadline(time.Unix(1, 0))
+					return
+				}
+			}
+		}
+	}()
+	x.stop = func() {
+		close(done)
+		<-finished
+		x.stop = func() {}
+	}
+}
+
+func (x *exchange) silentAfter() time.Duration {
+	if x.forwarder.options.SilentAfter == nil {
+		return 0
+	}
+	learned := x.forwarder.options.SilentAfter(x.request.Service, x.request.Operation)
+	if learned <= 0 {
+		return 0
+	}
+	return max(learned, silentMinimum)
+}
+
+// isReachable reports whether the worker answers on a new connection.
+func (f *Forwarder) isReachable(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := f.connections.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	return isHealthy(newConnection(conn), dialTimeout)
+}
+
+func (x *exchange) fail(ctx context.Context, sent bool, err error) Attempt {
+	x.abandon()
+	attempt := Attempt{Sent: sent, Err: err}
+	select {
+	case <-x.silent:
+		attempt.Silent = true
+		attempt.Err = errors.New("connection went silent while the worker answers on a new one")
+	default:
+		if ctx.Err() != nil {
+			attempt.Err = ctx.Err()
+		}
+	}
+	return attempt
+}
+
+// abandon closes the connection, so that a late answer is never read.
+func (x *exchange) abandon() {
+	x.stop()
+	x.forwarder.connections.discard(x.conn)
+	x.ticket.Leave()
+}
+
+// rest is the unread part of an answer.
+type rest struct {
+	exchange *exchange
+	body     io.ReadCloser
+	close    bool
+	ended    bool
+	closed   bool
+}
+
+func (b *rest) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+// Close keeps the connection if the answer was read whole.
+func (b *rest) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	x := b.exchange
+	x.stop()
+	if b.ended && !b.close && x.ticket.Serving() {
+		x.conn.SetDeadline(time.Time{})
+		x.forwarder.connections.put(x.conn)
+	} else {
+		x.forwarder.connections.discard(x.conn)
+	}
+	x.ticket.Leave()
+	return nil
+}
+
+type countingWriter struct {
+	writer  io.Writer
+	written int64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.writer.Write(p)
+	w.written += int64(n)
+	return n, err
+}
+
+// hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// RemoveHopHeaders deletes the headers that concern one connection only.
+func RemoveHopHeaders(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for name := range bytes.SplitSeq([]byte(list), []byte(",")) {
+			h.Del(string(bytes.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+func newRequest(ctx context.Context, address string, r *request.Request) (*http.Request, error) {
+	target, err := url.ParseRequestURI(r.Target)
+	if err != nil {
+		return nil, errors.Wrap(err, "request target")
+	}
+	target.Scheme, target.Host = "http", address
+	outgoing, err := http.NewRequest(r.Method, target.String(), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	outgoing.Header = r.Header.Clone()
+	RemoveHopHeaders(outgoing.Header)
+	outgoing.Header.Set("X-Request-Id", r.ID)
+	if r.IdempotencyKey != "" {
+		outgoing.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(outgoing.Header))
+	return outgoing, nil
+}
+
+// drain reads the rest of an answer and reports whether it was whole.
+func drain(answer *http.Response) bool {
+	_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, wholeAnswerBytes))
+	return err == nil
+}
--- /dev/null
+++ b/ingress/attempts.go
@@ -0,0 +1,277 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"dotterelhead.example/dotterelhead/dispatch"
+	"dotterelhead.example/dotterelhead/forward"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/request"
+	"dotterelhead.example/dotterelhead/routing"
+)
+
+const (
+	// maxAttempts bounds the workers that one request is tried on: a job that
+	// failed on three workers is not the workers' fault.
+	maxAttempts = 3
+	// attemptPause keeps a request that finds no usable worker from spinning.
+	attemptPause = 10 * time.Millisecond
+	// defaultRetryAfter is the hint for callers when the refusal has none.
+	defaultRetryAfter = time.Second
+)
+
+// RetryBudget limits retries to a share of the requests.
+type RetryBudget interface {
+	// Request counts one request.
+	Request(now time.Time)
+	// Allow reports whether a retry may be made now, and counts it.
+	Allow(now time.Time) bool
+}
+
+// AttemptsOptions configure Attempts.
+type AttemptsOptions struct {
+	// Config returns the configuration in force.
+	Config    func() note.Config
+	Client    *dispatch.Client
+	Table     *routing.Table
+	Forwarder *forward.Forwarder
+	Budget    RetryBudget
+	// Observe receives the run time of each answered request.
+	Observe func(service, operation string, run time.Duration)
+	Scope   tally.Scope
+	Now     func() time.Time
+}
+
+// Attempts is the stage that gets a slot for a request and sends it, again on
+// another worker where that is allowed.
+type Attempts struct {
+	options AttemptsOptions
+}
+
+// NewAttempts returns the stage.
+func NewAttempts(options AttemptsOptions) *Attempts {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Attempts{options: options}
+}
+
+// Serve carries a request without an idempotency key through.
+func (a *Attempts) Serve(ctx context.Context, r *request.Request) request.Result {
+	return a.ServeClaimed(ctx, r, func(context.Context) *request.Result { return nil })
+}
+
+// ServeClaimed calls claim when the request has a slot and before its first
+// byte is sent. A result from claim ends the request unsent.
+func (a *Attempts) ServeClaimed(ctx context.Context, r *request.Request, claim func(context.Context) *request.Result) request.Result {
+	a.options.Budget.Request(a.options.Now())
+	t := &trial{Attempts: a, request: r, claim: claim}
+	for {
+		if result := t.attempt(ctx); result != nil {
+			return *result
+		}
+	}
+}
+
+// trial is the state of one request over its attempts.
+type trial struct {
+	*Attempts
+	request *request.Request
+	claim   func(context.Context) *request.Result
+	claimed bool
+	// sent tells whether a byte of the request may have reached a worker.
+	sent     bool
+	failures int
+	avoid    []string
+	// failure is the last answer that was tried again on another worker.
+	failure *request.Answer
+}
+
+// attempt makes one attempt. It returns nil when another one is to follow.
+func (t *trial) attempt(ctx context.Context) *request.Result {
+	r := t.request
+	grant, err := t.acquire(ctx)
+	if err != nil {
+		return t.end(err)
+	}
+	ticket, err := t.options.Table.Enter(grant.Worker, grant.Generation)
+	if err != nil {
+		t.options.Client.Release(grant, peer.GrantResult_NOT_SENT, 0)
+		return t.pause(ctx, err)
+	}
+	if !t.claimed {
+		if result := t.claim(ctx); result != nil {
+			ticket.Leave()
+			t.options.Client.Release(grant, peer.GrantResult_NOT_SENT, 0)
+			return result
+		}
+		t.claimed = true
+	}
+	attempt := t.send(ctx, grant, ticket, r)
+	if !errors.Is(attempt.Err, routing.ErrNotServing) && !errors.Is(attempt.Err, forward.ErrConnectionLimit) {
+		t.avoid = append(t.avoid, grant.Worker)
+	}
+	if !attempt.Sent {
+		// An attempt that reached no worker caused no work, so it is bounded
+		// by the deadline and not by the retry budget.
+		return t.pause(ctx, attempt.Err)
+	}
+	t.sent = true
+	t.failures++
+	if attempt.Answer != nil && !isFailure(attempt.Answer) || !t.mayRetry(ctx) {
+		return t.conclude(attempt)
+	}
+	t.failure = attempt.Answer
+	return nil
+}
+
+// conclude returns the result of the last attempt.
+func (t *trial) conclude(attempt forward.Attempt) *request.Result {
+	if attempt.Answer != nil {
+		return &request.Result{Outcome: request.Answered, Answer: attempt.Answer}
+	}
+	result := request.Lost("the request was sent and its answer was lost: " + attempt.Err.Error())
+	return &result
+}
+
+// end returns the result of a request that gets no further attempt.
+func (t *trial) end(cause error) *request.Result {
+	if t.failure != nil {
+		return &request.Result{Outcome: request.Answered, Answer: t.failure}
+	}
+	result := refusedResult(cause)
+	if t.sent {
+		result = request.Lost("an attempt was lost and no other could start: " + cause.Error())
+	}
+	return &result
+}
+
+// pause waits a moment before the next attempt, if there is time for one.
+func (t *trial) pause(ctx context.Context, cause error) *request.Result {
+	if !t.options.Now().Add(attemptPause).Before(t.request.Deadline) || errors.Is(cause, routing.ErrNoPermit) {
+		return t.end(cause)
+	}
+	select {
+	case <-time.After(attemptPause):
+		return nil
+	case <-ctx.Done():
+		return t.end(cause)
+	}
+}
+
+// mayRetry reports whether a request that reached a worker is tried again.
+func (t *trial) mayRetry(ctx context.Context) bool {
+	if ctx.Err() != nil || !t.request.Repeatable() || t.failures >= maxAttempts {
+		return false
+	}
+	allowed := t.options.Budget.Allow(t.options.Now())
+	if allowed {
+		t.options.Scope.Counter("retries_total").Inc(1)
+	} else {
+		t.options.Scope.Counter("retries_refused_total").Inc(1)
+	}
+	return allowed
+}
+
+// isFailure reports whether another worker may do better.
+func isFailure(answer *request.Answer) bool {
+	switch answer.Status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable:
+		return answer.Rest == nil
+	}
+	return false
+}
+
+// errNoService reports a request for a service that is not in force.
+var errNoService = errors.New("service is not in force")
+
+// acquire gets a slot.
+func (t *trial) acquire(ctx context.Context) (dispatch.Grant, error) {
+	r := t.request
+	service, ok := t.options.Config().Service(r.Service)
+	if !ok {
+		return dispatch.Grant{}, errNoService
+	}
+	return t.options.Client.Acquire(ctx, dispatch.Request{
+		Pool: service.Pool, Service: r.Service, Operation: r.Operation, Team: r.Team,
+		Declared: r.Declared, StartBy: r.Deadline, Avoid: t.avoid, Urgent: r.Urgent,
+	})
+}
+
+func refusedResult(err error) request.Result {
+	var refusal *dispatch.Refusal
+	if !errors.As(err, &refusal) {
+		return request.Refused(http.StatusServiceUnavailable, "not started in time", err.Error(), defaultRetryAfter)
+	}
+	status := http.StatusServiceUnavailable
+	if refusal.Status == peer.AcquireResponse_QUOTA {
+		status = http.StatusTooManyRequests
+	}
+	return request.Refused(status, "no slot", refusal.Error(), max(refusal.RetryAfter, defaultRetryAfter))
+}
+
+// send makes one attempt and reports it to the dispatcher.
+func (a *Attempts) send(ctx context.Context, grant dispatch.Grant, ticket *routing.Ticket, r *request.Request) forward.Attempt {
+	cancel := func() {}
+	if r.IdempotencyKey != "" {
+		// A claimed request goes on when its caller hangs up, so that the
+		// outcome is known to the caller's next try.
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), r.Deadline)
+	}
+	started := a.options.Now()
+	attempt := a.options.Forwarder.Send(ctx, ticket, r)
+	release := func() {
+		run := a.options.Now().Sub(started)
+		a.options.Client.Release(grant, grantResult(ctx, attempt), run)
+		cancel()
+		if attempt.Answer != nil && a.options.Observe != nil {
+			a.options.Observe(r.Service, r.Operation, run)
+		}
+	}
+	if attempt.Answer != nil && attempt.Answer.Rest != nil {
+		attempt.Answer.Rest = &releasingRest{ReadCloser: attempt.Answer.Rest, release: release}
+		return attempt
+	}
+	release()
+	return attempt
+}
+
+func grantResult(ctx context.Context, attempt forward.Attempt) peer.GrantResult_Result {
+	switch {
+	case attempt.Silent:
+		return peer.GrantResult_SILENT
+	case attempt.Answer != nil && attempt.Answer.Status < http.StatusInternalServerError:
+		return peer.GrantResult_OK
+	case attempt.Answer != nil:
+		return peer.GrantResult_FAILED
+	case ctx.Err() != nil:
+		return peer.GrantResult_CANCELLED
+	case errors.Is(attempt.Err, routing.ErrNotServing), errors.Is(attempt.Err, routing.ErrNoPermit):
+		return peer.GrantResult_NOT_SENT
+	}
+	return peer.GrantResult_FAILED
+}
+
+// releasingRest gives the slot back when the answer has been passed on.
+type releasingRest struct {
+	io.ReadCloser
+	release func()
+	done    bool
+}
+
+// Close ends the answer and gives the slot back.
+func (b *releasingRest) Close() error {
+	err := b.ReadCloser.Close()
+	if !b.done {
+		b.done = true
+		b.release()
+	}
+	return err
+}
--- /dev/null
+++ b/ingress/handler.go
@@ -0,0 +1,275 @@
+// Package ingress serves callers: it reads a request whole, passes it along
+// the chain of stages and writes its answer with an honest outcome.
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"dotterelhead.example/dotterelhead/forward"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/request"
+)
+
+// Headers of callers.
+const (
+	HeaderOutcome        = "Dotterelhead-Outcome"
+	HeaderTimeoutSeconds = "Dotterelhead-Timeout-Seconds"
+	HeaderRunTimeSeconds = "Dotterelhead-Run-Time-Seconds"
+	HeaderTeam           = "Dotterelhead-Team"
+	HeaderUrgent         = "Dotterelhead-Urgent"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Bounds of what a caller may send.
+const (
+	maxKeyBytes       = 255
+	maxRequestIDBytes = 128
+	maxTimeoutSeconds = 3600
+)
+
+// Options configure a Handler.
+type Options struct {
+	// Config returns the configuration in force.
+	Config func() note.Config
+	// Accepting reports whether this entry VM takes requests.
+	Accepting func() bool
+	// Plain serves requests without, Keyed those with an idempotency key.
+	Plain, Keyed request.Stage
+	Scope        tally.Scope
+	Tracer       trace.Tracer
+	// Log receives one event for each request that was not answered.
+	Log func(r *request.Request, result request.Result, took time.Duration)
+	Now func() time.Time
+}
+
+// Handler serves callers.
+type Handler struct {
+	options Options
+	router  *mux.Router
+}
+
+// NewHandler returns the handler of the caller listener.
+func NewHandler(options Options) *Handler {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Tracer == nil {
+		options.Tracer = otel.Tracer("ingress")
+	}
+	h := &Handler{options: options, router: mux.NewRouter().UseEncodedPath().SkipClean(true)}
+	h.router.HandleFunc("/v1/services/{service}", h.serve)
+	h.router.HandleFunc("/v1/services/{service}/{path:.*}", h.serve)
+	h.router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		writeProblem(w, request.Refused(http.StatusNotFound, "no such path", "callers use /v1/services/{service}/{path}", 0))
+	})
+	return h
+}
+
+// ServeHTTP serves one request of a caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
+
+func (h *Handler) serve(w http.ResponseWriter, incoming *http.Request) {
+	started := h.options.Now()
+	ctx := otel.GetTextMapPropagator().Extract(incoming.Context(), propagation.HeaderCarrier(incoming.Header))
+	ctx, span := h.options.Tracer.Start(ctx, "caller "+mux.Vars(incoming)["service"], trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+
+	r, result := h.read(incoming, started)
+	if result == nil {
+		deadlined, cancel := context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+		var served request.Result
+		if r.IdempotencyKey == "" {
+			served = h.options.Plain.Serve(deadlined, r)
+		} else {
+			served = h.options.Keyed.Serve(deadlined, r)
+		}
+		result = &served
+	}
+	span.SetAttributes(attribute.String("outcome", string(result.Outcome)))
+	h.count(r, *result, h.options.Now().Sub(started))
+	if r != nil {
+		w.Header().Set(HeaderRequestID, r.ID)
+	}
+	if result.Answer != nil {
+		writeAnswer(w, result.Answer)
+		return
+	}
+	writeProblem(w, *result)
+}
+
+func (h *Handler) count(r *request.Request, result request.Result, took time.Duration) {
+	h.options.Scope.Tagged(map[string]string{"outcome": string(result.Outcome)}).Counter("requests_total").Inc(1)
+	h.options.Scope.Timer("request_seconds").Record(took)
+	if result.Answer == nil && h.options.Log != nil {
+		h.options.Log(r, result, took)
+	}
+}
+
+// read reads and checks a request. The result is set when it is refused.
+func (h *Handler) read(incoming *http.Request, now time.Time) (*request.Request, *request.Result) {
+	refuse := func(status int, title, detail string) (*request.Request, *request.Result) {
+		result := request.Refused(status, title, detail, defaultRetryAfter)
+		return nil, &result
+	}
+	if !h.options.Accepting() {
+		return refuse(http.StatusServiceUnavailable, "entry VM not ready", "this entry VM takes no requests at the moment")
+	}
+	name := mux.Vars(incoming)["service"]
+	service, ok := h.options.Config().Service(name)
+	if !ok {
+		return refuse(http.StatusNotFound, "no such service", "service "+strconv.Quote(name)+" is not in force")
+	}
+	r, err := parseHeaders(incoming, service, now)
+	if err != nil {
+		return refuse(http.StatusBadRequest, "malformed request", err.Error())
+	}
+	r.Body, err = io.ReadAll(http.MaxBytesReader(nil, incoming.Body, service.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refuse(http.StatusRequestEntityTooLarge, "body too large",
+			"service "+name+" takes at most "+strconv.FormatInt(service.MaxBodyBytes, 10)+" bytes")
+	}
+	if err != nil {
+		return refuse(http.StatusBadRequest, "body not received", err.Error())
+	}
+	return r, nil
+}
+
+func parseHeaders(incoming *http.Request, service note.Service, now time.Time) (*request.Request, error) {
+	header := incoming.Header
+	r := &request.Request{
+		ID:      header.Get(HeaderRequestID),
+		Service: service.Name,
+		Team:    header.Get(HeaderTeam),
+		Method:  incoming.Method,
+		Target:  target(incoming),
+		Urgent:  header.Get(HeaderUrgent) == "true",
+		Header:  header.Clone(),
+	}
+	r.Operation = operation(r.Method, r.Target)
+	if r.ID == "" {
+		r.ID = uuid.NewString()
+	}
+	if len(r.ID) > maxRequestIDBytes {
+		return nil, errors.Errorf("%s has more than %d bytes", HeaderRequestID, maxRequestIDBytes)
+	}
+	if keys, ok := header[HeaderIdempotencyKey]; ok {
+		if len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
+			return nil, errors.Errorf("%s must occur once, with 1 to %d bytes", HeaderIdempotencyKey, maxKeyBytes)
+		}
+		r.IdempotencyKey = keys[0]
+	}
+	timeout, err := parseSeconds(header, HeaderTimeoutSeconds, service.DeadlineSeconds)
+	if err != nil {
+		return nil, err
+	}
+	r.Deadline = now.Add(timeout)
+	r.Declared, err = parseSeconds(header, HeaderRunTimeSeconds, 0)
+	return r, err
+}
+
+// parseSeconds reads a header that holds a number of seconds.
+func parseSeconds(header http.Header, name string, unset float64) (time.Duration, error) {
+	seconds := unset
+	if text := header.Get(name); text != "" {
+		var err error
+		seconds, err = strconv.ParseFloat(text, 64)
+		if err != nil || math.IsNaN(seconds) || seconds <= 0 || seconds > maxTimeoutSeconds {
+			return 0, errors.Errorf("%s must be a number of seconds above 0 and up to %d", name, maxTimeoutSeconds)
+		}
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// target returns the path and query below the service.
+func target(incoming *http.Request) string {
+	path := strings.TrimPrefix(incoming.URL.EscapedPath(), "/v1/services/")
+	_, path, _ = strings.Cut(path, "/")
+	path = "/" + path
+	if incoming.URL.RawQuery != "" {
+		path += "?" + incoming.URL.RawQuery
+	}
+	return path
+}
+
+// operation names the method and the first segment of the path. Deeper
+// segments usually hold identifiers, which would make one operation of each.
+func operation(method, target string) string {
+	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
+	first, _, _ := strings.Cut(path, "/")
+	return method + " /" + first
+}
+
+// writeAnswer passes an answer on. When the rest breaks off, it aborts the
+// connection, so that a partial answer never looks complete.
+func writeAnswer(w http.ResponseWriter, answer *request.Answer) {
+	header := w.Header()
+	forward.RemoveHopHeaders(answer.Header)
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	header.Set(HeaderOutcome, string(request.Answered))
+	if answer.Rest == nil {
+		if _, ok := header["Content-Length"]; !ok && len(answer.Body) > 0 {
+			header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		}
+		w.WriteHeader(answer.Status)
+		w.Write(answer.Body)
+		return
+	}
+	defer answer.Rest.Close()
+	w.WriteHeader(answer.Status)
+	if _, err := w.Write(answer.Body); err != nil {
+		return
+	}
+	if _, err := io.Copy(w, answer.Rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// problem is the body of an answer of dotterelhead's own making (RFC 9457).
+type problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail"`
+	Outcome string `json:"outcome"`
+}
+
+func writeProblem(w http.ResponseWriter, result request.Result) {
+	p := result.Problem
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set(HeaderOutcome, string(result.Outcome))
+	if result.Outcome == request.NotRun {
+		retryAfter := max(p.RetryAfter, defaultRetryAfter)
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	body, err := json.Marshal(problem{
+		Type: "about:blank", Title: p.Title, Status: p.Status, Detail: p.Detail, Outcome: string(result.Outcome),
+	})
+	if err != nil {
+		// A problem holds only strings and a number.
+		panic(err)
+	}
+	w.WriteHeader(p.Status)
+	w.Write(body)
+}
--- /dev/null
+++ b/request/request.go
@@ -0,0 +1,97 @@
+// Package request defines what passes along the chain from a caller to a
+// backend server and back: requests, answers and outcomes.
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Request is one request of a caller, read whole before it is queued.
+type Request struct {
+	ID      string
+	Service string
+	// Operation groups requests with similar run times.
+	Operation string
+	Team      string
+	Method    string
+	// Target is the path and query that the backend server sees.
+	Target string
+	Header http.Header
+	Body   []byte
+	// IdempotencyKey marks a request that must not run twice; empty if unset.
+	IdempotencyKey string
+	// Declared is the run time that the caller declared; 0 if it declared none.
+	Declared time.Duration
+	Urgent   bool
+	Deadline time.Time
+}
+
+// Repeatable reports whether the request may be sent again after bytes of it
+// reached a backend server.
+func (r *Request) Repeatable() bool {
+	if r.IdempotencyKey != "" {
+		return false
+	}
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// Outcome says what a caller may conclude about its request.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// Answered means that a backend server answered.
+	Answered Outcome = "answered"
+	// NotRun means that no byte of the request reached a backend server.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Answer is the answer of a backend server.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body holds the whole answer, or its beginning when Rest is set.
+	Body []byte
+	// Rest delivers what follows Body. An error other than io.EOF means that
+	// the answer ended early. The receiver closes it.
+	Rest io.ReadCloser
+}
+
+// Problem explains an answer of dotterelhead's own making.
+type Problem struct {
+	Status     int
+	Title      string
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Result is how a request ended. Exactly one of Answer and Problem is set.
+type Result struct {
+	Outcome Outcome
+	Answer  *Answer
+	Problem *Problem
+}
+
+// Refused returns the result of a request that was not run.
+func Refused(status int, title, detail string, retryAfter time.Duration) Result {
+	return Result{Outcome: NotRun, Problem: &Problem{Status: status, Title: title, Detail: detail, RetryAfter: retryAfter}}
+}
+
+// Lost returns the result of a request that may have run.
+func Lost(detail string) Result {
+	return Result{Outcome: Unknown, Problem: &Problem{Status: http.StatusBadGateway, Title: "outcome unknown", Detail: detail}}
+}
+
+// Stage is one filter of the chain.
+type Stage interface {
+	Serve(ctx context.Context, r *Request) Result
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,189 @@
+// Package routing holds an entry VM's view of which VMs it may send to.
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/fleet"
+)
+
+// Errors of Enter and Check.
+var (
+	// ErrNotServing reports that the VM does not serve with the generation of
+	// the grant.
+	ErrNotServing = errors.New("VM does not serve")
+	// ErrNoPermit reports that the entry VM may not send at the moment.
+	ErrNoPermit = errors.New("routing permit expired")
+)
+
+// Permit tells whether this entry VM may send to backend servers.
+type Permit interface {
+	Valid(now time.Time) bool
+}
+
+// Options configure a Table.
+type Options struct {
+	Permit Permit
+	// CloseIdle closes the idle connections to a VM. It must not call the
+	// table.
+	CloseIdle func(vm string)
+	Now       func() time.Time
+}
+
+// Table admits requests to VMs and knows which VMs are free of them.
+//
+// Invariant: a VM is reported as released in a generation only while no
+// request of this entry VM is in flight to it and its connections are closed,
+// and afterwards no request of that generation is admitted.
+type Table struct {
+	options Options
+
+	mu       sync.Mutex
+	vms      map[string]fleet.VM
+	inFlight map[string]int
+}
+
+// New returns a table without VMs.
+func New(options Options) *Table {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.CloseIdle == nil {
+		options.CloseIdle = func(string) {}
+	}
+	return &Table{options: options, vms: map[string]fleet.VM{}, inFlight: map[string]int{}}
+}
+
+// Update replaces the table by a newer fleet document.
+func (t *Table) Update(doc fleet.Document) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := make(map[string]fleet.VM, len(doc.VMs))
+	for _, vm := range doc.VMs {
+		next[vm.ID] = vm
+	}
+	for id, old := range t.vms {
+		vm, ok := next[id]
+		if !ok || vm.Phase != fleet.Serving || vm.Generation != old.Generation {
+			t.options.CloseIdle(id)
+		}
+	}
+	t.vms = next
+}
+
+// Serving returns the VMs that serve a pool.
+func (t *Table) Serving(pool string) []fleet.VM {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var serving []fleet.VM
+	for _, vm := range t.vms {
+		if vm.Pool == pool && vm.Phase == fleet.Serving {
+			serving = append(serving, vm)
+		}
+	}
+	return serving
+}
+
+// VM returns the record of a VM.
+func (t *Table) VM(id string) (fleet.VM, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	vm, ok := t.vms[id]
+	return vm, ok
+}
+
+// Enter admits one request to a VM. The ticket stays in flight until Leave.
+func (t *Table) Enter(vm string, generation int64) (*Ticket, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	record, err := t.check(vm, generation)
+	if err != nil {
+		return nil, err
+	}
+	t.inFlight[vm]++
+	return &Ticket{table: t, vm: record}, nil
+}
+
+func (t *Table) check(vm string, generation int64) (fleet.VM, error) {
+	record, ok := t.vms[vm]
+	if !ok || record.Phase != fleet.Serving || record.Generation != generation {
+		return fleet.VM{}, errors.Wrapf(ErrNotServing, "%s generation %d", vm, generation)
+	}
+	if !t.options.Permit.Valid(t.options.Now()) {
+		return fleet.VM{}, ErrNoPermit
+	}
+	return record, nil
+}
+
+// InFlight returns the number of requests in flight to all VMs.
+func (t *Table) InFlight() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	for _, n := range t.inFlight {
+		total += n
+	}
+	return total
+}
+
+// Released is a VM that this entry VM no longer uses in a generation.
+type Released struct {
+	VM         string
+	Generation int64
+}
+
+// Released returns the VMs in transition that are free of requests of this
+// entry VM.
+func (t *Table) Released() []Released {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var released []Released
+	for id, vm := range t.vms {
+		if vm.Phase == fleet.Serving || t.inFlight[id] > 0 {
+			continue
+		}
+		t.options.CloseIdle(id)
+		released = append(released, Released{VM: id, Generation: vm.Generation})
+	}
+	return released
+}
+
+// Ticket is the admission of one request to a VM.
+type Ticket struct {
+	table *Table
+	vm    fleet.VM
+	once  sync.Once
+}
+
+// VM returns the record under which the request was admitted.
+func (k *Ticket) VM() fleet.VM { return k.vm }
+
+// Check reports whether the request may still be sent. It is called on an
+// established connection immediately before the first byte is written, because
+// the process may have been paused since Enter.
+func (k *Ticket) Check() error {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	_, err := k.table.check(k.vm.ID, k.vm.Generation)
+	return err
+}
+
+// Serving reports whether the connection of the request may be kept for later
+// requests.
+func (k *Ticket) Serving() bool {
+	return k.Check() == nil
+}
+
+// Leave ends the request. Further calls have no effect.
+func (k *Ticket) Leave() {
+	k.once.Do(func() {
+		k.table.mu.Lock()
+		defer k.table.mu.Unlock()
+		if k.table.inFlight[k.vm.ID]--; k.table.inFlight[k.vm.ID] == 0 {
+			delete(k.table.inFlight, k.vm.ID)
+		}
+	})
+}
