--- /dev/null
+++ b/control/controller.go
@@ -0,0 +1,422 @@
+// Package control runs the control role of a region: one entry VM holds a
+// lease, and carries the fleet document on by compare-and-swap.
+package control
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/membership"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+)
+
+const (
+	leaseTTL = 5 * time.Second
+	interval = time.Second
+	// callTimeout bounds each call to the platform, so that a silent
+	// connection does not outlast the lease.
+	callTimeout = 2 * time.Second
+	// contactWindow is how recent the last exchange with a member must be to
+	// count as uninterrupted contact: one exchange a second and one lost.
+	contactWindow = 3 * time.Second
+)
+
+// LeaseKey returns the store key of the control lease of a region.
+func LeaseKey(region string) string { return "roles/control/" + region }
+
+// Members is what the controller learns from package membership.
+type Members interface {
+	// Confirmations returns the highest released generation per member and VM.
+	Confirmations() map[membership.Member]map[string]int64
+	// Contacts returns the start of the last complete exchange per member.
+	Contacts() map[membership.Member]time.Time
+	// RegistryVersions returns the version of the registry that each member holds.
+	RegistryVersions() map[membership.Member]int64
+	DemandOfMembers() []*peer.PoolDemand
+	Trigger()
+}
+
+// Options configure a Controller.
+type Options struct {
+	Store     platform.Store
+	Inventory platform.Inventory
+	Machines  platform.Machines
+	Replica   *replica.Replica
+	Members   Members
+	Region    string
+	// ID and Incarnation identify this process in the lease.
+	ID          string
+	Incarnation string
+	// Capacity plans moves; nil plans none.
+	Capacity Capacity
+	// Unhealthy lists VMs that are in service but fail; it may be nil.
+	Unhealthy func() map[string]bool
+	// RepairHistory is called after the role was taken and after each change
+	// of the configuration; it may be nil.
+	RepairHistory func(ctx context.Context) error
+	Log           *log.Logger
+}
+
+// Controller contends for the control role and carries it out.
+//
+// Invariant: it writes the fleet document only by compare-and-swap on the
+// version that its step was computed from, and calls the platform only for
+// transitions that it has read back or written for certain.
+type Controller struct {
+	o       Options
+	trigger chan struct{}
+
+	mu     sync.Mutex
+	status Status
+}
+
+// Status describes the role for operators.
+type Status struct {
+	Holding bool
+	Term    int64
+	// Steady is true when new transitions may start.
+	Steady bool
+	// LastError is the error of the last round.
+	LastError string
+}
+
+// New returns a controller.
+func New(o Options) *Controller {
+	if o.Log == nil {
+		o.Log = &log.Logger{Level: log.PanicLevel}
+	}
+	return &Controller{o: o, trigger: make(chan struct{}, 1)}
+}
+
+// Trigger starts a round at once when this entry VM holds the role.
+func (c *Controller) Trigger() {
+	select {
+	case c.trigger <- struct{}{}:
+	default:
+	}
+}
+
+// Status returns the state of the role on this entry VM.
+func (c *Controller) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.status
+}
+
+func (c *Controller) setStatus(fn func(*Status)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fn(&c.status)
+}
+
+// Run contends for the role until the context ends and then gives it back.
+func (c *Controller) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lease, err := c.acquire(ctx)
+		if err != nil {
+			sleep(ctx, interval)
+			continue
+		}
+		if lease == "" {
+			continue
+		}
+		c.hold(ctx, lease)
+		c.giveBack(lease)
+	}
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// acquire returns the lease once the role is taken, or "" to try again.
+func (c *Controller) acquire(ctx context.Context) (string, error) {
+	key := LeaseKey(c.o.Region)
+	held, err := c.get(ctx, key)
+	if err == nil {
+		watchCtx, cancel := context.WithTimeout(ctx, 2*interval+callTimeout)
+		defer cancel()
+		_, err = c.o.Store.Watch(watchCtx, key, held.Version, 2*interval)
+		return "", err
+	}
+	if !errors.Is(err, platform.ErrNotFound) {
+		return "", err
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := c.o.Store.GrantLease(callCtx, leaseTTL)
+	if err != nil {
+		return "", err
+	}
+	value := []byte(c.o.ID + " " + c.o.Incarnation + " " + lease)
+	_, err = c.o.Store.Put(callCtx, key, value, 0, lease)
+	if errors.Is(err, platform.ErrUnknown) {
+		var kv platform.KeyValue
+		if kv, err = c.get(ctx, key); err == nil && !bytes.Equal(kv.Value, value) {
+			err = platform.ErrConflict
+		}
+	}
+	if err != nil {
+		c.giveBack(lease)
+		return "", err
+	}
+	return lease, nil
+}
+
+// giveBack runs after the context of the role has ended.
+func (c *Controller) giveBack(lease string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := c.o.Store.RevokeLease(ctx, lease); err != nil && !errors.Is(err, platform.ErrNotFound) {
+		c.o.Log.Warn().Str("event", "lease_not_given_back").Err(err).Msg("")
+	}
+}
+
+func (c *Controller) get(ctx context.Context, key string) (platform.KeyValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.o.Store.Get(ctx, key)
+}
+
+// hold keeps the lease alive and runs rounds until the lease is lost.
+func (c *Controller) hold(ctx context.Context, lease string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.o.Log.Info().Str("event", "control_taken").Str("id", c.o.ID).Msg("")
+	c.setStatus(func(s *Status) { *s = Status{Holding: true} })
+	defer func() {
+		c.setStatus(func(s *Status) { *s = Status{} })
+		c.o.Log.Info().Str("event", "control_ended").Str("id", c.o.ID).Msg("")
+	}()
+	var keeper sync.WaitGroup
+	keeper.Go(func() {
+		defer cancel()
+		c.keepAlive(ctx, lease)
+	})
+	defer keeper.Wait()
+	defer cancel()
+	h := &holder{c: c, done: map[string]time.Time{}}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		err := h.round(ctx)
+		if errors.Is(err, errDeposed) {
+			c.o.Log.Warn().Str("event", "control_deposed").Int64("term", h.term).Msg("")
+			return
+		}
+		message := ""
+		if err != nil && ctx.Err() == nil {
+			message = err.Error()
+			c.o.Log.Warn().Str("event", "control_round_failed").Err(err).Msg("")
+		}
+		c.setStatus(func(s *Status) { s.Term, s.Steady, s.LastError = h.term, h.steady(time.Now()), message })
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-c.trigger:
+		}
+	}
+}
+
+// keepAlive returns when the lease has lapsed or may have.
+func (c *Controller) keepAlive(ctx context.Context, lease string) {
+	last := time.Now()
+	for {
+		sleep(ctx, interval)
+		if ctx.Err() != nil {
+			return
+		}
+		start := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := c.o.Store.KeepAlive(callCtx, lease)
+		cancel()
+		if err == nil {
+			last = start
+		}
+		if errors.Is(err, platform.ErrNotFound) || time.Since(last) >= leaseTTL {
+			return
+		}
+	}
+}
+
+// errDeposed reports that a later holder has written the fleet document.
+var errDeposed = errors.New("a later holder has written the fleet document")
+
+// holder is the state of one tenure of the role.
+type holder struct {
+	c *Controller
+	// term is 0 until the document was read.
+	term   int64
+	fences map[string]fleet.Fence
+	// steadySince is zero while the store or a majority is out of contact.
+	steadySince time.Time
+	// done holds the operations whose call was answered, to spare repeats.
+	done map[string]time.Time
+	// repaired is the version of the configuration at the last repair.
+	repaired int64
+}
+
+func (h *holder) steady(now time.Time) bool {
+	return !h.steadySince.IsZero() && now.Sub(h.steadySince) >= membership.T
+}
+
+// round takes one snapshot, steps the document and carries out its actions.
+func (h *holder) round(ctx context.Context) error {
+	err := h.attempt(ctx)
+	// A conflict is an answer of the store.
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		h.steadySince = time.Time{}
+	}
+	return err
+}
+
+func (h *holder) attempt(ctx context.Context) error {
+	s, err := h.snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	if h.term == 0 {
+		h.term = s.document.Term + 1
+	}
+	if s.document.Term > h.term {
+		return errDeposed
+	}
+	h.updateSteady(s)
+	next, actions := h.step(ctx, s)
+	if !bytes.Equal(next.Encode(), s.document.Encode()) {
+		if err := h.write(ctx, next, s.version); err != nil {
+			return err
+		}
+	}
+	h.carryOut(ctx, actions)
+	if err := h.tidyRegistry(ctx, s); err != nil {
+		return err
+	}
+	return h.repair(ctx, s)
+}
+
+// updateSteady restarts the wait whenever contact with a majority is lost.
+func (h *holder) updateSteady(s snapshot) {
+	reached := 0
+	for _, rec := range s.registry.Members {
+		if at, ok := s.contacts[rec.Member()]; ok && s.now.Sub(at) < contactWindow {
+			reached++
+		}
+	}
+	switch {
+	case 2*reached <= s.registry.Size():
+		h.steadySince = time.Time{}
+	case h.steadySince.IsZero():
+		h.steadySince = s.now
+	}
+}
+
+// step plans and steps, and repeats the step with the boot counts it asks for.
+func (h *holder) step(ctx context.Context, s snapshot) (fleet.Document, []fleet.Action) {
+	in := s.inputs(h.term)
+	h.fences = fleet.Observe(h.fences, s.document, in.Entries, s.now)
+	in.Fences = h.fences
+	in.Steady = h.steady(s.now)
+	if in.Steady {
+		h.plan(s, &in)
+	}
+	next, actions := fleet.Step(s.document, in)
+	for _, a := range actions {
+		if a.Kind != fleet.ActionReadBoot {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		vm, err := h.c.o.Machines.VM(callCtx, a.VM)
+		cancel()
+		switch {
+		case err == nil:
+			in.Boots[a.VM] = fleet.Boot{Count: vm.BootCount}
+		case errors.Is(err, platform.ErrNotFound):
+			in.Boots[a.VM] = fleet.Boot{Gone: true}
+		}
+	}
+	if len(in.Boots) > 0 {
+		next, actions = fleet.Step(s.document, in)
+	}
+	return next, actions
+}
+
+// write returns nil only when the document is known to be in the store.
+func (h *holder) write(ctx context.Context, next fleet.Document, expected int64) error {
+	key, value := fleet.Key(h.c.o.Region), next.Encode()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	version, err := h.c.o.Store.Put(callCtx, key, value, expected, "")
+	cancel()
+	if errors.Is(err, platform.ErrUnknown) {
+		var kv platform.KeyValue
+		if kv, err = h.c.get(ctx, key); err == nil && !bytes.Equal(kv.Value, value) {
+			err = platform.ErrConflict
+		}
+		version = kv.Version
+	}
+	if err != nil {
+		return errors.Wrap(err, "write fleet document")
+	}
+	h.c.o.Replica.Apply(replica.Document{Key: key, Version: version, Value: value})
+	h.c.o.Members.Trigger()
+	return nil
+}
+
+// repeatAfter is how long a call that was answered is not repeated.
+const repeatAfter = 10 * time.Second
+
+func (h *holder) carryOut(ctx context.Context, actions []fleet.Action) {
+	for _, a := range actions {
+		if time.Since(h.done[a.Operation.ID]) < repeatAfter {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		var err error
+		switch a.Kind {
+		case fleet.ActionReboot:
+			err = h.c.o.Machines.Reboot(callCtx, a.VM, a.Operation)
+		case fleet.ActionDrain:
+			err = h.c.o.Machines.Drain(callCtx, a.VM, a.Operation)
+		default:
+			cancel()
+			continue
+		}
+		cancel()
+		if err != nil {
+			h.c.o.Log.Warn().Str("event", "operation_failed").Str("kind", string(a.Kind)).
+				Str("vm", a.VM).Str("operation", a.Operation.ID).Err(err).Msg("")
+			continue
+		}
+		h.done[a.Operation.ID] = time.Now()
+	}
+	for id, at := range h.done {
+		if time.Since(at) >= repeatAfter {
+			delete(h.done, id)
+		}
+	}
+}
+
+func (h *holder) repair(ctx context.Context, s snapshot) error {
+	if h.c.o.RepairHistory == nil || s.configVersion == 0 || s.configVersion == h.repaired {
+		return nil
+	}
+	if err := h.c.o.RepairHistory(ctx); err != nil {
+		return errors.Wrap(err, "repair history")
+	}
+	h.repaired = s.configVersion
+	return nil
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,218 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/membership"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+	"dotterelhead.example/dotterelhead/scheduler/maintenance"
+)
+
+// snapshot is what one round decides on.
+//
+// Invariant: the confirmations are older than the read of the document, which
+// is older than the read of the registry. An entry VM that is missing in the
+// registry therefore registers after the document was written and reads it.
+type snapshot struct {
+	now              time.Time
+	confirmations    map[membership.Member]map[string]int64
+	contacts         map[membership.Member]time.Time
+	registryVersions map[membership.Member]int64
+	demand           []*peer.PoolDemand
+	document         fleet.Document
+	version          int64
+	registry         membership.Registry
+	registryVersion  int64
+	config           note.Config
+	configVersion    int64
+	list             []platform.VM
+	unhealthy        map[string]bool
+}
+
+func (h *holder) snapshot(ctx context.Context) (snapshot, error) {
+	o := h.c.o
+	s := snapshot{
+		now:              time.Now(),
+		confirmations:    o.Members.Confirmations(),
+		contacts:         o.Members.Contacts(),
+		registryVersions: o.Members.RegistryVersions(),
+		demand:           o.Members.DemandOfMembers(),
+	}
+	if o.Unhealthy != nil {
+		s.unhealthy = o.Unhealthy()
+	}
+	if doc, ok := o.Replica.Get(note.ConfigKey); ok {
+		config, err := note.DecodeConfig(doc.Value)
+		if err != nil {
+			return s, errors.Wrap(err, "decode configuration")
+		}
+		s.config, s.configVersion = config, doc.Version
+	}
+	value, version, err := h.read(ctx, fleet.Key(o.Region))
+	if err != nil {
+		return s, errors.Wrap(err, "read fleet document")
+	}
+	if version > 0 {
+		if s.document, err = fleet.Decode(value); err != nil {
+			return s, errors.Wrap(err, "decode fleet document")
+		}
+	}
+	s.version = version
+	if value, s.registryVersion, err = h.read(ctx, membership.Key(o.Region)); err != nil {
+		return s, errors.Wrap(err, "read registry")
+	}
+	if s.registry, err = membership.DecodeRegistry(value); err != nil {
+		return s, errors.Wrap(err, "decode registry")
+	}
+	listCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := o.Inventory.VMs(listCtx)
+	if err != nil {
+		// Transitions go on without the list.
+		o.Log.Warn().Str("event", "list_unavailable").Err(err).Msg("")
+	}
+	s.list = list
+	return s, nil
+}
+
+// read returns version 0 for a key that does not exist.
+func (h *holder) read(ctx context.Context, key string) ([]byte, int64, error) {
+	kv, err := h.c.get(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err == nil {
+		h.c.o.Replica.Apply(replica.Document{Key: key, Version: kv.Version, Value: kv.Value})
+	}
+	return kv.Value, kv.Version, err
+}
+
+func (s snapshot) inputs(term int64) fleet.Inputs {
+	in := fleet.Inputs{
+		Now: s.now, Term: term, Config: s.config, List: s.list,
+		Boots: map[string]fleet.Boot{}, FenceWait: membership.T + membership.Margin,
+	}
+	for _, rec := range s.registry.Members {
+		at, ok := s.contacts[rec.Member()]
+		in.Entries = append(in.Entries, fleet.Entry{
+			ID: rec.ID, QuorumFloor: rec.QuorumFloor,
+			Reachable: ok && s.now.Sub(at) < membership.T,
+			Released:  s.confirmations[rec.Member()],
+		})
+	}
+	return in
+}
+
+// plan asks the planners for new transitions.
+func (h *holder) plan(s snapshot, in *fleet.Inputs) {
+	if h.c.o.Capacity != nil {
+		for _, m := range h.c.o.Capacity.Plan(s.now, capacitySnapshot(s)) {
+			in.Moves = append(in.Moves, fleet.Move{VM: m.VM, From: m.From, To: m.To})
+		}
+	}
+	plan := maintenance.Next(maintenanceSnapshot(s))
+	for _, m := range plan.Starts {
+		in.Starts = append(in.Starts, fleet.Start{VM: m.VM, Wave: m.Wave})
+	}
+	for _, w := range plan.Waves {
+		in.Waves = append(in.Waves, fleet.WaveState{Name: w.Name, Paused: w.Paused, Reason: w.Reason, Finished: w.Finished})
+	}
+}
+
+// MaintenancePools returns the pools of a configuration with their budgets,
+// for maintenance.Next and maintenance.Fits.
+func MaintenancePools(c note.Config) []maintenance.Pool {
+	pools := make([]maintenance.Pool, 0, len(c.Pools))
+	for _, p := range c.Pools {
+		budget, limited := fleet.Budget(c, p.Name)
+		if !limited {
+			budget = maintenance.Unlimited
+		}
+		pools = append(pools, maintenance.Pool{Name: p.Name, MaxUnavailable: budget})
+	}
+	return pools
+}
+
+func maintenanceSnapshot(s snapshot) maintenance.Snapshot {
+	out := maintenance.Snapshot{Pools: MaintenancePools(s.config)}
+	for _, vm := range s.document.VMs {
+		state := maintenance.Planned
+		switch {
+		case vm.Removed(s.now):
+			state = maintenance.Removed
+		case vm.Phase == fleet.Down, vm.Phase == fleet.Serving && s.unhealthy[vm.ID]:
+			state = maintenance.Failed
+		case vm.Phase == fleet.Serving:
+			state = maintenance.Serving
+		}
+		out.VMs = append(out.VMs, maintenance.VM{
+			ID: vm.ID, Pool: vm.Pool, HomePool: vm.HomePool,
+			AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack, State: state, Wave: vm.Wave,
+		})
+	}
+	for _, p := range s.document.Waves {
+		for _, w := range s.config.Waves {
+			if w.Name == p.Name && w.TouchedRevision == p.Revision {
+				out.Waves = append(out.Waves, maintenance.Wave{
+					Name: w.Name, Pools: w.Pools, MaxConcurrent: w.MaxConcurrent, Done: p.Done, Finished: p.Finished,
+				})
+			}
+		}
+	}
+	return out
+}
+
+// tidyRegistry removes entry VMs that the platform no longer knows and raises
+// quorum floors.
+func (h *holder) tidyRegistry(ctx context.Context, s snapshot) error {
+	next := s.registry
+	for _, rec := range s.registry.Members {
+		if h.gone(ctx, rec, s) {
+			next = next.Remove(rec.Member())
+		}
+	}
+	next, raised := next.RaiseFloors(func(m membership.Member) bool {
+		return s.registryVersions[m] >= s.registryVersion
+	})
+	if !raised && next.Size() == s.registry.Size() {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	value := next.Encode()
+	version, err := h.c.o.Store.Put(callCtx, membership.Key(h.c.o.Region), value, s.registryVersion, "")
+	if err != nil {
+		// The next round reads the registry again.
+		return errors.Wrap(err, "write registry")
+	}
+	h.c.o.Replica.Apply(replica.Document{Key: membership.Key(h.c.o.Region), Version: version, Value: value})
+	h.c.o.Members.Trigger()
+	return nil
+}
+
+// gone reports whether an entry VM has left the platform. The list lags, so a
+// VM that is absent from it may be new: the platform is asked about it.
+func (h *holder) gone(ctx context.Context, rec membership.Record, s snapshot) bool {
+	if len(s.list) == 0 || rec.ID == h.c.o.ID {
+		return false
+	}
+	if at, ok := s.contacts[rec.Member()]; ok && s.now.Sub(at) < membership.T {
+		return false
+	}
+	for _, vm := range s.list {
+		if vm.ID == rec.ID {
+			return false
+		}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := h.c.o.Machines.VM(callCtx, rec.ID)
+	return errors.Is(err, platform.ErrNotFound)
+}
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -56,6 +56,11 @@
 	BootCount int64 `json:"boot_count"`
 	// MovedAtUnixMillis is the time of the last change of pool, for hold times.
 	MovedAtUnixMillis int64 `json:"moved_at_unix_millis,omitempty"`
+	// Lent is true while the capacity plan has the VM work for another pool
+	// than its home pool.
+	Lent bool `json:"lent,omitempty"`
+	// DownSinceUnixMillis is the time at which the VM was seen to be gone.
+	DownSinceUnixMillis int64 `json:"down_since_unix_millis,omitempty"`
 }
 
 // WaveProgress is the state of one maintenance wave.
@@ -72,9 +77,16 @@
 // Document is the fleet of one region.
 type Document struct {
 	// Term is the term of the control holder that wrote the document.
-	Term  int64          `json:"term"`
-	VMs   []VM           `json:"vms"`
-	Waves []WaveProgress `json:"waves"`
+	Term int64 `json:"term"`
+	// ConfigRevision is the highest revision that a step has applied. Older
+	// configurations are not applied any more.
+	ConfigRevision int64 `json:"config_revision"`
+	// LastGeneration is the highest generation of a VM that was removed from
+	// the document. New records start above it, so that an old confirmation
+	// never matches.
+	LastGeneration int64          `json:"last_generation"`
+	VMs            []VM           `json:"vms"`
+	Waves          []WaveProgress `json:"waves"`
 }
 
 // Decode reads a fleet document.
--- /dev/null
+++ b/membership/registry.go
@@ -0,0 +1,156 @@
+// Package membership knows the entry VMs of a region: their registry in the
+// store, the contacts between them and the permit to send requests.
+package membership
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key returns the store key of the registry of a region.
+func Key(region string) string { return "members/" + region }
+
+// Member identifies one process of one entry VM.
+type Member struct {
+	ID          string
+	Incarnation string
+}
+
+// Record is the registration of one entry VM.
+type Record struct {
+	ID               string `json:"id"`
+	Incarnation      string `json:"incarnation"`
+	PeerAddress      string `json:"peer_address"`
+	AvailabilityZone string `json:"availability_zone"`
+	// QuorumFloor is the smallest registry size that the entry VM may still
+	// believe in.
+	QuorumFloor int `json:"quorum_floor"`
+}
+
+// Member returns the identity of the record.
+func (r Record) Member() Member { return Member{ID: r.ID, Incarnation: r.Incarnation} }
+
+// Registry is the document of the registered entry VMs of a region.
+//
+// Invariant: Members is sorted by ID without duplicates, and no quorum floor
+// exceeds the size of any registry that its entry VM may still hold.
+type Registry struct {
+	Members []Record `json:"members"`
+}
+
+// DecodeRegistry reads a registry document. An empty value is an empty
+// registry.
+func DecodeRegistry(value []byte) (Registry, error) {
+	var r Registry
+	if len(value) == 0 {
+		return r, nil
+	}
+	err := json.Unmarshal(value, &r)
+	return r, err
+}
+
+// Encode returns the value of the registry document.
+func (r Registry) Encode() []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		// The types of Registry hold nothing that JSON cannot represent.
+		panic(err)
+	}
+	return value
+}
+
+// Size returns the number of registered entry VMs.
+func (r Registry) Size() int { return len(r.Members) }
+
+// Find returns the record of an entry VM.
+func (r Registry) Find(id string) (Record, bool) {
+	i, ok := r.index(id)
+	if !ok {
+		return Record{}, false
+	}
+	return r.Members[i], true
+}
+
+// Contains reports whether this very incarnation is registered.
+func (r Registry) Contains(m Member) bool {
+	rec, ok := r.Find(m.ID)
+	return ok && rec.Incarnation == m.Incarnation
+}
+
+// Add registers an entry VM and replaces a former incarnation of it. The floor
+// of the record is the new size: the process applies the registry that it
+// wrote before it counts a quorum.
+func (r Registry) Add(rec Record) Registry {
+	out := Registry{Members: slices.Clone(r.Members)}
+	i, ok := out.index(rec.ID)
+	if ok {
+		out.Members[i] = rec
+	} else {
+		out.Members = slices.Insert(out.Members, i, rec)
+	}
+	out.Members[i].QuorumFloor = out.Size()
+	return out
+}
+
+// Remove unregisters one incarnation and lowers the floors to the new size.
+func (r Registry) Remove(m Member) Registry {
+	if !r.Contains(m) {
+		return r
+	}
+	i, _ := r.index(m.ID)
+	out := Registry{Members: slices.Delete(slices.Clone(r.Members), i, i+1)}
+	for j := range out.Members {
+		out.Members[j].QuorumFloor = min(out.Members[j].QuorumFloor, out.Size())
+	}
+	return out
+}
+
+// RaiseFloors raises the floor of the members for which holds reports that
+// they hold this version of the registry, and reports whether one changed.
+func (r Registry) RaiseFloors(holds func(Member) bool) (Registry, bool) {
+	out := Registry{Members: slices.Clone(r.Members)}
+	changed := false
+	for i, rec := range out.Members {
+		if rec.QuorumFloor < out.Size() && holds(rec.Member()) {
+			out.Members[i].QuorumFloor = out.Size()
+			changed = true
+		}
+	}
+	return out, changed
+}
+
+func (r Registry) index(id string) (int, bool) {
+	return slices.BinarySearchFunc(r.Members, id, func(rec Record, id string) int {
+		return strings.Compare(rec.ID, id)
+	})
+}
+
+// Rendezvous orders ids by their rendezvous hash for a key, highest priority
+// first.
+func Rendezvous(key string, ids []string) []string {
+	type ranked struct {
+		id   string
+		hash uint64
+	}
+	order := make([]ranked, len(ids))
+	for i, id := range ids {
+		order[i] = ranked{id: id, hash: xxhash.Sum64String(key + "\x00" + id)}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		switch {
+		case a.hash < b.hash:
+			return -1
+		case a.hash > b.hash:
+			return 1
+		}
+		return strings.Compare(a.id, b.id)
+	})
+	out := make([]string, len(order))
+	for i, o := range order {
+		out[i] = o.id
+	}
+	return out
+}
