--- a/findings/findings.go
+++ b/findings/findings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -28,6 +29,9 @@
 type Finding struct {
 	Position Position
 	Message  string
+	// Conflict marks a clash with a change that was made after the base of
+	// the input, as opposed to an error of the input itself.
+	Conflict bool
 }
 
 // String formats the finding on one line.
@@ -43,7 +47,17 @@
 	*l = append(*l, Finding{Position: pos, Message: fmt.Sprintf(format, args...)})
 }
 
-// Sort orders the findings by file, line and column.
+// AddConflict appends a finding that is marked as a conflict.
+func (l *List) AddConflict(pos Position, format string, args ...any) {
+	*l = append(*l, Finding{Position: pos, Message: fmt.Sprintf(format, args...), Conflict: true})
+}
+
+// Conflict reports whether any finding is a conflict.
+func (l List) Conflict() bool {
+	return slices.ContainsFunc(l, func(f Finding) bool { return f.Conflict })
+}
+
+// Sort orders the findings by file, line, column and message.
 func (l List) Sort() {
 	sort.SliceStable(l, func(i, j int) bool {
 		a, b := l[i].Position, l[j].Position
@@ -53,7 +67,10 @@
 		if a.Line != b.Line {
 			return a.Line < b.Line
 		}
-		return a.Column < b.Column
+		if a.Column != b.Column {
+			return a.Column < b.Column
+		}
+		return l[i].Message < l[j].Message
 	})
 }
 
--- /dev/null
+++ b/note/apply.go
@@ -0,0 +1,431 @@
+package note
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"dotterelhead.example/dotterelhead/findings"
+)
+
+// MaxRecent is the number of publish identifiers that the configuration keeps.
+const MaxRecent = 64
+
+// Apply returns the configuration after the note, with the next revision. When
+// there are findings it returns c unchanged. Findings marked as conflicts come
+// from notes that were accepted after the note's base.
+//
+// Invariant: in every configuration that Apply returns a VM is in at most one
+// pool, and the revision is one higher than that of c.
+func Apply(c Config, n *Note) (Config, findings.List) {
+	a := &applier{
+		note:     n,
+		old:      c,
+		revision: c.Revision + 1,
+		touched:  map[string]string{},
+		vmPaths:  map[string]string{},
+	}
+	if n.Base > c.Revision {
+		a.add("note.base", "note.base is %d, but the revision in force is %d", n.Base, c.Revision)
+		return c, a.found
+	}
+	a.pools = newItems("pool", c.Pools, func(p *Pool) (string, *int64) { return p.Name, &p.TouchedRevision })
+	a.services = newItems("service", c.Services, func(s *Service) (string, *int64) { return s.Name, &s.TouchedRevision })
+	a.waves = newItems("wave", c.Waves, func(w *Wave) (string, *int64) { return w.Name, &w.TouchedRevision })
+	a.teams = newItems("team", c.Teams, func(t *Team) (string, *int64) { return t.Name, &t.TouchedRevision })
+	a.applyPools()
+	a.applyServices()
+	a.applyWaves()
+	a.applyTeams()
+	a.checkMembership()
+	a.checkWithdrawnPools()
+	a.checkPools()
+	a.checkServices()
+	a.checkWaves()
+	if len(a.found) > 0 {
+		a.found.Sort()
+		return c, a.found
+	}
+	next := Config{
+		Revision: a.revision,
+		Pools:    a.pools.sorted(),
+		Services: a.services.sorted(),
+		Waves:    a.waves.sorted(),
+		Teams:    a.teams.sorted(),
+		LastNote: n.Text,
+	}
+	next.Recent = append(slices.Clone(c.Recent), Published{ID: n.ID, Name: n.Name, Revision: next.Revision})
+	next.Recent = next.Recent[max(len(next.Recent)-MaxRecent, 0):]
+	return next, nil
+}
+
+// Published returns the record of a note that was accepted not long ago.
+func (c Config) Published(id string) (Published, bool) {
+	for _, p := range c.Recent {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return Published{}, false
+}
+
+// CheckSize reports a configuration that does not fit into one value of the
+// store.
+func (c Config) CheckSize(n *Note) findings.List {
+	var found findings.List
+	if size := len(c.Encode()); size > MaxDocumentBytes {
+		found.Add(n.index.At("note"), "the configuration with this note has %d bytes, more than %d; split the note or withdraw items",
+			size, MaxDocumentBytes)
+	}
+	return found
+}
+
+// items is the set of the items of one kind while a note is applied.
+type items[T any] struct {
+	kind   string
+	byName map[string]*T
+	// key returns the name of an item and its touched revision.
+	key func(*T) (string, *int64)
+}
+
+func newItems[T any](kind string, list []T, key func(*T) (string, *int64)) *items[T] {
+	s := &items[T]{kind: kind, byName: make(map[string]*T, len(list)), key: key}
+	for _, item := range list {
+		name, _ := key(&item)
+		s.byName[name] = &item
+	}
+	return s
+}
+
+func (s *items[T]) sorted() []T {
+	list := make([]T, 0, len(s.byName))
+	for _, name := range slices.Sorted(maps.Keys(s.byName)) {
+		list = append(list, *s.byName[name])
+	}
+	return list
+}
+
+type applier struct {
+	note     *Note
+	old      Config
+	revision int64
+	pools    *items[Pool]
+	services *items[Service]
+	waves    *items[Wave]
+	teams    *items[Team]
+	// touched maps kind and name of each item that the note names to the path
+	// of its entry, vmPaths each VM to the path that puts it into a pool.
+	touched map[string]string
+	vmPaths map[string]string
+	found   findings.List
+}
+
+func (a *applier) add(path, format string, args ...any) {
+	a.found.Add(a.note.index.At(path), format, args...)
+}
+
+func (a *applier) conflict(path, format string, args ...any) {
+	a.found.AddConflict(a.note.index.At(path), format, args...)
+}
+
+// report adds a conflict or a plain finding.
+func (a *applier) report(conflict bool, path, format string, args ...any) {
+	if conflict {
+		a.conflict(path, format, args...)
+	} else {
+		a.add(path, format, args...)
+	}
+}
+
+// stale tells that other notes were accepted after the base of this one.
+func (a *applier) stale() bool { return a.note.Base < a.old.Revision }
+
+// create adds an item, unless the name is taken.
+func create[T any](a *applier, s *items[T], path, name string, item T) {
+	a.touched[s.kind+" "+name] = path
+	if held, ok := s.byName[name]; ok {
+		if _, touched := s.key(held); *touched > a.note.Base {
+			a.conflict(path+".name", "%s %q exists: revision %d touched it, after base %d", s.kind, name, *touched, a.note.Base)
+		} else {
+			a.add(path+".name", "%s %q exists already", s.kind, name)
+		}
+		return
+	}
+	_, touched := s.key(&item)
+	*touched = a.revision
+	s.byName[name] = &item
+}
+
+// find returns the item that a change or withdrawal names, or nil.
+func find[T any](a *applier, s *items[T], path, name string) *T {
+	a.touched[s.kind+" "+name] = path
+	held, ok := s.byName[name]
+	if !ok {
+		if a.stale() {
+			a.conflict(path+".name", "%s %q does not exist at revision %d; the note was written against %d",
+				s.kind, name, a.old.Revision, a.note.Base)
+		} else {
+			a.add(path+".name", "%s %q does not exist", s.kind, name)
+		}
+		return nil
+	}
+	_, touched := s.key(held)
+	if *touched > a.note.Base {
+		a.conflict(path+".name", "%s %q: revision %d touched it, after base %d", s.kind, name, *touched, a.note.Base)
+	}
+	*touched = a.revision
+	return held
+}
+
+func withdraw[T any](a *applier, s *items[T], entries []withdrawEntry) {
+	for i, e := range entries {
+		if find(a, s, fmt.Sprintf("%s.withdraw[%d]", s.kind, i), e.Name) != nil {
+			delete(s.byName, e.Name)
+		}
+	}
+}
+
+func (a *applier) applyPools() {
+	for i, e := range a.note.doc.Pool.Add {
+		path := fmt.Sprintf("pool.add[%d]", i)
+		p := Pool{Name: e.Name, SlotsPerWorker: DefaultSlotsPerWorker, ConnectionsPerWorker: DefaultConnectionsPerWorker}
+		a.editPool(path, &p, e)
+		if e.MinimumVMs == nil && !p.Spare {
+			p.MinimumVMs = min(DefaultMinimumVMs, len(p.VMs))
+		}
+		create(a, a.pools, path, e.Name, p)
+	}
+	for i, e := range a.note.doc.Pool.Change {
+		path := fmt.Sprintf("pool.change[%d]", i)
+		if p := find(a, a.pools, path, e.Name); p != nil {
+			a.editPool(path, p, e)
+		}
+	}
+	withdraw(a, a.pools, a.note.doc.Pool.Withdraw)
+}
+
+// editPool never writes into p.VMs in place, because the old configuration
+// shares it.
+func (a *applier) editPool(path string, p *Pool, e poolEntry) {
+	if e.VMs != nil {
+		p.VMs = slices.Clone(*e.VMs)
+		for i, vm := range p.VMs {
+			a.vmPaths[vm] = fmt.Sprintf("%s.vms[%d]", path, i)
+		}
+	}
+	held := map[string]bool{}
+	for _, vm := range p.VMs {
+		held[vm] = true
+	}
+	for i, vm := range e.RemoveVMs {
+		if !held[vm] {
+			a.add(fmt.Sprintf("%s.remove_vms[%d]", path, i), "VM %q is not in pool %q", vm, p.Name)
+		}
+		delete(held, vm)
+	}
+	if len(e.RemoveVMs) > 0 {
+		p.VMs = slices.DeleteFunc(slices.Clone(p.VMs), func(vm string) bool { return !held[vm] })
+	}
+	for i, vm := range e.AddVMs {
+		at := fmt.Sprintf("%s.add_vms[%d]", path, i)
+		if held[vm] {
+			a.add(at, "VM %q is in pool %q already", vm, p.Name)
+			continue
+		}
+		a.vmPaths[vm] = at
+		p.VMs = append(slices.Clip(p.VMs), vm)
+	}
+	set(&p.Spare, e.Spare)
+	set(&p.MinimumVMs, e.MinimumVMs)
+	set(&p.SlotsPerWorker, e.SlotsPerWorker)
+	set(&p.ConnectionsPerWorker, e.ConnectionsPerWorker)
+}
+
+func (a *applier) applyServices() {
+	edit := func(s *Service, e serviceEntry) {
+		set(&s.Pool, e.Pool)
+		set(&s.MaxUnavailable, e.MaxUnavailable)
+		set(&s.DeadlineSeconds, e.DeadlineSeconds)
+		set(&s.MaxQueue, e.MaxQueue)
+		set(&s.MaxBodyBytes, e.MaxBodyBytes)
+	}
+	for i, e := range a.note.doc.Service.Add {
+		s := Service{Name: e.Name, MaxUnavailable: DefaultMaxUnavailable, DeadlineSeconds: DefaultDeadlineSeconds,
+			MaxQueue: DefaultMaxQueue, MaxBodyBytes: DefaultMaxBodyBytes}
+		edit(&s, e)
+		create(a, a.services, fmt.Sprintf("service.add[%d]", i), e.Name, s)
+	}
+	for i, e := range a.note.doc.Service.Change {
+		if s := find(a, a.services, fmt.Sprintf("service.change[%d]", i), e.Name); s != nil {
+			edit(s, e)
+		}
+	}
+	withdraw(a, a.services, a.note.doc.Service.Withdraw)
+}
+
+func (a *applier) applyWaves() {
+	edit := func(w *Wave, e waveEntry) {
+		if e.Pools != nil {
+			w.Pools = slices.Clone(*e.Pools)
+		}
+		set(&w.MaxConcurrent, e.MaxConcurrent)
+	}
+	for i, e := range a.note.doc.Wave.Add {
+		w := Wave{Name: e.Name, MaxConcurrent: DefaultMaxConcurrent}
+		edit(&w, e)
+		create(a, a.waves, fmt.Sprintf("wave.add[%d]", i), e.Name, w)
+	}
+	for i, e := range a.note.doc.Wave.Change {
+		if w := find(a, a.waves, fmt.Sprintf("wave.change[%d]", i), e.Name); w != nil {
+			edit(w, e)
+		}
+	}
+	withdraw(a, a.waves, a.note.doc.Wave.Withdraw)
+}
+
+func (a *applier) applyTeams() {
+	for i, e := range a.note.doc.Team.Add {
+		t := Team{Name: e.Name, SlotQuota: DefaultSlotQuota}
+		set(&t.SlotQuota, e.SlotQuota)
+		create(a, a.teams, fmt.Sprintf("team.add[%d]", i), e.Name, t)
+	}
+	for i, e := range a.note.doc.Team.Change {
+		if t := find(a, a.teams, fmt.Sprintf("team.change[%d]", i), e.Name); t != nil {
+			set(&t.SlotQuota, e.SlotQuota)
+		}
+	}
+	withdraw(a, a.teams, a.note.doc.Team.Withdraw)
+}
+
+func set[T any](to *T, value *T) {
+	if value != nil {
+		*to = *value
+	}
+}
+
+// path returns the entry of the note for the first of the given items that
+// the note touches. A violation that involves none of them is not the fault of
+// this note.
+func (a *applier) path(items ...string) (string, bool) {
+	for _, item := range items {
+		if path, ok := a.touched[item]; ok {
+			return path, true
+		}
+	}
+	return "", false
+}
+
+// checkMembership reports every VM that would be in two pools.
+func (a *applier) checkMembership() {
+	in := map[string]*Pool{}
+	for _, name := range slices.Sorted(maps.Keys(a.pools.byName)) {
+		p := a.pools.byName[name]
+		for _, vm := range p.VMs {
+			other, ok := in[vm]
+			if !ok {
+				in[vm] = p
+				continue
+			}
+			if path, ok := a.vmPaths[vm]; ok {
+				a.report(a.newer(other) || a.newer(p), path, "VM %q is in two pools, %q and %q", vm, other.Name, p.Name)
+			}
+		}
+	}
+}
+
+// newer tells that a later note than the base touched the pool.
+func (a *applier) newer(p *Pool) bool {
+	return p.TouchedRevision > a.note.Base && p.TouchedRevision != a.revision
+}
+
+// checkWithdrawnPools reports withdrawn pools whose VMs have no other pool.
+func (a *applier) checkWithdrawnPools() {
+	in := map[string]bool{}
+	for _, p := range a.pools.byName {
+		for _, vm := range p.VMs {
+			in[vm] = true
+		}
+	}
+	for i, e := range a.note.doc.Pool.Withdraw {
+		p, _ := a.old.Pool(e.Name)
+		left := slices.DeleteFunc(slices.Clone(p.VMs), func(vm string) bool { return in[vm] })
+		if len(left) > 0 {
+			a.add(fmt.Sprintf("pool.withdraw[%d].name", i), "pool %q is in use: %d of its VMs are in no other pool: %s",
+				e.Name, len(left), abbreviate(left))
+		}
+	}
+}
+
+// abbreviate lists the first names.
+func abbreviate(names []string) string {
+	const shown = 4
+	if len(names) <= shown {
+		return strings.Join(names, ", ")
+	}
+	return strings.Join(names[:shown], ", ") + ", ..."
+}
+
+func (a *applier) checkPools() {
+	for name, p := range a.pools.byName {
+		if path, ok := a.path("pool " + name); ok && p.MinimumVMs > len(p.VMs) {
+			a.add(path+".minimum_vms", "pool %q has %d VMs, fewer than its minimum_vms of %d", name, len(p.VMs), p.MinimumVMs)
+		}
+	}
+}
+
+// checkServices reports services without a pool that can serve them.
+func (a *applier) checkServices() {
+	for name, s := range a.services.byName {
+		path, ok := a.path("pool "+s.Pool, "service "+name)
+		if !ok {
+			continue
+		}
+		p, exists := a.pools.byName[s.Pool]
+		switch withdrawn := strings.HasPrefix(path, "pool.withdraw"); {
+		case !exists && withdrawn:
+			a.add(path+".name", "pool %q is in use by service %q", s.Pool, name)
+		case !exists:
+			a.report(a.stale(), path+".pool", "service %q: pool %q does not exist at revision %d", name, s.Pool, a.old.Revision)
+		case p.Spare:
+			a.add(path, "service %q: pool %q is spare and serves no service", name, s.Pool)
+		}
+	}
+}
+
+// checkWaves reports waves over pools that do not exist and waves that can
+// never take a VM away without breaking a budget.
+func (a *applier) checkWaves() {
+	for name, w := range a.waves.byName {
+		for i, pool := range w.Pools {
+			a.checkWavePool(w, pool, fmt.Sprintf(".pools[%d]", i), "wave "+name)
+		}
+	}
+}
+
+func (a *applier) checkWavePool(w *Wave, pool, field, item string) {
+	p, exists := a.pools.byName[pool]
+	if !exists {
+		path, ok := a.path("pool "+pool, item)
+		switch {
+		case !ok:
+		case strings.HasPrefix(path, "pool.withdraw"):
+			a.add(path+".name", "pool %q is in use by wave %q", pool, w.Name)
+		default:
+			a.report(a.stale(), path+field, "wave %q: pool %q does not exist at revision %d", w.Name, pool, a.old.Revision)
+		}
+		return
+	}
+	if path, ok := a.path(item, "pool "+pool); ok && len(p.VMs) > 0 && p.MinimumVMs >= len(p.VMs) {
+		a.add(path+field, "wave %q can never finish: no VM of pool %q may be away, it has %d VMs and minimum_vms is %d",
+			w.Name, pool, len(p.VMs), p.MinimumVMs)
+	}
+	for name, s := range a.services.byName {
+		if s.Pool != pool || s.MaxUnavailable > 0 || len(p.VMs) == 0 {
+			continue
+		}
+		if path, ok := a.path(item, "service "+name, "pool "+pool); ok {
+			a.add(path+field, "wave %q can never finish: service %q of pool %q has max_unavailable 0", w.Name, name, pool)
+		}
+	}
+}
--- a/note/config.go
+++ b/note/config.go
@@ -27,6 +27,8 @@
 	ID       string `json:"id"`
 	Name     string `json:"name"`
 	Revision int64  `json:"revision"`
+	// PublishedAtUnixMillis is the clock of the entry VM that accepted it.
+	PublishedAtUnixMillis int64 `json:"published_at_unix_millis,omitempty"`
 }
 
 // Pool is a group of VMs that serve one service, or the spare.
--- /dev/null
+++ b/tomlfile/tomlfile.go
@@ -0,0 +1,323 @@
+// Package tomlfile decodes TOML files into structs and reports everything that
+// does not fit the struct, each with its place.
+package tomlfile
+
+import (
+	"errors"
+	"reflect"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"dotterelhead.example/dotterelhead/findings"
+)
+
+// Index knows the position of every table, key and array element of a file.
+// Paths are written as in pool.add[0].vms[2]. Columns count bytes.
+type Index struct {
+	file      string
+	positions map[string]findings.Position
+}
+
+// At returns the position of a path or, when the file does not contain it, of
+// the closest table around it. The empty path stands for the whole file.
+func (x *Index) At(path string) findings.Position {
+	for path != "" {
+		if pos, ok := x.positions[path]; ok {
+			return pos
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return findings.Position{File: x.file}
+}
+
+// Has reports whether the file contains the path.
+func (x *Index) Has(path string) bool {
+	_, ok := x.positions[path]
+	return ok
+}
+
+// Decode fills the struct that into points to. The fields are matched by their
+// toml tags, exactly. Findings name unknown keys, duplicate keys, values of the
+// wrong type and malformed input. ok reports that into is filled, which is the
+// case when there is no finding other than unknown keys; the caller can then
+// check the values and report its findings together with these.
+func Decode(file string, text []byte, into any) (x *Index, found findings.List, ok bool) {
+	w := &walker{
+		index:   &Index{file: file, positions: map[string]findings.Position{}},
+		root:    reflect.TypeOf(into).Elem(),
+		arrays:  map[string]int{},
+		defined: map[string]bool{},
+		lines:   lineStarts(text),
+	}
+	w.parser.Reset(text)
+	for w.parser.NextExpression() {
+		w.expression(w.parser.Expression())
+	}
+	if w.parser.Error() != nil {
+		var ignored map[string]any
+		w.decodeError(toml.Unmarshal(text, &ignored), w.parser.Error())
+	} else if !w.failed {
+		if err := toml.Unmarshal(text, into); err != nil {
+			w.decodeError(err, err)
+		}
+	}
+	w.found.Sort()
+	return w.index, w.found, !w.failed
+}
+
+// walker visits the expressions of a file and compares them with a struct type.
+type walker struct {
+	parser unstable.Parser
+	index  *Index
+	root   reflect.Type
+	// arrays counts the elements of each array of tables.
+	arrays map[string]int
+	// defined holds the paths of tables that have a header of their own.
+	defined map[string]bool
+	lines   []int
+	// table and tableType describe the table of the last header; tableType is
+	// nil below an unknown key.
+	table     string
+	tableType reflect.Type
+	started   bool
+	found     findings.List
+	// failed tells that the file cannot be decoded into the struct.
+	failed bool
+}
+
+func (w *walker) expression(node *unstable.Node) {
+	if !w.started {
+		w.started, w.tableType = true, w.root
+	}
+	switch node.Kind {
+	case unstable.Table, unstable.ArrayTable:
+		w.header(node)
+	case unstable.KeyValue:
+		w.keyValue(node, w.table, w.tableType)
+	}
+}
+
+// header enters the table of a [table] or [[table]] line.
+func (w *walker) header(node *unstable.Node) {
+	path, typ := "", w.root
+	it := node.Key()
+	for it.Next() {
+		key := it.Node()
+		pos := w.position(key)
+		path = join(path, string(key.Data))
+		typ = w.field(typ, key, path)
+		last := it.IsLast()
+		if last && node.Kind == unstable.ArrayTable {
+			if typ != nil && typ.Kind() != reflect.Slice {
+				w.fail(pos, "%s is not a list; write [%s]", path, path)
+				typ = nil
+			}
+			w.arrays[path]++
+		} else if last {
+			if typ != nil && typ.Kind() == reflect.Slice {
+				w.fail(pos, "%s is a list; write [[%s]]", path, path)
+				typ = nil
+			} else if typ != nil && typ.Kind() != reflect.Struct {
+				w.fail(pos, "%s is not a table", path)
+				typ = nil
+			}
+		}
+		if n := w.arrays[path]; n > 0 {
+			if _, ok := w.index.positions[path]; !ok {
+				w.index.positions[path] = pos
+			}
+			path += "[" + strconv.Itoa(n-1) + "]"
+			if typ != nil && typ.Kind() == reflect.Slice {
+				typ = deref(typ.Elem())
+			}
+		}
+		if last && w.defined[path] {
+			w.fail(pos, "table %s is defined twice", path)
+		}
+		if last {
+			w.defined[path] = true
+		}
+		if _, ok := w.index.positions[path]; !ok {
+			w.index.positions[path] = pos
+		}
+	}
+	w.table, w.tableType = path, typ
+}
+
+// keyValue records a key, possibly dotted, and checks its value.
+func (w *walker) keyValue(node *unstable.Node, path string, typ reflect.Type) {
+	it := node.Key()
+	for it.Next() {
+		key := it.Node()
+		pos := w.position(key)
+		path = join(path, string(key.Data))
+		typ = w.field(typ, key, path)
+		if _, ok := w.index.positions[path]; !ok {
+			w.index.positions[path] = pos
+		} else if it.IsLast() {
+			w.fail(pos, "%s is set twice", path)
+		}
+	}
+	w.value(node.Value(), path, typ)
+}
+
+// field returns the type of a key within a table of type typ, or nil when it
+// is unknown, which is reported, or lies below something unknown.
+func (w *walker) field(typ reflect.Type, key *unstable.Node, path string) reflect.Type {
+	if typ == nil {
+		return nil
+	}
+	if typ.Kind() != reflect.Struct {
+		w.fail(w.position(key), "%s is not a table", path[:max(strings.LastIndex(path, "."), 0)])
+		return nil
+	}
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		if tag, _, _ := strings.Cut(f.Tag.Get("toml"), ","); tag == string(key.Data) && tag != "-" && tag != "" {
+			return deref(f.Type)
+		}
+	}
+	w.found.Add(w.position(key), "unknown field %s", path)
+	return nil
+}
+
+// value checks the type of a value and records the elements of arrays.
+func (w *walker) value(node *unstable.Node, path string, typ reflect.Type) {
+	if node.Raw.Length > 0 {
+		if _, ok := w.index.positions[path]; !ok {
+			w.index.positions[path] = w.position(node)
+		}
+	}
+	if typ == nil {
+		return
+	}
+	if !fits(node.Kind, typ) {
+		w.fail(w.index.At(path), "%s must be %s, not %s", path, describe(typ), kindNames[node.Kind])
+		return
+	}
+	switch node.Kind {
+	case unstable.Array:
+		it := node.Children()
+		for i := 0; it.Next(); {
+			if it.Node().Kind == unstable.Comment {
+				continue
+			}
+			w.value(it.Node(), path+"["+strconv.Itoa(i)+"]", deref(typ.Elem()))
+			i++
+		}
+	case unstable.InlineTable:
+		it := node.Children()
+		for it.Next() {
+			if it.Node().Kind == unstable.KeyValue {
+				w.keyValue(it.Node(), path, typ)
+			}
+		}
+	}
+}
+
+func (w *walker) fail(pos findings.Position, format string, args ...any) {
+	w.failed = true
+	w.found.Add(pos, format, args...)
+}
+
+// decodeError reports an error of the TOML library; fallback is used when err
+// has no position.
+func (w *walker) decodeError(err, fallback error) {
+	pos := findings.Position{File: w.index.file}
+	message := fallback.Error()
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		pos.Line, pos.Column = de.Position()
+		message = de.Error()
+	}
+	w.fail(pos, "%s", strings.TrimPrefix(message, "toml: "))
+}
+
+func (w *walker) position(node *unstable.Node) findings.Position {
+	offset := int(node.Raw.Offset)
+	line := sort.SearchInts(w.lines, offset+1)
+	return findings.Position{File: w.index.file, Line: line, Column: offset - w.lines[line-1] + 1}
+}
+
+// lineStarts returns the offset at which each line starts.
+func lineStarts(text []byte) []int {
+	starts := []int{0}
+	for i, b := range text {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
+}
+
+var bareKey = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
+
+func join(path, key string) string {
+	if !bareKey.MatchString(key) {
+		key = strconv.Quote(key)
+	}
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func deref(typ reflect.Type) reflect.Type {
+	for typ.Kind() == reflect.Pointer {
+		typ = typ.Elem()
+	}
+	return typ
+}
+
+func fits(kind unstable.Kind, typ reflect.Type) bool {
+	switch typ.Kind() {
+	case reflect.String:
+		return kind == unstable.String
+	case reflect.Bool:
+		return kind == unstable.Bool
+	case reflect.Int, reflect.Int64:
+		return kind == unstable.Integer
+	case reflect.Float64:
+		return kind == unstable.Float || kind == unstable.Integer
+	case reflect.Slice:
+		return kind == unstable.Array
+	case reflect.Struct:
+		return kind == unstable.InlineTable
+	}
+	return false
+}
+
+func describe(typ reflect.Type) string {
+	switch typ.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64:
+		return "an integer"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Slice:
+		return "an array"
+	default:
+		return "a table"
+	}
+}
+
+var kindNames = map[unstable.Kind]string{
+	unstable.Array:         "an array",
+	unstable.InlineTable:   "a table",
+	unstable.String:        "a string",
+	unstable.Bool:          "a boolean",
+	unstable.Float:         "a float",
+	unstable.Integer:       "an integer",
+	unstable.LocalDate:     "a date",
+	unstable.LocalTime:     "a time",
+	unstable.LocalDateTime: "a date and time",
+	unstable.DateTime:      "a date and time",
+}
