Add the publisher and the operator API

The publisher writes notes/current by compare-and-swap, settles lost answers by reading again and never writes a revision before the history holds the one before it.

--- /dev/null
+++ b/operator/publisher.go
@@ -0,0 +1,282 @@
+// Package operator is the operators' side of an entry VM: publishing notes,
+// reading back the configuration in force, history and status.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+)
+
+// historyPrefix is the prefix of the store keys of accepted notes.
+const historyPrefix = "notes/history/"
+
+// historyKey orders the notes by revision.
+func historyKey(revision int64) string { return fmt.Sprintf(historyPrefix+"%010d", revision) }
+
+// Accepted is one accepted note, as the history holds it.
+type Accepted struct {
+	note.Published
+	// Text is the note.
+	Text string `json:"text,omitempty"`
+}
+
+// Outcome is the answer to a publish.
+type Outcome struct {
+	// Revision is the revision that the note got; 0 when it was refused.
+	Revision int64
+	// Repeated tells that the note had been accepted before.
+	Repeated bool
+	// Findings says why the note was refused.
+	Findings findings.List
+	// Conflict tells that the note clashes with notes accepted after its base.
+	Conflict bool
+}
+
+// PublisherOptions configures a Publisher.
+type PublisherOptions struct {
+	Store   platform.Store
+	Replica *replica.Replica
+	// Now is the clock for the time in the history; time.Now by default.
+	Now func() time.Time
+	// Timeout bounds a publish when the context has no earlier deadline; 5 s
+	// by default, so that an operator's tool can try another entry VM in time.
+	Timeout time.Duration
+	// RetryInterval is the first pause before a call to the store is repeated;
+	// 20 ms by default. It grows with each retry.
+	RetryInterval time.Duration
+}
+
+// Publisher publishes notes by compare-and-swap on the configuration in force.
+//
+// Invariants: the revision in the store grows by one with each accepted note;
+// one note text gets one revision as long as it is among the last
+// note.MaxRecent; revision N+1 is written only after the history holds note N.
+type Publisher struct {
+	opts PublisherOptions
+
+	mu sync.Mutex
+	// recorded is the highest revision known to be in the history.
+	recorded int64
+}
+
+// NewPublisher returns a publisher.
+func NewPublisher(opts PublisherOptions) *Publisher {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = 5 * time.Second
+	}
+	if opts.RetryInterval == 0 {
+		opts.RetryInterval = 20 * time.Millisecond
+	}
+	return &Publisher{opts: opts}
+}
+
+// Publish applies a note to the configuration in force. A note that was
+// accepted already returns its revision. The error is platform.ErrUnavailable
+// when the note was certainly not written and platform.ErrUnknown when it may
+// have been; repeating the publish, on any entry VM, is safe in both cases.
+func (p *Publisher) Publish(ctx context.Context, text []byte) (Outcome, error) {
+	n, found := note.Parse("note.toml", text)
+	if n == nil {
+		return Outcome{Findings: found}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
+	defer cancel()
+	pause := p.pauses()
+	lost := lostWrite{}
+	for {
+		outcome, err := p.attempt(ctx, n, &lost)
+		if err == nil {
+			return outcome, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) && !wait(ctx, pause) || ctx.Err() != nil {
+			if lost.pending {
+				return Outcome{}, errors.Wrapf(platform.ErrUnknown, "publishing the note: %v", err)
+			}
+			return Outcome{}, errors.Wrapf(platform.ErrUnavailable, "publishing the note: %v", err)
+		}
+	}
+}
+
+// lostWrite is a write whose answer was lost and that no read has settled.
+type lostWrite struct {
+	pending bool
+	// expected is the version that the write replaces.
+	expected int64
+}
+
+// attempt reads the configuration, applies the note and writes the result. An
+// error means that another attempt may succeed.
+//
+// A lost answer is settled by the next read: the write carried the version of
+// the read before it, so it has taken effect and shows, or the document has
+// moved on and it never will, or the document is unchanged and the next write
+// with the same version excludes it.
+func (p *Publisher) attempt(ctx context.Context, n *note.Note, lost *lostWrite) (Outcome, error) {
+	config, doc, err := p.read(ctx)
+	if err != nil {
+		return Outcome{}, err
+	}
+	if published, ok := config.Published(n.ID); ok {
+		p.opts.Replica.Apply(doc)
+		if published.Revision == config.Revision {
+			p.record(ctx, config)
+		}
+		return Outcome{Revision: published.Revision, Repeated: !lost.pending}, nil
+	}
+	if lost.pending && lost.expected != doc.Version {
+		lost.pending = false
+	}
+	next, found := note.Apply(config, n)
+	if len(found) == 0 {
+		found = next.CheckSize(n)
+	}
+	if len(found) > 0 {
+		return Outcome{Findings: found, Conflict: found.Conflict()}, nil
+	}
+	if err := p.record(ctx, config); err != nil {
+		return Outcome{}, err
+	}
+	next.Recent[len(next.Recent)-1].PublishedAtUnixMillis = p.opts.Now().UnixMilli()
+	value := next.Encode()
+	version, err := p.opts.Store.Put(ctx, note.ConfigKey, value, doc.Version, "")
+	switch {
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+		return Outcome{}, err
+	case err != nil:
+		*lost = lostWrite{pending: true, expected: doc.Version}
+		return Outcome{}, err
+	}
+	p.opts.Replica.Apply(replica.Document{Key: note.ConfigKey, Version: version, Value: value})
+	// The note is in force; a missing history record is repaired later.
+	p.record(ctx, next)
+	return Outcome{Revision: next.Revision}, nil
+}
+
+// Current reads the configuration in force from the store and applies it to
+// the replica.
+func (p *Publisher) Current(ctx context.Context) (note.Config, error) {
+	config, doc, err := p.read(ctx)
+	if err == nil && doc.Version > 0 {
+		p.opts.Replica.Apply(doc)
+	}
+	return config, err
+}
+
+// read returns the configuration in the store; before the first note it is
+// empty, with version 0.
+func (p *Publisher) read(ctx context.Context) (note.Config, replica.Document, error) {
+	kv, err := p.opts.Store.Get(ctx, note.ConfigKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return note.Config{}, replica.Document{Key: note.ConfigKey}, nil
+	}
+	if err != nil {
+		return note.Config{}, replica.Document{}, errors.Wrap(err, "reading the configuration")
+	}
+	config, err := note.DecodeConfig(kv.Value)
+	if err != nil {
+		return note.Config{}, replica.Document{}, errors.Wrapf(err, "decoding version %d of the configuration", kv.Version)
+	}
+	return config, replica.Document{Key: kv.Key, Version: kv.Version, Value: kv.Value}, nil
+}
+
+// RepairHistory writes the history record of the note in force if it is
+// missing, as after the publisher stopped between its two writes. The control
+// holder calls it when the configuration changes.
+func (p *Publisher) RepairHistory(ctx context.Context) error {
+	config, _, err := p.read(ctx)
+	if err != nil {
+		return err
+	}
+	return p.record(ctx, config)
+}
+
+// record writes the history record of the last note of config. The record is
+// a function of config, so a record that exists is the same.
+func (p *Publisher) record(ctx context.Context, config note.Config) error {
+	if config.Revision == 0 || len(config.Recent) == 0 || p.isRecorded(config.Revision) {
+		return nil
+	}
+	record := Accepted{Published: config.Recent[len(config.Recent)-1], Text: config.LastNote}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "encoding the history record")
+	}
+	_, err = p.opts.Store.Put(ctx, historyKey(config.Revision), value, 0, "")
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return errors.Wrapf(err, "writing the history record of revision %d", config.Revision)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recorded = max(p.recorded, config.Revision)
+	return nil
+}
+
+func (p *Publisher) isRecorded(revision int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return revision <= p.recorded
+}
+
+// History returns up to limit accepted notes with revisions below before, the
+// newest first. before 0 starts at the newest.
+func (p *Publisher) History(ctx context.Context, before int64, limit int) ([]Accepted, error) {
+	if before <= 0 {
+		config, err := p.Current(ctx)
+		if err != nil {
+			return nil, err
+		}
+		before = config.Revision + 1
+	}
+	var list []Accepted
+	// Records are read one by one: a listing of notes of up to a megabyte each
+	// would not fit into a bounded answer.
+	for revision := before - 1; revision > 0 && revision >= before-int64(limit); revision-- {
+		kv, err := p.opts.Store.Get(ctx, historyKey(revision))
+		if errors.Is(err, platform.ErrNotFound) {
+			// The record of the note in force may not be written yet.
+			continue
+		}
+		if err != nil {
+			return nil, errors.Wrapf(err, "reading revision %d of the history", revision)
+		}
+		var record Accepted
+		if err := json.Unmarshal(kv.Value, &record); err != nil {
+			return nil, errors.Wrapf(err, "decoding revision %d of the history", revision)
+		}
+		list = append(list, record)
+	}
+	return list, nil
+}
+
+func (p *Publisher) pauses() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = p.opts.RetryInterval
+	b.MaxInterval = 16 * p.opts.RetryInterval
+	return b
+}
+
+// wait pauses and reports whether the context is still in force.
+func wait(ctx context.Context, pause *backoff.ExponentialBackOff) bool {
+	timer := time.NewTimer(pause.NextBackOff())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/tomlfile/tomlfile.go
+++ b/tomlfile/tomlfile.go
@@ -117,6 +117,9 @@
 				w.fail(pos, "%s is not a list; write [%s]", path, path)
 				typ = nil
 			}
+			if w.arrays[path] == 0 && w.index.Has(path) {
+				w.fail(pos, "%s is defined above in another form", path)
+			}
 			w.arrays[path]++
 		} else if last {
 			if typ != nil && typ.Kind() == reflect.Slice {
