Add settings of an entry VM

The daemon needs validated settings. All findings of a file are reported together; exposed listeners without TLS or token need explicit permission.

--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,170 @@
+// Package settings reads the settings file of an entry VM.
+package settings
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"time"
+
+	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/tomlfile"
+)
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Settings are the settings of one entry VM. Fields that a file leaves out
+// have the values of Defaults.
+type Settings struct {
+	// ID names the entry VM; it is unique in the region.
+	ID               string `toml:"id"`
+	Region           string `toml:"region"`
+	AvailabilityZone string `toml:"availability_zone"`
+	// CallerListen, OperatorListen and PeerListen are IP:port. An empty IP
+	// address means all addresses of the VM.
+	CallerListen   string `toml:"caller_listen"`
+	OperatorListen string `toml:"operator_listen"`
+	PeerListen     string `toml:"peer_listen"`
+	// PeerAddress is the IP:port under which other entry VMs reach this one;
+	// PeerListen by default.
+	PeerAddress string `toml:"peer_address"`
+	PlatformURL string `toml:"platform_url"`
+	// SeedPeers are peer addresses of other entry VMs, asked for documents
+	// when the store is down at the start.
+	SeedPeers []string `toml:"seed_peers"`
+	// OperatorTokenFile holds the bearer token that operators present.
+	OperatorTokenFile string `toml:"operator_token_file"`
+	// AllowPlainListeners permits listeners that are not on loopback without
+	// TLS or, for the operator listener, without a token.
+	AllowPlainListeners bool   `toml:"allow_plain_listeners"`
+	LogLevel            string `toml:"log_level"`
+	// ShutdownLoadBalancerWaitSeconds is the time between reporting unready
+	// and refusing new work.
+	ShutdownLoadBalancerWaitSeconds float64 `toml:"shutdown_load_balancer_wait_seconds"`
+	// RetryBudgetRatio limits retries to this part of recent requests.
+	RetryBudgetRatio float64 `toml:"retry_budget_ratio"`
+	Limits           Limits  `toml:"limits"`
+	Policy           Policy  `toml:"policy"`
+	TLS              TLS     `toml:"tls"`
+	Tracing          Tracing `toml:"tracing"`
+}
+
+// Limits bound what one caller's request may use.
+type Limits struct {
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// MaxBodyBytes applies beside the limit of the service; the smaller counts.
+	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// DefaultDeadlineSeconds applies to services without a deadline.
+	DefaultDeadlineSeconds float64 `toml:"default_deadline_seconds"`
+}
+
+// Policy weighs the aims of the capacity decisions against each other. Only
+// the ratio of the weights matters.
+type Policy struct {
+	WaitingWeight float64 `toml:"waiting_weight"`
+	BufferWeight  float64 `toml:"buffer_weight"`
+}
+
+// TLS holds the files of each listener.
+type TLS struct {
+	Caller   TLSFiles `toml:"caller"`
+	Operator TLSFiles `toml:"operator"`
+	Peer     TLSFiles `toml:"peer"`
+}
+
+// TLSFiles names PEM files. With CAFile, clients have to present a certificate
+// that it signed.
+type TLSFiles struct {
+	CertificateFile string `toml:"certificate_file"`
+	KeyFile         string `toml:"key_file"`
+	CAFile          string `toml:"ca_file"`
+}
+
+// Enabled tells that a listener uses TLS.
+func (f TLSFiles) Enabled() bool { return f.CertificateFile != "" }
+
+// Trace exporters.
+const (
+	ExporterNone = "none"
+	ExporterLog  = "log"
+	ExporterOTLP = "otlp"
+)
+
+// Tracing selects where traces go.
+type Tracing struct {
+	Exporter string `toml:"exporter"`
+	// Endpoint is the URL of the OTLP collector.
+	Endpoint string `toml:"endpoint"`
+}
+
+// Defaults returns the values of fields that a file leaves out.
+func Defaults() Settings {
+	return Settings{
+		CallerListen:                    "127.0.0.1:8080",
+		OperatorListen:                  "127.0.0.1:8090",
+		PeerListen:                      "127.0.0.1:8100",
+		LogLevel:                        "info",
+		ShutdownLoadBalancerWaitSeconds: 3,
+		RetryBudgetRatio:                0.1,
+		Limits: Limits{
+			MaxHeaderBytes:         64 << 10,
+			MaxBodyBytes:           16 << 20,
+			DefaultDeadlineSeconds: 30,
+		},
+		Policy:  Policy{WaitingWeight: 1, BufferWeight: 1},
+		Tracing: Tracing{Exporter: ExporterNone},
+	}
+}
+
+// ShutdownLoadBalancerWait returns the setting as a duration.
+func (s *Settings) ShutdownLoadBalancerWait() time.Duration {
+	return seconds(s.ShutdownLoadBalancerWaitSeconds)
+}
+
+// DefaultDeadline returns the setting as a duration.
+func (l Limits) DefaultDeadline() time.Duration { return seconds(l.DefaultDeadlineSeconds) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Load reads a settings file. The files that it names are not opened.
+func Load(file string) (*Settings, findings.List) {
+	var found findings.List
+	f, err := os.Open(file)
+	if err != nil {
+		found.Add(findings.Position{File: file}, "cannot be opened: %v", err)
+		return nil, found
+	}
+	defer f.Close()
+	var text bytes.Buffer
+	if _, err := text.ReadFrom(io.LimitReader(f, maxFileBytes+1)); err != nil {
+		found.Add(findings.Position{File: file}, "cannot be read: %v", err)
+		return nil, found
+	}
+	return Parse(file, text.Bytes())
+}
+
+// Parse reads the text of a settings file. The settings are nil when there are
+// findings.
+func Parse(file string, text []byte) (*Settings, findings.List) {
+	if len(text) > maxFileBytes {
+		var found findings.List
+		found.Add(findings.Position{File: file}, "the file has more than %d bytes", maxFileBytes)
+		return nil, found
+	}
+	s := Defaults()
+	index, found, ok := tomlfile.Decode(file, text, &s)
+	if ok {
+		c := checker{index: index, found: found}
+		c.settings(&s)
+		found = c.found
+	}
+	found.Sort()
+	if len(found) > 0 {
+		return nil, found
+	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.PeerListen
+	}
+	return &s, nil
+}
