--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,290 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhead.example/dotterelhead/platform"
+)
+
+// defaultListLimit applies to a list call without a limit.
+const defaultListLimit = 1000
+
+// store is the key-value service: compare-and-swap, list, watch and leases.
+//
+// Invariant: revision grows by one with every write or removal of a key, and a
+// key's version is the revision of its last write. Tombstones are kept for the
+// life of the process, so a watch never misses a removal.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	records  map[string]*record
+	sorted   []string
+	removed  map[string]int64
+	leases   map[string]*lease
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+type record struct {
+	version int64
+	value   []byte
+	lease   string
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	timer   *time.Timer
+	keys    map[string]struct{}
+}
+
+func newStore() *store {
+	return &store{
+		records: map[string]*record{},
+		removed: map[string]int64{},
+		leases:  map[string]*lease{},
+		changed: make(chan struct{}),
+	}
+}
+
+func (s *store) get(key string) (platform.KeyValue, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[key]
+	if !ok {
+		return platform.KeyValue{}, platform.ErrNotFound
+	}
+	return r.keyValue(key), nil
+}
+
+func (r *record) keyValue(key string) platform.KeyValue {
+	return platform.KeyValue{Key: key, Version: r.version, Value: r.value}
+}
+
+func (s *store) list(prefix, after string, limit int) []platform.KeyValue {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limit <= 0 {
+		limit = defaultListLimit
+	}
+	items := []platform.KeyValue{}
+	s.scan(prefix, after, func(key string, r *record) bool {
+		items = append(items, r.keyValue(key))
+		return len(items) < limit
+	})
+	return items
+}
+
+// scan visits the keys with prefix that sort after the key after.
+func (s *store) scan(prefix, after string, visit func(string, *record) bool) {
+	i := sort.SearchStrings(s.sorted, max(prefix, after))
+	for ; i < len(s.sorted) && strings.HasPrefix(s.sorted[i], prefix); i++ {
+		key := s.sorted[i]
+		if key == after && after != "" {
+			continue
+		}
+		if !visit(key, s.records[key]) {
+			return
+		}
+	}
+}
+
+func (s *store) put(key string, value []byte, expected int64, leaseID string) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[key]
+	if current := versionOf(r); current != expected {
+		return 0, platform.ErrConflict
+	}
+	var l *lease
+	if leaseID != "" {
+		if l = s.live(leaseID); l == nil {
+			return 0, platform.ErrNotFound
+		}
+	}
+	if !ok {
+		r = &record{}
+		s.records[key] = r
+		i, _ := slices.BinarySearch(s.sorted, key)
+		s.sorted = slices.Insert(s.sorted, i, key)
+		delete(s.removed, key)
+	}
+	s.detach(key, r)
+	s.bump()
+	r.version, r.value, r.lease = s.revision, value, leaseID
+	if l != nil {
+		l.keys[key] = struct{}{}
+	}
+	return r.version, nil
+}
+
+func versionOf(r *record) int64 {
+	if r == nil {
+		return 0
+	}
+	return r.version
+}
+
+func (s *store) delete(key string, expected int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[key]
+	if !ok {
+		return platform.ErrNotFound
+	}
+	if r.version != expected {
+		return platform.ErrConflict
+	}
+	s.remove(key)
+	return nil
+}
+
+func (s *store) detach(key string, r *record) {
+	if l := s.leases[r.lease]; l != nil {
+		delete(l.keys, key)
+	}
+}
+
+func (s *store) remove(key string) {
+	s.detach(key, s.records[key])
+	delete(s.records, key)
+	if i, ok := slices.BinarySearch(s.sorted, key); ok {
+		s.sorted = slices.Delete(s.sorted, i, i+1)
+	}
+	s.bump()
+	s.removed[key] = s.revision
+}
+
+func (s *store) bump() {
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// watch waits until a key under prefix changed after a version, the wait ends,
+// the context ends or stop is closed.
+func (s *store) watch(ctx context.Context, prefix string, after int64, wait time.Duration, stop <-chan struct{}) platform.WatchResult {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		result, changed := s.changes(prefix, after)
+		if len(result.Changed)+len(result.Deleted) > 0 {
+			return result
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return result
+		case <-ctx.Done():
+			return result
+		case <-stop:
+			return result
+		}
+	}
+}
+
+func (s *store) changes(prefix string, after int64) (platform.WatchResult, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := platform.WatchResult{Next: s.revision}
+	s.scan(prefix, "", func(key string, r *record) bool {
+		if r.version > after {
+			result.Changed = append(result.Changed, r.keyValue(key))
+		}
+		return true
+	})
+	// A watch from version 0 starts from nothing and needs no removals.
+	if after > 0 {
+		for key, version := range s.removed {
+			if version > after && strings.HasPrefix(key, prefix) {
+				result.Deleted = append(result.Deleted, key)
+			}
+		}
+		slices.Sort(result.Deleted)
+	}
+	return result, s.changed
+}
+
+func (s *store) grant(ttl time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := uuid.NewString()
+	l := &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]struct{}{}}
+	l.timer = time.AfterFunc(ttl, func() { s.expire(id) })
+	s.leases[id] = l
+	return id
+}
+
+// live returns the lease unless it has expired, and removes it if it has.
+func (s *store) live(id string) *lease {
+	l := s.leases[id]
+	if l != nil && !time.Now().Before(l.expires) {
+		s.drop(id)
+		return nil
+	}
+	return l
+}
+
+func (s *store) expire(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A keep-alive may have moved the end of the lease while the timer fired.
+	s.live(id)
+}
+
+func (s *store) keepAlive(id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.live(id)
+	if l == nil {
+		return platform.ErrNotFound
+	}
+	l.expires = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+func (s *store) revoke(id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.live(id) == nil {
+		return platform.ErrNotFound
+	}
+	s.drop(id)
+	return nil
+}
+
+// drop ends a lease and removes its keys.
+func (s *store) drop(id string) {
+	l := s.leases[id]
+	l.timer.Stop()
+	delete(s.leases, id)
+	for key := range l.keys {
+		s.remove(key)
+	}
+}
+
+// expireAll ends every lease as if its time had passed.
+func (s *store) expireAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.drop(id)
+	}
+}
+
+// close stops the timers of the leases.
+func (s *store) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+}
