--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,422 @@
+// Package daemon wires one entry VM.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"dotterelhead.example/dotterelhead/control"
+	"dotterelhead.example/dotterelhead/dispatch"
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/forward"
+	"dotterelhead.example/dotterelhead/ingress"
+	"dotterelhead.example/dotterelhead/membership"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/operator"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+	"dotterelhead.example/dotterelhead/request"
+	"dotterelhead.example/dotterelhead/routing"
+	"dotterelhead.example/dotterelhead/scheduler/dispatching"
+	"dotterelhead.example/dotterelhead/scheduler/retry"
+	"dotterelhead.example/dotterelhead/settings"
+)
+
+const (
+	// handoverTimeout bounds what a leaving entry VM does after its last
+	// request: another entry VM takes over without it.
+	handoverTimeout = 5 * time.Second
+	// headerTimeout bounds the time in which a caller sends its headers.
+	headerTimeout = 10 * time.Second
+	// idleCallerTimeout closes connections of callers without requests.
+	idleCallerTimeout = 60 * time.Second
+	peerCallTimeout   = time.Hour
+)
+
+// Options configure an entry VM.
+type Options struct {
+	Settings settings.Settings
+	Log      *log.Logger
+	Scope    tally.Scope
+	// Metrics serves /metrics.
+	Metrics http.Handler
+}
+
+// EntryVM is one running entry VM.
+type EntryVM struct {
+	options  Options
+	settings settings.Settings
+	log      *log.Logger
+
+	platform  *platform.Client
+	replica   *replica.Replica
+	clients   *peer.Clients
+	node      *membership.Node
+	table     *routing.Table
+	forwarder *forward.Forwarder
+	server    *dispatch.Server
+	client    *dispatch.Client
+	attempts  *ingress.Attempts
+	publisher *operator.Publisher
+	control   *control.Controller
+	budget    *lockedBudget
+	runTimes  *runTimes
+
+	config    atomic.Pointer[note.Config]
+	hasFleet  atomic.Bool
+	leaving   atomic.Bool
+	changed   chan struct{}
+	listeners listeners
+}
+
+// New wires an entry VM that does nothing yet.
+func New(options Options) *EntryVM {
+	if options.Scope == nil {
+		options.Scope = tally.NoopScope
+	}
+	s := options.Settings
+	e := &EntryVM{
+		options:  options,
+		settings: s,
+		log:      options.Log,
+		platform: platform.NewClient(platform.ClientOptions{BaseURL: s.PlatformURL, Entry: s.ID}),
+		replica:  replica.New(),
+		clients:  peer.NewClients(peer.ClientsOptions{Timeout: peerCallTimeout}),
+		budget:   &lockedBudget{budget: retry.NewBudget(retry.Options{Ratio: s.RetryBudgetRatio})},
+		runTimes: newRunTimes(),
+		changed:  make(chan struct{}, 1),
+	}
+	e.config.Store(&note.Config{})
+	e.wireMembership()
+	e.wireRequests()
+	e.wireControl()
+	e.replica.Subscribe(e.onDocument)
+	return e
+}
+
+func (e *EntryVM) wireMembership() {
+	incarnation := uuid.NewString()
+	e.forwarder = forward.New(forward.Options{
+		ConnectionLimit: e.connectionLimit,
+		SilentAfter:     e.runTimes.silentAfter,
+	})
+	e.node = membership.NewNode(membership.Options{
+		Store:            e.platform,
+		Inventory:        e.platform,
+		Replica:          e.replica,
+		Region:           e.settings.Region,
+		ID:               e.settings.ID,
+		Incarnation:      incarnation,
+		PeerAddress:      e.settings.PeerAddress,
+		AvailabilityZone: e.settings.AvailabilityZone,
+		Seeds:            e.settings.SeedPeers,
+		Dial:             e.clients.Dial,
+		Released:         e.released,
+		Demand:           func() []*peer.PoolDemand { return e.server.Demand() },
+		Log:              e.log,
+	})
+	e.table = routing.New(routing.Options{
+		Permit:    e.node,
+		CloseIdle: e.forwarder.CloseIdle,
+		Emptied:   e.node.Trigger,
+	})
+}
+
+func (e *EntryVM) wireRequests() {
+	e.server = dispatch.NewServer(dispatch.ServerOptions{
+		EntryID: e.settings.ID,
+		Members: e.node.Live,
+		Peer:    e.peer,
+		Workers: e.workers,
+		NewPool: e.newPool,
+		Held:    func(pool string) []*peer.GrantInUse { return e.client.Held(pool) },
+	})
+	e.client = dispatch.NewClient(dispatch.ClientOptions{
+		EntryID: e.settings.ID, Local: e.server, Members: e.node.Live, Peer: e.peer,
+	})
+	e.attempts = ingress.NewAttempts(ingress.AttemptsOptions{
+		Config:    e.configInForce,
+		Client:    e.client,
+		Table:     e.table,
+		Forwarder: e.forwarder,
+		Budget:    e.budget,
+		Observe:   e.runTimes.observe,
+		Scope:     e.options.Scope,
+	})
+}
+
+func (e *EntryVM) wireControl() {
+	e.publisher = operator.NewPublisher(operator.PublisherOptions{Store: e.platform, Replica: e.replica})
+	e.control = control.New(control.Options{
+		Store: e.platform, Inventory: e.platform, Machines: e.platform,
+		Replica: e.replica, Members: e.node,
+		Region: e.settings.Region, ID: e.settings.ID, Incarnation: uuid.NewString(),
+		RepairHistory: e.publisher.RepairHistory,
+		Log:           e.log,
+	})
+}
+
+// Run serves until ctx ends and then leaves gracefully.
+func (e *EntryVM) Run(ctx context.Context) error {
+	if err := e.listeners.open(e.settings); err != nil {
+		return err
+	}
+	// Components live on while the entry VM leaves, so that requests in
+	// flight are finished; stop ends them.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	controlling, stopControl := context.WithCancel(running)
+	var components sync.WaitGroup
+	start := func(run func(context.Context), ctx context.Context) {
+		components.Go(func() { run(ctx) })
+	}
+	start(e.forwarder.Run, running)
+	start(e.server.Run, running)
+	start(e.client.Run, running)
+	start(func(ctx context.Context) { e.node.Run(ctx) }, running)
+	start(func(ctx context.Context) { e.control.Run(ctx) }, controlling)
+	start(e.followDocuments, running)
+	failed := e.listeners.serve(e.callerHandler(), e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes)
+	e.log.Info().Str("event", "listening").Str("entry", e.settings.ID).
+		Str("caller", e.listeners.caller.Addr().String()).Str("operator", e.listeners.operator.Addr().String()).
+		Str("peer", e.listeners.peer.Addr().String()).Msg("")
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	e.leave(stopControl)
+	stop()
+	components.Wait()
+	e.listeners.close()
+	e.clients.Close()
+	e.platform.CloseIdleConnections()
+	e.log.Info().Str("event", "stopped").Str("entry", e.settings.ID).Msg("")
+	return err
+}
+
+// leave carries out the graceful shutdown in the order that loses nothing:
+// unready, requests finished, roles handed over, registry left.
+func (e *EntryVM) leave(stopControl context.CancelFunc) {
+	e.log.Info().Str("event", "leaving").Str("entry", e.settings.ID).Msg("")
+	e.leaving.Store(true)
+	e.listeners.callerServer.SetKeepAlivesEnabled(false)
+	time.Sleep(e.settings.ShutdownLoadBalancerWait())
+	// Requests end by their deadlines, so this wait is bounded.
+	if err := e.listeners.callerServer.Shutdown(context.Background()); err != nil {
+		e.log.Error().Str("event", "caller_listener_shutdown").Err(err).Msg("")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	e.node.SetLeaving()
+	e.node.Trigger()
+	stopControl()
+	if err := e.node.Leave(ctx); err != nil {
+		e.log.Warn().Str("event", "registry_not_left").Err(err).Msg("")
+	}
+}
+
+// Ready reports whether the entry VM takes requests of callers.
+func (e *EntryVM) Ready() bool {
+	return !e.leaving.Load() && e.accepting()
+}
+
+// accepting is Ready, but goes on while the load balancer still sends requests
+// to a leaving entry VM.
+func (e *EntryVM) accepting() bool {
+	return e.hasFleet.Load() && e.configInForce().Revision > 0 && e.node.Valid(time.Now())
+}
+
+func (e *EntryVM) configInForce() note.Config { return *e.config.Load() }
+
+func (e *EntryVM) onDocument(doc replica.Document) {
+	switch doc.Key {
+	case note.ConfigKey:
+		config, err := note.DecodeConfig(doc.Value)
+		if err != nil {
+			e.log.Error().Str("event", "malformed_document").Str("key", doc.Key).Err(err).Msg("")
+			return
+		}
+		e.config.Store(&config)
+		e.log.Info().Str("event", "config_in_force").Int64("revision", config.Revision).Msg("")
+	case fleet.Key(e.settings.Region):
+		document, err := fleet.Decode(doc.Value)
+		if err != nil {
+			e.log.Error().Str("event", "malformed_document").Str("key", doc.Key).Err(err).Msg("")
+			return
+		}
+		e.table.Update(document)
+		e.hasFleet.Store(true)
+	default:
+		return
+	}
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// followDocuments passes changes on to components that the replica must not
+// call under its lock.
+func (e *EntryVM) followDocuments(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.changed:
+			e.server.WorkersChanged()
+			e.node.Trigger()
+			e.control.Trigger()
+		}
+	}
+}
+
+func (e *EntryVM) released() []*peer.ReleasedVM {
+	released := e.table.Released()
+	confirmed := make([]*peer.ReleasedVM, len(released))
+	for i, r := range released {
+		confirmed[i] = &peer.ReleasedVM{Vm: r.VM, Generation: r.Generation}
+	}
+	return confirmed
+}
+
+func (e *EntryVM) peer(id string) (peer.Peer, bool) {
+	address, ok := e.node.AddressOf(id)
+	if !ok {
+		return nil, false
+	}
+	return e.clients.Dial(address), true
+}
+
+// connectionLimit shares the connections that a worker takes among the
+// registered entry VMs.
+func (e *EntryVM) connectionLimit() int {
+	perWorker := defaultConnectionsPerWorker
+	for _, pool := range e.configInForce().Pools {
+		perWorker = min(perWorker, pool.ConnectionsPerWorker)
+	}
+	registry, _ := e.node.Registry()
+	return max(1, perWorker/max(1, registry.Size()))
+}
+
+// defaultConnectionsPerWorker is what one worker of today's deployments takes.
+const defaultConnectionsPerWorker = 64
+
+func (e *EntryVM) workers(pool string) []dispatching.Worker {
+	config, ok := e.configInForce().Pool(pool)
+	if !ok {
+		return nil
+	}
+	var workers []dispatching.Worker
+	for _, vm := range e.table.Serving(pool) {
+		workers = append(workers, dispatching.Worker{
+			ID: vm.ID, Address: vm.Address, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
+			Slots: config.SlotsPerWorker, Generation: vm.Generation,
+		})
+	}
+	return workers
+}
+
+func (e *EntryVM) newPool(pool string) *dispatching.Pool {
+	maxQueue := 0
+	for _, service := range e.configInForce().Services {
+		if service.Pool == pool {
+			maxQueue += service.MaxQueue
+		}
+	}
+	return dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue})
+}
+
+// plainStage serves requests without an idempotency key.
+var _ request.Stage = (*ingress.Attempts)(nil)
+
+// lockedBudget makes a retry budget safe for concurrent use.
+type lockedBudget struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+// Request counts one request.
+func (b *lockedBudget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Request(now)
+}
+
+// Allow reports whether a retry may be made now, and counts it.
+func (b *lockedBudget) Allow(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Allow(now)
+}
+
+// listeners are the three listeners of an entry VM.
+type listeners struct {
+	caller, operator, peer                   net.Listener
+	callerServer, operatorServer, peerServer *http.Server
+}
+
+func (l *listeners) open(s settings.Settings) error {
+	for _, listener := range []struct {
+		address string
+		target  *net.Listener
+	}{{s.CallerListen, &l.caller}, {s.OperatorListen, &l.operator}, {s.PeerListen, &l.peer}} {
+		opened, err := net.Listen("tcp", listener.address)
+		if err != nil {
+			l.closeListeners()
+			return errors.Wrap(err, "listen")
+		}
+		*listener.target = opened
+	}
+	return nil
+}
+
+func (l *listeners) closeListeners() {
+	for _, listener := range []net.Listener{l.caller, l.operator, l.peer} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// serve starts the servers; the channel receives the first failure.
+func (l *listeners) serve(caller, operator, peer http.Handler, maxHeaderBytes int) <-chan error {
+	failed := make(chan error, 3)
+	start := func(listener net.Listener, handler http.Handler) *http.Server {
+		server := &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: idleCallerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrap(err, "serve")
+			}
+		}()
+		return server
+	}
+	l.callerServer = start(l.caller, caller)
+	l.operatorServer = start(l.operator, operator)
+	l.peerServer = start(l.peer, peer)
+	return failed
+}
+
+func (l *listeners) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, server := range []*http.Server{l.peerServer, l.operatorServer, l.callerServer} {
+		if server.Shutdown(ctx) != nil {
+			server.Close()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/handlers.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"dotterelhead.example/dotterelhead/control"
+	"dotterelhead.example/dotterelhead/ingress"
+	"dotterelhead.example/dotterelhead/operator"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/request"
+)
+
+func (e *EntryVM) callerHandler() http.Handler {
+	return ingress.NewHandler(ingress.Options{
+		Config:    e.configInForce,
+		Accepting: e.accepting,
+		Plain:     e.attempts,
+		Keyed:     e.keys,
+		Scope:     e.options.Scope,
+		Log:       e.logRefused,
+	})
+}
+
+// logRefused writes one line for a request that got no answer of a backend
+// server.
+func (e *EntryVM) logRefused(r *request.Request, result request.Result, took time.Duration) {
+	line := e.log.Info().Str("event", "request_not_answered").Str("outcome", string(result.Outcome)).
+		Int("status", result.Problem.Status).Str("reason", result.Problem.Title).Dur("took", took)
+	if r != nil {
+		line = line.Str("service", r.Service).Str("request", r.ID)
+	}
+	line.Msg("")
+}
+
+func (e *EntryVM) operatorHandler() http.Handler {
+	return operator.NewHandler(operator.Options{
+		Store: e.platform, Replica: e.replica, Region: e.settings.Region,
+		Publisher: e.publisher, Ready: e.Ready, Status: e.status,
+		Metrics: e.options.Metrics, Log: e.log,
+	})
+}
+
+// entryStatus is the state of this entry VM in the status of operators.
+type entryStatus struct {
+	ID           string         `json:"id"`
+	Ready        bool           `json:"ready"`
+	Registered   bool           `json:"registered"`
+	LiveMembers  []string       `json:"live_members"`
+	InFlight     int            `json:"in_flight"`
+	ControlState control.Status `json:"control"`
+}
+
+func (e *EntryVM) status() any {
+	return entryStatus{
+		ID: e.settings.ID, Ready: e.Ready(), Registered: e.node.Registered(),
+		LiveMembers: e.node.Live(), InFlight: e.table.InFlight(), ControlState: e.control.Status(),
+	}
+}
+
+func (e *EntryVM) peerHandler() http.Handler {
+	handler := peer.NewPeerServer(&peerService{e}, twirp.WithServerPathPrefix(""))
+	return otelhttp.NewHandler(handler, "peer", otelhttp.WithSpanNameFormatter(
+		func(_ string, r *http.Request) string { return "peer " + r.URL.Path }))
+}
+
+// peerService serves the other entry VMs.
+type peerService struct {
+	entry *EntryVM
+}
+
+func (p *peerService) Exchange(ctx context.Context, r *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	return p.entry.node.Exchange(ctx, r)
+}
+
+func (p *peerService) Acquire(ctx context.Context, r *peer.AcquireRequest) (*peer.AcquireResponse, error) {
+	return p.entry.server.Acquire(ctx, r)
+}
+
+func (p *peerService) Release(ctx context.Context, r *peer.ReleaseRequest) (*peer.ReleaseResponse, error) {
+	return p.entry.server.Release(ctx, r)
+}
+
+func (p *peerService) GrantsInUse(_ context.Context, r *peer.GrantsInUseRequest) (*peer.GrantsInUseResponse, error) {
+	return &peer.GrantsInUseResponse{Grants: p.entry.client.Held(r.Pool)}, nil
+}
+
+func (p *peerService) Reserve(ctx context.Context, r *peer.ReserveRequest) (*peer.ReserveResponse, error) {
+	return p.entry.owner.Reserve(ctx, r)
+}
+
+func (p *peerService) Claim(ctx context.Context, r *peer.ClaimRequest) (*peer.ClaimResponse, error) {
+	return p.entry.owner.Claim(ctx, r)
+}
+
+func (p *peerService) Finish(ctx context.Context, r *peer.FinishRequest) (*peer.FinishResponse, error) {
+	return p.entry.owner.Finish(ctx, r)
+}
+
+func (p *peerService) Await(ctx context.Context, r *peer.AwaitRequest) (*peer.AwaitResponse, error) {
+	return p.entry.owner.Await(ctx, r)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -30,7 +30,10 @@
 	// CloseIdle closes the idle connections to a VM. It must not call the
 	// table.
 	CloseIdle func(vm string)
-	Now       func() time.Time
+	// Emptied is called when the last request to a VM in transition ended, so
+	// that the release can be confirmed at once. It must not call the table.
+	Emptied func()
+	Now     func() time.Time
 }
 
 // Table admits requests to VMs and knows which VMs are free of them.
@@ -51,6 +54,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Emptied == nil {
+		options.Emptied = func() {}
+	}
 	if options.CloseIdle == nil {
 		options.CloseIdle = func(string) {}
 	}
@@ -182,8 +188,12 @@
 	k.once.Do(func() {
 		k.table.mu.Lock()
 		defer k.table.mu.Unlock()
-		if k.table.inFlight[k.vm.ID]--; k.table.inFlight[k.vm.ID] == 0 {
-			delete(k.table.inFlight, k.vm.ID)
+		if k.table.inFlight[k.vm.ID]--; k.table.inFlight[k.vm.ID] > 0 {
+			return
+		}
+		delete(k.table.inFlight, k.vm.ID)
+		if k.table.vms[k.vm.ID].Phase != fleet.Serving {
+			k.table.options.Emptied()
 		}
 	})
 }
