--- a/standin/admin.go
+++ b/standin/admin.go
@@ -13,14 +13,7 @@
 // adminRoutes adds the admin API. No fault applies to it.
 func (p *Platform) adminRoutes(router *mux.Router) {
 	handle := func(method, path string, h apiHandler) {
-		router.Methods(method).Path(path).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			answer, err := h(r)
-			if err != nil {
-				writeError(w, err)
-				return
-			}
-			writeJSON(w, http.StatusOK, answer)
-		})
+		router.Methods(method).Path(path).Handler(adminHandler(h))
 	}
 	handle("GET", "/standin/faults", func(*http.Request) (any, error) { return p.Faults(), nil })
 	handle("PUT", "/standin/faults", func(r *http.Request) (any, error) {
@@ -71,6 +64,17 @@
 	})
 }
 
+func adminHandler(h apiHandler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer, err := h(r)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	})
+}
+
 // decodeStrict refuses unknown fields, so that a misspelt fault is noticed.
 func decodeStrict(r *http.Request, v any) error {
 	d := json.NewDecoder(r.Body)
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -54,6 +54,10 @@
 	}
 	if vm.State == "" {
 		vm.State = platform.VMLive
+		// A VM that announces its present boot again may be draining by now.
+		if vm.BootCount != 0 && vm.BootCount == x.vm.BootCount && !x.gone {
+			vm.State = x.vm.State
+		}
 	}
 	if vm.BootCount == 0 {
 		vm.BootCount = x.vm.BootCount + 1
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -127,8 +127,8 @@
 
 // Close ends the listener, every connection and every reboot under way.
 func (p *Platform) Close() error {
-	p.cancel()
 	p.mu.Lock()
+	p.cancel()
 	server := p.server
 	p.mu.Unlock()
 	var err error
@@ -516,7 +516,11 @@
 	vm, start, err := p.machines.reboot(id, op, time.Now())
 	p.log.Info().Str("event", "reboot").Str("vm", id).Str("operation", op.ID).Bool("effective", start).Msg("")
 	if start {
-		p.work.Go(func() { p.runReboot(vm, op) })
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.ctx.Err() == nil {
+			p.work.Go(func() { p.runReboot(vm, op) })
+		}
 	}
 	return nil, err
 }
