--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,308 @@
+// Package command is the operators' command-line tool.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/operator"
+)
+
+// Exit codes.
+const (
+	ExitDone = 0
+	// ExitFindings reports findings in a note or a conflict.
+	ExitFindings = 1
+	ExitUsage    = 2
+	// ExitUnreachable reports that no entry VM answered conclusively, so that
+	// the outcome of a publish is not known.
+	ExitUnreachable = 3
+)
+
+// operatorVariable names the environment variable with the operator addresses.
+const operatorVariable = "DOTTERELHEAD_OPERATOR"
+
+// defaultOperator is the operator listener that an entry VM has by default.
+const defaultOperator = "127.0.0.1:8090"
+
+// Options configures a run of the tool.
+type Options struct {
+	Arguments      []string
+	Stdout, Stderr io.Writer
+	Getenv         func(string) string
+}
+
+// exitError carries the exit code of an error.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (e exitError) Error() string { return e.err.Error() }
+
+func (e exitError) Unwrap() error { return e.err }
+
+// Run runs the tool and returns its exit code.
+func Run(ctx context.Context, opts Options) int {
+	t := &tool{Options: opts}
+	root := t.root()
+	root.SetArgs(opts.Arguments)
+	root.SetOut(opts.Stdout)
+	root.SetErr(opts.Stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitDone
+	}
+	var list findings.List
+	if errors.As(err, &list) {
+		fmt.Fprintln(opts.Stdout, list.Error())
+		return ExitFindings
+	}
+	fmt.Fprintln(opts.Stderr, "dotterelhead:", err)
+	var exit exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitUsage
+}
+
+// tool holds the flags.
+type tool struct {
+	Options
+	operators []string
+	tokenFile string
+	caFile    string
+	timeout   time.Duration
+	output    string
+	limit     int
+}
+
+func (t *tool) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "dotterelhead",
+		Short: "Check and publish release notes and read back the configuration in force",
+		Long: "Check and publish release notes and read back the configuration in force.\n\n" +
+			"Exit codes: 0 done, 1 findings or a conflict, 2 usage, 3 could not be reached or outcome not known.",
+		SilenceErrors:     true,
+		SilenceUsage:      true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		Args:              cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return errors.New("a command is missing, see --help")
+		},
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&t.operators, "operator", nil,
+		"address of an entry VM's operator listener, repeatable; tried in turn (default $"+operatorVariable+" or "+defaultOperator+")")
+	flags.StringVar(&t.tokenFile, "token-file", "", "file with the operator token")
+	flags.StringVar(&t.caFile, "ca", "", "PEM file with the CA of the operator listeners; implies https")
+	flags.DurationVar(&t.timeout, "timeout", 8*time.Second, "time to wait for each entry VM")
+	root.AddCommand(t.check(), t.publish(), t.show(), t.history(), t.status())
+	return root
+}
+
+func (t *tool) outputFlag(c *cobra.Command, formats ...string) {
+	c.Flags().StringVar(&t.output, "output", formats[0], strings.Join(formats, "|"))
+	c.PreRunE = func(*cobra.Command, []string) error {
+		for _, format := range formats {
+			if t.output == format {
+				return nil
+			}
+		}
+		return errors.Errorf("--output %s is not one of %s", t.output, strings.Join(formats, ", "))
+	}
+}
+
+func (t *tool) check() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check NOTE.toml",
+		Short: "Check a note without contacting an entry VM",
+		Long: "Check a note without contacting an entry VM. A note with base 0 is also\n" +
+			"applied to the empty configuration.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			text, err := readNote(args[0])
+			if err != nil {
+				return err
+			}
+			n, found := note.Parse(args[0], text)
+			if n != nil && n.Base == 0 {
+				_, found = note.Apply(note.Config{}, n)
+			}
+			if err := found.Err(); err != nil {
+				return err
+			}
+			fmt.Fprintf(t.Stdout, "%s: no findings\n", args[0])
+			return nil
+		},
+	}
+}
+
+// readNote reads no more than shows that a note is too large.
+func readNote(file string) ([]byte, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, note.MaxNoteBytes+1))
+}
+
+func (t *tool) publish() *cobra.Command {
+	return &cobra.Command{
+		Use:   "publish NOTE.toml",
+		Short: "Publish a note",
+		Long:  "Publish a note. Publishing the same file again is safe: it returns the revision it got.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := readNote(args[0])
+			if err != nil {
+				return err
+			}
+			var answer operator.PublishAnswer
+			if err := t.call(c.Context(), http.MethodPost, "/v1/notes", text, &answer); err != nil {
+				return publishError(args[0], err)
+			}
+			if answer.Repeated {
+				fmt.Fprintf(t.Stdout, "accepted before as revision %d\n", answer.Revision)
+			} else {
+				fmt.Fprintf(t.Stdout, "accepted as revision %d\n", answer.Revision)
+			}
+			return nil
+		},
+	}
+}
+
+// publishError turns the findings of an entry VM into findings about the file.
+func publishError(file string, err error) error {
+	var problem problemError
+	if !errors.As(err, &problem) {
+		return err
+	}
+	var list findings.List
+	for _, f := range problem.Findings {
+		list = append(list, findings.Finding{
+			Position: findings.Position{File: file, Line: f.Line, Column: f.Column},
+			Message:  f.Message,
+			Conflict: f.Conflict,
+		})
+	}
+	if problem.Status == http.StatusRequestEntityTooLarge {
+		list.Add(findings.Position{File: file}, "%s: %s", problem.Title, problem.Detail)
+	}
+	if len(list) > 0 {
+		return list
+	}
+	return err
+}
+
+func (t *tool) show() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "show",
+		Short: "Show the configuration in force",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var answer operator.ConfigAnswer
+			if err := t.call(c.Context(), http.MethodGet, "/v1/config", nil, &answer); err != nil {
+				return err
+			}
+			return write(t.Stdout, t.output, answer, writeConfig)
+		},
+	}
+	t.outputFlag(c, "text", "json", "toml")
+	return c
+}
+
+func (t *tool) history() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "history",
+		Short: "List accepted notes, the newest first",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var answer operator.HistoryAnswer
+			path := fmt.Sprintf("/v1/history?limit=%d", t.limit)
+			if t.output == "json" {
+				path += "&text=true"
+			}
+			if err := t.call(c.Context(), http.MethodGet, path, nil, &answer); err != nil {
+				return err
+			}
+			return write(t.Stdout, t.output, answer, writeHistory)
+		},
+	}
+	t.outputFlag(c, "text", "json")
+	c.Flags().IntVar(&t.limit, "limit", 20, "number of notes, at most 100")
+	return c
+}
+
+func (t *tool) status() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Show pools, VMs that do not serve, waves and availability budgets",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var answer operator.StatusAnswer
+			if err := t.call(c.Context(), http.MethodGet, "/v1/status", nil, &answer); err != nil {
+				return err
+			}
+			return write(t.Stdout, t.output, answer, writeStatus)
+		},
+	}
+	t.outputFlag(c, "text", "json")
+	return c
+}
+
+// call calls the entry VMs named by the flags or the environment.
+func (t *tool) call(ctx context.Context, method, path string, body []byte, answer any) error {
+	client, err := newClient(t.addresses(), t.tokenFile, t.caFile, t.timeout)
+	if err != nil {
+		return err
+	}
+	defer client.http.CloseIdleConnections()
+	err = client.call(ctx, method, path, body, answer)
+	var problem problemError
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &problem):
+		if method == http.MethodPost {
+			err = errors.Wrap(err, "the outcome is not known; publishing the same note again is safe")
+		}
+		return exitError{ExitUnreachable, err}
+	case problem.Status == http.StatusUnauthorized, problem.Status == http.StatusForbidden:
+		return exitError{ExitUsage, problem}
+	case problem.Status == http.StatusBadRequest && method == http.MethodGet:
+		return exitError{ExitUsage, problem}
+	case problem.Status == http.StatusConflict, problem.Status == http.StatusUnprocessableEntity,
+		problem.Status == http.StatusRequestEntityTooLarge:
+		return exitError{ExitFindings, problem}
+	default:
+		return exitError{ExitUnreachable, problem}
+	}
+}
+
+func (t *tool) addresses() []string {
+	if len(t.operators) > 0 {
+		return t.operators
+	}
+	var addresses []string
+	for _, address := range strings.Split(t.Getenv(operatorVariable), ",") {
+		if address = strings.TrimSpace(address); address != "" {
+			addresses = append(addresses, address)
+		}
+	}
+	if len(addresses) == 0 {
+		addresses = []string{defaultOperator}
+	}
+	return addresses
+}
--- a/note/config.go
+++ b/note/config.go
@@ -33,47 +33,47 @@
 
 // Pool is a group of VMs that serve one service, or the spare.
 type Pool struct {
-	Name string `json:"name"`
+	Name string `json:"name" toml:"name"`
 	// VMs are the identifiers of the VMs that belong to the pool by the
 	// note; the fleet document says where each one is at the moment.
-	VMs []string `json:"vms"`
+	VMs []string `json:"vms" toml:"vms"`
 	// Spare pools lend VMs to other pools.
-	Spare bool `json:"spare"`
+	Spare bool `json:"spare" toml:"spare"`
 	// MinimumVMs is the number of VMs that the pool never goes below by moves.
-	MinimumVMs           int   `json:"minimum_vms"`
-	SlotsPerWorker       int   `json:"slots_per_worker"`
-	ConnectionsPerWorker int   `json:"connections_per_worker"`
-	TouchedRevision      int64 `json:"touched_revision"`
+	MinimumVMs           int   `json:"minimum_vms" toml:"minimum_vms"`
+	SlotsPerWorker       int   `json:"slots_per_worker" toml:"slots_per_worker"`
+	ConnectionsPerWorker int   `json:"connections_per_worker" toml:"connections_per_worker"`
+	TouchedRevision      int64 `json:"touched_revision" toml:"touched_revision"`
 }
 
 // Service is what callers call; its requests run on the workers of one pool.
 type Service struct {
-	Name string `json:"name"`
-	Pool string `json:"pool"`
+	Name string `json:"name" toml:"name"`
+	Pool string `json:"pool" toml:"pool"`
 	// MaxUnavailable is the availability budget: the number of VMs of the
 	// pool that may be out of service at the same time.
-	MaxUnavailable  int     `json:"max_unavailable"`
-	DeadlineSeconds float64 `json:"deadline_seconds"`
-	MaxQueue        int     `json:"max_queue"`
-	MaxBodyBytes    int64   `json:"max_body_bytes"`
-	TouchedRevision int64   `json:"touched_revision"`
+	MaxUnavailable  int     `json:"max_unavailable" toml:"max_unavailable"`
+	DeadlineSeconds float64 `json:"deadline_seconds" toml:"deadline_seconds"`
+	MaxQueue        int     `json:"max_queue" toml:"max_queue"`
+	MaxBodyBytes    int64   `json:"max_body_bytes" toml:"max_body_bytes"`
+	TouchedRevision int64   `json:"touched_revision" toml:"touched_revision"`
 }
 
 // Wave reboots every VM of its pools once.
 type Wave struct {
-	Name  string   `json:"name"`
-	Pools []string `json:"pools"`
+	Name  string   `json:"name" toml:"name"`
+	Pools []string `json:"pools" toml:"pools"`
 	// MaxConcurrent limits the VMs under maintenance at once, beyond the
 	// availability budgets of the services.
-	MaxConcurrent   int   `json:"max_concurrent"`
-	TouchedRevision int64 `json:"touched_revision"`
+	MaxConcurrent   int   `json:"max_concurrent" toml:"max_concurrent"`
+	TouchedRevision int64 `json:"touched_revision" toml:"touched_revision"`
 }
 
 // Team is a group of callers with a quota of slots.
 type Team struct {
-	Name            string `json:"name"`
-	SlotQuota       int    `json:"slot_quota"`
-	TouchedRevision int64  `json:"touched_revision"`
+	Name            string `json:"name" toml:"name"`
+	SlotQuota       int    `json:"slot_quota" toml:"slot_quota"`
+	TouchedRevision int64  `json:"touched_revision" toml:"touched_revision"`
 }
 
 // DecodeConfig reads the value of ConfigKey.
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -166,11 +166,11 @@
 
 // ConfigAnswer is the configuration in force.
 type ConfigAnswer struct {
-	Revision int64          `json:"revision"`
-	Pools    []note.Pool    `json:"pools"`
-	Services []note.Service `json:"services"`
-	Waves    []note.Wave    `json:"waves"`
-	Teams    []note.Team    `json:"teams"`
+	Revision int64          `json:"revision" toml:"revision"`
+	Pools    []note.Pool    `json:"pools" toml:"pools"`
+	Services []note.Service `json:"services" toml:"services"`
+	Waves    []note.Wave    `json:"waves" toml:"waves"`
+	Teams    []note.Team    `json:"teams" toml:"teams"`
 }
 
 func (h *handler) config(w http.ResponseWriter, r *http.Request) {
