--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -85,8 +85,22 @@
 	Busy        int
 }
 
+// Policy selects how a Pool decides.
+type Policy int
+
+// Policies of a Pool.
+const (
+	// PolicyLearned orders requests by learned run times.
+	PolicyLearned Policy = iota
+	// PolicyFirstComeFirstServed is the baseline of the measurements: requests
+	// in order of arrival, each to the worker with the most free slots.
+	PolicyFirstComeFirstServed
+)
+
 // Options configure a Pool.
 type Options struct {
+	// Policy is PolicyLearned unless set.
+	Policy Policy
 	// MaxQueue bounds the waiting requests.
 	MaxQueue int
 }
--- /dev/null
+++ b/tools/measure/main.go
@@ -0,0 +1,52 @@
+// Command measure runs the decision packages in virtual time and prints their
+// figures beside baselines, bounds and targets.
+package main
+
+import (
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "measure", Short: "Measure the decisions of dotterelhead", SilenceUsage: true}
+	root.AddCommand(decisionsCommand())
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
+
+func decisionsCommand() *cobra.Command {
+	var s scenario
+	var output string
+	command := &cobra.Command{
+		Use:   "decisions",
+		Short: "Run the decision packages in virtual time",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if err := s.validate(); err != nil {
+				return err
+			}
+			rows, err := measureDecisions(s)
+			if err != nil {
+				return err
+			}
+			switch output {
+			case "text":
+				return writeText(command.OutOrStdout(), rows)
+			case "json":
+				return writeJSON(command.OutOrStdout(), rows)
+			}
+			return errors.Errorf("unknown output %q: use text or json", output)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&s.Deployment, "deployment", "etikettwerk", "deployment: etikettwerk or mas-trunk")
+	flags.Uint64Var(&s.Seed, "seed", 1, "seed of the workload")
+	flags.BoolVar(&s.Quick, "quick", false, "shorter workload, ends within 30 s")
+	flags.StringVar(&output, "output", "text", "text or json")
+	flags.StringVar(&s.Plots, "plots", "", "directory for plots")
+	flags.StringSliceVar(&s.Only, "only", nil, "measure only these parts: waiting, ejection, capacity, scale")
+	return command
+}
--- /dev/null
+++ b/tools/measure/waiting.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"dotterelhead.example/dotterelhead/scheduler/dispatching"
+)
+
+const maxQueue = 100_000
+
+func measureDecisions(s scenario) ([]Row, error) {
+	var rows []Row
+	if s.selected("waiting") {
+		rows = append(rows, measureWaiting(s)...)
+	}
+	return rows, nil
+}
+
+func learnedPool(int) dispatcher {
+	return dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue})
+}
+
+func fcfsPool(int) dispatcher {
+	return dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue, Policy: dispatching.PolicyFirstComeFirstServed})
+}
+
+// waits summarises the outcomes of one run.
+type waits struct {
+	short, long, all []float64
+	refused          int
+}
+
+func summarise(outcomes []outcome) waits {
+	var w waits
+	for _, o := range outcomes {
+		if o.cancelled || o.job.never {
+			continue
+		}
+		if o.refused != dispatching.ReasonNone || o.failed {
+			w.refused++
+		}
+		w.all = append(w.all, o.wait.Seconds())
+		if o.job.long {
+			w.long = append(w.long, o.slowdown())
+		} else {
+			w.short = append(w.short, o.slowdown())
+		}
+	}
+	for _, values := range [][]float64{w.short, w.long, w.all} {
+		slices.Sort(values)
+	}
+	return w
+}
+
+// quantile returns a quantile of sorted values.
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// roundRobin deals requests to the workers in turn; each worker has its own
+// first come first served queue.
+type roundRobin struct {
+	workers []dispatching.Worker
+	queues  map[string]*dispatching.Pool
+	// owner maps waiting requests and grants to the worker's queue.
+	owner map[string]string
+	next  int
+}
+
+func newRoundRobin(int) dispatcher {
+	return &roundRobin{queues: map[string]*dispatching.Pool{}, owner: map[string]string{}}
+}
+
+func (r *roundRobin) note(worker string, decisions []dispatching.Decision) []dispatching.Decision {
+	for _, d := range decisions {
+		if d.Reason == dispatching.ReasonNone {
+			r.owner[d.Grant] = worker
+		}
+		delete(r.owner, d.RequestID)
+	}
+	return decisions
+}
+
+func (r *roundRobin) SetWorkers(now time.Time, workers []dispatching.Worker) []dispatching.Decision {
+	r.workers = workers
+	var decisions []dispatching.Decision
+	for _, w := range workers {
+		if r.queues[w.ID] == nil {
+			r.queues[w.ID] = fcfsPool(0).(*dispatching.Pool)
+		}
+		decisions = append(decisions, r.note(w.ID, r.queues[w.ID].SetWorkers(now, []dispatching.Worker{w}))...)
+	}
+	return decisions
+}
+
+func (r *roundRobin) Push(now time.Time, q dispatching.Request) []dispatching.Decision {
+	for range r.workers {
+		r.next++
+		w := r.workers[r.next%len(r.workers)].ID
+		if !slices.Contains(q.Avoid, w) {
+			r.owner[q.ID] = w
+			return r.note(w, r.queues[w].Push(now, q))
+		}
+	}
+	return []dispatching.Decision{{RequestID: q.ID, Reason: dispatching.ReasonNoWorker}}
+}
+
+func (r *roundRobin) Cancel(now time.Time, id string) bool {
+	w, ok := r.owner[id]
+	delete(r.owner, id)
+	return ok && r.queues[w].Cancel(now, id)
+}
+
+func (r *roundRobin) Release(now time.Time, grant string, result dispatching.Result, ran time.Duration) []dispatching.Decision {
+	w := r.owner[grant]
+	delete(r.owner, grant)
+	return r.note(w, r.queues[w].Release(now, grant, result, ran))
+}
+
+func (r *roundRobin) Tick(now time.Time) []dispatching.Decision {
+	var decisions []dispatching.Decision
+	for _, w := range r.workers {
+		decisions = append(decisions, r.note(w.ID, r.queues[w.ID].Tick(now))...)
+	}
+	return decisions
+}
+
+func (r *roundRobin) Demand(now time.Time) dispatching.Demand { return dispatching.Demand{} }
+
+func measureWaiting(s scenario) []Row {
+	work := newWorkload(s)
+	learned := summarise(newSimulation(s, work, learnedPool).run())
+	fcfs := summarise(newSimulation(s, work, fcfsPool).run())
+	rr := summarise(newSimulation(s, work, newRoundRobin).run())
+	best := summarise(clairvoyant(work))
+	short, long := quantile(learned.short, 0.99), quantile(learned.long, 0.99)
+	fcfsShort, fcfsLong := quantile(fcfs.short, 0.99), quantile(fcfs.long, 0.99)
+	bestShort := quantile(best.short, 0.99)
+	return []Row{
+		row("short work p99 slowdown against first come first served", "ratio", short).
+			baseline(fcfsShort).bound(bestShort).atMost(fcfsShort / 10),
+		row("short work p99 slowdown against clairvoyant", "ratio", short).
+			baseline(fcfsShort).bound(bestShort).atMost(1.5 * bestShort),
+		row("short work p99 slowdown, round robin", "ratio", quantile(rr.short, 0.99)),
+		row("long work p99 slowdown", "ratio", long).
+			baseline(fcfsLong).bound(quantile(best.long, 0.99)).atMost(2 * fcfsLong),
+		row("long work p99 slowdown, round robin", "ratio", quantile(rr.long, 0.99)),
+		row("wait p99 of all work", "seconds", quantile(learned.all, 0.99)).
+			baseline(quantile(fcfs.all, 0.99)).bound(quantile(best.all, 0.99)),
+		row("refused or failed, without jobs that can never run", "requests", float64(learned.refused)).
+			baseline(float64(fcfs.refused)),
+	}
+}
