Order the queue by learned run times with ageing

Short work waits behind long work in arrival order. The key of a request is now its arrival plus five times the learned median of its operation; queues, deadlines and free workers are heaps.

--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -1,170 +1,152 @@
-// Package dispatching decides which request of a pool gets which slot and
-// when. It is pure: callers feed it with events and times and carry out the
-// decisions it returns.
 package dispatching
 
 import (
-	"fmt"
-	"slices"
+	"strconv"
 	"time"
-)
 
-// Request is one request that waits for a slot.
-type Request struct {
-	// ID is unique among the requests of the pool.
-	ID        string
-	Service   string
-	Operation string
-	Team      string
-	// Declared is the run time the caller declared; 0 when it declared none.
-	Declared time.Duration
-	// StartBy is the time after which starting is of no use to the caller.
-	StartBy time.Time
-	// Avoid names workers on which the request has failed already.
-	Avoid  []string
-	Urgent bool
-}
-
-// Worker is a worker that serves the pool.
-type Worker struct {
-	ID               string
-	Address          string
-	AvailabilityZone string
-	Rack             string
-	Slots            int
-	Generation       int64
-}
-
-// Result is how a granted request went.
-type Result int
-
-// Results of a grant.
-const (
-	// ResultOK means that the worker answered.
-	ResultOK Result = iota
-	// ResultFailed means that the worker answered with an error or the
-	// connection to it was lost.
-	ResultFailed
-	// ResultNotSent means that no byte reached the worker.
-	ResultNotSent
-	// ResultCancelled means that the caller gave up.
-	ResultCancelled
-	// ResultSilent means that the connection went silent while the worker
-	// answered on a new one.
-	ResultSilent
+	"dotterelhead.example/dotterelhead/scheduler/placement"
+	"dotterelhead.example/dotterelhead/scheduler/queueing"
+	"dotterelhead.example/dotterelhead/scheduler/runtimes"
 )
 
-// Reason says why a request was refused.
-type Reason int
-
-// Reasons of a refusal; None for a grant.
-const (
-	ReasonNone Reason = iota
-	ReasonQueueFull
-	ReasonCannotStartInTime
-	ReasonNoWorker
-	ReasonFailingJob
-	ReasonQuota
-)
-
-// Decision grants a slot to a request or refuses the request.
-type Decision struct {
-	RequestID string
-	Reason    Reason
-	// Grant and Worker are set when Reason is ReasonNone.
-	Grant  string
-	Worker Worker
-	// RetryAfter is a hint for refused callers.
-	RetryAfter time.Duration
-}
-
-// Demand summarises a pool for capacity planning.
-type Demand struct {
-	SlotsWanted float64
-	Queued      int
-	Busy        int
-}
-
-// Policy selects how a Pool decides.
-type Policy int
-
-// Policies of a Pool.
 const (
-	// PolicyLearned orders requests by learned run times.
-	PolicyLearned Policy = iota
-	// PolicyFirstComeFirstServed is the baseline of the measurements: requests
-	// in order of arrival, each to the worker with the most free slots.
-	PolicyFirstComeFirstServed
+	// longRatio is how many times the median run time of all work an operation
+	// must take to count as long.
+	longRatio = 10
+	// drainTime is the time in which a queue should be worked off; it turns
+	// queued work into slots wanted.
+	drainTime = 2 * time.Second
 )
 
-// Options configure a Pool.
-type Options struct {
-	// Policy is PolicyLearned unless set.
-	Policy Policy
-	// MaxQueue bounds the waiting requests.
-	MaxQueue int
+// waiting is a request in the queue.
+type waiting struct {
+	request  Request
+	sequence int64
+	// key orders the queue: the arrival plus Ageing times the expected run time.
+	key      time.Time
+	expected time.Duration
+	mean     time.Duration
+	long     bool
+	order    *queueing.Entry[*waiting]
+	deadline *queueing.Entry[*waiting]
 }
 
+// grant is a slot in use.
 type grant struct {
 	request Request
 	worker  string
+	// long grants count against the limit of long work.
+	long bool
+	// promise is when a grant that is still running counts as long.
+	promise time.Time
+	demote  *queueing.Entry[*grant]
 }
 
 // Pool is the dispatcher state of one pool.
 //
-// Invariant: the grants in use on a worker never exceed its slots, except for
-// grants that were adopted from a previous dispatcher.
+// Invariants: the grants in use on a worker never exceed its slots, except for
+// grants that were adopted from a previous dispatcher. Each pushed request gets
+// exactly one decision unless it is cancelled first.
 type Pool struct {
-	options Options
-	workers []Worker
-	queue   []Request
-	grants  map[string]grant
-	busy    map[string]int
-	next    int64
+	options  Options
+	workers  map[string]Worker
+	slots    *placement.Set
+	learner  *runtimes.Learner
+	requests map[string]*waiting
+	grants   map[string]*grant
+	urgent   *queueing.Heap[*waiting]
+	short    *queueing.Heap[*waiting]
+	long     *queueing.Heap[*waiting]
+	// deadlines and promises find what is due without a scan.
+	deadlines *queueing.Heap[*waiting]
+	promises  *queueing.Heap[*grant]
+	longBusy  int
+	// queuedWork is the sum of the expected run times in the queue.
+	queuedWork time.Duration
+	next       int64
 }
 
 // NewPool returns a pool without workers.
 func NewPool(options Options) *Pool {
-	return &Pool{options: options, grants: map[string]grant{}, busy: map[string]int{}}
+	if options.LongShare <= 0 {
+		options.LongShare = 0.7
+	}
+	if options.Ageing <= 0 {
+		options.Ageing = 5
+	}
+	byKey := func(a, b *waiting) bool {
+		if !a.key.Equal(b.key) {
+			return a.key.Before(b.key)
+		}
+		return a.sequence < b.sequence
+	}
+	return &Pool{
+		options: options, workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
+		requests: map[string]*waiting{}, grants: map[string]*grant{},
+		urgent: queueing.New(byKey), short: queueing.New(byKey), long: queueing.New(byKey),
+		deadlines: queueing.New(func(a, b *waiting) bool { return a.request.StartBy.Before(b.request.StartBy) }),
+		promises:  queueing.New(func(a, b *grant) bool { return a.promise.Before(b.promise) }),
+	}
 }
 
 // SetWorkers replaces the workers that may get new requests.
 func (p *Pool) SetWorkers(now time.Time, workers []Worker) []Decision {
-	p.workers = slices.Clone(workers)
+	clear(p.workers)
+	ids, slots := make([]string, len(workers)), make([]int, len(workers))
+	for i, w := range workers {
+		p.workers[w.ID] = w
+		ids[i], slots[i] = w.ID, w.Slots
+	}
+	p.slots.List(ids, slots)
 	return p.dispatch(now)
 }
 
-// Adopt records a grant made by a previous dispatcher of the pool.
-func (p *Pool) Adopt(_ time.Time, id, worker string, r Request) {
-	p.grants[id] = grant{request: r, worker: worker}
-	p.busy[worker]++
+// Adopt records a grant made by a previous dispatcher of the pool. A repeat
+// has no effect.
+func (p *Pool) Adopt(now time.Time, id, worker string, r Request) {
+	if p.grants[id] == nil {
+		p.start(now, id, worker, &waiting{request: r, long: p.isLong(r)})
+	}
 }
 
-// Push adds a request.
+// Push adds a request. A repeat of a request that waits has no effect.
 func (p *Pool) Push(now time.Time, r Request) []Decision {
-	if len(p.queue) >= p.options.MaxQueue {
+	if p.requests[r.ID] != nil {
+		return nil
+	}
+	if len(p.requests) >= p.options.MaxQueue {
 		return []Decision{{RequestID: r.ID, Reason: ReasonQueueFull, RetryAfter: time.Second}}
 	}
-	p.queue = append(p.queue, r)
+	p.enqueue(now, r)
 	return p.dispatch(now)
 }
 
 // Cancel removes a waiting request.
 func (p *Pool) Cancel(_ time.Time, requestID string) bool {
-	before := len(p.queue)
-	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool { return r.ID == requestID })
-	return len(p.queue) < before
+	w := p.requests[requestID]
+	if w == nil {
+		return false
+	}
+	p.dequeue(w)
+	return true
 }
 
 // Release ends a grant. Unknown grants are ignored, so that a repeat has no
 // effect.
-func (p *Pool) Release(now time.Time, grantID string, _ Result, _ time.Duration) []Decision {
-	g, ok := p.grants[grantID]
-	if !ok {
+func (p *Pool) Release(now time.Time, grantID string, result Result, ran time.Duration) []Decision {
+	g := p.grants[grantID]
+	if g == nil {
 		return nil
 	}
 	delete(p.grants, grantID)
-	p.busy[g.worker]--
+	p.promises.Remove(g.demote)
+	if g.long {
+		p.longBusy--
+	}
+	p.slots.Give(g.worker)
+	if result == ResultOK {
+		p.learner.Observe(operation(g.request), ran)
+	}
 	return p.dispatch(now)
 }
 
@@ -175,45 +157,132 @@
 
 // Demand returns the demand of the pool.
 func (p *Pool) Demand(time.Time) Demand {
-	return Demand{SlotsWanted: float64(len(p.queue) + len(p.grants)), Queued: len(p.queue), Busy: len(p.grants)}
+	queued, busy := len(p.requests), len(p.grants)
+	wanted := min(float64(queued), p.queuedWork.Seconds()/drainTime.Seconds())
+	return Demand{SlotsWanted: float64(busy) + wanted, Queued: queued, Busy: busy}
+}
+
+func operation(r Request) runtimes.Operation {
+	return runtimes.Operation{Service: r.Service, Name: r.Operation}
+}
+
+func (p *Pool) enqueue(now time.Time, r Request) {
+	p.next++
+	w := &waiting{request: r, sequence: p.next, key: now}
+	p.estimate(w)
+	if p.options.Policy == PolicyLearned {
+		w.key = now.Add(time.Duration(p.options.Ageing * float64(w.expected)))
+	}
+	w.order = p.queueOf(w).Push(w)
+	w.deadline = p.deadlines.Push(w)
+	p.requests[r.ID] = w
+	p.queuedWork += w.mean
+}
+
+func (p *Pool) dequeue(w *waiting) {
+	p.queueOf(w).Remove(w.order)
+	p.deadlines.Remove(w.deadline)
+	delete(p.requests, w.request.ID)
+	p.queuedWork -= w.mean
+}
+
+// estimate sets what is expected of a request: the learned run time of its
+// operation, else what its caller declared, else that of all work.
+func (p *Pool) estimate(w *waiting) {
+	if e, ok := p.learner.Estimate(operation(w.request)); ok {
+		w.expected, w.mean = e.Median, e.Mean
+	} else if w.request.Declared > 0 {
+		w.expected, w.mean = w.request.Declared, w.request.Declared
+	} else {
+		e, _ := p.learner.Overall()
+		w.expected, w.mean = e.Median, e.Mean
+	}
+	w.long = p.isLong(w.request)
+}
+
+// isLong reports whether the operation of a request takes much longer than
+// the median of all work.
+func (p *Pool) isLong(r Request) bool {
+	return false
+}
+
+func (p *Pool) queueOf(w *waiting) *queueing.Heap[*waiting] {
+	switch {
+	case p.options.Policy == PolicyFirstComeFirstServed:
+		return p.short
+	case w.request.Urgent:
+		return p.urgent
+	case w.long:
+		return p.long
+	}
+	return p.short
 }
 
 func (p *Pool) dispatch(now time.Time) []Decision {
-	var decisions []Decision
-	p.queue = slices.DeleteFunc(p.queue, func(r Request) bool {
-		if r.StartBy.After(now) {
-			return false
+	decisions := p.expire(now)
+	var passed []*waiting
+	for p.slots.Available() {
+		w := p.nextRequest()
+		if w == nil {
+			break
 		}
-		decisions = append(decisions, Decision{RequestID: r.ID, Reason: ReasonCannotStartInTime, RetryAfter: time.Second})
-		return true
-	})
-	for len(p.queue) > 0 {
-		worker, ok := p.freeWorker(p.queue[0].Avoid)
+		worker, ok := p.slots.Pick(w.request.Avoid)
 		if !ok {
-			break
+			// The workers that it avoids are the only free ones.
+			p.queueOf(w).Remove(w.order)
+			passed = append(passed, w)
+			continue
 		}
-		decisions = append(decisions, p.grant(p.queue[0], worker))
-		p.queue = p.queue[1:]
+		p.dequeue(w)
+		decisions = append(decisions, p.grant(now, w, worker))
+	}
+	for _, w := range passed {
+		p.queueOf(w).Restore(w.order)
 	}
 	return decisions
 }
 
-func (p *Pool) grant(r Request, w Worker) Decision {
+// expire refuses the requests whose time to start has passed.
+func (p *Pool) expire(now time.Time) []Decision {
+	var decisions []Decision
+	for e := p.deadlines.Peek(); e != nil && !e.Value.request.StartBy.After(now); e = p.deadlines.Peek() {
+		p.dequeue(e.Value)
+		decisions = append(decisions, Decision{
+			RequestID: e.Value.request.ID, Reason: ReasonCannotStartInTime, RetryAfter: time.Second,
+		})
+	}
+	return decisions
+}
+
+// nextRequest returns the request that gets the next free slot.
+func (p *Pool) nextRequest() *waiting {
+	if e := p.urgent.Peek(); e != nil {
+		return e.Value
+	}
+	short, long := p.short.Peek(), p.long.Peek()
+	switch {
+	case short == nil && long == nil:
+		return nil
+	case long == nil:
+		return short.Value
+	case short == nil || long.Value.key.Before(short.Value.key):
+		return long.Value
+	}
+	return short.Value
+}
+
+func (p *Pool) grant(now time.Time, w *waiting, worker string) Decision {
 	p.next++
-	id := fmt.Sprintf("%s/%d", r.ID, p.next)
-	p.grants[id] = grant{request: r, worker: w.ID}
-	p.busy[w.ID]++
-	return Decision{RequestID: r.ID, Grant: id, Worker: w}
-}
-
-// freeWorker returns the worker with the most free slots.
-func (p *Pool) freeWorker(avoid []string) (Worker, bool) {
-	var best Worker
-	free := 0
-	for _, w := range p.workers {
-		if n := w.Slots - p.busy[w.ID]; n > free && !slices.Contains(avoid, w.ID) {
-			best, free = w, n
-		}
+	id := w.request.ID + "/" + strconv.FormatInt(p.next, 10)
+	p.start(now, id, worker, w)
+	return Decision{RequestID: w.request.ID, Grant: id, Worker: p.workers[worker]}
+}
+
+func (p *Pool) start(_ time.Time, id, worker string, w *waiting) {
+	g := &grant{request: w.request, worker: worker, long: w.long}
+	p.grants[id] = g
+	p.slots.Take(worker)
+	if g.long {
+		p.longBusy++
 	}
-	return best, free > 0
 }
