--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -13,6 +13,9 @@
 	// longRatio is how many times the median run time of all work an operation
 	// must take to count as long.
 	longRatio = 10
+	// promiseRatio is how many times the 95th percentile of its operation a
+	// request may run before it counts as long.
+	promiseRatio = 2
 	// drainTime is the time in which a queue should be worked off; it turns
 	// queued work into slots wanted.
 	drainTime = 2 * time.Second
@@ -203,7 +206,9 @@
 // isLong reports whether the operation of a request takes much longer than
 // the median of all work.
 func (p *Pool) isLong(r Request) bool {
-	return false
+	e, known := p.learner.Estimate(operation(r))
+	all, _ := p.learner.Overall()
+	return known && p.options.Policy == PolicyLearned && e.P75 > longRatio*all.Median
 }
 
 func (p *Pool) queueOf(w *waiting) *queueing.Heap[*waiting] {
@@ -219,6 +224,7 @@
 }
 
 func (p *Pool) dispatch(now time.Time) []Decision {
+	p.demote(now)
 	decisions := p.expire(now)
 	var passed []*waiting
 	for p.slots.Available() {
@@ -260,6 +266,9 @@
 		return e.Value
 	}
 	short, long := p.short.Peek(), p.long.Peek()
+	if p.longBusy >= p.longLimit() {
+		long = nil
+	}
 	switch {
 	case short == nil && long == nil:
 		return nil
@@ -271,6 +280,12 @@
 	return short.Value
 }
 
+// longLimit is the number of slots that long work may hold. It is at least
+// one, so that long work always progresses.
+func (p *Pool) longLimit() int {
+	return max(int(p.options.LongShare*float64(p.slots.Slots())), 1)
+}
+
 func (p *Pool) grant(now time.Time, w *waiting, worker string) Decision {
 	p.next++
 	id := w.request.ID + "/" + strconv.FormatInt(p.next, 10)
@@ -278,11 +293,33 @@
 	return Decision{RequestID: w.request.ID, Grant: id, Worker: p.workers[worker]}
 }
 
-func (p *Pool) start(_ time.Time, id, worker string, w *waiting) {
+func (p *Pool) start(now time.Time, id, worker string, w *waiting) {
 	g := &grant{request: w.request, worker: worker, long: w.long}
 	p.grants[id] = g
 	p.slots.Take(worker)
 	if g.long {
 		p.longBusy++
+	} else if promise, ok := p.promise(w.request); ok {
+		g.promise = now.Add(promise)
+		g.demote = p.promises.Push(g)
+	}
+}
+
+// promise is the time after which a request that runs as short counts as long.
+func (p *Pool) promise(r Request) (time.Duration, bool) {
+	all, known := p.learner.Overall()
+	if !known || p.options.Policy != PolicyLearned {
+		return 0, false
+	}
+	e, _ := p.learner.Estimate(operation(r))
+	return max(promiseRatio*e.P95, longRatio*all.Median), true
+}
+
+// demote counts the grants that ran longer than promised as long.
+func (p *Pool) demote(now time.Time) {
+	for e := p.promises.Peek(); e != nil && !e.Value.promise.After(now); e = p.promises.Peek() {
+		p.promises.Remove(e)
+		e.Value.long = true
+		p.longBusy++
 	}
 }
