Add daemon, dev mode and process tests for the whole path

An entry VM that the platform never listed is not removed from the registry: its absence proves nothing, and its removal made three entry VMs register in turn without end.

--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -181,7 +182,10 @@
 	next, raised := next.RaiseFloors(func(m membership.Member) bool {
 		return s.registryVersions[m] >= s.registryVersion
 	})
-	if !raised && next.Size() == s.registry.Size() {
+	next, marked := next.MarkListed(func(id string) bool {
+		return slices.ContainsFunc(s.list, func(vm platform.VM) bool { return vm.ID == id })
+	})
+	if !raised && !marked && next.Size() == s.registry.Size() {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -200,7 +204,7 @@
 // gone reports whether an entry VM has left the platform. The list lags, so a
 // VM that is absent from it may be new: the platform is asked about it.
 func (h *holder) gone(ctx context.Context, rec membership.Record, s snapshot) bool {
-	if len(s.list) == 0 || rec.ID == h.c.o.ID {
+	if !rec.Listed || len(s.list) == 0 || rec.ID == h.c.o.ID {
 		return false
 	}
 	if at, ok := s.contacts[rec.Member()]; ok && s.now.Sub(at) < membership.T {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"dotterelhead.example/dotterelhead/claims"
 	"dotterelhead.example/dotterelhead/control"
 	"dotterelhead.example/dotterelhead/dispatch"
 	"dotterelhead.example/dotterelhead/fleet"
@@ -25,7 +26,6 @@
 	"dotterelhead.example/dotterelhead/peer"
 	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
-	"dotterelhead.example/dotterelhead/request"
 	"dotterelhead.example/dotterelhead/routing"
 	"dotterelhead.example/dotterelhead/scheduler/dispatching"
 	"dotterelhead.example/dotterelhead/scheduler/retry"
@@ -67,6 +67,8 @@
 	server    *dispatch.Server
 	client    *dispatch.Client
 	attempts  *ingress.Attempts
+	owner     *claims.Owner
+	keys      *ingress.Keys
 	publisher *operator.Publisher
 	control   *control.Controller
 	budget    *lockedBudget
@@ -80,7 +82,7 @@
 }
 
 // New wires an entry VM that does nothing yet.
-func New(options Options) *EntryVM {
+func New(options Options) (*EntryVM, error) {
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
@@ -99,9 +101,10 @@
 	e.config.Store(&note.Config{})
 	e.wireMembership()
 	e.wireRequests()
+	e.wireKeys()
 	e.wireControl()
 	e.replica.Subscribe(e.onDocument)
-	return e
+	return e, nil
 }
 
 func (e *EntryVM) wireMembership() {
@@ -155,6 +158,19 @@
 	})
 }
 
+func (e *EntryVM) wireKeys() {
+	e.owner = claims.NewOwner(claims.OwnerOptions{
+		Store: e.platform, Region: e.settings.Region, EntryID: e.settings.ID, Log: e.log,
+		Owned: func(shard int) bool {
+			return claims.ShardOwner(shard, e.node.Live()) == e.settings.ID
+		},
+	})
+	client := claims.NewClient(claims.ClientOptions{
+		Local: e.owner, EntryID: e.settings.ID, Peer: e.peer, Members: e.node.Live,
+	})
+	e.keys = ingress.NewKeys(client, e.attempts)
+}
+
 func (e *EntryVM) wireControl() {
 	e.publisher = operator.NewPublisher(operator.PublisherOptions{Store: e.platform, Replica: e.replica})
 	e.control = control.New(control.Options{
@@ -183,6 +199,7 @@
 	start(e.forwarder.Run, running)
 	start(e.server.Run, running)
 	start(e.client.Run, running)
+	start(func(ctx context.Context) { e.owner.Run(ctx) }, running)
 	start(func(ctx context.Context) { e.node.Run(ctx) }, running)
 	start(func(ctx context.Context) { e.control.Run(ctx) }, controlling)
 	start(e.followDocuments, running)
@@ -217,8 +234,10 @@
 	if err := e.listeners.callerServer.Shutdown(context.Background()); err != nil {
 		e.log.Error().Str("event", "caller_listener_shutdown").Err(err).Msg("")
 	}
+	e.keys.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
+	e.owner.Handover(ctx)
 	e.node.SetLeaving()
 	e.node.Trigger()
 	stopControl()
@@ -238,6 +257,21 @@
 	return e.hasFleet.Load() && e.configInForce().Revision > 0 && e.node.Valid(time.Now())
 }
 
+// Serves reports whether every service in force has a worker.
+func (e *EntryVM) Serves() bool {
+	for _, service := range e.configInForce().Services {
+		if len(e.table.Serving(service.Pool)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Publish publishes a note through this entry VM.
+func (e *EntryVM) Publish(ctx context.Context, text []byte) (operator.Outcome, error) {
+	return e.publisher.Publish(ctx, text)
+}
+
 func (e *EntryVM) configInForce() note.Config { return *e.config.Load() }
 
 func (e *EntryVM) onDocument(doc replica.Document) {
@@ -338,9 +372,6 @@
 	return dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue})
 }
 
-// plainStage serves requests without an idempotency key.
-var _ request.Stage = (*ingress.Attempts)(nil)
-
 // lockedBudget makes a retry budget safe for concurrent use.
 type lockedBudget struct {
 	mu     sync.Mutex
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,9 @@
+// Package examples embeds the example notes for dotterelheadd dev.
+package examples
+
+import _ "embed"
+
+// Etikettwerk is the first release note of Etikettwerk Niederalm.
+//
+//go:embed etikettwerk.toml
+var Etikettwerk []byte
--- /dev/null
+++ b/ingress/keys.go
@@ -0,0 +1,161 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhead.example/dotterelhead/claims"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/request"
+)
+
+const (
+	// holdMargin is how long after its deadline an attempt may still report
+	// its end to the owner of the key.
+	holdMargin = 5 * time.Second
+	// finishTimeout bounds the report of an attempt's end.
+	finishTimeout = 2 * time.Second
+)
+
+// Keys is the stage that runs a request with an idempotency key at most once.
+type Keys struct {
+	client *claims.Client
+	next   *Attempts
+	// reports are the ends of attempts on their way to the owners.
+	reports sync.WaitGroup
+}
+
+// NewKeys returns the stage in front of next.
+func NewKeys(client *claims.Client, next *Attempts) *Keys {
+	return &Keys{client: client, next: next}
+}
+
+// Wait waits until the ends of all attempts were reported.
+func (k *Keys) Wait() { k.reports.Wait() }
+
+// Serve runs the request, or returns how the first request with its key ended.
+func (k *Keys) Serve(ctx context.Context, r *request.Request) request.Result {
+	attempt := claims.Attempt{
+		ID:          uuid.NewString(),
+		KeyHash:     claims.KeyHash(r.Service, r.IdempotencyKey),
+		Fingerprint: claims.Fingerprint(r.Method, r.Target, r.Body, r.Header.Get("Authorization")),
+		Hold:        time.Until(r.Deadline) + holdMargin,
+	}
+	first, err := k.client.Reserve(ctx, attempt)
+	if err == nil && first.State == peer.KeyState_IN_PROGRESS {
+		first, err = k.client.Await(ctx, attempt)
+		if err != nil {
+			return pending(err)
+		}
+	}
+	if err != nil {
+		k.finish(ctx, attempt, peer.KeyState_NOT_RUN, nil)
+		return uncheckedKey(err.Error())
+	}
+	if first.State != peer.KeyState_RESERVED {
+		return resultOfKey(first)
+	}
+	claimed := true
+	result := k.next.ServeClaimed(ctx, r, func(ctx context.Context) *request.Result {
+		ended := k.claim(ctx, attempt)
+		claimed = ended == nil
+		return ended
+	})
+	state, kept := endOf(result)
+	if !claimed {
+		// The result is that of another attempt, or a refusal.
+		state, kept = peer.KeyState_NOT_RUN, nil
+	}
+	k.finish(ctx, attempt, state, kept)
+	return result
+}
+
+// claim records that the attempt is about to be sent. A result ends the
+// request unsent.
+func (k *Keys) claim(ctx context.Context, attempt claims.Attempt) *request.Result {
+	claimed, err := k.client.Claim(ctx, attempt)
+	if err == nil && claimed.State == peer.KeyState_CLAIMED {
+		return nil
+	}
+	if err != nil {
+		result := uncheckedKey(err.Error())
+		return &result
+	}
+	result := resultOfKey(claimed)
+	return &result
+}
+
+// finish reports the end of the attempt without keeping the caller waiting.
+func (k *Keys) finish(ctx context.Context, attempt claims.Attempt, state peer.KeyState, kept *peer.KeptAnswer) {
+	ctx = context.WithoutCancel(ctx)
+	k.reports.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+		defer cancel()
+		// After a failure the owner ends the attempt by itself, and repeats
+		// of the key are told that it may have run.
+		_ = k.client.Finish(ctx, attempt, state, kept)
+	})
+}
+
+// endOf translates the end of a request for the owner of its key.
+func endOf(result request.Result) (peer.KeyState, *peer.KeptAnswer) {
+	switch {
+	case result.Outcome == request.NotRun:
+		return peer.KeyState_NOT_RUN, nil
+	case result.Outcome == request.Unknown:
+		return peer.KeyState_UNKNOWN, nil
+	case result.Answer == nil || result.Answer.Rest != nil:
+		return peer.KeyState_FINISHED, nil
+	}
+	kept := &peer.KeptAnswer{Status: int32(result.Answer.Status), Body: result.Answer.Body}
+	for name, values := range result.Answer.Header {
+		for _, value := range values {
+			kept.Headers = append(kept.Headers, &peer.Header{Name: name, Value: value})
+		}
+	}
+	return peer.KeyState_ANSWERED, kept
+}
+
+// uncheckedKey is the result when the key could not be claimed for certain.
+func uncheckedKey(detail string) request.Result {
+	return request.Refused(http.StatusServiceUnavailable, "key cannot be claimed",
+		"this request was not run, because its idempotency key could not be claimed: "+detail, defaultRetryAfter)
+}
+
+// pending is the result when another request with the key has not ended.
+func pending(cause error) request.Result {
+	result := request.Lost("another request with this idempotency key is in progress: " + cause.Error())
+	result.Problem.Status, result.Problem.Title = http.StatusConflict, "key in progress"
+	return result
+}
+
+// resultOfKey tells a caller how another request with its key ended.
+func resultOfKey(key claims.Result) request.Result {
+	conflict := func(outcome request.Outcome, title, detail string) request.Result {
+		return request.Result{Outcome: outcome, Problem: &request.Problem{
+			Status: http.StatusConflict, Title: title, Detail: detail,
+		}}
+	}
+	switch key.State {
+	case peer.KeyState_ANSWERED:
+		answer := &request.Answer{Status: int(key.Answer.Status), Header: http.Header{}, Body: key.Answer.Body}
+		for _, h := range key.Answer.Headers {
+			answer.Header.Add(h.Name, h.Value)
+		}
+		return request.Result{Outcome: request.Answered, Answer: answer}
+	case peer.KeyState_FINISHED:
+		return conflict(request.Answered, "key has run", "the request with this idempotency key ran and was answered; its answer is not kept any more")
+	case peer.KeyState_MISMATCH:
+		return request.Refused(http.StatusUnprocessableEntity, "key used before",
+			"this idempotency key was used with another method, path, body or authorization", defaultRetryAfter)
+	case peer.KeyState_NOT_RUN:
+		return request.Refused(http.StatusServiceUnavailable, "not run", "the request with this idempotency key was not run", defaultRetryAfter)
+	case peer.KeyState_STORE_UNAVAILABLE, peer.KeyState_NOT_OWNER:
+		return uncheckedKey(key.State.String())
+	}
+	return conflict(request.Unknown, "key may have run", "a request with this idempotency key was sent and its outcome is not known")
+}
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -28,6 +28,10 @@
 	// QuorumFloor is the smallest registry size that the entry VM may still
 	// believe in.
 	QuorumFloor int `json:"quorum_floor"`
+	// Listed is set once the platform's list has contained the entry VM. Only
+	// then does its absence prove that it is gone: a platform that never
+	// lists an entry VM says nothing about whether it still runs.
+	Listed bool `json:"listed,omitempty"`
 }
 
 // Member returns the identity of the record.
@@ -154,3 +158,17 @@
 	}
 	return out
 }
+
+// MarkListed sets Listed for the entry VMs in the platform's list and reports
+// whether anything changed.
+func (r Registry) MarkListed(listed func(id string) bool) (Registry, bool) {
+	next := Registry{Members: slices.Clone(r.Members)}
+	changed := false
+	for i, rec := range next.Members {
+		if !rec.Listed && listed(rec.ID) {
+			next.Members[i].Listed = true
+			changed = true
+		}
+	}
+	return next, changed
+}
--- /dev/null
+++ b/processtest/failure_test.go
@@ -0,0 +1,233 @@
+package processtest
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/standin"
+)
+
+var twoPools = []poolSpec{{name: "a", vms: 3}, {name: "b", vms: 2}}
+
+// everyEntry spreads requests for both pools over all entry VMs.
+func (c *cluster) everyEntry(work time.Duration) func(caller, n int) (*entry, call) {
+	return func(caller, n int) (*entry, call) {
+		return c.entries[(caller+n)%len(c.entries)], call{service: twoPools[n%2].name, work: work}
+	}
+}
+
+const moveNote = `
+[note]
+name = "move"
+base = 1
+[[pool.change]]
+name = "a"
+remove_vms = ["a-1"]
+[[pool.change]]
+name = "b"
+add_vms = ["a-1"]
+`
+
+func (c *cluster) awaitMoved(timeout time.Duration) {
+	c.t.Helper()
+	c.eventually(timeout, "a-1 serves b", func() bool {
+		vm := c.vm("a-1")
+		return vm.Pool == "b" && vm.Phase == fleet.Serving
+	})
+	c.eventually(10*time.Second, "a-1 gets a request of b", func() bool {
+		for _, r := range c.backends["a-1"].Records(0) {
+			if r.Pool == "b" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against a VM that gets requests of two pools: an entry VM that is
+// frozen or cut off across the move must not send for the old pool afterwards.
+func TestOnePoolAcrossMove(t *testing.T) {
+	for name, fault := range map[string]struct{ begin, end func(*cluster, *entry) }{
+		"healthy": {func(*cluster, *entry) {}, func(*cluster, *entry) {}},
+		"frozen": {
+			func(_ *cluster, e *entry) { e.signal(syscall.SIGSTOP) },
+			func(_ *cluster, e *entry) { e.signal(syscall.SIGCONT) },
+		},
+		"cut from the store": {(*cluster).cutStore, func(c *cluster, _ *entry) { c.healStore() }},
+		"cut from its peers": {(*cluster).cutPeers, func(c *cluster, _ *entry) { c.healPeers() }},
+		"cut from both": {
+			func(c *cluster, e *entry) { c.cutStore(e); c.cutPeers(e) },
+			func(c *cluster, _ *entry) { c.healStore(); c.healPeers() },
+		},
+		"killed": {func(_ *cluster, e *entry) { e.kill() }, func(_ *cluster, e *entry) { e.start() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, clusterOptions{entries: 4, pools: twoPools})
+			time.Sleep(6 * time.Second) // The control holder starts no transitions before T of contact.
+			l := c.startLoad(12, c.everyEntry(20*time.Millisecond))
+			victim := c.entries[3]
+			fault.begin(c, victim)
+			c.publish(moveNote)
+			c.awaitMoved(40 * time.Second)
+			fault.end(c, victim)
+			time.Sleep(3 * time.Second)
+			replies := l.stop()
+			c.checkOnePool()
+			c.checkHonesty(replies)
+			t.Logf("%+v", summarise(replies))
+		})
+	}
+}
+
+// Guards against callers that are stopped by a store outage, against keyed
+// requests that hang or run unclaimed, and against moves that are set off by
+// leases which lapsed during the outage.
+func TestStoreOutage(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: twoPools})
+	time.Sleep(6 * time.Second)
+	before, err := c.fleet()
+	c.must(err)
+	c.platform.SetFaults(standin.PlatformFaults{Down: true})
+	plain := c.startLoad(6, c.everyEntry(10*time.Millisecond))
+	time.Sleep(time.Second)
+	keyed := c.startLoad(3, func(caller, n int) (*entry, call) {
+		return c.entries[caller], call{service: "a", key: fmt.Sprintf("outage-%d-%d", caller, n)}
+	})
+	time.Sleep(30 * time.Second)
+	keyedReplies := keyed.stop()
+	time.Sleep(29 * time.Second)
+	c.platform.ExpireLeases()
+	c.healStore()
+	time.Sleep(8 * time.Second)
+	plainReplies := plain.stop()
+	c.checkHonesty(append(plainReplies, keyedReplies...))
+	if s := summarise(plainReplies); s.answered != s.total {
+		t.Errorf("repeatable requests during the outage: %+v", s)
+	}
+	for _, r := range keyedReplies {
+		if r.took > time.Second || r.err != nil {
+			t.Fatalf("keyed request took %v, error %v", r.took, r.err)
+		}
+	}
+	if s := summarise(keyedReplies); s.total == 0 || s.notRun != s.total {
+		t.Errorf("keyed requests during the outage: %+v", s)
+	}
+	after, err := c.fleet()
+	c.must(err)
+	for i, vm := range after.VMs {
+		if vm.Generation != before.VMs[i].Generation || vm.Pool != before.VMs[i].Pool {
+			t.Errorf("VM moved: %+v, before %+v", vm, before.VMs[i])
+		}
+	}
+	if got := send(c.ctx, c.entries[0], call{service: "a", key: "after"}); got.outcome != "answered" {
+		t.Errorf("keyed request after the outage: %+v", got)
+	}
+}
+
+// Guards against requests that are cut when an entry VM is stopped by SIGTERM
+// or a VM is drained and rebooted under load.
+func TestGracefulStops(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: twoPools})
+	time.Sleep(6 * time.Second)
+	leaving := c.entries[2]
+	ready := func(e *entry) bool {
+		answer, err := http.Get("http://" + e.operator + "/readyz")
+		if err != nil {
+			return false
+		}
+		answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	}
+	// The load stands for a load balancer that checks readiness before each
+	// request.
+	l := c.startLoad(9, func(caller, n int) (*entry, call) {
+		e := c.entries[(caller+n)%3]
+		if e == leaving && !ready(e) {
+			return nil, call{}
+		}
+		return e, call{service: twoPools[n%2].name, work: 200 * time.Millisecond}
+	})
+	c.publish(`
+[note]
+name = "maintenance"
+base = 1
+[[wave.add]]
+name = "first-wave"
+pools = ["a", "b"]
+max_concurrent = 1
+`)
+	time.Sleep(2 * time.Second)
+	if !leaving.terminate(20 * time.Second) {
+		t.Error("the entry VM did not stop within 20 s of SIGTERM")
+	}
+	c.eventually(90*time.Second, "the wave ends", func() bool {
+		document, err := c.fleet()
+		c.must(err)
+		return len(document.Waves) == 1 && document.Waves[0].Finished
+	})
+	replies := l.stop()
+	c.checkHonesty(replies)
+	c.checkOnePool()
+	if s := summarise(replies); s.answered != s.total {
+		t.Errorf("requests across the planned stops: %+v", s)
+	}
+	for id, b := range c.backends {
+		if stats := b.Stats(); stats.Cut != 0 || b.BootCount() != 2 {
+			t.Errorf("%s: %d requests cut, boot count %d, want 0 and 2", id, stats.Cut, b.BootCount())
+		}
+	}
+}
+
+// Guards against new work for a backend server that is leaving.
+func TestLeavingBackendServer(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: twoPools})
+	l := c.startLoad(9, c.everyEntry(5*time.Millisecond))
+	time.Sleep(2 * time.Second)
+	vm := c.backends["a-2"].VM()
+	vm.State = platform.VMLeaving
+	c.platform.Register(vm)
+	listed := time.Now()
+	time.Sleep(6 * time.Second)
+	replies := l.stop()
+	c.checkHonesty(replies)
+	last := time.Time{}
+	for _, r := range c.backends["a-2"].Records(0) {
+		last = r.Start
+	}
+	if late := last.Sub(listed); late > 3*time.Second {
+		t.Errorf("new work %v after the VM was listed as leaving", late)
+	}
+	if s := summarise(replies); s.answered != s.total {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Guards against a killed entry VM that takes requests of other entry VMs with
+// it, and against doubled executions when callers retry through another one.
+func TestEntryVMKilledUnderKeyedLoad(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 4, pools: twoPools})
+	l := c.startLoad(8, func(caller, n int) (*entry, call) {
+		// Two callers use each key, through different entry VMs.
+		key := fmt.Sprintf("kill-%d-%d", caller/2, n)
+		return c.entries[(caller+n)%4], call{service: "a", key: key, work: 5 * time.Millisecond}
+	})
+	time.Sleep(3 * time.Second)
+	victim := c.entries[1]
+	victim.kill()
+	time.Sleep(5 * time.Second)
+	c.must(victim.start())
+	time.Sleep(5 * time.Second)
+	replies := l.stop()
+	c.checkHonesty(replies)
+	for _, r := range replies {
+		if r.entry != victim.id && r.err != nil {
+			t.Errorf("request through %s: %v", r.entry, r.err)
+		}
+	}
+	t.Logf("%+v", summarise(replies))
+}
--- /dev/null
+++ b/processtest/harness_test.go
@@ -0,0 +1,452 @@
+// Package processtest runs entry VMs as separate processes against stand-ins
+// and checks the promises to callers and operators under failure.
+package processtest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/standin"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		var err error
+		if programs, err = os.MkdirTemp("", "dotterelhead"); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(programs)
+		build := exec.Command("go", "build", "-o", programs, "../cmd/dotterelheadd", "../cmd/dotterelhead")
+		if out, err := build.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// cluster is a platform, backend servers and entry VMs for one test.
+type cluster struct {
+	t        *testing.T
+	ctx      context.Context
+	platform *standin.Platform
+	backends map[string]*standin.Backend
+	entries  []*entry
+}
+
+// entry is one entry VM as a process, behind a relay that can cut its peers off.
+type entry struct {
+	id       string
+	caller   string
+	operator string
+	relay    *relay
+	config   string
+	log      *os.File
+	process  *exec.Cmd
+	exited   chan struct{}
+}
+
+// pools of the test note: the pool and its service have the same name.
+type poolSpec struct {
+	name  string
+	vms   int
+	spare bool
+}
+
+type clusterOptions struct {
+	entries int
+	pools   []poolSpec
+	// rebootDuration of the backend servers.
+	rebootDuration time.Duration
+	// deadlineSeconds of the services; 10 by default.
+	deadlineSeconds float64
+}
+
+func startCluster(t *testing.T, o clusterOptions) *cluster {
+	t.Helper()
+	t.Parallel()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{t: t, ctx: ctx, backends: map[string]*standin.Backend{}}
+	t.Cleanup(func() {
+		for _, e := range c.entries {
+			e.kill()
+			if t.Failed() {
+				c.printLog(e)
+			}
+		}
+		cancel()
+	})
+	c.platform = standin.NewPlatform(standin.PlatformOptions{})
+	c.must(c.platform.Start(ctx))
+	if o.deadlineSeconds == 0 {
+		o.deadlineSeconds = 10
+	}
+	var note strings.Builder
+	note.WriteString("[note]\nname = \"first\"\nbase = 0\n")
+	for _, pool := range o.pools {
+		var vms []string
+		for i := range pool.vms {
+			id := fmt.Sprintf("%s-%d", pool.name, i)
+			vms = append(vms, fmt.Sprintf("%q", id))
+			backend := standin.NewBackend(standin.BackendOptions{
+				ID: id, AvailabilityZone: string(rune('a' + i%3)), Rack: fmt.Sprintf("%s-r%d", pool.name, i),
+				Platform: c.platform.Addr(), RebootDuration: o.rebootDuration,
+			})
+			c.must(backend.Start(ctx))
+			c.backends[id] = backend
+		}
+		fmt.Fprintf(&note, "[[pool.add]]\nname = %q\nvms = [%s]\nspare = %v\nslots_per_worker = 8\nconnections_per_worker = 64\nminimum_vms = 1\n",
+			pool.name, strings.Join(vms, ", "), pool.spare)
+		if !pool.spare {
+			fmt.Fprintf(&note, "[[service.add]]\nname = %q\npool = %q\nmax_unavailable = 1\ndeadline_seconds = %.1f\nmax_queue = 1000\n",
+				pool.name, pool.name, o.deadlineSeconds)
+		}
+	}
+	for i := range o.entries {
+		c.startEntry(fmt.Sprintf("entry-%d", i))
+	}
+	c.publish(note.String())
+	for _, e := range c.entries {
+		c.awaitServing(e, o.pools)
+	}
+	return c
+}
+
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) printLog(e *entry) {
+	text, err := os.ReadFile(e.log.Name())
+	if err != nil {
+		c.t.Log(err)
+		return
+	}
+	lines := bytes.Split(text, []byte("\n"))
+	c.t.Logf("log of %s, last lines:\n%s", e.id, bytes.Join(lines[max(0, len(lines)-40):], []byte("\n")))
+}
+
+// startEntry starts a new entry VM that the platform lists.
+func (c *cluster) startEntry(id string) *entry {
+	c.t.Helper()
+	addresses := freeAddresses(c.t, 3)
+	e := &entry{id: id, caller: addresses[0], operator: addresses[1]}
+	e.relay = newRelay(c.t, addresses[2])
+	var seeds []string
+	for _, other := range c.entries {
+		seeds = append(seeds, fmt.Sprintf("%q", other.relay.address()))
+	}
+	dir := c.t.TempDir()
+	e.config = filepath.Join(dir, "entry.toml")
+	c.must(os.WriteFile(e.config, []byte(fmt.Sprintf(`
+id = %q
+region = "test"
+availability_zone = "a"
+caller_listen = %q
+operator_listen = %q
+peer_listen = %q
+peer_address = %q
+platform_url = "http://%s"
+seed_peers = [%s]
+shutdown_load_balancer_wait_seconds = 0.5
+`, id, e.caller, e.operator, addresses[2], e.relay.address(), c.platform.Addr(), strings.Join(seeds, ", "))), 0o600))
+	log, err := os.Create(filepath.Join(dir, "log"))
+	c.must(err)
+	e.log = log
+	c.platform.Register(platform.VM{ID: id, Address: e.caller, AvailabilityZone: "a", State: platform.VMLive, EntryVM: true})
+	c.must(e.start())
+	c.entries = append(c.entries, e)
+	return e
+}
+
+func (e *entry) start() error {
+	e.process = exec.Command(filepath.Join(programs, "dotterelheadd"), "serve", "--config", e.config)
+	e.process.Stdout, e.process.Stderr = e.log, e.log
+	if err := e.process.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	e.exited = exited
+	process := e.process
+	go func() {
+		process.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+func (e *entry) signal(s syscall.Signal) { e.process.Process.Signal(s) }
+
+func (e *entry) kill() {
+	e.signal(syscall.SIGKILL)
+	<-e.exited
+}
+
+// terminate sends SIGTERM and reports whether the process ended in time.
+func (e *entry) terminate(timeout time.Duration) bool {
+	e.signal(syscall.SIGTERM)
+	select {
+	case <-e.exited:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// run executes the command-line tool against an entry VM.
+func (c *cluster) run(e *entry, arguments ...string) (string, int) {
+	c.t.Helper()
+	tool := exec.Command(filepath.Join(programs, "dotterelhead"), append([]string{"--operator", e.operator}, arguments...)...)
+	out, err := tool.CombinedOutput()
+	if err != nil && tool.ProcessState == nil {
+		c.t.Fatal(err)
+	}
+	return string(out), tool.ProcessState.ExitCode()
+}
+
+func (c *cluster) writeNote(text string) string {
+	c.t.Helper()
+	file := filepath.Join(c.t.TempDir(), "note.toml")
+	c.must(os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// publish publishes a note through the first entry VM that takes it.
+func (c *cluster) publish(text string) {
+	c.t.Helper()
+	file := c.writeNote(text)
+	var out string
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		var code int
+		if out, code = c.run(c.entries[0], "publish", file); code == 0 {
+			return
+		}
+	}
+	c.t.Fatalf("the note was not accepted: %s", out)
+}
+
+// eventually waits until the condition holds.
+func (c *cluster) eventually(timeout time.Duration, what string, condition func() bool) time.Duration {
+	c.t.Helper()
+	started := time.Now()
+	for !condition() {
+		if time.Since(started) > timeout {
+			c.t.Fatalf("not within %v: %s", timeout, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// awaitServing waits until the entry VM answers for every service.
+func (c *cluster) awaitServing(e *entry, pools []poolSpec) {
+	c.t.Helper()
+	for _, pool := range pools {
+		if pool.spare {
+			continue
+		}
+		c.eventually(20*time.Second, e.id+" serves "+pool.name, func() bool {
+			return send(c.ctx, e, call{service: pool.name}).outcome == "answered"
+		})
+	}
+}
+
+// vm returns the record of a VM in the fleet document.
+func (c *cluster) vm(id string) fleet.VM {
+	c.t.Helper()
+	document, err := c.fleet()
+	c.must(err)
+	for _, vm := range document.VMs {
+		if vm.ID == id {
+			return vm
+		}
+	}
+	c.t.Fatalf("VM %s is not in the fleet document", id)
+	return fleet.VM{}
+}
+
+func (c *cluster) fleet() (fleet.Document, error) {
+	client := platform.NewClient(platform.ClientOptions{BaseURL: c.platform.Addr(), Entry: "test"})
+	defer client.CloseIdleConnections()
+	kv, err := client.Get(c.ctx, fleet.Key("test"))
+	if err != nil {
+		return fleet.Document{}, err
+	}
+	return fleet.Decode(kv.Value)
+}
+
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// relay passes the peer traffic of one entry VM on. While it is cut, open
+// connections stay silent and new ones get no answer.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	cut   func(client net.Addr) bool
+	conns map[net.Conn]bool
+}
+
+func newRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener, target: target, cut: func(net.Addr) bool { return false }, conns: map[net.Conn]bool{}}
+	t.Cleanup(func() {
+		listener.Close()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for conn := range r.conns {
+			conn.Close()
+		}
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go r.pass(conn)
+		}
+	}()
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+// setCut cuts the connections for which the function returns true.
+func (r *relay) setCut(cut func(client net.Addr) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+}
+
+func (r *relay) pass(client net.Conn) {
+	server, err := net.Dial("tcp", r.target)
+	if err != nil {
+		client.Close()
+		return
+	}
+	r.mu.Lock()
+	r.conns[client], r.conns[server] = true, true
+	r.mu.Unlock()
+	address := client.RemoteAddr()
+	go r.copy(server, client, address)
+	r.copy(client, server, address)
+}
+
+func (r *relay) copy(to, from net.Conn, client net.Addr) {
+	defer to.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !r.isCut(client) {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) isCut(client net.Addr) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut(client)
+}
+
+// cutPeers cuts an entry VM off from its peers in both directions. Connections
+// that the entry VM opens are recognised by the sockets of its process.
+func (c *cluster) cutPeers(e *entry) {
+	e.relay.setCut(func(net.Addr) bool { return true })
+	pid := e.process.Process.Pid
+	var mu sync.Mutex
+	owned := map[string]bool{}
+	for _, other := range c.entries {
+		if other == e {
+			continue
+		}
+		other.relay.setCut(func(client net.Addr) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			address := client.String()
+			if _, known := owned[address]; !known {
+				owned[address] = ownsSocket(pid, client.(*net.TCPAddr).Port)
+			}
+			return owned[address]
+		})
+	}
+}
+
+func (c *cluster) healPeers() {
+	for _, e := range c.entries {
+		e.relay.setCut(func(net.Addr) bool { return false })
+	}
+}
+
+func (c *cluster) cutStore(e *entry) {
+	c.platform.SetFaults(standin.PlatformFaults{DownEntries: []string{e.id}})
+}
+
+func (c *cluster) healStore() { c.platform.SetFaults(standin.PlatformFaults{}) }
+
+// ownsSocket reports whether the process has a TCP socket with the local port.
+func ownsSocket(pid, port int) bool {
+	table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
+	if err != nil {
+		return false
+	}
+	inode := ""
+	for line := range strings.SplitSeq(string(table), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) > 9 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
+			inode = fields[9]
+		}
+	}
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	if err != nil || inode == "" {
+		return false
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/processtest/keys_test.go
@@ -0,0 +1,63 @@
+package processtest
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/standin"
+)
+
+// keyCount is the number of keys of the target.
+const keyCount = 10_000
+
+// Guards against a keyed request that runs twice when it is sent through
+// several entry VMs at once and answers of the store are lost.
+func TestKeysRunAtMostOnce(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: twoPools, deadlineSeconds: 30})
+	c.platform.SetFaults(standin.PlatformFaults{LoseProbability: 0.05, Seed: 1})
+	var mu sync.Mutex
+	var replies []reply
+	var workers sync.WaitGroup
+	keys := make(chan int)
+	for range 64 {
+		workers.Go(func() {
+			for k := range keys {
+				var through sync.WaitGroup
+				for i := range 2 + k%2 {
+					through.Go(func() {
+						got := send(c.ctx, c.entries[(k+i)%3], call{service: twoPools[k%2].name, key: fmt.Sprintf("key-%d", k)})
+						mu.Lock()
+						defer mu.Unlock()
+						replies = append(replies, got)
+					})
+				}
+				through.Wait()
+			}
+		})
+	}
+	started := time.Now()
+	for k := range keyCount {
+		keys <- k
+	}
+	close(keys)
+	workers.Wait()
+	c.checkHonesty(replies)
+	byKey, _ := c.executions()
+	answers := map[string]string{}
+	for _, r := range replies {
+		if r.execution == "" {
+			continue
+		}
+		if first, ok := answers[r.key]; ok && first != r.execution {
+			t.Errorf("key %s got two answers", r.key)
+		}
+		answers[r.key] = r.execution
+	}
+	s := summarise(replies)
+	if len(byKey) < keyCount*95/100 {
+		t.Errorf("only %d of %d keys ran: %+v", len(byKey), keyCount, s)
+	}
+	t.Logf("%d keys in %v: %+v, store calls %v", len(byKey), time.Since(started), s, c.platform.Counts())
+}
--- /dev/null
+++ b/processtest/notes_test.go
@@ -0,0 +1,92 @@
+package processtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/standin"
+)
+
+// revision returns the revision in force at an entry VM, or -1.
+func (c *cluster) revision(e *entry) int64 {
+	out, code := c.run(e, "show", "--output", "json")
+	if code != 0 {
+		return -1
+	}
+	var shown struct{ Revision int64 }
+	if json.Unmarshal([]byte(out), &shown) != nil {
+		return -1
+	}
+	return shown.Revision
+}
+
+func teamNote(base int, name string) string {
+	return fmt.Sprintf("[note]\nname = %q\nbase = %d\n[[team.add]]\nname = %q\nslot_quota = 2\n", name, base, name)
+}
+
+// Guards against a note that is in force only on some entry VMs.
+func TestRolloutToEightEntryVMs(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 8, pools: twoPools})
+	everywhere := func(revision int64) func() bool {
+		return func() bool {
+			for _, e := range c.entries {
+				if c.revision(e) < revision {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	started := time.Now()
+	c.publish(teamNote(1, "healthy"))
+	c.eventually(2*time.Second, "revision 2 on 8 entry VMs", everywhere(2))
+	t.Logf("in force on 8 entry VMs after %v", time.Since(started))
+
+	started = time.Now()
+	c.platform.SetFaults(standin.PlatformFaults{LoseNext: 1, LoseCalls: []string{"put"}})
+	c.entries[7].kill()
+	c.publish(teamNote(2, "lost-answer"))
+	c.must(c.entries[7].start())
+	c.eventually(12*time.Second, "revision 3 on 8 entry VMs", everywhere(3))
+	t.Logf("with a lost answer and a replaced entry VM after %v", time.Since(started))
+}
+
+// Guards against two conflicting notes that are both accepted, and against a
+// repeat that is accepted twice.
+func TestConflictingNotes(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 2, pools: twoPools})
+	change := func(name string, slots int) string {
+		return c.writeNote(fmt.Sprintf("[note]\nname = %q\nbase = 1\n[[pool.change]]\nname = \"a\"\nslots_per_worker = %d\n", name, slots))
+	}
+	first, second := change("first", 4), change("second", 6)
+	if out, code := c.run(c.entries[0], "publish", first); code != 0 {
+		t.Fatalf("exit code %d: %s", code, out)
+	}
+	if out, code := c.run(c.entries[1], "publish", second); code != 1 || !strings.Contains(out, "a") {
+		t.Fatalf("the conflicting note: exit code %d: %s", code, out)
+	}
+	if out, code := c.run(c.entries[1], "publish", first); code != 0 || !strings.Contains(out, "2") {
+		t.Fatalf("the repeat: exit code %d: %s", code, out)
+	}
+	if got := c.revision(c.entries[0]); got != 2 {
+		t.Fatalf("revision %d, want 2", got)
+	}
+	c.platform.SetFaults(standin.PlatformFaults{Down: true})
+	if out, code := c.run(c.entries[0], "publish", c.writeNote(teamNote(2, "down"))); code != 3 {
+		t.Fatalf("publish while the store is down: exit code %d: %s", code, out)
+	}
+}
+
+// Guards against an entry VM that cannot start while the store is down, and
+// against a revision that goes back on it.
+func TestEntryVMStartsDuringOutage(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: twoPools})
+	c.publish(teamNote(1, "before"))
+	c.platform.SetFaults(standin.PlatformFaults{Down: true})
+	e := c.startEntry("late")
+	c.eventually(10*time.Second, "the new entry VM has the revision in force", func() bool { return c.revision(e) == 2 })
+	c.awaitServing(e, twoPools)
+}
