Add claims: at-most-once execution for requests with a key

Requests with an Idempotency-Key must run at most once whichever entry VMs receive them. The shard owner keeps attempts in memory and records every claim in the store before the request may be sent. The shard log is a state machine without I/O; Owner carries out its store calls, Client finds the owner.

Peer messages gain hold_millis (Reserve, Claim), fingerprint (Await) and not_owner (FinishResponse). Without the fingerprint a waiter could get the answer to another request after a takeover.

--- /dev/null
+++ b/claims/client.go
@@ -0,0 +1,189 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/peer"
+)
+
+// ErrNoOwner reports that no owner of the key's shard could be reached.
+var ErrNoOwner = errors.New("no owner of the shard can be reached")
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	// Local serves the shards of this entry VM.
+	Local   *Owner
+	EntryID string
+	// Peer returns the connection to another entry VM.
+	Peer func(entryID string) (peer.Peer, bool)
+	// Members returns the live members, this entry VM included.
+	Members func() []string
+	// Shards defaults to DefaultShards.
+	Shards int
+	// RetryPause is the pause before a call is repeated at an owner that did
+	// not know yet that it is one; default 100 ms.
+	RetryPause time.Duration
+	// AwaitStep bounds one Await call to a peer; default 10 s.
+	AwaitStep time.Duration
+}
+
+// Attempt is one try to execute the request of a key.
+type Attempt struct {
+	// ID is unique among all attempts of all entry VMs.
+	ID          string
+	KeyHash     []byte
+	Fingerprint []byte
+	// Hold bounds the attempt's life, from the caller's deadline; after it the
+	// owner gives up waiting for Finish. 0 means the owner's default.
+	Hold time.Duration
+}
+
+// Result is what the owner says about a key.
+type Result struct {
+	State peer.KeyState
+	// Answer is set with the state ANSWERED.
+	Answer *peer.KeptAnswer
+}
+
+// Client sends attempts to the owners of their keys.
+//
+// A request may be sent only after Claim returned CLAIMED. After any other
+// outcome of Claim, an error included, the attempt must not be sent; after an
+// error the caller ends it with Finish and NOT_RUN, which gives the key back in
+// case that the claim was recorded.
+type Client struct {
+	options ClientOptions
+}
+
+// NewClient returns a client.
+func NewClient(options ClientOptions) *Client {
+	if options.Shards == 0 {
+		options.Shards = DefaultShards
+	}
+	if options.RetryPause == 0 {
+		options.RetryPause = 100 * time.Millisecond
+	}
+	if options.AwaitStep == 0 {
+		options.AwaitStep = 10 * time.Second
+	}
+	return &Client{options: options}
+}
+
+// ownerAPI is the part of peer.Peer that owners serve.
+type ownerAPI interface {
+	Reserve(context.Context, *peer.ReserveRequest) (*peer.ReserveResponse, error)
+	Claim(context.Context, *peer.ClaimRequest) (*peer.ClaimResponse, error)
+	Finish(context.Context, *peer.FinishRequest) (*peer.FinishResponse, error)
+	Await(context.Context, *peer.AwaitRequest) (*peer.AwaitResponse, error)
+}
+
+// Reserve announces an attempt. RESERVED lets it go on; IN_PROGRESS allows to
+// Await the attempt that came first; other states end it.
+func (c *Client) Reserve(ctx context.Context, attempt Attempt) (Result, error) {
+	request := &peer.ReserveRequest{
+		KeyHash: attempt.KeyHash, Fingerprint: attempt.Fingerprint, Attempt: attempt.ID,
+		Entry: c.options.EntryID, HoldMillis: attempt.Hold.Milliseconds(),
+	}
+	return c.ask(ctx, attempt.KeyHash, func(ctx context.Context, owner ownerAPI) (Result, error) {
+		response, err := owner.Reserve(ctx, request)
+		return Result{State: response.GetState(), Answer: response.GetAnswer()}, err
+	})
+}
+
+// Claim records that the attempt is about to be sent.
+func (c *Client) Claim(ctx context.Context, attempt Attempt) (Result, error) {
+	request := &peer.ClaimRequest{
+		KeyHash: attempt.KeyHash, Fingerprint: attempt.Fingerprint, Attempt: attempt.ID,
+		Entry: c.options.EntryID, HoldMillis: attempt.Hold.Milliseconds(),
+	}
+	return c.ask(ctx, attempt.KeyHash, func(ctx context.Context, owner ownerAPI) (Result, error) {
+		response, err := owner.Claim(ctx, request)
+		return Result{State: response.GetState(), Answer: response.GetAnswer()}, err
+	})
+}
+
+// Finish ends an attempt: NOT_RUN when it was not sent, ANSWERED with its
+// answer, FINISHED when the answer is not to be kept, UNKNOWN when it may have
+// run. When it fails, repeats of the key get UNKNOWN.
+func (c *Client) Finish(ctx context.Context, attempt Attempt, state peer.KeyState, answer *peer.KeptAnswer) error {
+	request := &peer.FinishRequest{KeyHash: attempt.KeyHash, Attempt: attempt.ID, State: state, Answer: answer}
+	result, err := c.ask(ctx, attempt.KeyHash, func(ctx context.Context, owner ownerAPI) (Result, error) {
+		response, err := owner.Finish(ctx, request)
+		if response.GetNotOwner() {
+			return Result{State: peer.KeyState_NOT_OWNER}, err
+		}
+		return Result{State: state}, err
+	})
+	if err == nil && result.State == peer.KeyState_NOT_OWNER {
+		return ErrNoOwner
+	}
+	return err
+}
+
+// Await waits until the attempt that came first has ended, and returns how.
+// NOT_RUN means that neither the first attempt nor this one ran.
+func (c *Client) Await(ctx context.Context, attempt Attempt) (Result, error) {
+	request := &peer.AwaitRequest{
+		KeyHash: attempt.KeyHash, Attempt: attempt.ID, WaitMillis: c.options.AwaitStep.Milliseconds(),
+		Fingerprint: attempt.Fingerprint,
+	}
+	for {
+		result, err := c.ask(ctx, attempt.KeyHash, func(ctx context.Context, owner ownerAPI) (Result, error) {
+			response, err := owner.Await(ctx, request)
+			return Result{State: response.GetState(), Answer: response.GetAnswer()}, err
+		})
+		if err != nil || result.State != peer.KeyState_IN_PROGRESS {
+			return result, err
+		}
+		if err := ctx.Err(); err != nil {
+			return result, errors.Wrap(err, "await")
+		}
+	}
+}
+
+// ask calls the owner of a key, and once more, at the owner that the members
+// then name, after NOT_OWNER or an error. All calls may be repeated: the owner
+// recognises the attempt.
+func (c *Client) ask(ctx context.Context, keyHash []byte, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
+	first := c.owner(keyHash)
+	result, err := c.askOwner(ctx, first, call)
+	if err == nil && result.State != peer.KeyState_NOT_OWNER || ctx.Err() != nil {
+		return result, err
+	}
+	second := c.owner(keyHash)
+	if second == first {
+		if pauseErr := pause(ctx, c.options.RetryPause); pauseErr != nil {
+			return result, err
+		}
+		second = c.owner(keyHash)
+	}
+	return c.askOwner(ctx, second, call)
+}
+
+func (c *Client) owner(keyHash []byte) string {
+	return ShardOwner(ShardOf(keyHash, c.options.Shards), c.options.Members())
+}
+
+func (c *Client) askOwner(ctx context.Context, entryID string, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
+	if entryID == c.options.EntryID && c.options.Local != nil {
+		return call(ctx, c.options.Local)
+	}
+	if remote, ok := c.options.Peer(entryID); ok {
+		return call(ctx, remote)
+	}
+	return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(ErrNoOwner, "entry VM %q", entryID)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/claims/keys.go
@@ -0,0 +1,78 @@
+// Package claims lets a request that carries an idempotency key run at most
+// once, whichever entry VMs receive it.
+//
+// The keys are divided into shards. The owner of a shard, an entry VM, holds
+// the attempts in progress in memory and records every claim in the store
+// before the request may be sent. An Owner serves the shards of one entry VM;
+// a Client finds the owner of a key.
+package claims
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DefaultShards is the number of shards of a region. Every entry VM of a region
+// must use the same number.
+const DefaultShards = 16
+
+// Sizes of the hashes that a record holds. 16 bytes make a collision of two
+// keys improbable even for a caller who looks for one.
+const (
+	keySize         = 16
+	fingerprintSize = 8
+)
+
+// KeyHash identifies an idempotency key of a service.
+func KeyHash(service, key string) []byte {
+	return digest(keySize, []byte(service), []byte(key))
+}
+
+// Fingerprint identifies the request that a key is used with.
+func Fingerprint(method, pathAndQuery string, body []byte, authorization string) []byte {
+	return digest(fingerprintSize, []byte(method), []byte(pathAndQuery), body, []byte(authorization))
+}
+
+// digest hashes the parts with their lengths, so that no two lists of parts
+// share a byte sequence.
+func digest(size int, parts ...[]byte) []byte {
+	hash := sha256.New()
+	for _, part := range parts {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		hash.Write(length[:])
+		hash.Write(part)
+	}
+	return hash.Sum(nil)[:size]
+}
+
+// ShardOf returns the shard of a key hash.
+func ShardOf(keyHash []byte, shards int) int {
+	return int(xxhash.Sum64(keyHash) % uint64(shards))
+}
+
+// ShardOwner chooses the owner of a shard among members by rendezvous hashing,
+// so that a change of one member moves only the shards of that member. It
+// returns "" when there are no members.
+func ShardOwner(shard int, members []string) string {
+	var owner string
+	var highest uint64
+	for _, member := range members {
+		score := rendezvousScore(shard, member)
+		if owner == "" || score > highest || score == highest && member < owner {
+			owner, highest = member, score
+		}
+	}
+	return owner
+}
+
+func rendezvousScore(shard int, member string) uint64 {
+	var prefix [4]byte
+	binary.BigEndian.PutUint32(prefix[:], uint32(shard))
+	hash := xxhash.New()
+	hash.Write(prefix[:])
+	hash.WriteString(member)
+	return hash.Sum64()
+}
--- /dev/null
+++ b/claims/owner.go
@@ -0,0 +1,453 @@
+package claims
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+)
+
+// OwnerOptions configures an Owner.
+type OwnerOptions struct {
+	Store   platform.Store
+	Region  string
+	EntryID string
+	// Shards defaults to DefaultShards.
+	Shards int
+	// Owned reports whether this entry VM should own a shard; see SetOwned.
+	Owned func(shard int) bool
+	// Now defaults to time.Now.
+	Now func() time.Time
+	Log *log.Logger
+
+	// BatchesPerSecond bounds the writes of all shards together; default 20.
+	// Burst is how many may follow each other at once; default 5.
+	BatchesPerSecond float64
+	Burst            int
+	// StoreTimeout bounds one call to the store; default 1 s.
+	StoreTimeout time.Duration
+	// OwnershipInterval is how often Owned is asked again; default 200 ms.
+	OwnershipInterval time.Duration
+	// Hold ends an attempt that named no bound; default 2 min.
+	Hold time.Duration
+	// Keep is how long keys are remembered; default 24 h.
+	Keep time.Duration
+	// AnswerBytes and AnswersBytes bound one kept answer (64 KB) and all of them
+	// (32 MB); KeepAnswers bounds their age (10 min).
+	AnswerBytes  int
+	AnswersBytes int
+	KeepAnswers  time.Duration
+}
+
+func (o OwnerOptions) withDefaults() OwnerOptions {
+	setDefault(&o.Shards, DefaultShards)
+	setDefault(&o.BatchesPerSecond, 20)
+	setDefault(&o.Burst, 5)
+	setDefault(&o.StoreTimeout, time.Second)
+	setDefault(&o.OwnershipInterval, 200*time.Millisecond)
+	setDefault(&o.Hold, 2*time.Minute)
+	setDefault(&o.Keep, 24*time.Hour)
+	setDefault(&o.AnswerBytes, 64<<10)
+	setDefault(&o.AnswersBytes, 32<<20)
+	setDefault(&o.KeepAnswers, 10*time.Minute)
+	if o.Owned == nil {
+		o.Owned = func(int) bool { return false }
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = &log.Logger{Level: log.PanicLevel}
+	}
+	return o
+}
+
+func setDefault[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
+
+// Owner serves the shards of one entry VM. It carries out what the shards'
+// state machines decide: store calls, one at a time for each shard, and replies.
+type Owner struct {
+	options OwnerOptions
+	limiter *rate.Limiter
+
+	mu        sync.Mutex
+	owned     func(shard int) bool
+	leaving   bool
+	nextReply replyID
+	answers   *answers
+	shards    []*driver
+	kick      chan struct{}
+}
+
+// driver connects one shard to the store. Its fields are guarded by Owner.mu.
+type driver struct {
+	owner   *Owner
+	number  int
+	shard   *shard
+	waiting map[replyID]chan reply
+	// last is the output of the latest step; call is taken from it by run.
+	call        *storeCall
+	wantsPermit bool
+	wake        time.Time
+	kick        chan struct{}
+	// settled is closed and replaced whenever the phase may have changed.
+	changed chan struct{}
+}
+
+// NewOwner returns an owner that owns nothing until Run is called.
+func NewOwner(options OwnerOptions) *Owner {
+	options = options.withDefaults()
+	o := &Owner{
+		options: options,
+		limiter: rate.NewLimiter(rate.Limit(options.BatchesPerSecond), options.Burst),
+		owned:   options.Owned,
+		answers: newAnswers(options.AnswerBytes, options.AnswersBytes, options.KeepAnswers),
+		kick:    make(chan struct{}, 1),
+	}
+	l := defaultLimits()
+	l.hold, l.keep = options.Hold, options.Keep
+	for number := range options.Shards {
+		o.shards = append(o.shards, &driver{
+			owner: o, number: number,
+			shard:   newShard(l, shardPrefix(options.Region, number), options.EntryID, rand.Uint64(), o.answers),
+			waiting: map[replyID]chan reply{},
+			kick:    make(chan struct{}, 1),
+			changed: make(chan struct{}),
+		})
+	}
+	return o
+}
+
+// SetOwned tells which shards this entry VM should own by the present members.
+// Safety does not depend on it: two owners of a shard fence each other.
+func (o *Owner) SetOwned(owned func(shard int) bool) {
+	o.mu.Lock()
+	o.owned = owned
+	o.mu.Unlock()
+	wakeUp(o.kick)
+}
+
+// Run serves until ctx ends. Call Handover before, so that the marks of
+// finished attempts are not lost.
+func (o *Owner) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	for _, d := range o.shards {
+		running.Go(func() { d.run(ctx) })
+	}
+	ticker := time.NewTicker(o.options.OwnershipInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		o.applyOwnership()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-o.kick:
+		}
+	}
+	running.Wait()
+	o.stop()
+	return errors.Wrap(ctx.Err(), "claims owner")
+}
+
+func (o *Owner) applyOwnership() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, d := range o.shards {
+		owned := o.owned(d.number) && !o.leaving
+		switch {
+		case owned && d.shard.phase == phaseIdle:
+			d.step(acquireInput{})
+		case !owned && d.shard.phase != phaseIdle && d.shard.phase != phaseReleasing:
+			d.step(releaseInput{})
+		}
+	}
+}
+
+// stop sends all waiting callers to the next owner.
+func (o *Owner) stop() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.leaving = true
+	for _, d := range o.shards {
+		for id, waiting := range d.waiting {
+			waiting <- reply{id: id, state: peer.KeyState_NOT_OWNER}
+			delete(d.waiting, id)
+		}
+		d.shard.reset()
+		d.notifyChanged()
+	}
+}
+
+// Handover writes the pending batches and marks of all shards and gives the
+// shards up. Run must still be running. It returns when all are given up or ctx
+// ends.
+func (o *Owner) Handover(ctx context.Context) error {
+	o.mu.Lock()
+	o.leaving = true
+	o.mu.Unlock()
+	o.applyOwnership()
+	for _, d := range o.shards {
+		for {
+			o.mu.Lock()
+			phase, changed := d.shard.phase, d.changed
+			o.mu.Unlock()
+			if phase == phaseIdle {
+				break
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "hand over shard %d", d.number)
+			}
+		}
+	}
+	return nil
+}
+
+// Reserve announces an attempt on a key.
+func (o *Owner) Reserve(ctx context.Context, request *peer.ReserveRequest) (*peer.ReserveResponse, error) {
+	in, err := parseAttempt(request.GetKeyHash(), request.GetFingerprint(), request.GetAttempt(), request.GetHoldMillis())
+	if err != nil {
+		return nil, err
+	}
+	got, err := o.ask(ctx, in.key, func(id replyID) input { in.reply = id; return reserveInput{in} })
+	return &peer.ReserveResponse{State: got.state, Answer: got.answer}, err
+}
+
+// Claim records durably that the attempt is about to be sent.
+func (o *Owner) Claim(ctx context.Context, request *peer.ClaimRequest) (*peer.ClaimResponse, error) {
+	in, err := parseAttempt(request.GetKeyHash(), request.GetFingerprint(), request.GetAttempt(), request.GetHoldMillis())
+	if err != nil {
+		return nil, err
+	}
+	got, err := o.ask(ctx, in.key, func(id replyID) input { in.reply = id; return claimInput{in} })
+	return &peer.ClaimResponse{State: got.state, Answer: got.answer}, err
+}
+
+// Finish ends an attempt.
+func (o *Owner) Finish(ctx context.Context, request *peer.FinishRequest) (*peer.FinishResponse, error) {
+	switch request.GetState() {
+	case peer.KeyState_ANSWERED, peer.KeyState_FINISHED, peer.KeyState_UNKNOWN, peer.KeyState_NOT_RUN:
+	default:
+		return nil, errors.Errorf("an attempt cannot finish as %s", request.GetState())
+	}
+	in, err := parseAttempt(request.GetKeyHash(), make([]byte, fingerprintSize), request.GetAttempt(), 0)
+	if err != nil {
+		return nil, err
+	}
+	got, err := o.ask(ctx, in.key, func(id replyID) input {
+		return finishInput{reply: id, key: in.key, attempt: in.attempt, state: request.GetState(), answer: request.GetAnswer()}
+	})
+	if err == nil && got.state == peer.KeyState_STORE_UNAVAILABLE {
+		return nil, errors.Wrap(platform.ErrUnavailable, "finish")
+	}
+	return &peer.FinishResponse{NotOwner: got.state == peer.KeyState_NOT_OWNER}, err
+}
+
+// Await waits for the end of the attempt in progress. It returns IN_PROGRESS
+// when that does not come within the wait.
+func (o *Owner) Await(ctx context.Context, request *peer.AwaitRequest) (*peer.AwaitResponse, error) {
+	in, err := parseAttempt(request.GetKeyHash(), request.GetFingerprint(), request.GetAttempt(), 0)
+	if err != nil {
+		return nil, err
+	}
+	wait, cancel := context.WithTimeout(ctx, time.Duration(request.GetWaitMillis())*time.Millisecond)
+	defer cancel()
+	got, err := o.ask(wait, in.key, func(id replyID) input { in.reply = id; return awaitInput{in} })
+	if err != nil && ctx.Err() == nil {
+		return &peer.AwaitResponse{State: peer.KeyState_IN_PROGRESS}, nil
+	}
+	return &peer.AwaitResponse{State: got.state, Answer: got.answer}, err
+}
+
+func parseAttempt(keyHash, fingerprint []byte, attempt string, holdMillis int64) (attemptInput, error) {
+	if len(keyHash) != keySize || len(fingerprint) != fingerprintSize || attempt == "" {
+		return attemptInput{}, errors.Errorf("attempt %q with %d bytes of key and %d of fingerprint", attempt, len(keyHash), len(fingerprint))
+	}
+	return attemptInput{
+		key: key(keyHash), fingerprint: binary.BigEndian.Uint64(fingerprint),
+		attempt: attempt, hold: time.Duration(holdMillis) * time.Millisecond,
+	}, nil
+}
+
+// ask gives an input to the shard of the key and waits for the reply.
+func (o *Owner) ask(ctx context.Context, k key, in func(replyID) input) (reply, error) {
+	d := o.shards[ShardOf(k[:], len(o.shards))]
+	notOwner := reply{state: peer.KeyState_NOT_OWNER}
+	o.mu.Lock()
+	if err := d.awaitServing(ctx); err != nil {
+		o.mu.Unlock()
+		return notOwner, err
+	}
+	o.nextReply++
+	id, answer := o.nextReply, make(chan reply, 1)
+	d.waiting[id] = answer
+	d.step(in(id))
+	o.mu.Unlock()
+	select {
+	case got := <-answer:
+		return got, nil
+	case <-ctx.Done():
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if _, ok := d.waiting[id]; !ok {
+			return <-answer, nil
+		}
+		delete(d.waiting, id)
+		d.step(forgetInput{reply: id, key: k})
+		return notOwner, errors.Wrap(ctx.Err(), "wait for the shard owner")
+	}
+}
+
+// awaitServing waits while the shard is being taken over. It starts the
+// takeover of a shard that should be owned already. Owner.mu is held, and
+// released while waiting.
+func (d *driver) awaitServing(ctx context.Context) error {
+	if d.shard.phase == phaseIdle && !d.owner.leaving && d.owner.owned(d.number) {
+		d.step(acquireInput{})
+	}
+	for (d.shard.phase == phaseLoading || d.shard.phase == phaseTaking) && !d.shard.down {
+		changed := d.changed
+		d.owner.mu.Unlock()
+		select {
+		case <-changed:
+			d.owner.mu.Lock()
+		case <-ctx.Done():
+			d.owner.mu.Lock()
+			return errors.Wrap(ctx.Err(), "wait for the takeover of the shard")
+		}
+	}
+	return nil
+}
+
+// step gives an input to the shard and delivers the replies. Owner.mu is held.
+func (d *driver) step(in input) {
+	before, downBefore := d.shard.phase, d.shard.down
+	out := d.shard.step(d.owner.options.Now(), in)
+	for _, got := range out.replies {
+		if waiting, ok := d.waiting[got.id]; ok {
+			delete(d.waiting, got.id)
+			waiting <- got
+		}
+	}
+	for _, happened := range out.events {
+		entry := d.owner.options.Log.Info()
+		if happened.err != nil {
+			entry = d.owner.options.Log.Warn()
+		}
+		entry.Str("event", "claims_"+happened.name).Int("shard", d.number).Err(happened.err).Msg("")
+	}
+	if out.call != nil {
+		d.call = out.call
+	}
+	d.wantsPermit, d.wake = out.wantsPermit, out.wake
+	if d.shard.phase != before || d.shard.down != downBefore {
+		d.notifyChanged()
+	}
+	wakeUp(d.kick)
+}
+
+func (d *driver) notifyChanged() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func wakeUp(kick chan struct{}) {
+	select {
+	case kick <- struct{}{}:
+	default:
+	}
+}
+
+// run makes the store calls of the shard until ctx ends.
+func (d *driver) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		call, wantsPermit, wake := d.next()
+		switch {
+		case call != nil:
+			d.give(d.makeCall(ctx, call))
+		case wantsPermit:
+			if d.owner.limiter.Wait(ctx) == nil {
+				d.give(permitInput{})
+			}
+		default:
+			timer.Reset(wake)
+			select {
+			case <-ctx.Done():
+			case <-d.kick:
+			case <-timer.C:
+				d.give(tickInput{})
+			}
+		}
+	}
+}
+
+func (d *driver) next() (call *storeCall, wantsPermit bool, wake time.Duration) {
+	d.owner.mu.Lock()
+	defer d.owner.mu.Unlock()
+	call, d.call = d.call, nil
+	wake = time.Hour
+	if !d.wake.IsZero() {
+		wake = d.wake.Sub(d.owner.options.Now())
+	}
+	return call, d.wantsPermit, wake
+}
+
+func (d *driver) give(in input) {
+	d.owner.mu.Lock()
+	defer d.owner.mu.Unlock()
+	d.step(in)
+}
+
+// makeCall carries out a store call. While it runs, ticks continue, so that
+// callers are refused in time when the store hangs.
+func (d *driver) makeCall(ctx context.Context, call *storeCall) resultInput {
+	done := make(chan resultInput, 1)
+	go func() { done <- d.callStore(ctx, call) }()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		_, _, wake := d.next()
+		timer.Reset(wake)
+		select {
+		case result := <-done:
+			return result
+		case <-timer.C:
+			d.give(tickInput{})
+		case <-d.kick:
+		}
+	}
+}
+
+func (d *driver) callStore(ctx context.Context, call *storeCall) resultInput {
+	ctx, cancel := context.WithTimeout(ctx, d.owner.options.StoreTimeout)
+	defer cancel()
+	store := d.owner.options.Store
+	var result resultInput
+	switch call.kind {
+	case callPut:
+		result.version, result.err = store.Put(ctx, call.key, call.value, call.expected, "")
+	case callGet:
+		result.value, result.err = store.Get(ctx, call.key)
+	case callList:
+		result.list, result.err = store.List(ctx, d.shard.prefix, call.after, call.limit)
+	case callDelete:
+		result.err = store.Delete(ctx, call.key, call.expected)
+	}
+	return result
+}
