--- a/findings/findings.go
+++ b/findings/findings.go
@@ -42,14 +42,39 @@
 // List collects findings. The zero value is ready for use.
 type List []Finding
 
+// maxMessage bounds a message, as names in a faulty input have any length.
+const maxMessage = 400
+
+func message(format string, args []any) string {
+	text := fmt.Sprintf(format, args...)
+	if len(text) > maxMessage {
+		text = strings.ToValidUTF8(text[:maxMessage], "") + "..."
+	}
+	return text
+}
+
 // Add appends a finding.
 func (l *List) Add(pos Position, format string, args ...any) {
-	*l = append(*l, Finding{Position: pos, Message: fmt.Sprintf(format, args...)})
+	*l = append(*l, Finding{Position: pos, Message: message(format, args)})
+}
+
+// Max is the number of findings that are reported about one input.
+const Max = 1000
+
+// Limited returns the findings in order. Of more than Max it keeps the first
+// and replaces the rest by one that tells of them.
+func (l List) Limited() List {
+	l.Sort()
+	if len(l) <= Max {
+		return l
+	}
+	rest := Finding{Position: l[Max-1].Position, Message: "this and further findings are not shown"}
+	return append(slices.Clip(l[:Max-1]), rest)
 }
 
 // AddConflict appends a finding that is marked as a conflict.
 func (l *List) AddConflict(pos Position, format string, args ...any) {
-	*l = append(*l, Finding{Position: pos, Message: fmt.Sprintf(format, args...), Conflict: true})
+	*l = append(*l, Finding{Position: pos, Message: message(format, args), Conflict: true})
 }
 
 // Conflict reports whether any finding is a conflict.
--- a/note/apply.go
+++ b/note/apply.go
@@ -44,8 +44,7 @@
 	a.checkServices()
 	a.checkWaves()
 	if len(a.found) > 0 {
-		a.found.Sort()
-		return c, a.found
+		return c, a.found.Limited()
 	}
 	next := Config{
 		Revision: a.revision,
@@ -377,55 +376,55 @@
 // checkServices reports services without a pool that can serve them.
 func (a *applier) checkServices() {
 	for name, s := range a.services.byName {
-		path, ok := a.path("pool "+s.Pool, "service "+name)
-		if !ok {
+		p, exists := a.pools.byName[s.Pool]
+		if !exists {
+			a.missingPool(s.Pool, "service", name, ".pool")
 			continue
 		}
-		p, exists := a.pools.byName[s.Pool]
-		switch withdrawn := strings.HasPrefix(path, "pool.withdraw"); {
-		case !exists && withdrawn:
-			a.add(path+".name", "pool %q is in use by service %q", s.Pool, name)
-		case !exists:
-			a.report(a.stale(), path+".pool", "service %q: pool %q does not exist at revision %d", name, s.Pool, a.old.Revision)
-		case p.Spare:
+		if path, ok := a.path("service "+name, "pool "+s.Pool); ok && p.Spare {
 			a.add(path, "service %q: pool %q is spare and serves no service", name, s.Pool)
 		}
 	}
 }
 
+// missingPool reports that a service or wave uses a pool that does not exist.
+func (a *applier) missingPool(pool, kind, name, field string) {
+	if path, ok := a.path("pool " + pool); ok && strings.HasPrefix(path, "pool.withdraw") {
+		a.add(path+".name", "pool %q is in use by %s %q", pool, kind, name)
+	} else if path, ok := a.path(kind + " " + name); ok {
+		a.report(a.stale(), path+field, "%s %q: pool %q does not exist at revision %d", kind, name, pool, a.old.Revision)
+	}
+}
+
 // checkWaves reports waves over pools that do not exist and waves that can
 // never take a VM away without breaking a budget.
 func (a *applier) checkWaves() {
 	for name, w := range a.waves.byName {
 		for i, pool := range w.Pools {
-			a.checkWavePool(w, pool, fmt.Sprintf(".pools[%d]", i), "wave "+name)
+			if p, ok := a.pools.byName[pool]; ok {
+				a.checkWavePool(w, p, fmt.Sprintf(".pools[%d]", i))
+			} else {
+				a.missingPool(pool, "wave", name, fmt.Sprintf(".pools[%d]", i))
+			}
 		}
 	}
 }
 
-func (a *applier) checkWavePool(w *Wave, pool, field, item string) {
-	p, exists := a.pools.byName[pool]
-	if !exists {
-		path, ok := a.path("pool "+pool, item)
-		switch {
-		case !ok:
-		case strings.HasPrefix(path, "pool.withdraw"):
-			a.add(path+".name", "pool %q is in use by wave %q", pool, w.Name)
-		default:
-			a.report(a.stale(), path+field, "wave %q: pool %q does not exist at revision %d", w.Name, pool, a.old.Revision)
-		}
+func (a *applier) checkWavePool(w *Wave, p *Pool, field string) {
+	if len(p.VMs) == 0 {
 		return
 	}
-	if path, ok := a.path(item, "pool "+pool); ok && len(p.VMs) > 0 && p.MinimumVMs >= len(p.VMs) {
+	wave, pool := "wave "+w.Name, "pool "+p.Name
+	if path, ok := a.path(wave, pool); ok && p.MinimumVMs >= len(p.VMs) {
 		a.add(path+field, "wave %q can never finish: no VM of pool %q may be away, it has %d VMs and minimum_vms is %d",
-			w.Name, pool, len(p.VMs), p.MinimumVMs)
+			w.Name, p.Name, len(p.VMs), p.MinimumVMs)
 	}
 	for name, s := range a.services.byName {
-		if s.Pool != pool || s.MaxUnavailable > 0 || len(p.VMs) == 0 {
+		if s.Pool != p.Name || s.MaxUnavailable > 0 {
 			continue
 		}
-		if path, ok := a.path(item, "service "+name, "pool "+pool); ok {
-			a.add(path+field, "wave %q can never finish: service %q of pool %q has max_unavailable 0", w.Name, name, pool)
+		if path, ok := a.path(wave, "service "+name, pool); ok {
+			a.add(path+field, "wave %q can never finish: service %q of pool %q has max_unavailable 0", w.Name, name, p.Name)
 		}
 	}
 }
--- a/note/note.go
+++ b/note/note.go
@@ -145,9 +145,8 @@
 		}
 		found = c.found
 	}
-	found.Sort()
 	if len(found) > 0 {
-		return nil, found
+		return nil, found.Limited()
 	}
 	return n, nil
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -159,9 +159,8 @@
 		c.settings(&s)
 		found = c.found
 	}
-	found.Sort()
 	if len(found) > 0 {
-		return nil, found
+		return nil, found.Limited()
 	}
 	if s.PeerAddress == "" {
 		s.PeerAddress = s.PeerListen
--- a/tomlfile/tomlfile.go
+++ b/tomlfile/tomlfile.go
@@ -57,6 +57,10 @@
 	w.parser.Reset(text)
 	for w.parser.NextExpression() {
 		w.expression(w.parser.Expression())
+		if len(w.found) > findings.Max {
+			// A file with this many faults is not worth decoding.
+			return w.index, w.found.Limited(), false
+		}
 	}
 	if w.parser.Error() != nil {
 		var ignored map[string]any
@@ -106,63 +110,77 @@
 func (w *walker) header(node *unstable.Node) {
 	path, typ := "", w.root
 	it := node.Key()
-	for it.Next() {
-		key := it.Node()
-		pos := w.position(key)
-		path = join(path, string(key.Data))
-		typ = w.field(typ, key, path)
-		last := it.IsLast()
-		if last && node.Kind == unstable.ArrayTable {
-			if typ != nil && typ.Kind() != reflect.Slice {
-				w.fail(pos, "%s is not a list; write [%s]", path, path)
-				typ = nil
-			}
-			if w.arrays[path] == 0 && w.index.Has(path) {
-				w.fail(pos, "%s is defined above in another form", path)
-			}
-			w.arrays[path]++
-		} else if last {
-			if typ != nil && typ.Kind() == reflect.Slice {
-				w.fail(pos, "%s is a list; write [[%s]]", path, path)
-				typ = nil
-			} else if typ != nil && typ.Kind() != reflect.Struct {
-				w.fail(pos, "%s is not a table", path)
-				typ = nil
-			}
-		}
-		if n := w.arrays[path]; n > 0 {
-			if _, ok := w.index.positions[path]; !ok {
-				w.index.positions[path] = pos
-			}
-			path += "[" + strconv.Itoa(n-1) + "]"
-			if typ != nil && typ.Kind() == reflect.Slice {
-				typ = deref(typ.Elem())
-			}
-		}
-		if last && w.defined[path] {
-			w.fail(pos, "table %s is defined twice", path)
-		}
-		if last {
-			w.defined[path] = true
-		}
-		if _, ok := w.index.positions[path]; !ok {
-			w.index.positions[path] = pos
-		}
+	for typ != nil && it.Next() {
+		path, typ = w.headerKey(node.Kind, it.Node(), it.IsLast(), path, typ)
 	}
 	w.table, w.tableType = path, typ
 }
 
+// headerKey enters one key of a header and returns the path and type of the
+// table it names, or a nil type when there is no such table.
+func (w *walker) headerKey(kind unstable.Kind, key *unstable.Node, last bool, path string, typ reflect.Type) (string, reflect.Type) {
+	pos := w.position(key)
+	path = join(path, string(key.Data))
+	if typ = w.field(typ, key, path); typ == nil {
+		return path, nil
+	}
+	list := typ.Kind() == reflect.Slice
+	switch element := last && kind == unstable.ArrayTable; {
+	case element && !list:
+		w.fail(pos, "%s is not a list; write [%s]", path, path)
+		return path, nil
+	case element && w.arrays[path] == 0 && w.index.Has(path):
+		w.fail(pos, "%s is defined above in another form", path)
+		return path, nil
+	case element:
+		w.arrays[path]++
+	case list && (last || w.arrays[path] == 0):
+		w.fail(pos, "%s is a list; write [[%s]]", path, path)
+		return path, nil
+	case !list && typ.Kind() != reflect.Struct:
+		w.fail(pos, "%s is not a table", path)
+		return path, nil
+	}
+	w.record(path, pos)
+	if list {
+		path += "[" + strconv.Itoa(w.arrays[path]-1) + "]"
+		typ = deref(typ.Elem())
+		w.record(path, pos)
+	}
+	if last && w.defined[path] {
+		w.fail(pos, "table %s is defined twice", path)
+	}
+	if last {
+		w.defined[path] = true
+	}
+	return path, typ
+}
+
+// record keeps the first position of a path and reports whether this is it.
+func (w *walker) record(path string, pos findings.Position) bool {
+	if w.index.Has(path) {
+		return false
+	}
+	w.index.positions[path] = pos
+	return true
+}
+
 // keyValue records a key, possibly dotted, and checks its value.
 func (w *walker) keyValue(node *unstable.Node, path string, typ reflect.Type) {
+	if typ == nil {
+		return
+	}
 	it := node.Key()
 	for it.Next() {
 		key := it.Node()
 		pos := w.position(key)
 		path = join(path, string(key.Data))
-		typ = w.field(typ, key, path)
-		if _, ok := w.index.positions[path]; !ok {
-			w.index.positions[path] = pos
-		} else if it.IsLast() {
+		// Keys below an unknown one are not recorded: a dotted key has up to
+		// half a million parts, and each path would repeat the ones before.
+		if typ = w.field(typ, key, path); typ == nil {
+			return
+		}
+		if !w.record(path, pos) && it.IsLast() {
 			w.fail(pos, "%s is set twice", path)
 		}
 	}
@@ -170,11 +188,8 @@
 }
 
 // field returns the type of a key within a table of type typ, or nil when it
-// is unknown, which is reported, or lies below something unknown.
+// is unknown, which is reported.
 func (w *walker) field(typ reflect.Type, key *unstable.Node, path string) reflect.Type {
-	if typ == nil {
-		return nil
-	}
 	if typ.Kind() != reflect.Struct {
 		w.fail(w.position(key), "%s is not a table", path[:max(strings.LastIndex(path, "."), 0)])
 		return nil
@@ -192,12 +207,7 @@
 // value checks the type of a value and records the elements of arrays.
 func (w *walker) value(node *unstable.Node, path string, typ reflect.Type) {
 	if node.Raw.Length > 0 {
-		if _, ok := w.index.positions[path]; !ok {
-			w.index.positions[path] = w.position(node)
-		}
-	}
-	if typ == nil {
-		return
+		w.record(path, w.position(node))
 	}
 	if !fits(node.Kind, typ) {
 		w.fail(w.index.At(path), "%s must be %s, not %s", path, describe(typ), kindNames[node.Kind])
