--- a/operator/handler.go
+++ b/operator/handler.go
@@ -80,13 +80,14 @@
 }
 
 // BearerToken returns an Authorize function that admits requests with the
-// token. It takes the same time for every token of the caller.
+// token. It takes the same time for every token of the caller. An empty token
+// admits nobody.
 func BearerToken(token string) func(*http.Request) bool {
 	want := sha256.Sum256([]byte(token))
 	return func(r *http.Request) bool {
 		scheme, given, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 		got := sha256.Sum256([]byte(strings.TrimSpace(given)))
-		return strings.EqualFold(scheme, "Bearer") && subtle.ConstantTimeCompare(got[:], want[:]) == 1
+		return token != "" && strings.EqualFold(scheme, "Bearer") && subtle.ConstantTimeCompare(got[:], want[:]) == 1
 	}
 }
 
--- a/operator/publisher.go
+++ b/operator/publisher.go
@@ -52,6 +52,10 @@
 	// Timeout bounds a publish when the context has no earlier deadline; 5 s
 	// by default, so that an operator's tool can try another entry VM in time.
 	Timeout time.Duration
+	// CallTimeout bounds one call to the store, so that a silent connection
+	// leaves time for another attempt; 1 s by default. The store answers in
+	// milliseconds.
+	CallTimeout time.Duration
 	// RetryInterval is the first pause before a call to the store is repeated;
 	// 20 ms by default. It grows with each retry.
 	RetryInterval time.Duration
@@ -78,6 +82,9 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = 5 * time.Second
 	}
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = time.Second
+	}
 	if opts.RetryInterval == 0 {
 		opts.RetryInterval = 20 * time.Millisecond
 	}
@@ -152,7 +159,7 @@
 	}
 	next.Recent[len(next.Recent)-1].PublishedAtUnixMillis = p.opts.Now().UnixMilli()
 	value := next.Encode()
-	version, err := p.opts.Store.Put(ctx, note.ConfigKey, value, doc.Version, "")
+	version, err := p.put(ctx, note.ConfigKey, value, doc.Version)
 	switch {
 	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
 		return Outcome{}, err
@@ -176,10 +183,22 @@
 	return config, err
 }
 
+func (p *Publisher) get(ctx context.Context, key string) (platform.KeyValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.CallTimeout)
+	defer cancel()
+	return p.opts.Store.Get(ctx, key)
+}
+
+func (p *Publisher) put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.CallTimeout)
+	defer cancel()
+	return p.opts.Store.Put(ctx, key, value, expected, "")
+}
+
 // read returns the configuration in the store; before the first note it is
 // empty, with version 0.
 func (p *Publisher) read(ctx context.Context) (note.Config, replica.Document, error) {
-	kv, err := p.opts.Store.Get(ctx, note.ConfigKey)
+	kv, err := p.get(ctx, note.ConfigKey)
 	if errors.Is(err, platform.ErrNotFound) {
 		return note.Config{}, replica.Document{Key: note.ConfigKey}, nil
 	}
@@ -215,7 +234,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding the history record")
 	}
-	_, err = p.opts.Store.Put(ctx, historyKey(config.Revision), value, 0, "")
+	_, err = p.put(ctx, historyKey(config.Revision), value, 0)
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		return errors.Wrapf(err, "writing the history record of revision %d", config.Revision)
 	}
@@ -245,7 +264,7 @@
 	// Records are read one by one: a listing of notes of up to a megabyte each
 	// would not fit into a bounded answer.
 	for revision := before - 1; revision > 0 && revision >= before-int64(limit); revision-- {
-		kv, err := p.opts.Store.Get(ctx, historyKey(revision))
+		kv, err := p.get(ctx, historyKey(revision))
 		if errors.Is(err, platform.ErrNotFound) {
 			// The record of the note in force may not be written yet.
 			continue
