--- a/command/command.go
+++ b/command/command.go
@@ -137,7 +137,10 @@
 			}
 			n, found := note.Parse(args[0], text)
 			if n != nil && n.Base == 0 {
-				_, found = note.Apply(note.Config{}, n)
+				var config note.Config
+				if config, found = note.Apply(config, n); len(found) == 0 {
+					found = config.CheckSize(n)
+				}
 			}
 			if err := found.Err(); err != nil {
 				return err
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"dotterelhead.example/dotterelhead/note"
@@ -28,6 +29,7 @@
 		if len(found) > 0 {
 			t.Fatal(found)
 		}
+		checkDocumented(t, deployment, config)
 		workers, spare := 0, 0
 		for _, p := range config.Pools {
 			if p.Spare {
@@ -41,3 +43,28 @@
 		}
 	}
 }
+
+// checkDocumented applies the notes that docs/operations.md shows for a
+// deployment, one after the other.
+func checkDocumented(t *testing.T, deployment string, config note.Config) {
+	page, err := os.ReadFile("../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, section, _ := strings.Cut(string(page), "`examples/"+deployment+".toml` is the first note.")
+	section, _, _ = strings.Cut(section, "\n#")
+	blocks := strings.Split(section, "```toml\n")[1:]
+	if len(blocks) == 0 {
+		t.Errorf("docs/operations.md has no notes for %s", deployment)
+	}
+	for _, block := range blocks {
+		text, _, _ := strings.Cut(block, "```")
+		n, found := note.Parse("docs/operations.md", []byte(text))
+		if len(found) == 0 {
+			config, found = note.Apply(config, n)
+		}
+		if len(found) > 0 {
+			t.Errorf("%v\n%s", found, text)
+		}
+	}
+}
