--- a/command/command_test.go
+++ b/command/command_test.go
@@ -161,6 +161,7 @@
 		{"help", "", []string{"--help"}, ExitDone, "Exit codes"},
 		{"published findings", live, []string{"publish", bad}, ExitFindings, bad + ":4:1: unknown field note.colour"},
 		{"conflict", live, []string{"publish", clash}, ExitFindings, clash + ":5:1: pool \"artwork\" exists: revision 1 touched it"},
+		{"check of a large file", "", []string{"check", large}, ExitFindings, "more than 983040"},
 		{"too large", live, []string{"publish", large}, ExitFindings, "bytes"},
 		{"nobody listens", stopped.URL, []string{"publish", first}, ExitUnreachable, "publishing the same note again is safe"},
 		{"another server", stranger, []string{"show"}, ExitUnreachable, "unexpected answer 404"},
