Tell certain failures of a publish from unknown outcomes

A publish that found no connection, or whose entry VM could not reach the store, changed nothing; the tool no longer reports its outcome as unknown.

--- a/command/client.go
+++ b/command/client.go
@@ -94,24 +94,45 @@
 	return message
 }
 
+// unreachableError reports that no entry VM gave a conclusive answer.
+type unreachableError struct {
+	failures []string
+	// uncertain tells that a request may have had an effect.
+	uncertain bool
+}
+
+func (e *unreachableError) Error() string { return strings.Join(e.failures, "\n") }
+
+// add records the failure of one entry VM. A request that found no connection,
+// or that the entry VM could not pass to the store, had no effect.
+func (e *unreachableError) add(address string, err error) {
+	e.failures = append(e.failures, address+": "+err.Error())
+	var network *net.OpError
+	var problem problemError
+	notSent := errors.As(err, &network) && network.Op == "dial"
+	if !notSent && !(errors.As(err, &problem) && problem.NothingChanged()) {
+		e.uncertain = true
+	}
+}
+
 // call sends the request to the entry VMs in turn and decodes the first
 // conclusive answer. Answers with status 5xx and 429 are not conclusive. All
 // requests of the operator API can be repeated, a publish because of its
 // publish identifier.
 func (c *client) call(ctx context.Context, method, path string, body []byte, answer any) error {
-	var failures []string
+	failures := &unreachableError{}
 	for _, address := range c.addresses {
 		err := c.callOne(ctx, method, address+path, body, answer)
 		var problem problemError
 		if err == nil || errors.As(err, &problem) && problem.Status < 500 && problem.Status != http.StatusTooManyRequests {
 			return err
 		}
-		failures = append(failures, address+": "+err.Error())
+		failures.add(address, err)
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return errors.New(strings.Join(failures, "\n"))
+	return failures
 }
 
 func (c *client) callOne(ctx context.Context, method, address string, body []byte, answer any) error {
--- a/command/command.go
+++ b/command/command.go
@@ -273,14 +273,20 @@
 	}
 	defer client.http.CloseIdleConnections()
 	err = client.call(ctx, method, path, body, answer)
-	var problem problemError
+	var (
+		unreachable *unreachableError
+		problem     problemError
+	)
 	switch {
 	case err == nil:
 		return nil
-	case !errors.As(err, &problem):
-		if method == http.MethodPost {
-			err = errors.Wrap(err, "the outcome is not known; publishing the same note again is safe")
+	case errors.As(err, &unreachable):
+		message := "no entry VM could be reached"
+		if unreachable.uncertain && method == http.MethodPost {
+			message = "the outcome is not known; publishing the same note again is safe"
 		}
+		return exitError{ExitUnreachable, errors.WithMessage(err, message)}
+	case !errors.As(err, &problem):
 		return exitError{ExitUnreachable, err}
 	case problem.Status == http.StatusUnauthorized, problem.Status == http.StatusForbidden:
 		return exitError{ExitUsage, problem}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -250,6 +250,10 @@
 	Findings []ProblemFinding `json:"findings,omitempty"`
 }
 
+// NothingChanged tells that the request certainly had no effect, although it
+// failed for a reason that another entry VM may not have.
+func (p Problem) NothingChanged() bool { return p.Type == problemUnavailable }
+
 // ProblemFinding is a finding about a note; line and column are 0 when it
 // concerns the whole note.
 type ProblemFinding struct {
