Serve the peer protocol under its default path

The server had an empty path prefix and the client the default one, so every call between entry VMs got 404: each entry VM saw itself as the only live member, dispatched every pool itself and fought over the shards of keys. Seen as 11,242 not-run of 25,000 keyed requests in the process test and an entry VM that learned nothing from its peers while the store was down.

--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/twitchtv/twirp"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"dotterelhead.example/dotterelhead/control"
@@ -63,7 +62,7 @@
 }
 
 func (e *EntryVM) peerHandler() http.Handler {
-	handler := peer.NewPeerServer(&peerService{e}, twirp.WithServerPathPrefix(""))
+	handler := peer.NewPeerServer(&peerService{e})
 	return otelhttp.NewHandler(handler, "peer", otelhttp.WithSpanNameFormatter(
 		func(_ string, r *http.Request) string { return "peer " + r.URL.Path }))
 }
--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -155,7 +155,9 @@
 	for _, other := range c.entries {
 		seeds = append(seeds, fmt.Sprintf("%q", other.relay.address()))
 	}
-	dir := c.t.TempDir()
+	// The folder must outlive the clean-up of the test, which prints the log.
+	dir, err := os.MkdirTemp(programs, id)
+	c.must(err)
 	e.config = filepath.Join(dir, "entry.toml")
 	c.must(os.WriteFile(e.config, []byte(fmt.Sprintf(`
 id = %q
@@ -169,9 +171,8 @@
 seed_peers = [%s]
 shutdown_load_balancer_wait_seconds = 0.5
 `, id, e.caller, e.operator, addresses[2], e.relay.address(), c.platform.Addr(), strings.Join(seeds, ", "))), 0o600))
-	log, err := os.Create(filepath.Join(dir, "log"))
+	e.log, err = os.Create(filepath.Join(dir, "log"))
 	c.must(err)
-	e.log = log
 	c.platform.Register(platform.VM{ID: id, Address: e.caller, AvailabilityZone: "a", State: platform.VMLive, EntryVM: true})
 	c.must(e.start())
 	c.entries = append(c.entries, e)
