--- /dev/null
+++ b/membership/model_test.go
@@ -0,0 +1,545 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+	"dotterelhead.example/dotterelhead/scheduler/maintenance"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		// CI gives the same verdict each run.
+		_ = flag.Set("rapid.seed", "1")
+	}
+	goleak.VerifyTestMain(m)
+}
+
+const region = "r"
+
+// request is one request on its way: the connection is opened first, then the
+// permit is checked, then the bytes are written, then they arrive.
+type request struct {
+	vm         string
+	pool       string
+	generation int64
+	boot       int64
+	checked    bool
+}
+
+// entry is one entry VM process.
+type entry struct {
+	id, incarnation string
+	node            *Node
+	replica         *replica.Replica
+	frozen          bool
+	noStore         bool
+	island          int
+	inFlight        []*request
+	round           *round
+	term            int64
+	fences          map[string]fleet.Fence
+	reply           *reply
+}
+
+// reply is a response that reaches its caller late.
+type reply struct {
+	start    time.Time
+	response *peer.ExchangeResponse
+}
+
+// round is a control round that is interleaved with everything else.
+type round struct {
+	now           time.Time
+	confirmations map[Member]map[string]int64
+	contacts      map[Member]time.Time
+	digests       map[Member]int64
+	document      fleet.Document
+	version       int64
+	read          bool
+}
+
+type value struct {
+	version int64
+	data    []byte
+}
+
+// world is the model: a store, a platform, entry VMs and backend servers.
+type world struct {
+	t         *rapid.T
+	now       time.Time
+	storeDown bool
+	version   int64
+	store     map[string]value
+	vms       map[string]*platform.VM
+	gone      map[string]bool
+	operation map[string]bool
+	reboots   map[string]int
+	config    note.Config
+	entries   []*entry
+	born      int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1_000_000, 0), store: map[string]value{}, vms: map[string]*platform.VM{},
+		gone: map[string]bool{}, operation: map[string]bool{}, reboots: map[string]int{},
+	}
+	names := [][]string{{"v1", "v2", "v3"}, {"v4", "v5"}}
+	for p, ids := range names {
+		name := fmt.Sprintf("pool%d", p)
+		w.config.Pools = append(w.config.Pools, note.Pool{Name: name, VMs: ids})
+		w.config.Services = append(w.config.Services, note.Service{Name: "s" + name, Pool: name, MaxUnavailable: 2})
+		for i, id := range ids {
+			w.vms[id] = &platform.VM{ID: id, State: platform.VMLive, BootCount: 1, AvailabilityZone: "z", Rack: fmt.Sprint(i % 2)}
+		}
+	}
+	w.config.Revision = 1
+	w.config.Waves = []note.Wave{{Name: "wave", Pools: []string{"pool0", "pool1"}, MaxConcurrent: 2, TouchedRevision: 1}}
+	for range rapid.IntRange(2, 3).Draw(t, "entries") {
+		w.spawn(fmt.Sprintf("e%d", len(w.entries)))
+	}
+	return w
+}
+
+func (w *world) spawn(id string) {
+	w.born++
+	e := &entry{id: id, incarnation: fmt.Sprint(w.born), replica: replica.New()}
+	e.node = NewNode(Options{Replica: e.replica, Region: region, ID: id, Incarnation: e.incarnation, PeerAddress: id, Released: e.released})
+	for i := range w.entries {
+		if w.entries[i].id == id {
+			w.entries[i] = e
+			return
+		}
+	}
+	w.entries = append(w.entries, e)
+}
+
+func (e *entry) document() fleet.Document {
+	doc, ok := e.replica.Get(fleet.Key(region))
+	if !ok {
+		return fleet.Document{}
+	}
+	d, err := fleet.Decode(doc.Value)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// released is what a forwarder reports: VMs out of service without requests in
+// flight. Connections are closed at once.
+func (e *entry) released() []*peer.ReleasedVM {
+	busy := map[string]bool{}
+	for _, r := range e.inFlight {
+		busy[r.vm] = true
+	}
+	var out []*peer.ReleasedVM
+	for _, vm := range e.document().VMs {
+		if vm.Phase != fleet.Serving && !busy[vm.ID] {
+			out = append(out, &peer.ReleasedVM{Vm: vm.ID, Generation: vm.Generation})
+		}
+	}
+	return out
+}
+
+func (w *world) chance(percent int, label string) bool {
+	return rapid.IntRange(1, 100).Draw(w.t, label) <= percent
+}
+
+func (w *world) reachesStore(e *entry) bool { return !w.storeDown && !e.noStore }
+
+// put returns whether the writer knows that its write took effect.
+func (w *world) put(key string, data []byte, expected int64) bool {
+	if w.store[key].version != expected {
+		return false
+	}
+	w.version++
+	w.store[key] = value{version: w.version, data: data}
+	return !w.chance(10, "lost answer")
+}
+
+func (w *world) document() fleet.Document {
+	d, err := fleet.Decode(w.store[fleet.Key(region)].data)
+	if err != nil {
+		return fleet.Document{}
+	}
+	return d
+}
+
+func (w *world) register(e *entry) {
+	if e.node.Registered() || !w.reachesStore(e) {
+		return
+	}
+	held := w.store[Key(region)]
+	registry, _ := DecodeRegistry(held.data)
+	if !registry.Contains(e.node.self) {
+		if !w.put(Key(region), registry.Add(Record{ID: e.id, Incarnation: e.incarnation, PeerAddress: e.id}).Encode(), held.version) {
+			return
+		}
+		held = w.store[Key(region)]
+	}
+	e.node.setRegistered(replica.Document{Key: Key(region), Version: held.version, Value: held.data}, w.now)
+}
+
+func (w *world) readStore(e *entry) {
+	if !e.node.Registered() || !w.reachesStore(e) {
+		return
+	}
+	for _, key := range []string{Key(region), fleet.Key(region)} {
+		if held := w.store[key]; held.version > 0 {
+			e.replica.Apply(replica.Document{Key: key, Version: held.version, Value: held.data})
+		}
+		e.node.storeContact(key, w.now)
+	}
+}
+
+func (w *world) exchange(from, to *entry) {
+	if from == to || from.frozen || to.frozen || from.island != to.island {
+		return
+	}
+	start := w.now
+	q := from.node.request(start, to.id)
+	if w.chance(5, "lost request") {
+		return
+	}
+	response := to.node.serve(w.now, q)
+	switch rapid.IntRange(1, 20).Draw(w.t, "response") {
+	case 1:
+	case 2:
+		from.reply = &reply{start: start, response: response}
+	default:
+		from.node.accept(start, w.now, response)
+	}
+}
+
+// send starts a request and takes it as far as drawn.
+func (w *world) send(e *entry) {
+	vms := e.document().VMs
+	if len(vms) == 0 {
+		return
+	}
+	vm := vms[rapid.IntRange(0, len(vms)-1).Draw(w.t, "vm")]
+	if vm.Phase != fleet.Serving || w.gone[vm.ID] {
+		return
+	}
+	r := &request{vm: vm.ID, pool: vm.Pool, generation: vm.Generation, boot: w.vms[vm.ID].BootCount}
+	e.inFlight = append(e.inFlight, r)
+	w.advanceRequest(e, r)
+}
+
+func (w *world) advanceRequest(e *entry, r *request) {
+	if !r.checked {
+		if !e.node.Valid(w.now) {
+			e.finish(r)
+			return
+		}
+		r.checked = true
+		if w.chance(30, "pause before write") {
+			return
+		}
+	}
+	w.arrive(r)
+	e.finish(r)
+}
+
+func (e *entry) finish(done *request) {
+	var rest []*request
+	for _, r := range e.inFlight {
+		if r != done {
+			rest = append(rest, r)
+		}
+	}
+	e.inFlight = rest
+}
+
+// arrive checks the property: bytes of a request reach the backend server only
+// while the fleet document has it in the pool of the request. The document is
+// written before any request of the new pool, so this is the stricter form of
+// "none of the old pool after the first of the new one".
+func (w *world) arrive(r *request) {
+	if w.gone[r.vm] || w.vms[r.vm].BootCount != r.boot {
+		return
+	}
+	for _, vm := range w.document().VMs {
+		if vm.ID == r.vm && vm.Pool != r.pool && vm.Generation > r.generation {
+			w.t.Fatalf("%s of pool %s generation %d sees a request of pool %s generation %d",
+				r.vm, vm.Pool, vm.Generation, r.pool, r.generation)
+		}
+	}
+}
+
+func (w *world) list() []platform.VM {
+	var out []platform.VM
+	for _, id := range []string{"v1", "v2", "v3", "v4", "v5"} {
+		if !w.gone[id] {
+			out = append(out, *w.vms[id])
+		}
+	}
+	return out
+}
+
+// control carries the round of a holder one part further: snapshot and read of
+// the document, then read of the registry, step, write and actions.
+func (w *world) control(e *entry) {
+	if !w.reachesStore(e) || !e.node.Registered() {
+		e.round = nil
+		return
+	}
+	if e.round == nil {
+		r := &round{
+			now: w.now, confirmations: e.node.Confirmations(),
+			contacts: e.node.contactsAt(w.now), digests: e.node.RegistryVersions(),
+		}
+		r.document, r.version = w.document(), w.store[fleet.Key(region)].version
+		e.round = r
+		if w.chance(30, "pause in round") {
+			return
+		}
+	}
+	r := e.round
+	e.round = nil
+	held := w.store[Key(region)]
+	registry, _ := DecodeRegistry(held.data)
+	w.step(e, r, registry)
+	next, raised := registry.RaiseFloors(func(m Member) bool { return r.digests[m] >= held.version })
+	if raised && w.chance(50, "raise floors") {
+		w.put(Key(region), next.Encode(), held.version)
+	}
+}
+
+func (w *world) step(e *entry, r *round, registry Registry) {
+	in := fleet.Inputs{
+		Now: r.now, Term: 1, Config: w.config, List: w.list(), Steady: true,
+		Boots: map[string]fleet.Boot{}, FenceWait: T + Margin,
+	}
+	for _, rec := range registry.Members {
+		at, ok := r.contacts[rec.Member()]
+		in.Entries = append(in.Entries, fleet.Entry{
+			ID: rec.ID, QuorumFloor: rec.QuorumFloor, Reachable: ok && r.now.Sub(at) < T,
+			Released: r.confirmations[rec.Member()],
+		})
+	}
+	e.fences = fleet.Observe(e.fences, r.document, in.Entries, r.now)
+	in.Fences = e.fences
+	w.plan(r.document, &in)
+	next, actions := fleet.Step(r.document, in)
+	for _, a := range actions {
+		if a.Kind == fleet.ActionReadBoot {
+			in.Boots[a.VM] = fleet.Boot{Count: w.vms[a.VM].BootCount, Gone: w.gone[a.VM]}
+		}
+	}
+	next, actions = fleet.Step(r.document, in)
+	if string(next.Encode()) != string(r.document.Encode()) {
+		if !w.put(fleet.Key(region), next.Encode(), r.version) {
+			return
+		}
+		held := w.store[fleet.Key(region)]
+		e.replica.Apply(replica.Document{Key: fleet.Key(region), Version: held.version, Value: held.data})
+		w.checkBudgets(r.document, next)
+	}
+	for _, a := range actions {
+		if a.Kind == fleet.ActionReboot {
+			w.reboot(next, a)
+		}
+	}
+}
+
+func (w *world) plan(d fleet.Document, in *fleet.Inputs) {
+	if len(d.VMs) > 0 && w.chance(30, "move") {
+		vm := d.VMs[rapid.IntRange(0, len(d.VMs)-1).Draw(w.t, "moved vm")]
+		to := map[string]string{"pool0": "pool1", "pool1": "pool0"}[vm.Pool]
+		in.Moves = append(in.Moves, fleet.Move{VM: vm.ID, From: vm.Pool, To: to})
+	}
+	s := maintenance.Snapshot{Pools: []maintenance.Pool{{Name: "pool0", MaxUnavailable: 2}, {Name: "pool1", MaxUnavailable: 2}}}
+	for _, vm := range d.VMs {
+		state := maintenance.Planned
+		switch {
+		case vm.Removed(w.now):
+			state = maintenance.Removed
+		case vm.Phase == fleet.Serving:
+			state = maintenance.Serving
+		case vm.Phase == fleet.Down:
+			state = maintenance.Failed
+		}
+		s.VMs = append(s.VMs, maintenance.VM{
+			ID: vm.ID, Pool: vm.Pool, HomePool: vm.HomePool, AvailabilityZone: vm.AvailabilityZone,
+			Rack: vm.Rack, State: state, Wave: vm.Wave,
+		})
+	}
+	for _, p := range d.Waves {
+		s.Waves = append(s.Waves, maintenance.Wave{
+			Name: p.Name, Pools: w.config.Waves[0].Pools, MaxConcurrent: 2, Done: p.Done, Finished: p.Finished,
+		})
+	}
+	plan := maintenance.Next(s)
+	for _, m := range plan.Starts {
+		in.Starts = append(in.Starts, fleet.Start{VM: m.VM, Wave: m.Wave})
+	}
+	for _, state := range plan.Waves {
+		in.Waves = append(in.Waves, fleet.WaveState{Name: state.Name, Paused: state.Paused, Reason: state.Reason, Finished: state.Finished})
+	}
+}
+
+// checkBudgets fails when planned work took a VM out of a pool whose budget
+// was used up.
+func (w *world) checkBudgets(before, after fleet.Document) {
+	phases := map[string]fleet.Phase{}
+	for _, vm := range before.VMs {
+		phases[vm.ID] = vm.Phase
+	}
+	for _, started := range after.VMs {
+		planned := started.Purpose == fleet.PurposeMove || started.Purpose == fleet.PurposeMaintenance
+		if phases[started.ID] != fleet.Serving || started.Phase != fleet.Releasing || !planned {
+			continue
+		}
+		out := 0
+		for _, vm := range after.VMs {
+			if vm.Pool == started.Pool && vm.Phase != fleet.Serving && !vm.Removed(w.now) {
+				out++
+			}
+		}
+		if out > 2 {
+			w.t.Fatalf("pool %s has %d VMs out of service, budget 2", started.Pool, out)
+		}
+	}
+}
+
+// reboot is the platform: a repeat with the same operation, or after the boot
+// count has moved on, does nothing.
+func (w *world) reboot(d fleet.Document, a fleet.Action) {
+	vm := w.vms[a.VM]
+	if w.gone[a.VM] || w.operation[a.Operation.ID] || vm.BootCount != a.Operation.ExpectedBoot || w.chance(10, "reboot fails") {
+		return
+	}
+	vm.BootCount++
+	w.operation[a.Operation.ID] = !w.chance(50, "platform forgets the operation")
+	for _, held := range d.VMs {
+		transition := fmt.Sprintf("%s/%d", held.ID, held.Generation)
+		if held.ID != a.VM {
+			continue
+		}
+		if w.reboots[transition]++; w.reboots[transition] > 1 {
+			w.t.Fatalf("second reboot in transition %s", transition)
+		}
+	}
+}
+
+// disturb draws at most one fault.
+func (w *world) disturb() {
+	e := w.entries[rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")]
+	vm := fmt.Sprintf("v%d", rapid.IntRange(1, 5).Draw(w.t, "vm"))
+	switch rapid.IntRange(0, 15).Draw(w.t, "fault") {
+	case 0:
+		e.frozen = true
+	case 1:
+		e.noStore = true
+	case 2:
+		e.island = rapid.IntRange(0, 1).Draw(w.t, "island")
+	case 3:
+		e.noStore, e.island = true, 1
+	case 4:
+		w.storeDown = true
+	case 5:
+		w.storeDown = false
+	case 6, 7:
+		e.frozen, e.noStore, e.island = false, false, 0
+	case 8:
+		w.spawn(e.id)
+	case 9:
+		if len(w.entries) < 5 {
+			w.spawn(fmt.Sprintf("e%d", len(w.entries)))
+		}
+	case 10:
+		w.gone[vm] = !w.gone[vm]
+		if !w.gone[vm] && w.chance(50, "returns rebooted") {
+			w.vms[vm].BootCount++
+		}
+	case 11:
+		w.vms[vm].State = rapid.SampledFrom([]platform.VMState{platform.VMLive, platform.VMLeaving}).Draw(w.t, "state")
+	case 12:
+		w.vms[vm].BootCount++
+	}
+}
+
+func (w *world) tick() {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(200, 1500).Draw(w.t, "ms")) * time.Millisecond)
+	for _, e := range w.entries {
+		if e.frozen {
+			continue
+		}
+		if w.chance(70, "register") {
+			w.register(e)
+		}
+		if w.chance(70, "read") {
+			w.readStore(e)
+		}
+		for _, r := range e.inFlight {
+			if w.chance(50, "advance request") {
+				w.advanceRequest(e, r)
+			}
+		}
+		if e.reply != nil && w.chance(50, "late reply") {
+			e.node.accept(e.reply.start, w.now, e.reply.response)
+			e.reply = nil
+		}
+		for _, to := range w.entries {
+			w.exchange(e, to)
+		}
+		w.send(e)
+	}
+	// Any two entry VMs may act as holders at the same time.
+	for range 2 {
+		if e := w.entries[rapid.IntRange(0, min(2, len(w.entries)-1)).Draw(w.t, "holder")]; !e.frozen {
+			w.control(e)
+		}
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.storeDown = false
+	for _, e := range w.entries {
+		e.frozen, e.noStore, e.island = false, false, 0
+	}
+	clear(w.gone)
+	for _, vm := range w.vms {
+		vm.State = platform.VMLive
+	}
+}
+
+// Guards against a backend server that sees a request of its old pool after it
+// was moved, against planned work beyond the availability budget, against a
+// second reboot after a lost answer, and against a wave that never ends, under
+// frozen, cut off and replaced entry VMs, two holders, store outages, lost
+// answers and bytes that arrive late.
+func TestOnePoolUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(20, 60).Draw(t, "ticks") {
+			if w.chance(40, "disturb") {
+				w.disturb()
+			}
+			w.tick()
+		}
+		w.heal()
+		for range 120 {
+			w.tick()
+			if d := w.document(); len(d.Waves) == 1 && d.Waves[0].Finished {
+				return
+			}
+		}
+		t.Fatalf("the wave did not end: %s", w.document().Encode())
+	})
+}
--- a/membership/node.go
+++ b/membership/node.go
@@ -244,18 +244,23 @@
 			return err
 		}
 	}
-	// The quorum floor of the record presumes that this process holds the
-	// registry that it is part of before it counts itself.
-	n.o.Replica.Apply(doc)
-	n.mu.Lock()
-	n.registered = doc.Version
-	n.permit.Register(time.Now())
-	n.mu.Unlock()
+	n.setRegistered(doc, time.Now())
 	n.o.Log.Info().Str("event", "registered").Str("id", n.self.ID).Int64("version", doc.Version).Msg("")
 	n.Trigger()
 	return nil
 }
 
+// setRegistered records a registration that is known to be in the store. The
+// quorum floor of the record presumes that this process holds the registry
+// that it is part of before it counts itself.
+func (n *Node) setRegistered(doc replica.Document, now time.Time) {
+	n.o.Replica.Apply(doc)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.registered = doc.Version
+	n.permit.Register(now)
+}
+
 func (n *Node) readRegistry(ctx context.Context) (Registry, replica.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -478,34 +483,39 @@
 	if err != nil {
 		return false
 	}
+	return n.accept(start, time.Now(), response) && n.lacks(toDigest(response.Digest))
+}
+
+// accept takes in the response to a call that was started at start and reports
+// whether it came from a registered member, whose versions are now known.
+func (n *Node) accept(start, now time.Time, response *peer.ExchangeResponse) bool {
 	n.apply(response.Documents)
 	digest := toDigest(response.Digest)
 	complete := n.covers(digest)
-	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	rec, ok := n.registry.Find(response.Responder)
 	if !ok {
 		return false
 	}
-	c := n.contact(response.Responder)
+	c := n.contact(rec.ID)
 	c.heard, c.digest, c.demand, c.leaving = now, digest, response.Demand, response.Leaving
 	if response.Incarnation == "" || response.Incarnation != rec.Incarnation {
 		// The responder is not admitted, or another process than the one
 		// that this registry names.
-		return false
+		return true
 	}
 	c.incarnation = response.Incarnation
 	n.confirm(rec.Member(), response.Released)
-	if complete {
-		c.exchanged = start
-		n.permit.PeerContact(rec.ID, start)
-		if response.StoreAgeMillis >= 0 {
-			at := start.Add(-time.Duration(response.StoreAgeMillis) * time.Millisecond)
-			n.permit.StoreContact(at)
-		}
+	if !complete {
+		return true
 	}
-	return n.lacks(digest)
+	c.exchanged = start
+	n.permit.PeerContact(rec.ID, start)
+	if response.StoreAgeMillis >= 0 {
+		n.permit.StoreContact(start.Add(-time.Duration(response.StoreAgeMillis) * time.Millisecond))
+	}
+	return true
 }
 
 func (n *Node) request(now time.Time, address string) *peer.ExchangeRequest {
@@ -523,7 +533,7 @@
 	n.mu.Unlock()
 	q.Digest = fromDigest(n.o.Replica.Digest())
 	if known != nil {
-		q.Documents = fromDocuments(n.o.Replica.Newer(known))
+		q.Documents = fromDocuments(n.newer(known))
 	}
 	q.Released = n.confirmable()
 	q.Demand = n.demand()
@@ -541,8 +551,11 @@
 
 // Exchange serves the call of another entry VM.
 func (n *Node) Exchange(_ context.Context, q *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	return n.serve(time.Now(), q), nil
+}
+
+func (n *Node) serve(now time.Time, q *peer.ExchangeRequest) *peer.ExchangeResponse {
 	n.apply(q.Documents)
-	now := time.Now()
 	digest := toDigest(q.Digest)
 	n.mu.Lock()
 	sender := Member{ID: q.Sender, Incarnation: q.Incarnation}
@@ -568,10 +581,10 @@
 	n.mu.Unlock()
 	own := n.o.Replica.Digest()
 	p.Digest = fromDigest(own)
-	p.Documents = fromDocuments(n.o.Replica.Newer(digest))
+	p.Documents = fromDocuments(n.newer(digest))
 	p.Released = n.confirmable()
 	p.Demand = n.demand()
-	return p, nil
+	return p
 }
 
 func (n *Node) hear(sender Member, q *peer.ExchangeRequest, digest map[string]int64, now time.Time) {
@@ -629,40 +642,38 @@
 }
 
 // settleDebtsLoop drops the debts to entry VMs that the platform no longer
-// lists, at the earliest T after the last exchange.
+// lists.
 func (n *Node) settleDebtsLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, T)
 		n.mu.Lock()
-		old := map[Member]time.Time{}
-		for m, d := range n.debts {
-			if time.Since(d.last) >= T {
-				old[m] = d.last
-			}
-		}
+		owing := len(n.debts) > 0
 		n.mu.Unlock()
-		if len(old) == 0 || n.o.Inventory == nil {
+		if !owing || n.o.Inventory == nil {
 			continue
 		}
+		now := time.Now()
 		listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		vms, err := n.o.Inventory.VMs(listCtx)
 		cancel()
-		if err != nil || len(vms) == 0 {
-			continue
-		}
-		for _, vm := range vms {
-			maps.DeleteFunc(old, func(m Member, _ time.Time) bool { return m.ID == vm.ID })
+		if err == nil && len(vms) > 0 {
+			n.settleDebts(now, vms)
 		}
-		n.mu.Lock()
-		for m, last := range old {
-			if d := n.debts[m]; d != nil && d.last.Equal(last) {
-				delete(n.debts, m)
-			}
-		}
-		n.mu.Unlock()
 	}
 }
 
+// settleDebts takes a list that was read after now. T after the last exchange
+// the permit that rested on it is over; absence from the list says that the
+// requests in flight are over too.
+func (n *Node) settleDebts(now time.Time, vms []platform.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	maps.DeleteFunc(n.debts, func(m Member, d *debt) bool {
+		listed := slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == m.ID })
+		return !listed && now.Sub(d.last) >= T
+	})
+}
+
 func (n *Node) demand() []*peer.PoolDemand {
 	if n.o.Demand == nil {
 		return nil
@@ -729,7 +740,9 @@
 
 // Contacts returns the start of the last complete exchange with each member,
 // and now for this one when it is registered.
-func (n *Node) Contacts() map[Member]time.Time {
+func (n *Node) Contacts() map[Member]time.Time { return n.contactsAt(time.Now()) }
+
+func (n *Node) contactsAt(now time.Time) map[Member]time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := map[Member]time.Time{}
@@ -739,7 +752,7 @@
 		}
 	}
 	if n.registered != 0 {
-		out[n.self] = time.Now()
+		out[n.self] = now
 	}
 	return out
 }
@@ -801,10 +814,18 @@
 	return true
 }
 
+// lacks reports whether the other side is known to hold an older document.
 func (n *Node) lacks(digest map[string]int64) bool {
-	// The registry is the only document that is known under n.mu; the others
-	// follow with the next exchange, which a change triggers at once.
-	return digest[Key(n.o.Region)] < n.version
+	return len(n.newer(digest)) > 0
+}
+
+// newer returns the documents of Keys that are newer than the digest. Other
+// documents are not sent, because the receiver would not take them.
+func (n *Node) newer(digest map[string]int64) []replica.Document {
+	keys := n.Keys()
+	return slices.DeleteFunc(n.o.Replica.Newer(digest), func(doc replica.Document) bool {
+		return !slices.Contains(keys, doc.Key)
+	})
 }
 
 func toDigest(versions []*peer.DocumentVersion) map[string]int64 {
