Keep debts to unregistered entry VMs until the registry names them

The model found two faults of the debts. A debt to an entry VM whose registration answer was lost was created after the registry already named it, and then withheld confirmations for ever. A debt was also dropped when the registry named another process of the same id, which may be the former one.

--- a/membership/node.go
+++ b/membership/node.go
@@ -171,9 +171,8 @@
 		}
 	}
 	for m := range n.debts {
-		// The holder asks a registered entry VM itself. A registration
-		// under the same id ends the former process.
-		if _, ok := n.registry.Find(m.ID); ok {
+		// The holder asks a registered entry VM itself.
+		if n.registry.Contains(m) {
 			delete(n.debts, m)
 		}
 	}
@@ -560,7 +559,9 @@
 	n.mu.Lock()
 	sender := Member{ID: q.Sender, Incarnation: q.Incarnation}
 	switch {
-	case q.Registered:
+	case q.Registered || n.registry.Contains(sender):
+		// A sender whose registration answer was lost may be in the registry
+		// without knowing it.
 		n.hear(sender, q, digest, now)
 	default:
 		d := n.debts[sender]
@@ -591,6 +592,11 @@
 	if !n.registry.Contains(sender) {
 		return
 	}
+	maps.DeleteFunc(n.debts, func(m Member, d *debt) bool {
+		// A registered process ends an earlier one of the same id, which
+		// may be the later one in a registry that lags.
+		return m.ID == sender.ID && now.Sub(d.last) >= T
+	})
 	c := n.contact(sender.ID)
 	c.incarnation, c.heard, c.digest, c.demand, c.leaving = sender.Incarnation, now, digest, q.Demand, q.Leaving
 	n.confirm(sender, q.Released)
