--- a/claims/shard.go
+++ b/claims/shard.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -244,6 +245,9 @@
 	case tickInput:
 	}
 	s.advance(now)
+	// Attempts in progress are held in a map; the order of replies must not
+	// depend on its order.
+	slices.SortStableFunc(s.out.replies, func(a, b reply) int { return cmp.Compare(a.id, b.id) })
 	return s.out
 }
 
--- /dev/null
+++ b/claims/world_test.go
@@ -0,0 +1,260 @@
+package claims
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"dotterelhead.example/dotterelhead/claims/chunk"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+)
+
+// world runs the state machines of one shard at several entry VMs over one
+// store, without goroutines: the test decides when each call takes effect and
+// what its caller learns.
+type world struct {
+	now    time.Time
+	limits limits
+	store  *memoryStore
+	nodes  []*node
+	// late holds writes whose answer was given up but which may still arrive.
+	late        []*storeCall
+	incarnation uint64
+	nextReply   replyID
+	onReply     func(reply)
+	trace       func(format string, args ...any)
+}
+
+type node struct {
+	*shard
+	name        string
+	outstanding *storeCall
+	permit      bool
+}
+
+func newWorld(l limits, names ...string) *world {
+	w := &world{
+		now: time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC), limits: l, store: newMemoryStore(1),
+		onReply: func(reply) {}, trace: func(string, ...any) {},
+	}
+	for _, name := range names {
+		w.nodes = append(w.nodes, &node{name: name})
+		w.restart(w.nodes[len(w.nodes)-1])
+	}
+	return w
+}
+
+// restart replaces the process of an entry VM. A write on its way stays so.
+func (w *world) restart(n *node) {
+	if n.outstanding != nil && n.outstanding.kind == callPut {
+		w.late = append(w.late, n.outstanding)
+	}
+	w.incarnation++
+	n.shard = newShard(w.limits, "claims/north/00/", n.name, w.incarnation, newAnswers(64<<10, 1<<20, 10*time.Minute))
+	n.outstanding, n.permit = nil, false
+}
+
+func (w *world) step(n *node, in input) {
+	out := n.step(w.now, in)
+	for _, e := range out.events {
+		w.trace("%s: event %s", n.name, e.name)
+	}
+	if out.call != nil {
+		n.outstanding = out.call
+		w.trace("%s -> store: %s", n.name, describe(out.call))
+	}
+	if out.wantsPermit && !n.permit {
+		w.trace("%s wants to write", n.name)
+	}
+	n.permit = out.wantsPermit
+	for _, r := range out.replies {
+		w.onReply(r)
+	}
+}
+
+// Ways in which a store call can end.
+const (
+	answerOK          = "ok"
+	answerLost        = "lost"        // no effect, answer unknown
+	answerLostEffect  = "lost-effect" // effect, answer unknown
+	answerLostLate    = "lost-late"   // effect later, answer unknown
+	answerUnavailable = "unavailable"
+)
+
+// answer ends the outstanding store call of a node.
+func (w *world) answer(n *node, how string) {
+	call := n.outstanding
+	n.outstanding = nil
+	if how == answerOK {
+		w.step(n, w.perform(call))
+		return
+	}
+	result := resultInput{err: platform.ErrUnknown}
+	switch {
+	case how == answerUnavailable:
+		result.err = platform.ErrUnavailable
+	case how == answerLostEffect:
+		w.perform(call)
+	case how == answerLostLate && call.kind == callPut:
+		w.late = append(w.late, call)
+	}
+	w.trace("store -> %s: %v", n.name, result.err)
+	w.step(n, result)
+}
+
+func (w *world) perform(call *storeCall) (result resultInput) {
+	switch call.kind {
+	case callPut:
+		result.version, result.err = w.store.put(call.key, call.value, call.expected)
+	case callGet:
+		result.value, result.err = w.store.get(call.key)
+	case callList:
+		result.list = w.store.list("claims/north/00/", call.after, call.limit)
+	case callDelete:
+		result.err = w.store.remove(call.key, call.expected)
+	}
+	if result.err != nil {
+		w.trace("store: %v", result.err)
+	}
+	return result
+}
+
+// run lets a node finish everything it can do now.
+func (w *world) run(n *node) {
+	for n.outstanding != nil || n.permit {
+		if n.outstanding != nil {
+			w.answer(n, answerOK)
+		} else {
+			w.step(n, permitInput{})
+		}
+	}
+}
+
+func (w *world) reply() replyID {
+	w.nextReply++
+	return w.nextReply
+}
+
+func describe(call *storeCall) string {
+	name := strings.TrimPrefix(call.key, "claims/north/00/")
+	switch call.kind {
+	case callPut:
+		return fmt.Sprintf("put %s at version %d: %s", name, call.expected, describeChunk(call.key, call.value))
+	case callGet:
+		return "get " + name
+	case callList:
+		return fmt.Sprintf("list after %q", strings.TrimPrefix(call.after, "claims/north/00/"))
+	default:
+		return fmt.Sprintf("delete %s at version %d", name, call.expected)
+	}
+}
+
+func describeChunk(documentKey string, value []byte) string {
+	content, err := decodeImage("claims/north/00/", documentKey, value)
+	if err != nil {
+		return err.Error()
+	}
+	parts := []string{fmt.Sprintf("owner %s, epoch %d, batch %d.%d", content.owner, content.epoch, content.incarnation, content.sequence)}
+	for _, r := range content.records {
+		parts = append(parts, strings.TrimRight(string(r.key[:]), "\x00")+" "+strings.ToLower(chunk.State_name[int32(r.state())]))
+	}
+	if content.sealed {
+		parts = append(parts, "sealed")
+	}
+	return strings.Join(parts, "; ")
+}
+
+func testKey(name string) (k key) {
+	copy(k[:], name)
+	return k
+}
+
+// model checks what callers may observe, whatever happens to owners and store.
+//
+// An attempt is granted when CLAIMED reaches it while it still waits. Until it
+// gives the key back, or the record may have been forgotten, no other attempt
+// on the key may be granted.
+type model struct {
+	*world
+	attempts []*modelAttempt
+	byReply  map[replyID]*modelAttempt
+	fail     func(format string, args ...any)
+}
+
+type modelAttempt struct {
+	attemptInput
+	// waiting: messages may be sent; granted: CLAIMED arrived; over: the caller
+	// has its answer, or the attempt was given up.
+	state   string
+	granted time.Time
+	ran     bool
+	// outcome is the last reply.
+	outcome peer.KeyState
+}
+
+func newModel(l limits, fail func(string, ...any), names ...string) *model {
+	m := &model{world: newWorld(l, names...), byReply: map[replyID]*modelAttempt{}, fail: fail}
+	m.onReply = m.observe
+	return m
+}
+
+func (m *model) begin(k string, fingerprint uint64) *modelAttempt {
+	a := &modelAttempt{state: "waiting", attemptInput: attemptInput{
+		key: testKey(k), fingerprint: fingerprint, attempt: fmt.Sprint("t", len(m.attempts)),
+	}}
+	m.attempts = append(m.attempts, a)
+	return a
+}
+
+// message returns the attempt's input with a fresh reply.
+func (m *model) message(a *modelAttempt) attemptInput {
+	in := a.attemptInput
+	in.reply = m.reply()
+	m.byReply[in.reply] = a
+	return in
+}
+
+func (m *model) observe(r reply) {
+	a := m.byReply[r.id]
+	if a == nil || a.state != "waiting" {
+		return
+	}
+	a.outcome = r.state
+	switch r.state {
+	case peer.KeyState_CLAIMED:
+		m.checkGrant(a)
+		a.state, a.granted = "granted", m.now
+	case peer.KeyState_ANSWERED:
+		a.state = "over"
+		if !slices.ContainsFunc(m.attempts, func(b *modelAttempt) bool {
+			return b.ran && b.attempt == string(r.answer.GetBody()) && b.key == a.key && b.fingerprint == a.fingerprint
+		}) {
+			m.fail("%s got the answer of %q", a.attempt, r.answer.GetBody())
+		}
+	case peer.KeyState_FINISHED, peer.KeyState_UNKNOWN, peer.KeyState_MISMATCH, peer.KeyState_NOT_RUN, peer.KeyState_STORE_UNAVAILABLE:
+		a.state = "over"
+	}
+}
+
+func (m *model) checkGrant(a *modelAttempt) {
+	for _, b := range m.attempts {
+		if b != a && b.key == a.key && !b.granted.IsZero() && m.now.Sub(b.granted) < m.limits.keep-time.Minute {
+			m.fail("%s is granted key %s while %s holds it", a.attempt, a.key[:2], b.attempt)
+		}
+	}
+}
+
+// finish ends a granted attempt. One that gives the key back was not sent.
+func (m *model) finish(n *node, a *modelAttempt, state peer.KeyState) {
+	in := finishInput{reply: m.reply(), key: a.key, attempt: a.attempt, state: state}
+	if state == peer.KeyState_NOT_RUN {
+		a.granted = time.Time{}
+	} else {
+		a.ran = a.ran || !a.granted.IsZero()
+		in.answer = &peer.KeptAnswer{Body: []byte(a.attempt)}
+	}
+	a.state = "over"
+	m.step(n, in)
+}
