standin: deregister before the process exits

A backend server stayed in the platform's list after SIGTERM: the end of the context and the main function both called Close, and the second call returned before the first had deregistered. Close now waits for the call under way. The counter of requests no longer shares its JSON name with the records.

--- a/standin/admin.go
+++ b/standin/admin.go
@@ -25,7 +25,7 @@
 		return p.Faults(), nil
 	})
 	handle("PATCH", "/standin/faults", func(r *http.Request) (any, error) {
-		err := p.faults.update(func(f *PlatformFaults) error { return decodeStrict(r, f) })
+		err := p.updateFaults(func(f *PlatformFaults) error { return decodeStrict(r, f) })
 		return p.Faults(), err
 	})
 	handle("GET", "/standin/counts", func(*http.Request) (any, error) { return p.Counts(), nil })
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -105,7 +105,7 @@
 type BackendStats struct {
 	Worker         string `json:"worker"`
 	BootCount      int64  `json:"boot_count"`
-	Requests       int64  `json:"requests"`
+	Requests       int64  `json:"requests_total"`
 	HealthRequests int64  `json:"health_requests"`
 	Cut            int64  `json:"cut"`
 	Running        int    `json:"running"`
@@ -147,6 +147,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup
+	close  sync.Once
 }
 
 // bootPeriod is what lives from one boot to the next. No request starts after
@@ -264,20 +265,19 @@
 	period.requests.Wait()
 }
 
-// Close ends the server. The VM leaves the platform's list.
+// Close ends the server. The VM leaves the platform's list. A call while
+// another one is under way returns when that has ended.
 func (b *Backend) Close() error {
-	b.mu.Lock()
-	closed := b.ctx.Err() != nil
-	b.cancel()
-	b.mu.Unlock()
-	if closed {
-		return nil
-	}
-	b.shut()
-	b.work.Wait()
-	if b.options.Platform != "" {
-		b.deregister()
-	}
+	b.close.Do(func() {
+		b.mu.Lock()
+		b.cancel()
+		b.mu.Unlock()
+		b.shut()
+		b.work.Wait()
+		if b.options.Platform != "" {
+			b.deregister()
+		}
+	})
 	return nil
 }
 
@@ -306,7 +306,6 @@
 // SetFaults replaces the faults.
 func (b *Backend) SetFaults(f BackendFaults) {
 	_ = b.updateFaults(func(current *BackendFaults) error { *current = f; return nil })
-	b.log.Info().Str("event", "faults_set").Str("worker", b.options.ID).Interface("faults", f).Msg("")
 }
 
 func (b *Backend) updateFaults(change func(*BackendFaults) error) error {
@@ -320,6 +319,7 @@
 		b.random = seeded(next.Seed)
 	}
 	b.faults = next
+	b.log.Info().Str("event", "faults_set").Str("worker", b.options.ID).Interface("faults", next).Msg("")
 	return nil
 }
 
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -226,6 +226,8 @@
 	p, c := startPlatform(t, PlatformOptions{RebootDuration: 10 * time.Millisecond})
 	first := startBackend(t, BackendOptions{Platform: p.Addr()})
 	addr := first.Addr()
+	// Both calls must wait for the end, as a process exits after its own.
+	go first.Close()
 	if err := first.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -142,8 +142,15 @@
 
 // SetFaults replaces the faults.
 func (p *Platform) SetFaults(f PlatformFaults) {
-	_ = p.faults.update(func(current *PlatformFaults) error { *current = f; return nil })
-	p.log.Info().Str("event", "faults_set").Interface("faults", f).Msg("")
+	_ = p.updateFaults(func(current *PlatformFaults) error { *current = f; return nil })
+}
+
+func (p *Platform) updateFaults(change func(*PlatformFaults) error) error {
+	if err := p.faults.update(change); err != nil {
+		return err
+	}
+	p.log.Info().Str("event", "faults_set").Interface("faults", p.Faults()).Msg("")
+	return nil
 }
 
 // Faults returns the faults in force, with the remaining counts.
--- a/tlsconfig/tlsconfig.go
+++ b/tlsconfig/tlsconfig.go
@@ -78,6 +78,7 @@
 
 // Server returns a configuration for a listener. Each handshake uses the files
 // of that moment; with a CA the client must present a certificate signed by it.
+// Without NextProtos the listener speaks HTTP/1.1 only.
 func (s *Source) Server() (*tls.Config, error) {
 	if s.files.current().certificate == nil {
 		return nil, errors.New("a TLS listener needs a certificate")
--- a/tools/standin/backend.go
+++ b/tools/standin/backend.go
@@ -63,7 +63,9 @@
 				defer timer.Stop()
 			}
 			<-cmd.Context().Done()
-			return b.Close()
+			err := b.Close()
+			o.Log.Info().Str("event", "stopped").Msg("")
+			return err
 		},
 	}
 	flags := cmd.Flags()
--- a/tools/standin/platform.go
+++ b/tools/standin/platform.go
@@ -67,7 +67,9 @@
 			}
 			o.Log.Info().Str("event", "ready").Str("address", p.Addr()).Int("vms", len(o.VMs)).Msg("")
 			<-cmd.Context().Done()
-			return p.Close()
+			err := p.Close()
+			o.Log.Info().Str("event", "stopped").Msg("")
+			return err
 		},
 	}
 	flags := cmd.Flags()
