Reserve slots for the recent demand of short work

A fixed share is too small at the end of a burst and too large between bursts. The reserve is now a moving average of the slots that short work needs plus one standard deviation and one slot.

--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -1,6 +1,7 @@
 package dispatching
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -16,6 +17,12 @@
 	// promiseRatio is how many times the 95th percentile of its operation a
 	// request may run before it counts as long.
 	promiseRatio = 2
+	// The average of the demand of short work rises fast, because slots that
+	// long work takes at the start of a burst are lost for its duration.
+	shortLoadRise = time.Second
+	shortLoadFall = 5 * time.Second
+	// reserveDeviations is the margin of the reserve for short work.
+	reserveDeviations = 1
 	// drainTime is the time in which a queue should be worked off; it turns
 	// queued work into slots wanted.
 	drainTime = 2 * time.Second
@@ -64,6 +71,9 @@
 	deadlines *queueing.Heap[*waiting]
 	promises  *queueing.Heap[*grant]
 	longBusy  int
+	// shortLoad is a moving average of the slots that short work needs.
+	shortLoad  float64
+	observedAt time.Time
 	// queuedWork is the sum of the expected run times in the queue.
 	queuedWork time.Duration
 	next       int64
@@ -72,7 +82,7 @@
 // NewPool returns a pool without workers.
 func NewPool(options Options) *Pool {
 	if options.LongShare <= 0 {
-		options.LongShare = 0.7
+		options.LongShare = 0.25
 	}
 	if options.Ageing <= 0 {
 		options.Ageing = 5
@@ -225,6 +235,7 @@
 
 func (p *Pool) dispatch(now time.Time) []Decision {
 	p.demote(now)
+	p.observeShort(now)
 	decisions := p.expire(now)
 	var passed []*waiting
 	for p.slots.Available() {
@@ -280,10 +291,26 @@
 	return short.Value
 }
 
-// longLimit is the number of slots that long work may hold. It is at least
-// one, so that long work always progresses.
+// longLimit is the number of slots that long work may hold: what the recent
+// demand of short work leaves, with a standard deviation of a Poisson
+// distribution as margin. It is at least LongShare of the slots, so that long work always progresses.
 func (p *Pool) longLimit() int {
-	return max(int(p.options.LongShare*float64(p.slots.Slots())), 1)
+	slots := float64(p.slots.Slots())
+	reserve := p.shortLoad + reserveDeviations*math.Sqrt(p.shortLoad) + reserveDeviations
+	return max(int(slots-reserve), int(p.options.LongShare*slots), 1)
+}
+
+// observeShort follows the slots that short work uses or waits for.
+func (p *Pool) observeShort(now time.Time) {
+	load := float64(len(p.grants) - p.longBusy + p.short.Len() + p.urgent.Len())
+	tau := shortLoadFall
+	if load > p.shortLoad {
+		tau = shortLoadRise
+	}
+	if elapsed := now.Sub(p.observedAt); elapsed > 0 {
+		p.shortLoad += (load - p.shortLoad) * (1 - math.Exp(-elapsed.Seconds()/tau.Seconds()))
+		p.observedAt = now
+	}
 }
 
 func (p *Pool) grant(now time.Time, w *waiting, worker string) Decision {
--- a/scheduler/dispatching/types.go
+++ b/scheduler/dispatching/types.go
@@ -99,7 +99,8 @@
 	Policy Policy
 	// MaxQueue bounds the waiting requests.
 	MaxQueue int
-	// LongShare is the part of the slots that long work may hold; default 0.7.
+	// LongShare is the part of the slots that long work may hold however much
+	// short work there is; default 0.25.
 	LongShare float64
 	// Ageing is how many times its expected run time a request lets later
 	// requests go first; default 5.
