Learn run times per class of declared run time

A third of the long jobs arrive under operations that are otherwise short, and long work is served in order of arrival although its run times differ by forty times. Declared run times are wrong by up to ten times, but grouped by factors of four they tell both apart; each class of an operation has its own quantiles.

--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -158,7 +158,7 @@
 	}
 	p.slots.Give(g.worker)
 	if result == ResultOK {
-		p.learner.Observe(operation(g.request), ran)
+		p.learner.Observe(operation(g.request), g.request.Declared, ran)
 	}
 	return p.dispatch(now)
 }
@@ -202,7 +202,7 @@
 // estimate sets what is expected of a request: the learned run time of its
 // operation, else what its caller declared, else that of all work.
 func (p *Pool) estimate(w *waiting) {
-	if e, ok := p.learner.Estimate(operation(w.request)); ok {
+	if e, ok := p.learner.Estimate(operation(w.request), w.request.Declared); ok {
 		w.expected, w.mean = e.Median, e.Mean
 	} else if w.request.Declared > 0 {
 		w.expected, w.mean = w.request.Declared, w.request.Declared
@@ -216,7 +216,7 @@
 // isLong reports whether the operation of a request takes much longer than
 // the median of all work.
 func (p *Pool) isLong(r Request) bool {
-	e, known := p.learner.Estimate(operation(r))
+	e, known := p.learner.Estimate(operation(r), r.Declared)
 	all, _ := p.learner.Overall()
 	return known && p.options.Policy == PolicyLearned && e.P75 > longRatio*all.Median
 }
@@ -338,7 +338,7 @@
 	if !known || p.options.Policy != PolicyLearned {
 		return 0, false
 	}
-	e, _ := p.learner.Estimate(operation(r))
+	e, _ := p.learner.Estimate(operation(r), r.Declared)
 	return max(promiseRatio*e.P95, longRatio*all.Median), true
 }
 
--- a/scheduler/runtimes/learner.go
+++ b/scheduler/runtimes/learner.go
@@ -31,37 +31,60 @@
 // Operation names an operation of a service.
 type Operation struct{ Service, Name string }
 
+// declaredClass groups declared run times by factors of four. Declared run
+// times are wrong by up to ten times, but a request that declares far more than
+// the rest of its operation usually does run longer.
+func declaredClass(declared time.Duration) int {
+	if declared <= 0 {
+		return 0
+	}
+	return 1 + int(math.Log2(float64(declared))/2)
+}
+
+// key is an operation with a class of declared run times; class -1 holds all.
+type key struct {
+	operation Operation
+	class     int
+}
+
 // Learner holds the run times of operations and of all work together.
 type Learner struct {
-	operations map[Operation]*histogram
+	operations map[key]*histogram
 	all        histogram
 }
 
 // NewLearner returns a learner without samples.
-func NewLearner() *Learner { return &Learner{operations: map[Operation]*histogram{}} }
+func NewLearner() *Learner { return &Learner{operations: map[key]*histogram{}} }
 
 // Observe adds the run time of a completed request.
-func (l *Learner) Observe(o Operation, ran time.Duration) {
+func (l *Learner) Observe(o Operation, declared, ran time.Duration) {
 	l.all.add(ran)
-	h := l.operations[o]
+	l.observe(key{o, -1}, ran)
+	l.observe(key{o, declaredClass(declared)}, ran)
+}
+
+func (l *Learner) observe(k key, ran time.Duration) {
+	h := l.operations[k]
 	if h == nil {
 		if len(l.operations) >= maximumOperations {
 			return
 		}
 		h = &histogram{}
-		l.operations[o] = h
+		l.operations[k] = h
 	}
 	h.add(ran)
 }
 
-// Estimate returns the run times of an operation, false when too few are
+// Estimate returns the run times of the requests of an operation that declare
+// about as much, else those of the whole operation, false when too few are
 // known.
-func (l *Learner) Estimate(o Operation) (Estimate, bool) {
-	h := l.operations[o]
-	if h == nil || h.count < minimumSamples {
-		return Estimate{}, false
+func (l *Learner) Estimate(o Operation, declared time.Duration) (Estimate, bool) {
+	for _, class := range [2]int{declaredClass(declared), -1} {
+		if h := l.operations[key{o, class}]; h != nil && h.count >= minimumSamples {
+			return h.estimate(), true
+		}
 	}
-	return h.estimate(), true
+	return Estimate{}, false
 }
 
 // Overall returns the run times of all work, false when too few are known.
