Eject bad workers by comparison with the others, refuse failing jobs

A worker that fails at once frees its slots at once and attracts the queue. A worker is now the last choice after two failures in a row, paused for 100 ms after each start while suspected, and ejected once it failed in three buckets of 100 ms in which others answered, within a ceiling of 30%. Ejected workers are probed after 1, 3, 9, 27, then every 60 s. A job (Request.Fingerprint, else the ID) that failed on three answering workers is refused for 30 s and more.

--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"dotterelhead.example/dotterelhead/scheduler/ejection"
 	"dotterelhead.example/dotterelhead/scheduler/placement"
 	"dotterelhead.example/dotterelhead/scheduler/queueing"
 	"dotterelhead.example/dotterelhead/scheduler/runtimes"
@@ -45,6 +46,7 @@
 type grant struct {
 	request Request
 	worker  string
+	started time.Time
 	// long grants count against the limit of long work.
 	long bool
 	// promise is when a grant that is still running counts as long.
@@ -62,6 +64,8 @@
 	workers  map[string]Worker
 	slots    *placement.Set
 	learner  *runtimes.Learner
+	ejection *ejection.Workers
+	failing  *ejection.Jobs
 	requests map[string]*waiting
 	grants   map[string]*grant
 	urgent   *queueing.Heap[*waiting]
@@ -95,6 +99,7 @@
 	}
 	return &Pool{
 		options: options, workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
+		ejection: ejection.NewWorkers(ejection.Options{}), failing: ejection.NewJobs(),
 		requests: map[string]*waiting{}, grants: map[string]*grant{},
 		urgent: queueing.New(byKey), short: queueing.New(byKey), long: queueing.New(byKey),
 		deadlines: queueing.New(func(a, b *waiting) bool { return a.request.StartBy.Before(b.request.StartBy) }),
@@ -111,6 +116,9 @@
 		ids[i], slots[i] = w.ID, w.Slots
 	}
 	p.slots.List(ids, slots)
+	p.ejection.List(ids)
+	p.ejection.Review(now)
+	p.markAll(now)
 	return p.dispatch(now)
 }
 
@@ -130,6 +138,9 @@
 	if len(p.requests) >= p.options.MaxQueue {
 		return []Decision{{RequestID: r.ID, Reason: ReasonQueueFull, RetryAfter: time.Second}}
 	}
+	if wait := p.refusedJob(now, r); wait > 0 {
+		return []Decision{{RequestID: r.ID, Reason: ReasonFailingJob, RetryAfter: wait}}
+	}
 	p.enqueue(now, r)
 	return p.dispatch(now)
 }
@@ -160,11 +171,15 @@
 	if result == ResultOK {
 		p.learner.Observe(operation(g.request), g.request.Declared, ran)
 	}
+	p.judge(now, g, result)
 	return p.dispatch(now)
 }
 
-// Tick refuses requests that cannot start in time any more.
+// Tick refuses requests that cannot start in time any more and starts probes
+// of ejected workers that are due.
 func (p *Pool) Tick(now time.Time) []Decision {
+	p.ejection.Review(now)
+	p.markAll(now)
 	return p.dispatch(now)
 }
 
@@ -236,7 +251,9 @@
 func (p *Pool) dispatch(now time.Time) []Decision {
 	p.demote(now)
 	p.observeShort(now)
+	p.ejection.Suspects(func(id string) { p.mark(now, id) })
 	decisions := p.expire(now)
+	decisions = append(decisions, p.probe(now)...)
 	var passed []*waiting
 	for p.slots.Available() {
 		w := p.nextRequest()
@@ -321,9 +338,11 @@
 }
 
 func (p *Pool) start(now time.Time, id, worker string, w *waiting) {
-	g := &grant{request: w.request, worker: worker, long: w.long}
+	g := &grant{request: w.request, worker: worker, started: now, long: w.long}
 	p.grants[id] = g
 	p.slots.Take(worker)
+	p.ejection.Started(now, worker)
+	p.mark(now, worker)
 	if g.long {
 		p.longBusy++
 	} else if promise, ok := p.promise(w.request); ok {
--- a/scheduler/dispatching/types.go
+++ b/scheduler/dispatching/types.go
@@ -19,6 +19,11 @@
 	// Avoid names workers on which the request has failed already.
 	Avoid  []string
 	Urgent bool
+	// Fingerprint is the same for repeats of the same job, whatever their ID;
+	// when it is empty, each ID counts as its own job.
+	Fingerprint string
+	// NonRepeatable requests are not used as probes of ejected workers.
+	NonRepeatable bool
 }
 
 // Worker is a worker that serves the pool.
--- a/tools/measure/simulate.go
+++ b/tools/measure/simulate.go
@@ -56,6 +56,8 @@
 	// running counts the grants on the VM.
 	running int
 	starts  []time.Duration
+	// firstFailure is when the VM failed a job by its own fault; 0 for never.
+	firstFailure time.Duration
 }
 
 // outcome is what became of one job.
@@ -94,7 +96,9 @@
 	budget   *retry.Budget
 	// onSecond runs each second of virtual time.
 	onSecond func()
-	lostRack bool
+	// afterEvent runs after each event other than an arrival.
+	afterEvent func()
+	lostRack   bool
 }
 
 func newSimulation(s scenario, w workload, newPool func(service int) dispatcher) *simulation {
@@ -165,6 +169,9 @@
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.run()
+		if s.afterEvent != nil {
+			s.afterEvent()
+		}
 	}
 	return s.outcomes
 }
@@ -207,7 +214,7 @@
 	s.waiting[j.id] = attempt{index: index, avoid: avoid}
 	s.apply(j.service, s.pools[j.service].Push(s.time(), dispatching.Request{
 		ID: j.id, Service: "service-" + strconv.Itoa(j.service), Operation: j.operation,
-		Declared: j.declared, StartBy: epoch.Add(j.arrive + deadline), Avoid: avoid,
+		Fingerprint: j.id, Declared: j.declared, StartBy: epoch.Add(j.arrive + deadline), Avoid: avoid,
 	}))
 }
 
@@ -249,6 +256,9 @@
 	switch {
 	case v.fails != nil && v.fails(s.now):
 		runs, fails = 5*time.Millisecond, true
+		if v.firstFailure == 0 {
+			v.firstFailure = s.now + runs
+		}
 	case o.job.never:
 		runs, fails = min(o.job.run, 20*time.Millisecond), true
 	}
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -14,6 +14,9 @@
 	if s.selected("waiting") {
 		rows = append(rows, measureWaiting(s)...)
 	}
+	if s.selected("ejection") {
+		rows = append(rows, measureEjection(s)...)
+	}
 	return rows, nil
 }
 
