--- /dev/null
+++ b/scheduler/dispatching/pool_test.go
@@ -0,0 +1,163 @@
+package dispatching
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// model checks the decisions of a pool against what was asked of it.
+type model struct {
+	t       *rapid.T
+	pool    *Pool
+	now     time.Time
+	next    int
+	workers []Worker
+	waiting map[string]Request
+	// grants maps grants in use to their worker, started to when they began.
+	grants  map[string]string
+	started map[string]time.Time
+}
+
+func (m *model) check(decisions []Decision) {
+	for _, d := range decisions {
+		r, ok := m.waiting[d.RequestID]
+		if !ok {
+			m.t.Fatalf("decision for %q, which does not wait: twice, or after its cancellation", d.RequestID)
+		}
+		delete(m.waiting, d.RequestID)
+		if d.Reason != ReasonNone {
+			continue
+		}
+		if slices.Contains(r.Avoid, d.Worker.ID) {
+			m.t.Fatalf("%s granted on %s, which it avoids", r.ID, d.Worker.ID)
+		}
+		if !slices.ContainsFunc(m.workers, func(w Worker) bool { return w.ID == d.Worker.ID }) {
+			m.t.Fatalf("%s granted on %s, which does not serve the pool", r.ID, d.Worker.ID)
+		}
+		m.grants[d.Grant] = d.Worker.ID
+		m.started[d.Grant] = m.now
+		if n := m.busy(d.Worker.ID); n > d.Worker.Slots {
+			m.t.Fatalf("%d grants on %d slots of %s", n, d.Worker.Slots, d.Worker.ID)
+		}
+	}
+}
+
+func (m *model) busy(worker string) int {
+	n := 0
+	for _, w := range m.grants {
+		if w == worker {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) setWorkers() {
+	m.workers = nil
+	for i := range rapid.IntRange(0, 8).Draw(m.t, "workers") {
+		if rapid.IntRange(0, 9).Draw(m.t, "listed") > 0 {
+			m.workers = append(m.workers, Worker{ID: fmt.Sprintf("w%d", i), Slots: 2})
+		}
+	}
+	m.check(m.pool.SetWorkers(m.now, m.workers))
+}
+
+func (m *model) push() {
+	m.next++
+	r := Request{
+		ID: fmt.Sprintf("r%d", m.next), Service: "s",
+		Operation: rapid.SampledFrom([]string{"get", "report"}).Draw(m.t, "operation"),
+		Team:      rapid.SampledFrom([]string{"", "a", "b"}).Draw(m.t, "team"),
+		Declared:  time.Duration(rapid.IntRange(0, 5000).Draw(m.t, "declared")) * time.Millisecond,
+		StartBy:   m.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(m.t, "deadline")) * time.Second),
+		Urgent:    rapid.IntRange(0, 9).Draw(m.t, "urgent") == 0,
+	}
+	if rapid.Bool().Draw(m.t, "retry") {
+		r.Avoid = []string{rapid.SampledFrom([]string{"w0", "w1"}).Draw(m.t, "avoid")}
+	}
+	m.waiting[r.ID] = r
+	m.check(m.pool.Push(m.now, r))
+}
+
+func (m *model) release() {
+	ids := sortedKeys(m.grants)
+	if len(ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(ids).Draw(m.t, "grant")
+	bad := m.grants[id] == "w0"
+	result := ResultOK
+	if bad || rapid.IntRange(0, 19).Draw(m.t, "result") == 0 {
+		result = ResultFailed
+	}
+	delete(m.grants, id)
+	m.check(m.pool.Release(m.now, id, result, m.now.Sub(m.started[id])))
+	m.check(m.pool.Release(m.now, id, result, 0))
+}
+
+func (m *model) cancel() {
+	ids := sortedKeys(m.waiting)
+	if len(ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(ids).Draw(m.t, "request")
+	delete(m.waiting, id)
+	if !m.pool.Cancel(m.now, id) {
+		m.t.Fatalf("cancelling %s, which waits, found nothing", id)
+	}
+	if m.pool.Cancel(m.now, id) {
+		m.t.Fatalf("cancelling %s twice removed something twice", id)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Guards against slots given twice, requests without or with two decisions,
+// cancellations that miss, and more ejections than the ceiling allows.
+func TestPoolInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := rapid.SampledFrom([]Policy{PolicyLearned, PolicyFirstComeFirstServed}).Draw(t, "policy")
+		m := &model{
+			t: t, now: time.Unix(1000, 0), pool: NewPool(Options{MaxQueue: 20, Policy: policy}),
+			waiting: map[string]Request{}, grants: map[string]string{}, started: map[string]time.Time{},
+		}
+		m.setWorkers()
+		actions := []func(){m.push, m.push, m.push, m.release, m.release, m.cancel, func() { m.check(m.pool.Tick(m.now)) }}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "milliseconds")) * time.Millisecond)
+			if rapid.IntRange(0, 30).Draw(t, "change") == 0 {
+				m.setWorkers()
+			}
+			actions[rapid.IntRange(0, len(actions)-1).Draw(t, "action")]()
+			if n := len(m.pool.Ejected()); n > len(m.workers)*3/10 {
+				t.Fatalf("%d of %d workers ejected", n, len(m.workers))
+			}
+			if d := m.pool.Demand(m.now); d.Queued != len(m.waiting) || d.Busy != len(m.grants) {
+				t.Fatalf("demand %+v, want %d queued and %d busy", d, len(m.waiting), len(m.grants))
+			}
+		}
+		// Past the last deadline nothing waits any more.
+		m.now = m.now.Add(time.Minute)
+		m.check(m.pool.Tick(m.now))
+		if len(m.waiting) > 0 {
+			t.Fatalf("no decision for %v", sortedKeys(m.waiting))
+		}
+	})
+}
