Add the capacity planner

The planner follows the need of each pool, detects bursts, and holds their VMs by a histogram of the times between bursts, a fixed time or an exponential average.

--- /dev/null
+++ b/scheduler/capacity/planner.go
@@ -0,0 +1,303 @@
+package capacity
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// smoothing is the time over which the largest need of a pool counts, so
+	// that noise of a few slots moves no VM.
+	smoothing = 4 * time.Second
+	// burstRatio is how many times its usual need a pool needs in a burst.
+	burstRatio = 2
+	// usualWeight is the weight of a second in the usual need.
+	usualWeight = 0.01
+	// pendingLimit is when a move that shows no effect is forgotten.
+	pendingLimit = time.Minute
+)
+
+// Planner plans moves from the demand of the pools over time.
+//
+// Invariants: no plan moves a VM within MinimumHold of its last move, takes a
+// pool below MinimumVMs serving VMs, or lets more than MaxUnavailable VMs of a
+// pool that is not spare be out of service.
+type Planner struct {
+	options Options
+	pools   map[string]*history
+	pending map[string]pending
+}
+
+// pending is a move that the snapshot does not show yet.
+type pending struct {
+	to string
+	at time.Time
+}
+
+// history is what the planner remembers of a pool.
+type history struct {
+	// recent holds the needs of the last seconds.
+	recent []need
+	usual  float64
+	// inBurst, burstEnd and level describe the current or last burst.
+	inBurst  bool
+	burstEnd time.Time
+	level    int
+	gaps     gaps
+}
+
+type need struct {
+	at  time.Time
+	vms int
+}
+
+// NewPlanner returns a planner without history.
+func NewPlanner(options Options) *Planner {
+	return &Planner{options: options.withDefaults(), pools: map[string]*history{}, pending: map[string]pending{}}
+}
+
+// Plan returns the moves to start now.
+func (p *Planner) Plan(now time.Time, s Snapshot) []Move {
+	p.settle(now, s)
+	r := newRound(p.options, now, s, p.pending)
+	for i := range r.pools {
+		pool := &r.pools[i]
+		if !pool.Spare {
+			pool.target = p.target(now, pool.Pool)
+		}
+	}
+	moves := r.plan()
+	for _, m := range moves {
+		p.pending[m.VM] = pending{to: m.To, at: now}
+	}
+	return moves
+}
+
+// settle forgets moves that are done, refused or lost.
+func (p *Planner) settle(now time.Time, s Snapshot) {
+	if len(p.pending) == 0 {
+		return
+	}
+	present := make(map[string]VM, len(p.pending))
+	for _, vm := range s.VMs {
+		if _, ok := p.pending[vm.ID]; ok {
+			present[vm.ID] = vm
+		}
+	}
+	for id, m := range p.pending {
+		vm, ok := present[id]
+		arrived := vm.Pool == m.to && vm.Serving
+		// The snapshot after a plan may be older than the plan.
+		refused := vm.Pool != m.to && vm.Serving && now.Sub(m.at) > 3*time.Second
+		if !ok || arrived || refused || now.Sub(m.at) > pendingLimit {
+			delete(p.pending, id)
+		}
+	}
+}
+
+// target is the number of VMs that a pool should have now.
+func (p *Planner) target(now time.Time, pool Pool) int {
+	h := p.pools[pool.Name]
+	if h == nil {
+		h = &history{}
+		p.pools[pool.Name] = h
+	}
+	needed := max(p.need(pool), pool.MinimumVMs)
+	h.observe(now, needed)
+	target := 0
+	for _, n := range h.recent {
+		target = max(target, n.vms)
+	}
+	if !h.inBurst && !h.burstEnd.IsZero() && now.Sub(h.burstEnd) < p.hold(h) {
+		target = max(target, h.level)
+	}
+	return target
+}
+
+// need is the number of VMs for the demand of a pool with headroom. The
+// headroom grows with the price of waiting.
+func (p *Planner) need(pool Pool) int {
+	headroom := 0.3 * p.options.WaitingWeight / (p.options.WaitingWeight + p.options.BufferWeight)
+	return int(math.Ceil(pool.SlotsWanted * (1 + headroom) / float64(max(pool.SlotsPerWorker, 1))))
+}
+
+func (h *history) observe(now time.Time, vms int) {
+	h.recent = append(h.recent, need{now, vms})
+	for now.Sub(h.recent[0].at) > smoothing {
+		h.recent = h.recent[1:]
+	}
+	high := float64(vms) >= max(burstRatio*h.usual, h.usual+2)
+	switch {
+	case high && !h.inBurst:
+		if !h.burstEnd.IsZero() {
+			h.gaps.add(now.Sub(h.burstEnd))
+		}
+		h.inBurst, h.level = true, vms
+	case !high && h.inBurst:
+		h.inBurst, h.burstEnd = false, now
+	}
+	if h.inBurst {
+		h.level = max(h.level, vms)
+	}
+	h.usual += usualWeight * (float64(vms) - h.usual)
+}
+
+// hold is how long the VMs of the last burst are kept. A VM that is there when
+// the next burst comes saves its move: the work that waits meanwhile, and the
+// time out of service of the move there and back.
+func (p *Planner) hold(h *history) time.Duration {
+	profit := p.options.MoveSeconds * (p.options.WaitingWeight + 2*p.options.BufferWeight)
+	switch p.options.Hold {
+	case HoldFixed:
+		return p.options.FixedHold
+	case HoldAverage:
+		return h.gaps.averageHold(profit, p.options.BufferWeight)
+	}
+	return h.gaps.hold(profit, p.options.BufferWeight)
+}
+
+// round is one call of Plan.
+type round struct {
+	options Options
+	now     time.Time
+	pools   []poolState
+	moves   []Move
+}
+
+type poolState struct {
+	Pool
+	target int
+	// serving counts the VMs that serve and stay, arriving those on their way.
+	serving, arriving, unavailable int
+	// movable VMs may leave, those that should leave first in front.
+	movable []VM
+}
+
+func newRound(options Options, now time.Time, s Snapshot, moving map[string]pending) *round {
+	r := &round{options: options, now: now, pools: make([]poolState, len(s.Pools))}
+	index := make(map[string]int, len(s.Pools))
+	for i, pool := range s.Pools {
+		r.pools[i].Pool = pool
+		index[pool.Name] = i
+	}
+	for _, vm := range s.VMs {
+		i, ok := index[vm.Pool]
+		if !ok {
+			continue
+		}
+		pool := &r.pools[i]
+		if m, ok := moving[vm.ID]; ok {
+			pool.unavailable++
+			if to, ok := index[m.to]; ok {
+				r.pools[to].arriving++
+			}
+			continue
+		}
+		if !vm.Serving {
+			pool.unavailable++
+			continue
+		}
+		pool.serving++
+		if now.Sub(vm.MovedAt) >= options.MinimumHold {
+			pool.movable = append(pool.movable, vm)
+		}
+	}
+	for i := range r.pools {
+		sortMovable(r.pools[i].movable)
+	}
+	return r
+}
+
+// sortMovable puts lent VMs first, then orders by identifier.
+func sortMovable(vms []VM) {
+	slices.SortFunc(vms, func(a, b VM) int {
+		if lentA, lentB := a.Pool != a.HomePool, b.Pool != b.HomePool; lentA != lentB {
+			if lentA {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+}
+
+// missing is how many VMs a pool lacks; negative when it has more than it
+// should.
+func (s *poolState) missing() int { return s.target - s.serving - s.arriving }
+
+// canGive reports whether a VM may leave the pool.
+func (s *poolState) canGive() bool {
+	if len(s.movable) == 0 || s.serving <= s.MinimumVMs {
+		return false
+	}
+	return s.Spare || s.unavailable < s.MaxUnavailable && s.serving > s.target
+}
+
+func (r *round) plan() []Move {
+	order := make([]*poolState, 0, len(r.pools))
+	for i := range r.pools {
+		if !r.pools[i].Spare {
+			order = append(order, &r.pools[i])
+		}
+	}
+	// The pool that lacks the largest part of its target comes first.
+	slices.SortStableFunc(order, func(a, b *poolState) int {
+		return b.missing()*max(a.target, 1) - a.missing()*max(b.target, 1)
+	})
+	for _, pool := range order {
+		for pool.missing() > 0 {
+			from := r.donor()
+			if from == nil {
+				break
+			}
+			r.move(from, pool)
+		}
+	}
+	if spare := r.spare(); spare != nil {
+		for _, pool := range order {
+			for pool.missing() < 0 && pool.canGive() {
+				r.move(pool, spare)
+			}
+		}
+	}
+	return r.moves
+}
+
+// donor is the pool that a VM is taken from: the one with the most VMs beyond
+// its target, else a spare pool.
+func (r *round) donor() *poolState {
+	var best *poolState
+	for i := range r.pools {
+		pool := &r.pools[i]
+		if !pool.canGive() {
+			continue
+		}
+		if best == nil || best.Spare && !pool.Spare || best.Spare == pool.Spare && pool.surplus() > best.surplus() {
+			best = pool
+		}
+	}
+	return best
+}
+
+func (s *poolState) surplus() int { return s.serving - max(s.target, s.MinimumVMs) }
+
+// spare is the spare pool that takes idle VMs.
+func (r *round) spare() *poolState {
+	for i := range r.pools {
+		if r.pools[i].Spare {
+			return &r.pools[i]
+		}
+	}
+	return nil
+}
+
+func (r *round) move(from, to *poolState) {
+	vm := from.movable[0]
+	from.movable = from.movable[1:]
+	from.serving--
+	from.unavailable++
+	to.arriving++
+	r.moves = append(r.moves, Move{VM: vm.ID, From: from.Name, To: to.Name})
+}
