--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -188,11 +188,13 @@
 			continue
 		}
 		pool := &r.pools[i]
+		target := vm.Target
 		if m, ok := moving[vm.ID]; ok {
+			target = m.to
+		}
+		if to, ok := index[target]; ok && (target != vm.Pool || !vm.Serving) {
 			pool.unavailable++
-			if to, ok := index[m.to]; ok {
-				r.pools[to].arriving++
-			}
+			r.pools[to].arriving++
 			continue
 		}
 		if !vm.Serving {
@@ -294,8 +296,10 @@
 }
 
 func (r *round) move(from, to *poolState) {
-	vm := from.movable[0]
-	from.movable = from.movable[1:]
+	// A VM that goes home needs no move back later.
+	i := max(slices.IndexFunc(from.movable, func(vm VM) bool { return vm.HomePool == to.Name }), 0)
+	vm := from.movable[i]
+	from.movable = slices.Delete(from.movable, i, i+1)
 	from.serving--
 	from.unavailable++
 	to.arriving++
--- a/scheduler/capacity/types.go
+++ b/scheduler/capacity/types.go
@@ -32,6 +32,8 @@
 	Rack             string
 	// Serving VMs take requests of their pool.
 	Serving bool
+	// Target is the pool that a move under way takes the VM to, if known.
+	Target string
 	// MovedAt is when the VM last changed its pool.
 	MovedAt time.Time
 }
--- /dev/null
+++ b/tools/measure/capacity.go
@@ -0,0 +1,305 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
+)
+
+const (
+	// sparePool is the index of the spare pool; its VMs serve no requests.
+	sparePool = -1
+	// moveTime is the time of the two writes and the confirmations of a move;
+	// draining comes on top.
+	moveTime = 3 * time.Second
+	// minimumVMs and maxUnavailable are the limits of each service pool.
+	minimumVMs     = 2
+	maxUnavailable = 3
+	spareMinimum   = 0
+	minimumHold    = 10 * time.Second
+)
+
+// plan returns the moves to start at a moment.
+type plan func(sim *simulation) []capacity.Move
+
+// capacityRun is the result of one run with moves.
+type capacityRun struct {
+	// buffer is the idle capacity held in service pools, in VM seconds per
+	// second; VMs that move count as held.
+	buffer float64
+	moves  int
+	waits  waits
+	// early counts moves of a VM within its hold time.
+	early int
+}
+
+func (r capacityRun) wait() float64 { return quantile(r.waits.all, 0.99) }
+
+func poolName(pool int) string {
+	if pool == sparePool {
+		return "spare"
+	}
+	return fmt.Sprintf("pool-%d", pool)
+}
+
+// runCapacity runs the workload with moves; no rack is lost, because a static
+// split of another size would lose other VMs.
+func runCapacity(s scenario, w workload, sizes [services]int, next plan) capacityRun {
+	sim := newFleet(s, w, learnedPool, sizes)
+	sim.lostRack = false
+	total := len(sim.vms)
+	for i := range spareWorkers {
+		sim.addVM(fmt.Sprintf("spare-%d", i), total+i, sparePool)
+	}
+	var r capacityRun
+	sim.onSecond = func() {
+		if sim.now >= w.until {
+			return
+		}
+		for _, v := range sim.vms {
+			if v.pool != sparePool || v.moving {
+				r.buffer += 1 - float64(v.running)/slotsPerWorker
+			}
+		}
+		if next == nil {
+			return
+		}
+		for _, m := range next(sim) {
+			if sim.now-sim.byID[m.VM].movedAt < minimumHold {
+				r.early++
+			}
+			r.moves++
+			sim.startMove(m)
+		}
+	}
+	r.waits = summarise(sim.run())
+	r.buffer /= w.until.Seconds()
+	return r
+}
+
+func (s *simulation) startMove(m capacity.Move) {
+	v := s.byID[m.VM]
+	if v.moving || poolName(v.pool) != m.From {
+		panic("move of a VM that moves or is elsewhere: " + m.VM)
+	}
+	to := sparePool
+	for pool := range services {
+		if poolName(pool) == m.To {
+			to = pool
+		}
+	}
+	v.moving = true
+	v.movingTo = to
+	s.setWorkers(v.pool)
+	s.at(s.now+moveTime, func() { s.endMove(v) })
+}
+
+func (s *simulation) endMove(v *vm) {
+	if v.running > 0 {
+		s.at(s.now+250*time.Millisecond, func() { s.endMove(v) })
+		return
+	}
+	v.pool, v.moving, v.movedAt = v.movingTo, false, s.now
+	s.setWorkers(v.pool)
+}
+
+func (s *simulation) snapshot() capacity.Snapshot {
+	var snapshot capacity.Snapshot
+	counts := map[int]int{}
+	for _, v := range s.vms {
+		if v.lost {
+			continue
+		}
+		counts[v.pool]++
+		snapshot.VMs = append(snapshot.VMs, capacity.VM{
+			ID: v.worker.ID, Pool: poolName(v.pool), HomePool: poolName(v.home), Rack: v.worker.Rack,
+			AvailabilityZone: v.worker.AvailabilityZone, Serving: !v.moving, MovedAt: epoch.Add(v.movedAt),
+		})
+	}
+	for pool := range services {
+		d := s.pools[pool].Demand(s.time())
+		snapshot.Pools = append(snapshot.Pools, capacity.Pool{
+			Name: poolName(pool), VMs: counts[pool], MinimumVMs: minimumVMs, MaxUnavailable: maxUnavailable,
+			SlotsPerWorker: slotsPerWorker, SlotsWanted: d.SlotsWanted, Queued: d.Queued, Busy: d.Busy,
+		})
+	}
+	snapshot.Pools = append(snapshot.Pools, capacity.Pool{
+		Name: poolName(sparePool), Spare: true, VMs: counts[sparePool], MinimumVMs: spareMinimum,
+		SlotsPerWorker: slotsPerWorker,
+	})
+	return snapshot
+}
+
+// planned drives the planner of the daemon.
+func planned(options capacity.Options) plan {
+	options.MinimumHold = minimumHold
+	planner := capacity.NewPlanner(options)
+	return func(sim *simulation) []capacity.Move { return planner.Plan(sim.time(), sim.snapshot()) }
+}
+
+// weights are the settings of a deployment.
+func (s scenario) weights() capacity.Options {
+	if s.Deployment == "mas-trunk" {
+		return capacity.Options{WaitingWeight: 1, BufferWeight: 1}
+	}
+	return capacity.Options{WaitingWeight: 20, BufferWeight: 1}
+}
+
+// foresight is one plan of the clairvoyant family: the bursting pool has
+// inBurst VMs from lead before its burst until tail after it, others have idle.
+type foresight struct {
+	inBurst, idle int
+	lead, tail    time.Duration
+}
+
+// plan moves VMs directly from pools that need fewer, emptiest VMs first.
+func (f foresight) plan(w workload) plan {
+	return func(sim *simulation) []capacity.Move {
+		have, target := map[int]int{}, map[int]int{}
+		for _, v := range sim.vms {
+			if v.moving {
+				have[v.movingTo]++
+			} else {
+				have[v.pool]++
+			}
+		}
+		for pool := range services {
+			target[pool] = f.idle
+			for _, b := range w.bursts[pool] {
+				if sim.now >= b.start-f.lead && sim.now < b.end+f.tail {
+					target[pool] = f.inBurst
+				}
+			}
+		}
+		byLoad := slices.Clone(sim.vms)
+		slices.SortStableFunc(byLoad, func(a, b *vm) int { return a.running - b.running })
+		var moves []capacity.Move
+		take := func(to int, allowed func(v *vm) bool) bool {
+			for i, v := range byLoad {
+				if v.moving || v.pool == to || !allowed(v) {
+					continue
+				}
+				have[v.pool]--
+				have[to]++
+				moves = append(moves, capacity.Move{VM: v.worker.ID, From: poolName(v.pool), To: poolName(to)})
+				byLoad = slices.Delete(byLoad, i, i+1)
+				return true
+			}
+			return false
+		}
+		surplus := func(v *vm) bool { return v.pool != sparePool && have[v.pool] > target[v.pool] }
+		spare := func(v *vm) bool { return v.pool == sparePool }
+		for pool := range services {
+			for have[pool] < target[pool] && (take(pool, surplus) || take(pool, spare)) {
+			}
+		}
+		for take(sparePool, surplus) {
+		}
+		return moves
+	}
+}
+
+// foresights is the family that the bound is chosen from.
+func foresights() []foresight {
+	var all []foresight
+	for inBurst := 9; inBurst <= 22; inBurst++ {
+		for _, lead := range []time.Duration{0, 4 * time.Second, 8 * time.Second} {
+			for _, tail := range []time.Duration{-6 * time.Second, -3 * time.Second, 0, 3 * time.Second} {
+				all = append(all, foresight{inBurst, minimumVMs, lead, tail})
+			}
+		}
+	}
+	return all
+}
+
+// parallel runs tasks on a few processors; each task is deterministic.
+func parallel(n int, task func(i int)) {
+	var group sync.WaitGroup
+	limit := make(chan struct{}, min(runtime.GOMAXPROCS(0), 6))
+	for i := range n {
+		limit <- struct{}{}
+		group.Go(func() {
+			task(i)
+			<-limit
+		})
+	}
+	group.Wait()
+}
+
+// cheapest returns the run with the least buffer whose wait is at most limit.
+func cheapest(runs []capacityRun, limit float64) (capacityRun, bool) {
+	best, found := capacityRun{}, false
+	for _, r := range runs {
+		if r.wait() <= limit && (!found || r.buffer < best.buffer) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+func measureCapacity(s scenario) []Row {
+	work := newWorkload(s)
+	policies := []capacity.HoldPolicy{capacity.HoldHistogram, capacity.HoldFixed, capacity.HoldAverage}
+	family := foresights()
+	static := make([]capacityRun, 12)
+	clairvoyants := make([]capacityRun, len(family))
+	held := make([]capacityRun, len(policies))
+	var none capacityRun
+	parallel(len(policies)+1+len(static)+len(family), func(i int) {
+		switch {
+		case i < len(policies):
+			options := s.weights()
+			options.Hold = policies[i]
+			held[i] = runCapacity(s, work, poolSizes, planned(options))
+		case i == len(policies):
+			none = runCapacity(s, work, poolSizes, nil)
+		case i < len(policies)+1+len(static):
+			i -= len(policies) + 1
+			var sizes [services]int
+			for pool := range sizes {
+				sizes[pool] = 8 + i
+			}
+			static[i] = runCapacity(s, work, sizes, nil)
+		default:
+			i -= len(policies) + 1 + len(static)
+			clairvoyants[i] = runCapacity(s, work, poolSizes, family[i].plan(work))
+		}
+	})
+	ours := held[0]
+	split, splitFound := cheapest(static, ours.wait())
+	best, bestFound := cheapest(clairvoyants, ours.wait())
+	rows := []Row{
+		row("buffer against the smallest static split with the same wait", "VMs", ours.buffer),
+		row("buffer against clairvoyant", "VMs", ours.buffer),
+		row("moves", "moves", float64(ours.moves)),
+		row("moves of a VM within its hold time", "moves", float64(ours.early)).atMost(0),
+		row("wait p99 with moves (baseline: no moves)", "seconds", ours.wait()).baseline(none.wait()),
+		row("short work p99 slowdown with moves (baseline: no moves)", "ratio", quantile(ours.waits.short, 0.99)).
+			baseline(quantile(none.waits.short, 0.99)),
+		row("buffer without moves", "VMs", none.buffer),
+	}
+	if splitFound {
+		rows[0] = rows[0].baseline(split.buffer)
+		if s.Deployment == "mas-trunk" {
+			rows[0] = rows[0].atMost(0.6 * split.buffer)
+		}
+	}
+	if bestFound {
+		rows[1] = rows[1].bound(best.buffer)
+		if s.Deployment == "mas-trunk" {
+			rows[1] = rows[1].atMost(1.3 * best.buffer)
+		}
+		rows[2] = rows[2].bound(float64(best.moves)).atMost(1.2 * float64(best.moves))
+	}
+	for i, name := range []string{"histogram", "fixed", "exponential average"} {
+		rows = append(rows,
+			row("hold by "+name+": buffer", "VMs", held[i].buffer),
+			row("hold by "+name+": moves", "moves", float64(held[i].moves)),
+			row("hold by "+name+": wait p99", "seconds", held[i].wait()))
+	}
+	return rows
+}
--- a/tools/measure/simulate.go
+++ b/tools/measure/simulate.go
@@ -51,6 +51,11 @@
 	home   int
 	pool   int
 	lost   bool
+	// moving is set from the start of a move to its end.
+	moving  bool
+	movedAt time.Duration
+	// movingTo is the pool that a move takes the VM to.
+	movingTo int
 	// fails reports whether the VM fails what it starts at a time.
 	fails func(at time.Duration) bool
 	// running counts the grants on the VM.
@@ -102,6 +107,11 @@
 }
 
 func newSimulation(s scenario, w workload, newPool func(service int) dispatcher) *simulation {
+	return newFleet(s, w, newPool, poolSizes)
+}
+
+// newFleet returns a simulation whose service pools have the given sizes.
+func newFleet(s scenario, w workload, newPool func(service int) dispatcher, sizes [services]int) *simulation {
 	sim := &simulation{
 		work: w, latency: s.zoneLatency(), byID: map[string]*vm{}, waiting: map[string]attempt{},
 		budget: retry.NewBudget(retry.Options{}), outcomes: make([]outcome, len(w.jobs)), lostRack: true,
@@ -111,8 +121,11 @@
 	}
 	// Workers are dealt to the pools in turn, so that a rack holds workers of
 	// several pools.
-	left := poolSizes
-	for i, service := 0, 0; i < 42; service = (service + 1) % services {
+	left, total := sizes, 0
+	for _, n := range sizes {
+		total += n
+	}
+	for i, service := 0, 0; i < total; service = (service + 1) % services {
 		if left[service] == 0 {
 			continue
 		}
@@ -124,7 +137,7 @@
 }
 
 func (s *simulation) addVM(id string, index, pool int) {
-	v := &vm{home: pool, pool: pool, worker: dispatching.Worker{
+	v := &vm{home: pool, pool: pool, movedAt: -time.Hour, worker: dispatching.Worker{
 		ID: id, Address: id, AvailabilityZone: fmt.Sprintf("zone-%d", index/workersPerRack%3),
 		Rack: rackName(index / workersPerRack), Slots: slotsPerWorker, Generation: 1,
 	}}
@@ -141,9 +154,12 @@
 
 // setWorkers tells a pool which VMs serve it now.
 func (s *simulation) setWorkers(pool int) {
+	if pool == sparePool {
+		return
+	}
 	var workers []dispatching.Worker
 	for _, v := range s.vms {
-		if v.pool == pool && !v.lost {
+		if v.pool == pool && !v.lost && !v.moving {
 			workers = append(workers, v.worker)
 		}
 	}
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -17,6 +17,9 @@
 	if s.selected("ejection") {
 		rows = append(rows, measureEjection(s)...)
 	}
+	if s.selected("capacity") {
+		rows = append(rows, measureCapacity(s)...)
+	}
 	return rows, nil
 }
 
