Plan from the offered load instead of the backlog

The backlog at the start of a burst asks for twice the VMs the burst needs. A pool now wants the larger of its busy slots and the recent arrival of work, plus a tenth of the backlog per second. Moves no longer count as unavailability: a move takes only what a pool does not need.

--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -22,8 +22,9 @@
 // Planner plans moves from the demand of the pools over time.
 //
 // Invariants: no plan moves a VM within MinimumHold of its last move, takes a
-// pool below MinimumVMs serving VMs, or lets more than MaxUnavailable VMs of a
-// pool that is not spare be out of service.
+// pool below MinimumVMs serving VMs, or takes a VM from a pool whose
+// availability budget is used up: from one that is not spare and has
+// MaxUnavailable VMs out of service for other reasons than moves.
 type Planner struct {
 	options Options
 	pools   map[string]*history
@@ -169,7 +170,8 @@
 type poolState struct {
 	Pool
 	target int
-	// serving counts the VMs that serve and stay, arriving those on their way.
+	// serving counts the VMs that serve and stay, arriving those on their way,
+	// unavailable those out of service for other reasons than moves.
 	serving, arriving, unavailable int
 	// movable VMs may leave, those that should leave first in front.
 	movable []VM
@@ -193,7 +195,6 @@
 			target = m.to
 		}
 		if to, ok := index[target]; ok && (target != vm.Pool || !vm.Serving) {
-			pool.unavailable++
 			r.pools[to].arriving++
 			continue
 		}
@@ -301,7 +302,6 @@
 	vm := from.movable[i]
 	from.movable = slices.Delete(from.movable, i, i+1)
 	from.serving--
-	from.unavailable++
 	to.arriving++
 	r.moves = append(r.moves, Move{VM: vm.ID, From: from.Name, To: to.Name})
 }
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -26,7 +26,7 @@
 	reserveDeviations = 1
 	// drainTime is the time in which a queue should be worked off; it turns
 	// queued work into slots wanted.
-	drainTime = 2 * time.Second
+	drainTime = 10 * time.Second
 )
 
 // waiting is a request in the queue.
@@ -80,6 +80,7 @@
 	observedAt time.Time
 	// queuedWork is the sum of the expected run times in the queue.
 	queuedWork time.Duration
+	offered    offeredLoad
 	next       int64
 }
 
@@ -184,10 +185,10 @@
 }
 
 // Demand returns the demand of the pool.
-func (p *Pool) Demand(time.Time) Demand {
+func (p *Pool) Demand(now time.Time) Demand {
 	queued, busy := len(p.requests), len(p.grants)
-	wanted := min(float64(queued), p.queuedWork.Seconds()/drainTime.Seconds())
-	return Demand{SlotsWanted: float64(busy) + wanted, Queued: queued, Busy: busy}
+	backlog := min(float64(queued), p.queuedWork.Seconds()/drainTime.Seconds())
+	return Demand{SlotsWanted: max(float64(busy), p.offered.at(now)) + backlog, Queued: queued, Busy: busy}
 }
 
 func operation(r Request) runtimes.Operation {
@@ -205,6 +206,7 @@
 	w.deadline = p.deadlines.Push(w)
 	p.requests[r.ID] = w
 	p.queuedWork += w.mean
+	p.offered.add(now, w.mean)
 }
 
 func (p *Pool) dequeue(w *waiting) {
