--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -1,9 +1,11 @@
 package dispatching
 
 import (
+	"math"
 	"strconv"
 	"time"
 
+	"dotterelhead.example/dotterelhead/scheduler/ejection"
 	"dotterelhead.example/dotterelhead/scheduler/placement"
 	"dotterelhead.example/dotterelhead/scheduler/queueing"
 	"dotterelhead.example/dotterelhead/scheduler/runtimes"
@@ -16,9 +18,15 @@
 	// promiseRatio is how many times the 95th percentile of its operation a
 	// request may run before it counts as long.
 	promiseRatio = 2
+	// The average of the demand of short work rises fast, because slots that
+	// long work takes at the start of a burst are lost for its duration.
+	shortLoadRise = time.Second
+	shortLoadFall = 5 * time.Second
+	// reserveDeviations is the margin of the reserve for short work.
+	reserveDeviations = 1
 	// drainTime is the time in which a queue should be worked off; it turns
 	// queued work into slots wanted.
-	drainTime = 2 * time.Second
+	drainTime = 10 * time.Second
 )
 
 // waiting is a request in the queue.
@@ -38,6 +46,7 @@
 type grant struct {
 	request Request
 	worker  string
+	started time.Time
 	// long grants count against the limit of long work.
 	long bool
 	// promise is when a grant that is still running counts as long.
@@ -55,6 +64,8 @@
 	workers  map[string]Worker
 	slots    *placement.Set
 	learner  *runtimes.Learner
+	ejection *ejection.Workers
+	failing  *ejection.Jobs
 	requests map[string]*waiting
 	grants   map[string]*grant
 	urgent   *queueing.Heap[*waiting]
@@ -64,15 +75,19 @@
 	deadlines *queueing.Heap[*waiting]
 	promises  *queueing.Heap[*grant]
 	longBusy  int
+	// shortLoad is a moving average of the slots that short work needs.
+	shortLoad  float64
+	observedAt time.Time
 	// queuedWork is the sum of the expected run times in the queue.
 	queuedWork time.Duration
+	offered    offeredLoad
 	next       int64
 }
 
 // NewPool returns a pool without workers.
 func NewPool(options Options) *Pool {
 	if options.LongShare <= 0 {
-		options.LongShare = 0.7
+		options.LongShare = 0.25
 	}
 	if options.Ageing <= 0 {
 		options.Ageing = 5
@@ -85,6 +100,7 @@
 	}
 	return &Pool{
 		options: options, workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
+		ejection: ejection.NewWorkers(ejection.Options{}), failing: ejection.NewJobs(),
 		requests: map[string]*waiting{}, grants: map[string]*grant{},
 		urgent: queueing.New(byKey), short: queueing.New(byKey), long: queueing.New(byKey),
 		deadlines: queueing.New(func(a, b *waiting) bool { return a.request.StartBy.Before(b.request.StartBy) }),
@@ -101,6 +117,9 @@
 		ids[i], slots[i] = w.ID, w.Slots
 	}
 	p.slots.List(ids, slots)
+	p.ejection.List(ids)
+	p.ejection.Review(now)
+	p.markAll(now)
 	return p.dispatch(now)
 }
 
@@ -120,6 +139,9 @@
 	if len(p.requests) >= p.options.MaxQueue {
 		return []Decision{{RequestID: r.ID, Reason: ReasonQueueFull, RetryAfter: time.Second}}
 	}
+	if wait := p.refusedJob(now, r); wait > 0 {
+		return []Decision{{RequestID: r.ID, Reason: ReasonFailingJob, RetryAfter: wait}}
+	}
 	p.enqueue(now, r)
 	return p.dispatch(now)
 }
@@ -148,21 +170,25 @@
 	}
 	p.slots.Give(g.worker)
 	if result == ResultOK {
-		p.learner.Observe(operation(g.request), ran)
+		p.learner.Observe(operation(g.request), g.request.Declared, ran)
 	}
+	p.judge(now, g, result)
 	return p.dispatch(now)
 }
 
-// Tick refuses requests that cannot start in time any more.
+// Tick refuses requests that cannot start in time any more and starts probes
+// of ejected workers that are due.
 func (p *Pool) Tick(now time.Time) []Decision {
+	p.ejection.Review(now)
+	p.markAll(now)
 	return p.dispatch(now)
 }
 
 // Demand returns the demand of the pool.
-func (p *Pool) Demand(time.Time) Demand {
+func (p *Pool) Demand(now time.Time) Demand {
 	queued, busy := len(p.requests), len(p.grants)
-	wanted := min(float64(queued), p.queuedWork.Seconds()/drainTime.Seconds())
-	return Demand{SlotsWanted: float64(busy) + wanted, Queued: queued, Busy: busy}
+	backlog := min(float64(queued), p.queuedWork.Seconds()/drainTime.Seconds())
+	return Demand{SlotsWanted: max(float64(busy), p.offered.at(now)) + backlog, Queued: queued, Busy: busy}
 }
 
 func operation(r Request) runtimes.Operation {
@@ -180,6 +206,7 @@
 	w.deadline = p.deadlines.Push(w)
 	p.requests[r.ID] = w
 	p.queuedWork += w.mean
+	p.offered.add(now, w.mean)
 }
 
 func (p *Pool) dequeue(w *waiting) {
@@ -192,7 +219,7 @@
 // estimate sets what is expected of a request: the learned run time of its
 // operation, else what its caller declared, else that of all work.
 func (p *Pool) estimate(w *waiting) {
-	if e, ok := p.learner.Estimate(operation(w.request)); ok {
+	if e, ok := p.learner.Estimate(operation(w.request), w.request.Declared); ok {
 		w.expected, w.mean = e.Median, e.Mean
 	} else if w.request.Declared > 0 {
 		w.expected, w.mean = w.request.Declared, w.request.Declared
@@ -206,7 +233,7 @@
 // isLong reports whether the operation of a request takes much longer than
 // the median of all work.
 func (p *Pool) isLong(r Request) bool {
-	e, known := p.learner.Estimate(operation(r))
+	e, known := p.learner.Estimate(operation(r), r.Declared)
 	all, _ := p.learner.Overall()
 	return known && p.options.Policy == PolicyLearned && e.P75 > longRatio*all.Median
 }
@@ -225,7 +252,10 @@
 
 func (p *Pool) dispatch(now time.Time) []Decision {
 	p.demote(now)
+	p.observeShort(now)
+	p.ejection.Suspects(func(id string) { p.mark(now, id) })
 	decisions := p.expire(now)
+	decisions = append(decisions, p.probe(now)...)
 	var passed []*waiting
 	for p.slots.Available() {
 		w := p.nextRequest()
@@ -280,10 +310,26 @@
 	return short.Value
 }
 
-// longLimit is the number of slots that long work may hold. It is at least
-// one, so that long work always progresses.
+// longLimit is the number of slots that long work may hold: what the recent
+// demand of short work leaves, with a standard deviation of a Poisson
+// distribution as margin. It is at least LongShare of the slots, so that long work always progresses.
 func (p *Pool) longLimit() int {
-	return max(int(p.options.LongShare*float64(p.slots.Slots())), 1)
+	slots := float64(p.slots.Slots())
+	reserve := p.shortLoad + reserveDeviations*math.Sqrt(p.shortLoad) + reserveDeviations
+	return max(int(slots-reserve), int(p.options.LongShare*slots), 1)
+}
+
+// observeShort follows the slots that short work uses or waits for.
+func (p *Pool) observeShort(now time.Time) {
+	load := float64(len(p.grants) - p.longBusy + p.short.Len() + p.urgent.Len())
+	tau := shortLoadFall
+	if load > p.shortLoad {
+		tau = shortLoadRise
+	}
+	if elapsed := now.Sub(p.observedAt); elapsed > 0 {
+		p.shortLoad += (load - p.shortLoad) * (1 - math.Exp(-elapsed.Seconds()/tau.Seconds()))
+		p.observedAt = now
+	}
 }
 
 func (p *Pool) grant(now time.Time, w *waiting, worker string) Decision {
@@ -294,9 +340,11 @@
 }
 
 func (p *Pool) start(now time.Time, id, worker string, w *waiting) {
-	g := &grant{request: w.request, worker: worker, long: w.long}
+	g := &grant{request: w.request, worker: worker, started: now, long: w.long}
 	p.grants[id] = g
 	p.slots.Take(worker)
+	p.ejection.Started(now, worker)
+	p.mark(now, worker)
 	if g.long {
 		p.longBusy++
 	} else if promise, ok := p.promise(w.request); ok {
@@ -311,7 +359,7 @@
 	if !known || p.options.Policy != PolicyLearned {
 		return 0, false
 	}
-	e, _ := p.learner.Estimate(operation(r))
+	e, _ := p.learner.Estimate(operation(r), r.Declared)
 	return max(promiseRatio*e.P95, longRatio*all.Median), true
 }
 
--- a/scheduler/dispatching/types.go
+++ b/scheduler/dispatching/types.go
@@ -19,6 +19,11 @@
 	// Avoid names workers on which the request has failed already.
 	Avoid  []string
 	Urgent bool
+	// Fingerprint is the same for repeats of the same job, whatever their ID;
+	// when it is empty, each ID counts as its own job.
+	Fingerprint string
+	// NonRepeatable requests are not used as probes of ejected workers.
+	NonRepeatable bool
 }
 
 // Worker is a worker that serves the pool.
@@ -99,7 +104,8 @@
 	Policy Policy
 	// MaxQueue bounds the waiting requests.
 	MaxQueue int
-	// LongShare is the part of the slots that long work may hold; default 0.7.
+	// LongShare is the part of the slots that long work may hold however much
+	// short work there is; default 0.25.
 	LongShare float64
 	// Ageing is how many times its expected run time a request lets later
 	// requests go first; default 5.
--- a/tools/measure/simulate.go
+++ b/tools/measure/simulate.go
@@ -51,11 +51,18 @@
 	home   int
 	pool   int
 	lost   bool
+	// moving is set from the start of a move to its end.
+	moving  bool
+	movedAt time.Duration
+	// movingTo is the pool that a move takes the VM to.
+	movingTo int
 	// fails reports whether the VM fails what it starts at a time.
 	fails func(at time.Duration) bool
 	// running counts the grants on the VM.
 	running int
 	starts  []time.Duration
+	// firstFailure is when the VM failed a job by its own fault; 0 for never.
+	firstFailure time.Duration
 }
 
 // outcome is what became of one job.
@@ -94,10 +101,17 @@
 	budget   *retry.Budget
 	// onSecond runs each second of virtual time.
 	onSecond func()
-	lostRack bool
+	// afterEvent runs after each event other than an arrival.
+	afterEvent func()
+	lostRack   bool
 }
 
 func newSimulation(s scenario, w workload, newPool func(service int) dispatcher) *simulation {
+	return newFleet(s, w, newPool, poolSizes)
+}
+
+// newFleet returns a simulation whose service pools have the given sizes.
+func newFleet(s scenario, w workload, newPool func(service int) dispatcher, sizes [services]int) *simulation {
 	sim := &simulation{
 		work: w, latency: s.zoneLatency(), byID: map[string]*vm{}, waiting: map[string]attempt{},
 		budget: retry.NewBudget(retry.Options{}), outcomes: make([]outcome, len(w.jobs)), lostRack: true,
@@ -107,8 +121,11 @@
 	}
 	// Workers are dealt to the pools in turn, so that a rack holds workers of
 	// several pools.
-	left := poolSizes
-	for i, service := 0, 0; i < 42; service = (service + 1) % services {
+	left, total := sizes, 0
+	for _, n := range sizes {
+		total += n
+	}
+	for i, service := 0, 0; i < total; service = (service + 1) % services {
 		if left[service] == 0 {
 			continue
 		}
@@ -120,7 +137,7 @@
 }
 
 func (s *simulation) addVM(id string, index, pool int) {
-	v := &vm{home: pool, pool: pool, worker: dispatching.Worker{
+	v := &vm{home: pool, pool: pool, movedAt: -time.Hour, worker: dispatching.Worker{
 		ID: id, Address: id, AvailabilityZone: fmt.Sprintf("zone-%d", index/workersPerRack%3),
 		Rack: rackName(index / workersPerRack), Slots: slotsPerWorker, Generation: 1,
 	}}
@@ -137,9 +154,12 @@
 
 // setWorkers tells a pool which VMs serve it now.
 func (s *simulation) setWorkers(pool int) {
+	if pool == sparePool {
+		return
+	}
 	var workers []dispatching.Worker
 	for _, v := range s.vms {
-		if v.pool == pool && !v.lost {
+		if v.pool == pool && !v.lost && !v.moving {
 			workers = append(workers, v.worker)
 		}
 	}
@@ -165,6 +185,9 @@
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.run()
+		if s.afterEvent != nil {
+			s.afterEvent()
+		}
 	}
 	return s.outcomes
 }
@@ -207,7 +230,7 @@
 	s.waiting[j.id] = attempt{index: index, avoid: avoid}
 	s.apply(j.service, s.pools[j.service].Push(s.time(), dispatching.Request{
 		ID: j.id, Service: "service-" + strconv.Itoa(j.service), Operation: j.operation,
-		Declared: j.declared, StartBy: epoch.Add(j.arrive + deadline), Avoid: avoid,
+		Fingerprint: j.id, Declared: j.declared, StartBy: epoch.Add(j.arrive + deadline), Avoid: avoid,
 	}))
 }
 
@@ -249,6 +272,9 @@
 	switch {
 	case v.fails != nil && v.fails(s.now):
 		runs, fails = 5*time.Millisecond, true
+		if v.firstFailure == 0 {
+			v.firstFailure = s.now + runs
+		}
 	case o.job.never:
 		runs, fails = min(o.job.run, 20*time.Millisecond), true
 	}
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -14,6 +14,12 @@
 	if s.selected("waiting") {
 		rows = append(rows, measureWaiting(s)...)
 	}
+	if s.selected("ejection") {
+		rows = append(rows, measureEjection(s)...)
+	}
+	if s.selected("capacity") {
+		rows = append(rows, measureCapacity(s)...)
+	}
 	return rows, nil
 }
 
