--- a/claims/client.go
+++ b/claims/client.go
@@ -24,8 +24,11 @@
 	// Shards defaults to DefaultShards.
 	Shards int
 	// RetryPause is the pause before a call is repeated at an owner that did
-	// not know yet that it is one; default 100 ms.
+	// not know yet that it is one; default 50 ms.
 	RetryPause time.Duration
+	// RetryWindow bounds these repeats; default 5 s, which is longer than the
+	// 3 s after which the owner of a silent entry VM's shards is another one.
+	RetryWindow time.Duration
 	// AwaitStep bounds one Await call to a peer; default 10 s.
 	AwaitStep time.Duration
 }
@@ -64,7 +67,10 @@
 		options.Shards = DefaultShards
 	}
 	if options.RetryPause == 0 {
-		options.RetryPause = 100 * time.Millisecond
+		options.RetryPause = 50 * time.Millisecond
+	}
+	if options.RetryWindow == 0 {
+		options.RetryWindow = 5 * time.Second
 	}
 	if options.AwaitStep == 0 {
 		options.AwaitStep = 10 * time.Second
@@ -144,34 +150,33 @@
 	}
 }
 
-// ask calls the owner of a key, and once more, at the owner that the members
-// then name, after NOT_OWNER or an error. All calls may be repeated: the owner
+// ask calls the owner of a key, and again, at the owner that the members then
+// name, after NOT_OWNER or an error. All calls may be repeated: the owner
 // recognises the attempt.
 func (c *Client) ask(ctx context.Context, keyHash []byte, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
-	first := c.owner(keyHash)
-	result, err := c.askOwner(ctx, first, call)
-	if err == nil && result.State != peer.KeyState_NOT_OWNER || ctx.Err() != nil {
-		return result, err
-	}
-	second := c.owner(keyHash)
-	if second == first {
-		if pauseErr := pause(ctx, c.options.RetryPause); pauseErr != nil {
+	for until := time.Now().Add(c.options.RetryWindow); ; {
+		owner := c.owner(keyHash)
+		result, err := c.askOwner(ctx, keyHash, owner, call)
+		if err == nil && result.State != peer.KeyState_NOT_OWNER || ctx.Err() != nil || time.Now().After(until) {
+			return result, err
+		}
+		if c.owner(keyHash) == owner && pause(ctx, c.options.RetryPause) != nil {
 			return result, err
 		}
-		second = c.owner(keyHash)
 	}
-	return c.askOwner(ctx, second, call)
 }
 
 func (c *Client) owner(keyHash []byte) string {
 	return ShardOwner(ShardOf(keyHash, c.options.Shards), c.options.Members())
 }
 
-func (c *Client) askOwner(ctx context.Context, entryID string, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
+func (c *Client) askOwner(ctx context.Context, keyHash []byte, entryID string, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
 	if entryID == c.options.EntryID && c.options.Local != nil {
 		return call(ctx, c.options.Local)
 	}
 	if remote, ok := c.options.Peer(entryID); ok {
+		ctx, cancel := peer.WhileOwner(ctx, entryID, func() string { return c.owner(keyHash) })
+		defer cancel()
 		return call(ctx, remote)
 	}
 	return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(ErrNoOwner, "entry VM %q", entryID)
--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -15,10 +15,6 @@
 // changed or could not be reached.
 const retryInterval = 50 * time.Millisecond
 
-// ownerCheckInterval is how often a waiting call checks that its dispatcher
-// is still the one of the pool.
-const ownerCheckInterval = 250 * time.Millisecond
-
 // maxReleaseBatch bounds the results in one Release call.
 const maxReleaseBatch = 256
 
@@ -134,8 +130,11 @@
 	if !ok {
 		return Grant{}, &Refusal{Status: peer.AcquireResponse_NOT_DISPATCHER}
 	}
-	ctx, cancel := c.whileOwner(ctx, r.Pool, owner)
-	defer cancel()
+	if owner != c.options.EntryID {
+		var cancel context.CancelFunc
+		ctx, cancel = peer.WhileOwner(ctx, owner, func() string { return Owner(r.Pool, c.options.Members()) })
+		defer cancel()
+	}
 	answer, err := dispatcher.Acquire(ctx, &peer.AcquireRequest{
 		// Each call has an id of its own, so that a call that is repeated
 		// after a lost answer does not meet its predecessor.
@@ -170,30 +169,6 @@
 	return grant, nil
 }
 
-// whileOwner returns a context that ends when the pool gets another
-// dispatcher, so that a call to a frozen one does not use up the waiting time.
-func (c *Client) whileOwner(ctx context.Context, pool, owner string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	if owner == c.options.EntryID {
-		return ctx, cancel
-	}
-	var check *time.Timer
-	check = time.AfterFunc(ownerCheckInterval, func() {
-		if ctx.Err() != nil {
-			return
-		}
-		if Owner(pool, c.options.Members()) != owner {
-			cancel()
-			return
-		}
-		check.Reset(ownerCheckInterval)
-	})
-	return ctx, func() {
-		check.Stop()
-		cancel()
-	}
-}
-
 // Release gives a grant back and reports how its request went.
 func (c *Client) Release(g Grant, result peer.GrantResult_Result, run time.Duration) {
 	c.mu.Lock()
