standin: tighten the tests of reboots and silent connections

A trial with faults put into the code on purpose showed three that the tests let pass: a repeated operation, a boot count that has passed, and a silent connection that its server closes.

--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -147,7 +147,10 @@
 	if _, _, err := idle.receive(5 * time.Second); err != nil {
 		t.Fatal(err)
 	}
-	busy.send(t, "/?work=50ms", "r2")
+	// The server closes a connection of HTTP/1.0 after the answer.
+	if _, err := io.WriteString(busy, "GET /?work=50ms HTTP/1.0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
 	waitFor(t, "running request", func() bool { return b.Stats().Requests == 2 })
 	if n := b.Silence(); n != 2 {
 		t.Fatalf("%d connections silenced, want 2", n)
@@ -200,9 +203,12 @@
 	if _, _, err := conn.receive(5 * time.Second); err == nil || strings.Contains(err.Error(), "timeout") {
 		t.Fatalf("connection of the earlier boot is open: %v", err)
 	}
-	for _, repeat := range []platform.Operation{op, {ID: "late", ExpectedBoot: 1}} {
+	for _, repeat := range []platform.Operation{op, {ID: "late", ExpectedBoot: 1}, {ID: op.ID, ExpectedBoot: 2}} {
 		wantErr(t, c.Reboot(ctx, "w1", repeat), nil)
 		wantErr(t, c.Drain(ctx, "w1", repeat), nil)
+		if vm, err := c.VM(ctx, "w1"); err != nil || vm.State != platform.VMLive {
+			t.Fatalf("platform repeats %+v: %+v error %v", repeat, vm, err)
+		}
 		if b.Reboot(repeat) {
 			t.Fatalf("backend server repeats %+v", repeat)
 		}
--- a/standin/main_test.go
+++ b/standin/main_test.go
@@ -11,7 +11,7 @@
 
 func TestMain(m *testing.M) {
 	// A fixed seed gives the same verdict in every run.
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "25"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "25", "rapid.shrinktime": "5s", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
