--- a/standin/admin.go
+++ b/standin/admin.go
@@ -58,6 +58,9 @@
 		}
 		return nil, nil
 	})
+	handle("POST", "/standin/silence", func(r *http.Request) (any, error) {
+		return map[string]int{"connections": p.conns.silence(connOf(r))}, nil
+	})
 	handle("POST", "/standin/leases/expire", func(*http.Request) (any, error) {
 		p.ExpireLeases()
 		return nil, nil
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -215,7 +215,7 @@
 	b.period = &bootPeriod{server: &http.Server{
 		Handler:           http.HandlerFunc(b.serve),
 		ReadHeaderTimeout: time.Minute,
-		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnContext:       withConn,
 	}}
 	b.period.ctx, b.period.cancel = context.WithCancel(b.ctx)
 	server := b.period.server
@@ -238,13 +238,6 @@
 	b.handler.ServeHTTP(w, r)
 }
 
-type connKey struct{}
-
-func connOf(r *http.Request) *conn {
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	return c
-}
-
 // shut ends the listener, the requests and the connections of this boot.
 func (b *Backend) shut() {
 	b.mu.Lock()
--- a/standin/conns.go
+++ b/standin/conns.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -123,3 +125,16 @@
 	c.owner.mu.Unlock()
 	return c.Conn.Close()
 }
+
+type connKey struct{}
+
+// withConn is a ConnContext of http.Server for connOf.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf returns the connection of a request, or nil outside a server.
+func connOf(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -59,6 +59,7 @@
 	faults   *faults
 	handler  http.Handler
 	client   *http.Client
+	conns    connections
 
 	mu     sync.Mutex
 	counts map[string]int64
@@ -105,11 +106,11 @@
 	if err != nil {
 		return errors.Wrap(err, "stand-in platform")
 	}
-	server := &http.Server{Handler: p.handler, ReadHeaderTimeout: 10 * time.Second}
+	server := &http.Server{Handler: p.handler, ReadHeaderTimeout: 10 * time.Second, ConnContext: withConn}
 	p.mu.Lock()
 	p.server, p.addr = server, l.Addr().String()
 	p.mu.Unlock()
-	p.work.Go(func() { _ = server.Serve(l) })
+	p.work.Go(func() { _ = server.Serve(&trackedListener{Listener: l, owner: &p.conns}) })
 	context.AfterFunc(ctx, func() { _ = p.Close() })
 	p.log.Info().Str("event", "platform_listening").Str("address", p.Addr()).Msg("")
 	return nil
@@ -136,6 +137,7 @@
 		err = server.Close()
 	}
 	p.work.Wait()
+	p.conns.reset()
 	p.store.close()
 	return err
 }
@@ -170,6 +172,10 @@
 // ExpireLeases ends every lease as if its time had passed.
 func (p *Platform) ExpireLeases() { p.store.expireAll() }
 
+// Silence makes the open connections silent for good and returns their number.
+// New connections work.
+func (p *Platform) Silence() int { return p.conns.silence(nil) }
+
 // Counts returns the number of calls by kind, refused ones included.
 func (p *Platform) Counts() map[string]int64 {
 	p.mu.Lock()
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,6 +117,27 @@
 	wantErr(t, put(c), nil)
 }
 
+// Guards against a client that spends a timeout on every idle connection after
+// all of them have gone silent together.
+func TestSilentStoreConnections(t *testing.T) {
+	p, _ := startPlatform(t, PlatformOptions{Faults: PlatformFaults{DelaySeconds: 0.05}})
+	c := platform.NewClient(platform.ClientOptions{BaseURL: p.Addr(), Timeout: time.Second})
+	defer c.CloseIdleConnections()
+	var calls sync.WaitGroup
+	for range 4 {
+		calls.Go(func() { _, _ = c.VMs(t.Context()) })
+	}
+	calls.Wait()
+	p.SetFaults(PlatformFaults{})
+	if n := p.Silence(); n < 2 {
+		t.Fatalf("%d connections silenced, want several", n)
+	}
+	_, err := c.Put(t.Context(), "k", nil, 0, "")
+	wantErr(t, err, platform.ErrUnknown)
+	_, err = c.Put(t.Context(), "k", nil, 0, "")
+	wantErr(t, err, nil)
+}
+
 // Guards against a watch that misses a change or a removal, and against one
 // that sleeps through an outage.
 func TestWatch(t *testing.T) {
--- a/tools/standin/platform.go
+++ b/tools/standin/platform.go
@@ -35,13 +35,16 @@
                          write but lease_keepalive)
   seed                   seed of the probabilities
   list_lag_seconds       age of the list of VMs
+Further faults by the admin API:
+  POST /standin/silence            open connections go silent for good, new ones
+                                   work
+  POST /standin/leases/expire      every lease expires
 
 Admin API:
   GET|PUT|PATCH /standin/faults    read, replace or change the faults
   GET|DELETE /standin/counts       calls by kind; reset
   GET|POST /standin/vms            VMs without lag; add or replace a VM
-  DELETE /standin/vms/{id}         a VM is gone
-  POST /standin/leases/expire      every lease expires`
+  DELETE /standin/vms/{id}         a VM is gone`
 
 func platformCommand() *cobra.Command {
 	var o standin.PlatformOptions
