--- a/claims/shard.go
+++ b/claims/shard.go
@@ -28,6 +28,9 @@
 	markDelay time.Duration
 	// settleWithin bounds how long callers wait for the store.
 	settleWithin time.Duration
+	// lostReads is how many reads in a row may be lost before the store counts
+	// as down.
+	lostReads int
 	// refuseMin and refuseMax bound the pause between probes of the store.
 	refuseMin, refuseMax time.Duration
 	// endedFor is how long a late message of an ended attempt is recognised.
@@ -41,7 +44,7 @@
 	return limits{
 		chunkRecords: 100, batchRecords: 500, listPage: 100,
 		hold: 2 * time.Minute, keep: 24 * time.Hour, markDelay: time.Second,
-		settleWithin: time.Second, refuseMin: 100 * time.Millisecond, refuseMax: time.Second,
+		settleWithin: time.Second, lostReads: 2, refuseMin: 100 * time.Millisecond, refuseMax: time.Second,
 		endedFor: time.Minute, retakeAfter: time.Second,
 	}
 }
@@ -86,6 +89,8 @@
 	// unsettled is set when an answer was lost: the write may take effect at
 	// any later time, until another write of the same chunk succeeds.
 	unsettled bool
+	// lostReads counts the reads in a row whose answer was lost.
+	lostReads int
 	claims    []claimant
 	// marks are the keys whose mark this write makes durable.
 	marks []key
--- a/claims/write.go
+++ b/claims/write.go
@@ -371,6 +371,7 @@
 
 func (s *shard) written(now time.Time, in resultInput) {
 	w := s.write
+	w.lostReads = 0
 	switch {
 	case in.err == nil:
 		s.tookEffect(now, in.version)
@@ -402,7 +403,7 @@
 	w := s.write
 	missing := errors.Is(in.err, platform.ErrNotFound)
 	if in.err != nil && !missing {
-		s.failed(now, in.err)
+		s.readFailed(now, w, in.err)
 		return
 	}
 	if in.value.Version == w.expected {
@@ -425,6 +426,16 @@
 	s.fenced(now)
 }
 
+// readFailed repeats a read whose answer was lost before it counts as a sign
+// that the store is down: single losses are ordinary.
+func (s *shard) readFailed(now time.Time, w *write, err error) {
+	if errors.Is(err, platform.ErrUnknown) && w.lostReads < s.limits.lostReads {
+		w.lostReads++
+		return
+	}
+	s.failed(now, err)
+}
+
 func (s *shard) fenced(now time.Time) {
 	if s.phase != phaseTaking {
 		s.lostOwnership(now, errFenced)
@@ -449,7 +460,7 @@
 func (s *shard) verified(now time.Time, in resultInput) {
 	switch {
 	case in.err != nil:
-		s.failed(now, in.err)
+		s.readFailed(now, s.write, in.err)
 	case len(in.list) > 0:
 		s.fenced(now)
 	default:
