Choose ports of the process tests below the ephemeral range

A listener chosen by the kernel was taken by an outgoing connection of another test before its entry VM started (one of three runs).

--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -295,16 +296,23 @@
 	return fleet.Decode(kv.Value)
 }
 
+// nextPort is below the ports that the kernel gives to outgoing connections,
+// which could otherwise take a port between its choice and its use.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(int32(10000 + os.Getpid()%10000)) }
+
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < n {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
