Give the VMs of an ended burst directly to the next one

Rejected: a pool that still requests the VMs it gave away (446 moves), smoothing over 15 s without direct moves (354).

--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// smoothing is the time over which the largest need of a pool counts, so
-	// that noise of a few slots moves no VM.
-	smoothing = 4 * time.Second
+	// The largest need of the last smoothing counts, so that the noise of a
+	// burst moves no VM. Once the need falls below endRatio of that the burst is
+	// over, and only the needs of the last endSmoothing count.
+	smoothing    = 15 * time.Second
+	endSmoothing = 3 * time.Second
+	endRatio     = 0.6
 	// burstRatio is how many times its usual need a pool needs in a burst.
 	burstRatio = 2
 	// usualWeight is the weight of a second in the usual need.
@@ -66,7 +69,7 @@
 	for i := range r.pools {
 		pool := &r.pools[i]
 		if !pool.Spare {
-			pool.target = p.target(now, pool.Pool)
+			pool.target, pool.floor = p.target(now, pool.Pool)
 		}
 	}
 	moves := r.plan()
@@ -98,8 +101,10 @@
 	}
 }
 
-// target is the number of VMs that a pool should have now.
-func (p *Planner) target(now time.Time, pool Pool) int {
+// target returns the number of VMs that a pool should have now, and the number
+// that it needs when another pool lacks VMs: a burst that has just ended gives
+// its VMs directly to the next one, which saves their way through the spare.
+func (p *Planner) target(now time.Time, pool Pool) (target, floor int) {
 	h := p.pools[pool.Name]
 	if h == nil {
 		h = &history{}
@@ -107,14 +112,18 @@
 	}
 	needed := max(p.need(pool), pool.MinimumVMs)
 	h.observe(now, needed)
-	target := 0
-	for _, n := range h.recent {
-		target = max(target, n.vms)
+	target = h.largest(now, smoothing)
+	floor = target
+	if float64(needed) < endRatio*float64(target) {
+		floor = needed
+	}
+	if latest := h.largest(now, endSmoothing); float64(latest) < endRatio*float64(target) {
+		target = latest
 	}
 	if !h.inBurst && !h.burstEnd.IsZero() && now.Sub(h.burstEnd) < p.hold(h) {
 		target = max(target, h.level)
 	}
-	return target
+	return target, floor
 }
 
 // need is the number of VMs for the demand of a pool with headroom. The
@@ -124,6 +133,17 @@
 	return int(math.Ceil(pool.SlotsWanted * (1 + headroom) / float64(max(pool.SlotsPerWorker, 1))))
 }
 
+// largest returns the largest need of the last seconds.
+func (h *history) largest(now time.Time, within time.Duration) int {
+	vms := 0
+	for _, n := range h.recent {
+		if now.Sub(n.at) <= within {
+			vms = max(vms, n.vms)
+		}
+	}
+	return vms
+}
+
 func (h *history) observe(now time.Time, vms int) {
 	h.recent = append(h.recent, need{now, vms})
 	for now.Sub(h.recent[0].at) > smoothing {
@@ -170,6 +190,8 @@
 type poolState struct {
 	Pool
 	target int
+	// floor is the target when another pool lacks VMs.
+	floor int
 	// serving counts the VMs that serve and stay, arriving those on their way,
 	// unavailable those out of service for other reasons than moves.
 	serving, arriving, unavailable int
@@ -226,16 +248,16 @@
 	})
 }
 
-// missing is how many VMs a pool lacks; negative when it has more than it
-// should.
-func (s *poolState) missing() int { return s.target - s.serving - s.arriving }
+// missing is how many VMs a pool lacks; VMs that it merely holds after a burst
+// are not replaced once they are given away.
+func (s *poolState) missing() int { return s.floor - s.serving - s.arriving }
 
-// canGive reports whether a VM may leave the pool.
-func (s *poolState) canGive() bool {
+// canGive reports whether a VM may leave the pool while it keeps so many.
+func (s *poolState) canGive(keep int) bool {
 	if len(s.movable) == 0 || s.serving <= s.MinimumVMs {
 		return false
 	}
-	return s.Spare || s.unavailable < s.MaxUnavailable && s.serving > s.target
+	return s.Spare || s.unavailable < s.MaxUnavailable && s.serving > keep
 }
 
 func (r *round) plan() []Move {
@@ -247,7 +269,7 @@
 	}
 	// The pool that lacks the largest part of its target comes first.
 	slices.SortStableFunc(order, func(a, b *poolState) int {
-		return b.missing()*max(a.target, 1) - a.missing()*max(b.target, 1)
+		return b.missing()*max(a.floor, 1) - a.missing()*max(b.floor, 1)
 	})
 	for _, pool := range order {
 		for pool.missing() > 0 {
@@ -260,7 +282,7 @@
 	}
 	if spare := r.spare(); spare != nil {
 		for _, pool := range order {
-			for pool.missing() < 0 && pool.canGive() {
+			for pool.canGive(pool.target) {
 				r.move(pool, spare)
 			}
 		}
@@ -269,12 +291,12 @@
 }
 
 // donor is the pool that a VM is taken from: the one with the most VMs beyond
-// its target, else a spare pool.
+// its floor, else a spare pool.
 func (r *round) donor() *poolState {
 	var best *poolState
 	for i := range r.pools {
 		pool := &r.pools[i]
-		if !pool.canGive() {
+		if !pool.canGive(pool.floor) {
 			continue
 		}
 		if best == nil || best.Spare && !pool.Spare || best.Spare == pool.Spare && pool.surplus() > best.surplus() {
@@ -284,7 +306,7 @@
 	return best
 }
 
-func (s *poolState) surplus() int { return s.serving - max(s.target, s.MinimumVMs) }
+func (s *poolState) surplus() int { return s.serving - max(s.floor, s.MinimumVMs) }
 
 // spare is the spare pool that takes idle VMs.
 func (r *round) spare() *poolState {
