--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -14,8 +14,17 @@
 	smoothing    = 15 * time.Second
 	endSmoothing = 3 * time.Second
 	endRatio     = 0.6
+	// lasting is how long a need beyond the level of earlier bursts has to last.
+	lasting = 8 * time.Second
+	// settling is the time after the start of a burst whose needs say nothing
+	// about its level.
+	settling = 5 * time.Second
+	// levelWeight is the weight of a new burst in the expected level.
+	levelWeight = 0.3
 	// burstRatio is how many times its usual need a pool needs in a burst.
-	burstRatio = 2
+	burstRatio = 1.5
+	// burstEnd is the part of the rise of a burst below which it is over.
+	burstEnd = 0.4
 	// usualWeight is the weight of a second in the usual need.
 	usualWeight = 0.01
 	// pendingLimit is when a move that shows no effect is forgotten.
@@ -50,6 +59,11 @@
 	burstEnd time.Time
 	level    int
 	gaps     gaps
+	// burstStart, sum and seconds give the average need of the current burst;
+	// expected is the average over bursts.
+	burstStart   time.Time
+	sum, seconds float64
+	expected     float64
 }
 
 type need struct {
@@ -113,8 +127,15 @@
 	needed := max(p.need(pool), pool.MinimumVMs)
 	h.observe(now, needed)
 	target = h.largest(now, smoothing)
-	floor = target
-	if float64(needed) < endRatio*float64(target) {
+	floor = min(target, h.largest(now, endSmoothing))
+	if h.inBurst && h.expected > 0 {
+		// The first seconds of a burst show too little demand, the next ones the
+		// backlog of the first. Earlier bursts tell the level; a need beyond it
+		// counts once it lasts.
+		target = max(int(math.Ceil(h.expected)), h.smallest(now, lasting), pool.MinimumVMs)
+		floor = target
+	}
+	if !h.inBurst && float64(needed) < endRatio*float64(target) {
 		floor = needed
 	}
 	if latest := h.largest(now, endSmoothing); float64(latest) < endRatio*float64(target) {
@@ -144,20 +165,52 @@
 	return vms
 }
 
+// smallest returns the smallest need of the last seconds.
+func (h *history) smallest(now time.Time, within time.Duration) int {
+	vms := math.MaxInt
+	for _, n := range h.recent {
+		if now.Sub(n.at) <= within {
+			vms = min(vms, n.vms)
+		}
+	}
+	return vms
+}
+
+// learnLevel takes the average need of the burst that ended into account.
+func (h *history) learnLevel() {
+	if h.seconds == 0 {
+		return
+	}
+	level := h.sum / h.seconds
+	if h.expected == 0 {
+		h.expected = level
+	}
+	h.expected += levelWeight * (level - h.expected)
+}
+
 func (h *history) observe(now time.Time, vms int) {
 	h.recent = append(h.recent, need{now, vms})
 	for now.Sub(h.recent[0].at) > smoothing {
 		h.recent = h.recent[1:]
 	}
-	high := float64(vms) >= max(burstRatio*h.usual, h.usual+2)
+	// Different thresholds for start and end keep the noise of a burst from
+	// splitting it.
+	start := max(burstRatio*h.usual, h.usual+2)
+	end := h.usual + burstEnd*(float64(h.level)-h.usual)
 	switch {
-	case high && !h.inBurst:
+	case float64(vms) >= start && !h.inBurst:
 		if !h.burstEnd.IsZero() {
 			h.gaps.add(now.Sub(h.burstEnd))
 		}
 		h.inBurst, h.level = true, vms
-	case !high && h.inBurst:
+		h.burstStart, h.sum, h.seconds = now, 0, 0
+	case float64(vms) < min(start, end) && h.inBurst:
 		h.inBurst, h.burstEnd = false, now
+		h.learnLevel()
+	}
+	if h.inBurst && now.Sub(h.burstStart) >= settling && float64(vms) >= end {
+		h.sum += float64(vms)
+		h.seconds++
 	}
 	if h.inBurst {
 		h.level = max(h.level, vms)
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -26,7 +26,7 @@
 	reserveDeviations = 1
 	// drainTime is the time in which a queue should be worked off; it turns
 	// queued work into slots wanted.
-	drainTime = 10 * time.Second
+	drainTime = 30 * time.Second
 )
 
 // waiting is a request in the queue.
