--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -8,11 +8,23 @@
 )
 
 const (
-	// smoothing is the time over which the largest need of a pool counts, so
-	// that noise of a few slots moves no VM.
-	smoothing = 4 * time.Second
+	// The largest need of the last smoothing counts, so that the noise of a
+	// burst moves no VM. Once the need falls below endRatio of that the burst is
+	// over, and only the needs of the last endSmoothing count.
+	smoothing    = 15 * time.Second
+	endSmoothing = 3 * time.Second
+	endRatio     = 0.6
+	// lasting is how long a need beyond the level of earlier bursts has to last.
+	lasting = 8 * time.Second
+	// settling is the time after the start of a burst whose needs say nothing
+	// about its level.
+	settling = 5 * time.Second
+	// levelWeight is the weight of a new burst in the expected level.
+	levelWeight = 0.3
 	// burstRatio is how many times its usual need a pool needs in a burst.
-	burstRatio = 2
+	burstRatio = 1.5
+	// burstEnd is the part of the rise of a burst below which it is over.
+	burstEnd = 0.4
 	// usualWeight is the weight of a second in the usual need.
 	usualWeight = 0.01
 	// pendingLimit is when a move that shows no effect is forgotten.
@@ -47,6 +59,11 @@
 	burstEnd time.Time
 	level    int
 	gaps     gaps
+	// burstStart, sum and seconds give the average need of the current burst;
+	// expected is the average over bursts.
+	burstStart   time.Time
+	sum, seconds float64
+	expected     float64
 }
 
 type need struct {
@@ -66,7 +83,7 @@
 	for i := range r.pools {
 		pool := &r.pools[i]
 		if !pool.Spare {
-			pool.target = p.target(now, pool.Pool)
+			pool.target, pool.floor = p.target(now, pool.Pool)
 		}
 	}
 	moves := r.plan()
@@ -98,8 +115,10 @@
 	}
 }
 
-// target is the number of VMs that a pool should have now.
-func (p *Planner) target(now time.Time, pool Pool) int {
+// target returns the number of VMs that a pool should have now, and the number
+// that it needs when another pool lacks VMs: a burst that has just ended gives
+// its VMs directly to the next one, which saves their way through the spare.
+func (p *Planner) target(now time.Time, pool Pool) (target, floor int) {
 	h := p.pools[pool.Name]
 	if h == nil {
 		h = &history{}
@@ -107,14 +126,25 @@
 	}
 	needed := max(p.need(pool), pool.MinimumVMs)
 	h.observe(now, needed)
-	target := 0
-	for _, n := range h.recent {
-		target = max(target, n.vms)
+	target = h.largest(now, smoothing)
+	floor = min(target, h.largest(now, endSmoothing))
+	if h.inBurst && h.expected > 0 {
+		// The first seconds of a burst show too little demand, the next ones the
+		// backlog of the first. Earlier bursts tell the level; a need beyond it
+		// counts once it lasts.
+		target = max(int(math.Ceil(h.expected)), h.smallest(now, lasting), pool.MinimumVMs)
+		floor = target
+	}
+	if !h.inBurst && float64(needed) < endRatio*float64(target) {
+		floor = needed
+	}
+	if latest := h.largest(now, endSmoothing); float64(latest) < endRatio*float64(target) {
+		target = latest
 	}
 	if !h.inBurst && !h.burstEnd.IsZero() && now.Sub(h.burstEnd) < p.hold(h) {
 		target = max(target, h.level)
 	}
-	return target
+	return target, floor
 }
 
 // need is the number of VMs for the demand of a pool with headroom. The
@@ -124,20 +154,63 @@
 	return int(math.Ceil(pool.SlotsWanted * (1 + headroom) / float64(max(pool.SlotsPerWorker, 1))))
 }
 
+// largest returns the largest need of the last seconds.
+func (h *history) largest(now time.Time, within time.Duration) int {
+	vms := 0
+	for _, n := range h.recent {
+		if now.Sub(n.at) <= within {
+			vms = max(vms, n.vms)
+		}
+	}
+	return vms
+}
+
+// smallest returns the smallest need of the last seconds.
+func (h *history) smallest(now time.Time, within time.Duration) int {
+	vms := math.MaxInt
+	for _, n := range h.recent {
+		if now.Sub(n.at) <= within {
+			vms = min(vms, n.vms)
+		}
+	}
+	return vms
+}
+
+// learnLevel takes the average need of the burst that ended into account.
+func (h *history) learnLevel() {
+	if h.seconds == 0 {
+		return
+	}
+	level := h.sum / h.seconds
+	if h.expected == 0 {
+		h.expected = level
+	}
+	h.expected += levelWeight * (level - h.expected)
+}
+
 func (h *history) observe(now time.Time, vms int) {
 	h.recent = append(h.recent, need{now, vms})
 	for now.Sub(h.recent[0].at) > smoothing {
 		h.recent = h.recent[1:]
 	}
-	high := float64(vms) >= max(burstRatio*h.usual, h.usual+2)
+	// Different thresholds for start and end keep the noise of a burst from
+	// splitting it.
+	start := max(burstRatio*h.usual, h.usual+2)
+	end := h.usual + burstEnd*(float64(h.level)-h.usual)
 	switch {
-	case high && !h.inBurst:
+	case float64(vms) >= start && !h.inBurst:
 		if !h.burstEnd.IsZero() {
 			h.gaps.add(now.Sub(h.burstEnd))
 		}
 		h.inBurst, h.level = true, vms
-	case !high && h.inBurst:
+		h.burstStart, h.sum, h.seconds = now, 0, 0
+	case float64(vms) < min(start, end) && h.inBurst:
 		h.inBurst, h.burstEnd = false, now
+		h.learnLevel()
+	}
+	if h.inBurst && now.Sub(h.burstStart) >= settling && float64(vms) >= end {
+		h.sum += float64(vms)
+		h.seconds++
 	}
 	if h.inBurst {
 		h.level = max(h.level, vms)
@@ -170,6 +243,8 @@
 type poolState struct {
 	Pool
 	target int
+	// floor is the target when another pool lacks VMs.
+	floor int
 	// serving counts the VMs that serve and stay, arriving those on their way,
 	// unavailable those out of service for other reasons than moves.
 	serving, arriving, unavailable int
@@ -226,16 +301,16 @@
 	})
 }
 
-// missing is how many VMs a pool lacks; negative when it has more than it
-// should.
-func (s *poolState) missing() int { return s.target - s.serving - s.arriving }
+// missing is how many VMs a pool lacks; VMs that it merely holds after a burst
+// are not replaced once they are given away.
+func (s *poolState) missing() int { return s.floor - s.serving - s.arriving }
 
-// canGive reports whether a VM may leave the pool.
-func (s *poolState) canGive() bool {
+// canGive reports whether a VM may leave the pool while it keeps so many.
+func (s *poolState) canGive(keep int) bool {
 	if len(s.movable) == 0 || s.serving <= s.MinimumVMs {
 		return false
 	}
-	return s.Spare || s.unavailable < s.MaxUnavailable && s.serving > s.target
+	return s.Spare || s.unavailable < s.MaxUnavailable && s.serving > keep
 }
 
 func (r *round) plan() []Move {
@@ -247,7 +322,7 @@
 	}
 	// The pool that lacks the largest part of its target comes first.
 	slices.SortStableFunc(order, func(a, b *poolState) int {
-		return b.missing()*max(a.target, 1) - a.missing()*max(b.target, 1)
+		return b.missing()*max(a.floor, 1) - a.missing()*max(b.floor, 1)
 	})
 	for _, pool := range order {
 		for pool.missing() > 0 {
@@ -260,7 +335,7 @@
 	}
 	if spare := r.spare(); spare != nil {
 		for _, pool := range order {
-			for pool.missing() < 0 && pool.canGive() {
+			for pool.canGive(pool.target) {
 				r.move(pool, spare)
 			}
 		}
@@ -269,12 +344,12 @@
 }
 
 // donor is the pool that a VM is taken from: the one with the most VMs beyond
-// its target, else a spare pool.
+// its floor, else a spare pool.
 func (r *round) donor() *poolState {
 	var best *poolState
 	for i := range r.pools {
 		pool := &r.pools[i]
-		if !pool.canGive() {
+		if !pool.canGive(pool.floor) {
 			continue
 		}
 		if best == nil || best.Spare && !pool.Spare || best.Spare == pool.Spare && pool.surplus() > best.surplus() {
@@ -284,7 +359,7 @@
 	return best
 }
 
-func (s *poolState) surplus() int { return s.serving - max(s.target, s.MinimumVMs) }
+func (s *poolState) surplus() int { return s.serving - max(s.floor, s.MinimumVMs) }
 
 // spare is the spare pool that takes idle VMs.
 func (r *round) spare() *poolState {
