Plan moves in the control loop and report ejected workers

Ejected workers count against the availability budgets.

The one-pool test now leaves the fault in place for 3 s after the move: a trial with a permit that never expires passed before, because the entry VM was healed within milliseconds of the move.

--- a/control/capacity.go
+++ b/control/capacity.go
@@ -4,43 +4,16 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
 )
 
-// The types below are identical to those of package scheduler/capacity and
-// stand in for them until it is merged.
-
-// Pool is a pool as the capacity plan sees it.
-type Pool struct {
-	Name                                            string
-	Spare                                           bool
-	VMs, MinimumVMs, MaxUnavailable, SlotsPerWorker int
-	SlotsWanted                                     float64
-	Queued, Busy                                    int
-}
-
-// VM is a VM as the capacity plan sees it.
-type VM struct {
-	ID, Pool, HomePool, AvailabilityZone, Rack string
-	Serving                                    bool
-	MovedAt                                    time.Time
-}
-
-// Snapshot is the input of the capacity plan.
-type Snapshot struct {
-	Pools []Pool
-	VMs   []VM
-}
-
-// Move is one move of the capacity plan.
-type Move struct{ VM, From, To string }
-
 // Capacity plans moves between pools.
 type Capacity interface {
-	Plan(now time.Time, s Snapshot) []Move
+	Plan(now time.Time, s capacity.Snapshot) []capacity.Move
 }
 
-func capacitySnapshot(s snapshot) Snapshot {
-	var out Snapshot
+func capacitySnapshot(s snapshot) capacity.Snapshot {
+	var out capacity.Snapshot
 	index := map[string]int{}
 	for _, p := range s.config.Pools {
 		budget, limited := fleet.Budget(s.config, p.Name)
@@ -48,7 +21,7 @@
 			budget = len(s.document.VMs)
 		}
 		index[p.Name] = len(out.Pools)
-		out.Pools = append(out.Pools, Pool{
+		out.Pools = append(out.Pools, capacity.Pool{
 			Name: p.Name, Spare: p.Spare, MinimumVMs: p.MinimumVMs,
 			MaxUnavailable: budget, SlotsPerWorker: p.SlotsPerWorker,
 		})
@@ -68,10 +41,10 @@
 		if vm.MovedAtUnixMillis != 0 {
 			movedAt = time.UnixMilli(vm.MovedAtUnixMillis)
 		}
-		out.VMs = append(out.VMs, VM{
+		out.VMs = append(out.VMs, capacity.VM{
 			ID: vm.ID, Pool: vm.Pool, HomePool: vm.HomePool,
 			AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
-			Serving: vm.Phase == fleet.Serving, MovedAt: movedAt,
+			Serving: vm.Phase == fleet.Serving, Target: vm.TargetPool, MovedAt: movedAt,
 		})
 	}
 	return out
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 	"dotterelhead.example/dotterelhead/routing"
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
 	"dotterelhead.example/dotterelhead/scheduler/dispatching"
 	"dotterelhead.example/dotterelhead/scheduler/retry"
 	"dotterelhead.example/dotterelhead/settings"
@@ -178,7 +179,11 @@
 		Replica: e.replica, Members: e.node,
 		Region: e.settings.Region, ID: e.settings.ID, Incarnation: uuid.NewString(),
 		RepairHistory: e.publisher.RepairHistory,
-		Log:           e.log,
+		Unhealthy:     e.ejected,
+		Capacity: capacity.NewPlanner(capacity.Options{
+			WaitingWeight: e.settings.Policy.WaitingWeight, BufferWeight: e.settings.Policy.BufferWeight,
+		}),
+		Log: e.log,
 	})
 }
 
@@ -325,6 +330,18 @@
 	return confirmed
 }
 
+// ejected returns the workers that the dispatchers of the region have ejected.
+// They count against the availability budgets.
+func (e *EntryVM) ejected() map[string]bool {
+	ejected := map[string]bool{}
+	for _, demand := range e.node.DemandOfMembers() {
+		for _, worker := range demand.Ejected {
+			ejected[worker] = true
+		}
+	}
+	return ejected
+}
+
 func (e *EntryVM) peer(id string) (peer.Peer, bool) {
 	address, ok := e.node.AddressOf(id)
 	if !ok {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -308,10 +308,10 @@
 	var demand []*peer.PoolDemand
 	for _, owned := range s.all() {
 		owned.mu.Lock()
-		d := owned.state.Demand(s.options.Now())
+		d, ejected := owned.state.Demand(s.options.Now()), owned.state.Ejected()
 		owned.mu.Unlock()
 		demand = append(demand, &peer.PoolDemand{
-			Pool: owned.name, SlotsWanted: d.SlotsWanted, Queued: int64(d.Queued), Busy: int64(d.Busy),
+			Pool: owned.name, SlotsWanted: d.SlotsWanted, Queued: int64(d.Queued), Busy: int64(d.Busy), Ejected: ejected,
 		})
 	}
 	return demand
--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -75,6 +75,8 @@
 			fault.begin(c, victim)
 			c.publish(moveNote)
 			c.awaitMoved(40 * time.Second)
+			// An entry VM that still sends for the old pool does so now.
+			time.Sleep(3 * time.Second)
 			fault.end(c, victim)
 			time.Sleep(3 * time.Second)
 			replies := l.stop()
@@ -232,3 +234,72 @@
 	}
 	t.Logf("%+v", summarise(replies))
 }
+
+// Guards against a burst that the pool cannot hold although spare VMs stand
+// idle, and against spare VMs that are not given back.
+func TestBurstBorrowsSpareVMs(t *testing.T) {
+	pools := []poolSpec{{name: "a", vms: 2}, {name: "b", vms: 2}, {name: "spare", vms: 3, spare: true}}
+	c := startCluster(t, clusterOptions{entries: 3, pools: pools})
+	time.Sleep(6 * time.Second)
+	quiet := c.startLoad(3, func(caller, n int) (*entry, call) {
+		return c.entries[caller], call{service: "b", work: 20 * time.Millisecond}
+	})
+	burst := c.startLoad(45, func(caller, n int) (*entry, call) {
+		return c.entries[caller%3], call{service: "a", work: 300 * time.Millisecond}
+	})
+	servingA := func() int {
+		document, err := c.fleet()
+		c.must(err)
+		serving := 0
+		for _, vm := range document.VMs {
+			if vm.Pool == "a" && vm.Phase == fleet.Serving {
+				serving++
+			}
+		}
+		return serving
+	}
+	took := c.eventually(20*time.Second, "spare VMs serve a", func() bool { return servingA() >= 4 })
+	t.Logf("two spare VMs serve after %v", took)
+	time.Sleep(5 * time.Second)
+	replies := burst.stop()
+	took = c.eventually(120*time.Second, "spare VMs are given back", func() bool { return servingA() <= 2 })
+	t.Logf("given back after %v", took)
+	replies = append(replies, quiet.stop()...)
+	c.checkOnePool()
+	c.checkHonesty(replies)
+	if s := summarise(replies); s.answered != s.total {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Guards against a worker that fails all it starts and attracts work by being
+// the fastest to answer.
+func TestFailingWorkerLosesItsShare(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: []poolSpec{{name: "a", vms: 5}}})
+	l := c.startLoad(12, func(caller, n int) (*entry, call) {
+		return c.entries[caller%3], call{service: "a", work: 20 * time.Millisecond}
+	})
+	time.Sleep(2 * time.Second)
+	c.backends["a-0"].SetFaults(standin.BackendFaults{Fail: true})
+	failing := time.Now()
+	time.Sleep(15 * time.Second)
+	replies := l.stop()
+	c.checkHonesty(replies)
+	late, total := 0, 0
+	for id, b := range c.backends {
+		for _, r := range b.Records(0) {
+			if r.Start.Before(failing.Add(5 * time.Second)) {
+				continue
+			}
+			total++
+			if id == "a-0" {
+				late++
+			}
+		}
+	}
+	// The target is 1% of the fair share, which is a fifth of the work.
+	if limit := max(1, total/5/100); late > limit {
+		t.Errorf("the failing worker got %d of %d requests after 5 s, limit %d", late, total, limit)
+	}
+	t.Logf("%+v, failing worker %d of %d", summarise(replies), late, total)
+}
