Limit teams by quotas and measure decision rounds at scale

Requests of a team that holds its quota are parked per team, so that they are not looked at again for each free slot.

--- a/scheduler/dispatching/failures.go
+++ b/scheduler/dispatching/failures.go
@@ -85,7 +85,8 @@
 	var decisions []Decision
 	for {
 		w := p.nextRequest()
-		if w == nil || w.request.Urgent || w.request.NonRepeatable || len(w.request.Avoid) > 0 {
+		if w == nil || w.request.Urgent || w.request.NonRepeatable || len(w.request.Avoid) > 0 ||
+			!p.teams.Allowed(w.request.Team) {
 			return decisions
 		}
 		id, ok := p.ejection.Probe(now, p.slots.HasFree)
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -8,6 +8,7 @@
 	"dotterelhead.example/dotterelhead/scheduler/ejection"
 	"dotterelhead.example/dotterelhead/scheduler/placement"
 	"dotterelhead.example/dotterelhead/scheduler/queueing"
+	"dotterelhead.example/dotterelhead/scheduler/quota"
 	"dotterelhead.example/dotterelhead/scheduler/runtimes"
 )
 
@@ -40,6 +41,8 @@
 	long     bool
 	order    *queueing.Entry[*waiting]
 	deadline *queueing.Entry[*waiting]
+	// queue is the heap that holds order.
+	queue *queueing.Heap[*waiting]
 }
 
 // grant is a slot in use.
@@ -66,6 +69,9 @@
 	learner  *runtimes.Learner
 	ejection *ejection.Workers
 	failing  *ejection.Jobs
+	teams    *quota.Teams
+	// parked holds the requests of teams that hold their quota.
+	parked   map[string]*queueing.Heap[*waiting]
 	requests map[string]*waiting
 	grants   map[string]*grant
 	urgent   *queueing.Heap[*waiting]
@@ -84,6 +90,14 @@
 	next       int64
 }
 
+// byKey orders the requests of a queue.
+func byKey(a, b *waiting) bool {
+	if !a.key.Equal(b.key) {
+		return a.key.Before(b.key)
+	}
+	return a.sequence < b.sequence
+}
+
 // NewPool returns a pool without workers.
 func NewPool(options Options) *Pool {
 	if options.LongShare <= 0 {
@@ -92,15 +106,10 @@
 	if options.Ageing <= 0 {
 		options.Ageing = 5
 	}
-	byKey := func(a, b *waiting) bool {
-		if !a.key.Equal(b.key) {
-			return a.key.Before(b.key)
-		}
-		return a.sequence < b.sequence
-	}
 	return &Pool{
 		options: options, workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
 		ejection: ejection.NewWorkers(ejection.Options{}), failing: ejection.NewJobs(),
+		teams: quota.NewTeams(), parked: map[string]*queueing.Heap[*waiting]{},
 		requests: map[string]*waiting{}, grants: map[string]*grant{},
 		urgent: queueing.New(byKey), short: queueing.New(byKey), long: queueing.New(byKey),
 		deadlines: queueing.New(func(a, b *waiting) bool { return a.request.StartBy.Before(b.request.StartBy) }),
@@ -169,6 +178,8 @@
 		p.longBusy--
 	}
 	p.slots.Give(g.worker)
+	p.teams.Give(g.request.Team)
+	p.unpark(g.request.Team)
 	if result == ResultOK {
 		p.learner.Observe(operation(g.request), g.request.Declared, ran)
 	}
@@ -202,7 +213,8 @@
 	if p.options.Policy == PolicyLearned {
 		w.key = now.Add(time.Duration(p.options.Ageing * float64(w.expected)))
 	}
-	w.order = p.queueOf(w).Push(w)
+	w.queue = p.queueOf(w)
+	w.order = w.queue.Push(w)
 	w.deadline = p.deadlines.Push(w)
 	p.requests[r.ID] = w
 	p.queuedWork += w.mean
@@ -210,10 +222,13 @@
 }
 
 func (p *Pool) dequeue(w *waiting) {
-	p.queueOf(w).Remove(w.order)
+	w.queue.Remove(w.order)
 	p.deadlines.Remove(w.deadline)
 	delete(p.requests, w.request.ID)
 	p.queuedWork -= w.mean
+	// Otherwise parked requests of the team could wait although the one that
+	// was to start before them is gone.
+	p.unpark(w.request.Team)
 }
 
 // estimate sets what is expected of a request: the learned run time of its
@@ -262,10 +277,14 @@
 		if w == nil {
 			break
 		}
+		if !p.teams.Allowed(w.request.Team) {
+			p.park(w)
+			continue
+		}
 		worker, ok := p.slots.Pick(w.request.Avoid)
 		if !ok {
 			// The workers that it avoids are the only free ones.
-			p.queueOf(w).Remove(w.order)
+			w.queue.Remove(w.order)
 			passed = append(passed, w)
 			continue
 		}
@@ -273,7 +292,7 @@
 		decisions = append(decisions, p.grant(now, w, worker))
 	}
 	for _, w := range passed {
-		p.queueOf(w).Restore(w.order)
+		w.queue.Restore(w.order)
 	}
 	return decisions
 }
@@ -282,9 +301,10 @@
 func (p *Pool) expire(now time.Time) []Decision {
 	var decisions []Decision
 	for e := p.deadlines.Peek(); e != nil && !e.Value.request.StartBy.After(now); e = p.deadlines.Peek() {
+		reason := p.expiryReason(e.Value)
 		p.dequeue(e.Value)
 		decisions = append(decisions, Decision{
-			RequestID: e.Value.request.ID, Reason: ReasonCannotStartInTime, RetryAfter: time.Second,
+			RequestID: e.Value.request.ID, Reason: reason, RetryAfter: time.Second,
 		})
 	}
 	return decisions
@@ -343,6 +363,7 @@
 	g := &grant{request: w.request, worker: worker, started: now, long: w.long}
 	p.grants[id] = g
 	p.slots.Take(worker)
+	p.teams.Take(w.request.Team)
 	p.ejection.Started(now, worker)
 	p.mark(now, worker)
 	if g.long {
--- a/scheduler/dispatching/pool_test.go
+++ b/scheduler/dispatching/pool_test.go
@@ -25,6 +25,7 @@
 	waiting map[string]Request
 	// grants maps grants in use to their worker, started to when they began.
 	grants  map[string]string
+	teams   map[string]string
 	started map[string]time.Time
 }
 
@@ -45,6 +46,10 @@
 			m.t.Fatalf("%s granted on %s, which does not serve the pool", r.ID, d.Worker.ID)
 		}
 		m.grants[d.Grant] = d.Worker.ID
+		m.teams[d.Grant] = r.Team
+		if n := m.inUse(r.Team); r.Team == "a" && n > quotaOfA {
+			m.t.Fatalf("team a holds %d slots, quota %d", n, quotaOfA)
+		}
 		m.started[d.Grant] = m.now
 		if n := m.busy(d.Worker.ID); n > d.Worker.Slots {
 			m.t.Fatalf("%d grants on %d slots of %s", n, d.Worker.Slots, d.Worker.ID)
@@ -52,6 +57,19 @@
 	}
 }
 
+// quotaOfA is the quota of team a; the other teams have none.
+const quotaOfA = 2
+
+func (m *model) inUse(team string) int {
+	n := 0
+	for grant := range m.grants {
+		if m.teams[grant] == team {
+			n++
+		}
+	}
+	return n
+}
+
 func (m *model) busy(worker string) int {
 	n := 0
 	for _, w := range m.grants {
@@ -120,6 +138,24 @@
 	}
 }
 
+// drain releases grants until nothing can start any more, and checks that no
+// request is left behind while a slot is free for it.
+func (m *model) drain() {
+	if len(m.workers) == 0 {
+		return
+	}
+	for len(m.grants) > 0 {
+		id := sortedKeys(m.grants)[0]
+		delete(m.grants, id)
+		m.check(m.pool.Release(m.now, id, ResultOK, 0))
+	}
+	for id, r := range m.waiting {
+		if len(r.Avoid) == 0 && r.StartBy.After(m.now) && len(m.pool.Ejected()) == 0 {
+			m.t.Fatalf("%s waits although all slots are free", id)
+		}
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
@@ -136,8 +172,9 @@
 		policy := rapid.SampledFrom([]Policy{PolicyLearned, PolicyFirstComeFirstServed}).Draw(t, "policy")
 		m := &model{
 			t: t, now: time.Unix(1000, 0), pool: NewPool(Options{MaxQueue: 20, Policy: policy}),
-			waiting: map[string]Request{}, grants: map[string]string{}, started: map[string]time.Time{},
+			waiting: map[string]Request{}, grants: map[string]string{}, teams: map[string]string{}, started: map[string]time.Time{},
 		}
+		m.check(m.pool.SetQuotas(m.now, map[string]int{"a": quotaOfA}))
 		m.setWorkers()
 		actions := []func(){m.push, m.push, m.push, m.release, m.release, m.cancel, func() { m.check(m.pool.Tick(m.now)) }}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -153,6 +190,7 @@
 				t.Fatalf("demand %+v, want %d queued and %d busy", d, len(m.waiting), len(m.grants))
 			}
 		}
+		m.drain()
 		// Past the last deadline nothing waits any more.
 		m.now = m.now.Add(time.Minute)
 		m.check(m.pool.Tick(m.now))
--- /dev/null
+++ b/tools/measure/scale.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
+	"dotterelhead.example/dotterelhead/scheduler/dispatching"
+)
+
+// Sizes within two years (docs/design.md, 1.4).
+const (
+	topWorkers = 2000
+	topPools   = 117
+	topTeams   = 710
+)
+
+var scaleWorkers = []int{50, 200, 500, 1000, topWorkers}
+
+func measureScale(s scenario) []Row {
+	var rows []Row
+	var x, y, bound []float64
+	for _, workers := range scaleWorkers {
+		seconds := decisionRound(s, workers)
+		r := row("decision round, "+strconv.Itoa(workers)+" workers", "milliseconds", 1000*seconds)
+		if workers == topWorkers {
+			r = r.atMost(50)
+		}
+		rows = append(rows, r)
+		n := float64(workers)
+		x, y, bound = append(x, math.Log(n)), append(y, math.Log(seconds)), append(bound, math.Log(n*math.Log(n)))
+	}
+	rows = append(rows, row("decision round, growth exponent (bound: n log n)", "exponent", slope(x, y)).
+		bound(slope(x, bound)).atMost(slope(x, bound)))
+	pools, seconds := 12, 60
+	if s.Quick {
+		pools, seconds = 4, 30
+	}
+	learned := make([]urgentWaits, pools)
+	fcfs := make([]urgentWaits, pools)
+	parallel(2*pools, func(i int) {
+		if i < pools {
+			learned[i] = urgent(s, uint64(i), seconds, dispatching.PolicyLearned)
+		} else {
+			fcfs[i-pools] = urgent(s, uint64(i-pools), seconds, dispatching.PolicyFirstComeFirstServed)
+		}
+	})
+	var worst, worstFCFS, over float64
+	for i := range pools {
+		worst, worstFCFS = max(worst, learned[i].longest), max(worstFCFS, fcfs[i].longest)
+		over = max(over, learned[i].overQuota)
+	}
+	return append(rows,
+		row("longest wait of urgent work with quotas", "seconds", worst).baseline(worstFCFS).atMost(5.4),
+		row("slots held beyond the quota without urgent work", "slots", over).atMost(0))
+}
+
+// slope is the least squares slope of y over x.
+func slope(x, y []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(x))
+	for i := range x {
+		sx, sy, sxx, sxy = sx+x[i], sy+y[i], sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	return (n*sxy - sx*sy) / (n*sxx - sx*sx)
+}
+
+// teamQuotas returns quotas of one to four slots for all teams.
+func teamQuotas(random *rand.Rand, teams int) map[string]int {
+	quotas := map[string]int{}
+	for i := range teams {
+		quotas[teamName(i)] = 1 + random.IntN(4)
+	}
+	return quotas
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// decisionRound returns the median real time of a round over the whole fleet:
+// each pool reports its demand, refuses what is late and replaces one grant on
+// each worker, with two waiting requests for each slot; then the moves are
+// planned.
+func decisionRound(s scenario, workers int) float64 {
+	random := rand.New(rand.NewPCG(s.Seed, uint64(workers)))
+	pools := max(workers*topPools/topWorkers, services)
+	teams := max(workers*topTeams/topWorkers, 1)
+	f := newScaleFleet(random, workers, pools, teams)
+	planner := capacity.NewPlanner(s.weights())
+	times := make([]float64, 0, 15)
+	for i := range cap(times) {
+		now := epoch.Add(time.Duration(i+1) * time.Second)
+		release := f.releases()
+		begin := time.Now()
+		f.round(now, release)
+		moves := planner.Plan(now, f.snapshot)
+		times = append(times, time.Since(begin).Seconds())
+		f.move(moves)
+	}
+	slices.Sort(times)
+	return times[len(times)/2]
+}
+
+type scaleFleet struct {
+	random   *rand.Rand
+	pools    []*dispatching.Pool
+	grants   []map[string][]string
+	snapshot capacity.Snapshot
+	teams    int
+	next     int
+}
+
+func newScaleFleet(random *rand.Rand, workers, pools, teams int) *scaleFleet {
+	f := &scaleFleet{random: random, teams: teams}
+	listed := make([][]dispatching.Worker, pools)
+	for i := range workers {
+		id, pool := fmt.Sprintf("vm-%04d", i), i%pools
+		listed[pool] = append(listed[pool], dispatching.Worker{ID: id, Slots: slotsPerWorker})
+		f.snapshot.VMs = append(f.snapshot.VMs, capacity.VM{
+			ID: id, Pool: poolName(pool), HomePool: poolName(pool), Serving: true, Rack: rackName(i / workersPerRack),
+		})
+	}
+	for pool := range pools {
+		p := dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue})
+		p.SetQuotas(epoch, teamQuotas(random, teams))
+		p.SetWorkers(epoch, listed[pool])
+		f.pools, f.grants = append(f.pools, p), append(f.grants, map[string][]string{})
+		f.snapshot.Pools = append(f.snapshot.Pools, capacity.Pool{
+			Name: poolName(pool), Spare: pool == pools-1, VMs: len(listed[pool]), MinimumVMs: 2,
+			MaxUnavailable: 2, SlotsPerWorker: slotsPerWorker,
+		})
+		for range 3 * slotsPerWorker * len(listed[pool]) {
+			f.push(epoch, pool)
+		}
+	}
+	return f
+}
+
+func (f *scaleFleet) push(now time.Time, pool int) {
+	f.next++
+	o := pick(f.random)
+	f.note(pool, f.pools[pool].Push(now, dispatching.Request{
+		ID: strconv.Itoa(f.next), Service: poolName(pool), Operation: o.name, Team: teamName(f.random.IntN(f.teams)),
+		Declared: o.median, StartBy: now.Add(deadline), Urgent: f.random.IntN(100) == 0,
+	}))
+}
+
+func (f *scaleFleet) note(pool int, decisions []dispatching.Decision) {
+	for _, d := range decisions {
+		if d.Reason == dispatching.ReasonNone {
+			f.grants[pool][d.Worker.ID] = append(f.grants[pool][d.Worker.ID], d.Grant)
+		}
+	}
+}
+
+// releases picks the grants that end in the next round, one on each worker.
+func (f *scaleFleet) releases() [][]string {
+	all := make([][]string, len(f.pools))
+	for pool := range f.pools {
+		workers := make([]string, 0, len(f.grants[pool]))
+		for worker := range f.grants[pool] {
+			workers = append(workers, worker)
+		}
+		slices.Sort(workers)
+		for _, worker := range workers {
+			if grants := f.grants[pool][worker]; len(grants) > 0 {
+				all[pool] = append(all[pool], grants[0])
+				f.grants[pool][worker] = grants[1:]
+			}
+		}
+	}
+	return all
+}
+
+func (f *scaleFleet) round(now time.Time, releases [][]string) {
+	for pool, p := range f.pools {
+		f.note(pool, p.Tick(now))
+		for _, grant := range releases[pool] {
+			f.note(pool, p.Release(now, grant, dispatching.ResultOK, 20*time.Millisecond))
+			f.push(now, pool)
+		}
+		d := p.Demand(now)
+		s := &f.snapshot.Pools[pool]
+		s.SlotsWanted, s.Queued, s.Busy = d.SlotsWanted, d.Queued, d.Busy
+	}
+}
+
+// move carries planned moves out at once in the snapshot.
+func (f *scaleFleet) move(moves []capacity.Move) {
+	for _, m := range moves {
+		i := slices.IndexFunc(f.snapshot.VMs, func(vm capacity.VM) bool { return vm.ID == m.VM })
+		f.snapshot.VMs[i].Pool = m.To
+	}
+}
+
+// urgentWaits is the result of a run with quotas.
+type urgentWaits struct{ longest, overQuota float64 }
+
+// urgent runs one pool of the top size with quotas of all teams at 1.4 times
+// its capacity in virtual time. A hundredth of the requests is urgent; few
+// teams send most requests.
+func urgent(s scenario, pool uint64, seconds int, policy dispatching.Policy) urgentWaits {
+	random := rand.New(rand.NewPCG(s.Seed, 1000+pool))
+	quotas := teamQuotas(random, topTeams)
+	p := dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue, Policy: policy})
+	p.SetQuotas(epoch, quotas)
+	var listed []dispatching.Worker
+	for i := range topWorkers / topPools {
+		listed = append(listed, dispatching.Worker{ID: strconv.Itoa(i), Slots: slotsPerWorker})
+	}
+	p.SetWorkers(epoch, listed)
+	zipf := rand.NewZipf(random, 1.1, 5, topTeams-1)
+	rate := burstLoad * float64(len(listed)*slotsPerWorker) / meanRun()
+	jobs, requests := map[string]job{}, map[string]dispatching.Request{}
+	inUse := map[string]int{}
+	var ends events
+	var r urgentWaits
+	var apply func(now time.Duration, decisions []dispatching.Decision)
+	apply = func(now time.Duration, decisions []dispatching.Decision) {
+		for _, d := range decisions {
+			j, q := jobs[d.RequestID], requests[d.RequestID]
+			delete(jobs, d.RequestID)
+			delete(requests, d.RequestID)
+			if q.Urgent {
+				r.longest = max(r.longest, (now - j.arrive).Seconds())
+			}
+			if d.Reason != dispatching.ReasonNone {
+				continue
+			}
+			if !q.Urgent {
+				inUse[q.Team]++
+				r.overQuota = max(r.overQuota, float64(inUse[q.Team]-quotas[q.Team]))
+			}
+			heap.Push(&ends, event{at: now + j.run, seq: len(ends), run: func() {
+				if !q.Urgent {
+					inUse[q.Team]--
+				}
+				apply(now+j.run, p.Release(epoch.Add(now+j.run), d.Grant, dispatching.ResultOK, j.run))
+			}})
+		}
+	}
+	for at, n := 0.0, 0; ; n++ {
+		at += random.ExpFloat64() / rate
+		arrive := time.Duration(at * float64(time.Second))
+		for len(ends) > 0 && ends[0].at <= arrive {
+			heap.Pop(&ends).(event).run()
+		}
+		if at > float64(seconds) {
+			break
+		}
+		j := newJob(random, 0, n, arrive)
+		q := dispatching.Request{
+			ID: j.id, Service: "s", Operation: j.operation, Team: teamName(int(zipf.Uint64())), Declared: j.declared,
+			StartBy: epoch.Add(arrive + deadline), Urgent: random.IntN(100) == 0,
+		}
+		jobs[j.id], requests[j.id] = j, q
+		apply(arrive, p.Push(epoch.Add(arrive), q))
+	}
+	// Urgent work that still waits at the end counts with its wait so far.
+	for id, q := range requests {
+		if q.Urgent {
+			r.longest = max(r.longest, float64(seconds)-jobs[id].arrive.Seconds())
+		}
+	}
+	return r
+}
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -20,6 +20,9 @@
 	if s.selected("capacity") {
 		rows = append(rows, measureCapacity(s)...)
 	}
+	if s.selected("scale") {
+		rows = append(rows, measureScale(s)...)
+	}
 	return rows, nil
 }
 
