--- a/scheduler/dispatching/failures.go
+++ b/scheduler/dispatching/failures.go
@@ -86,7 +86,7 @@
 	for {
 		w := p.nextRequest()
 		if w == nil || w.request.Urgent || w.request.NonRepeatable || len(w.request.Avoid) > 0 ||
-			!p.teams.Allowed(w.request.Team) {
+			p.teams.Room(w.request.Team, false) == 0 {
 			return decisions
 		}
 		id, ok := p.ejection.Probe(now, p.slots.HasFree)
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -71,7 +71,7 @@
 	failing  *ejection.Jobs
 	teams    *quota.Teams
 	// parked holds the requests of teams that hold their quota.
-	parked   map[string]*queueing.Heap[*waiting]
+	parked   map[parkedTeam]*queueing.Heap[*waiting]
 	requests map[string]*waiting
 	grants   map[string]*grant
 	urgent   *queueing.Heap[*waiting]
@@ -109,7 +109,7 @@
 	return &Pool{
 		options: options, workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
 		ejection: ejection.NewWorkers(ejection.Options{}), failing: ejection.NewJobs(),
-		teams: quota.NewTeams(), parked: map[string]*queueing.Heap[*waiting]{},
+		teams: quota.NewTeams(), parked: map[parkedTeam]*queueing.Heap[*waiting]{},
 		requests: map[string]*waiting{}, grants: map[string]*grant{},
 		urgent: queueing.New(byKey), short: queueing.New(byKey), long: queueing.New(byKey),
 		deadlines: queueing.New(func(a, b *waiting) bool { return a.request.StartBy.Before(b.request.StartBy) }),
@@ -178,8 +178,8 @@
 		p.longBusy--
 	}
 	p.slots.Give(g.worker)
-	p.teams.Give(g.request.Team)
-	p.unpark(g.request.Team)
+	p.teams.Give(g.request.Team, g.request.Urgent)
+	p.unpark(g.request)
 	if result == ResultOK {
 		p.learner.Observe(operation(g.request), g.request.Declared, ran)
 	}
@@ -228,7 +228,7 @@
 	p.queuedWork -= w.mean
 	// Otherwise parked requests of the team could wait although the one that
 	// was to start before them is gone.
-	p.unpark(w.request.Team)
+	p.unpark(w.request)
 }
 
 // estimate sets what is expected of a request: the learned run time of its
@@ -277,7 +277,7 @@
 		if w == nil {
 			break
 		}
-		if !p.teams.Allowed(w.request.Team) {
+		if p.teams.Room(w.request.Team, w.request.Urgent) == 0 {
 			p.park(w)
 			continue
 		}
@@ -363,7 +363,7 @@
 	g := &grant{request: w.request, worker: worker, started: now, long: w.long}
 	p.grants[id] = g
 	p.slots.Take(worker)
-	p.teams.Take(w.request.Team)
+	p.teams.Take(w.request.Team, w.request.Urgent)
 	p.ejection.Started(now, worker)
 	p.mark(now, worker)
 	if g.long {
--- a/scheduler/dispatching/teams.go
+++ b/scheduler/dispatching/teams.go
@@ -11,39 +11,42 @@
 func (p *Pool) SetQuotas(now time.Time, quotas map[string]int) []Decision {
 	p.teams.Set(quotas)
 	for team := range p.parked {
-		p.unpark(team)
+		p.unparkTeam(team)
 	}
 	return p.dispatch(now)
 }
 
+// parkedTeam names the parked requests of a team; urgent ones have their own
+// limit.
+type parkedTeam struct {
+	team   string
+	urgent bool
+}
+
+func parkedTeamOf(r Request) parkedTeam { return parkedTeam{r.Team, r.Urgent} }
+
 // park sets a request aside until its team holds less than its quota, so that
 // it is not looked at again for each free slot.
 func (p *Pool) park(w *waiting) {
-	team := w.request.Team
+	team := parkedTeamOf(w.request)
 	if p.parked[team] == nil {
-		p.parked[team] = queueing.New(parkedOrder)
+		p.parked[team] = queueing.New(byKey)
 	}
 	w.queue.Remove(w.order)
 	w.queue = p.parked[team]
 	w.queue.Restore(w.order)
 }
 
-// parkedOrder puts urgent requests of a team first.
-func parkedOrder(a, b *waiting) bool {
-	if a.request.Urgent != b.request.Urgent {
-		return a.request.Urgent
-	}
-	return byKey(a, b)
-}
+func (p *Pool) unpark(r Request) { p.unparkTeam(parkedTeamOf(r)) }
 
-// unpark puts parked requests of a team back into the queues: as many as the
-// team may start now.
-func (p *Pool) unpark(team string) {
+// unparkTeam puts parked requests of a team back into the queues: as many as
+// the team may start now.
+func (p *Pool) unparkTeam(team parkedTeam) {
 	q := p.parked[team]
 	if q == nil {
 		return
 	}
-	for room := p.teams.Room(team); room > 0 && q.Len() > 0; room-- {
+	for room := p.teams.Room(team.team, team.urgent); room > 0 && q.Len() > 0; room-- {
 		w := q.Peek().Value
 		q.Remove(w.order)
 		w.queue = p.queueOf(w)
@@ -57,7 +60,7 @@
 // expiryReason tells a request that waited for its team's quota from one that
 // waited for a slot.
 func (p *Pool) expiryReason(w *waiting) Reason {
-	if w.queue == p.parked[w.request.Team] {
+	if w.queue == p.parked[parkedTeamOf(w.request)] {
 		return ReasonQuota
 	}
 	return ReasonCannotStartInTime
