--- /dev/null
+++ b/scheduler/capacity/planner_test.go
@@ -0,0 +1,121 @@
+package capacity
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// Guards against moves that take a pool below its minimum or budget, move a VM
+// twice within its hold time or while it moves, or name the wrong pool.
+func TestPlanInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		options := Options{
+			WaitingWeight: rapid.SampledFrom([]float64{1, 20}).Draw(t, "weight"),
+			Hold:          rapid.SampledFrom([]HoldPolicy{HoldHistogram, HoldFixed, HoldAverage}).Draw(t, "hold"),
+		}
+		planner := NewPlanner(options)
+		now := time.Unix(1000, 0)
+		s := Snapshot{Pools: []Pool{
+			{Name: "spare", Spare: true, MinimumVMs: 1, SlotsPerWorker: 8},
+			{Name: "a", MinimumVMs: 2, MaxUnavailable: 1, SlotsPerWorker: 8},
+			{Name: "b", MinimumVMs: 3, MaxUnavailable: 2, SlotsPerWorker: 8},
+		}}
+		for i := range 14 {
+			pool := s.Pools[i%3].Name
+			s.VMs = append(s.VMs, VM{ID: fmt.Sprintf("vm%02d", i), Pool: pool, HomePool: pool, Serving: true})
+		}
+		under := map[string]Move{}
+		for range rapid.IntRange(1, 100).Draw(t, "seconds") {
+			now = now.Add(time.Second)
+			for i := 1; i < len(s.Pools); i++ {
+				s.Pools[i].SlotsWanted = rapid.SampledFrom([]float64{0, 3, 20, 60, 200}).Draw(t, "wanted")
+			}
+			disturb(t, now, s.VMs, under)
+			moves := planner.Plan(now, s)
+			checkMoves(t, now, s, moves, under)
+			for _, m := range moves {
+				under[m.VM] = m
+			}
+		}
+	})
+}
+
+// disturb fails and repairs VMs and carries moves on.
+func disturb(t *rapid.T, now time.Time, vms []VM, under map[string]Move) {
+	for i := range vms {
+		vm := &vms[i]
+		m, moving := under[vm.ID]
+		switch action := rapid.IntRange(0, 9).Draw(t, "vm"); {
+		case moving && vm.Serving:
+			vm.Serving = false
+		case moving && action < 4:
+			vm.Pool, vm.Serving, vm.MovedAt = m.To, true, now
+			delete(under, vm.ID)
+		case !moving && action == 9:
+			vm.Serving = !vm.Serving
+		}
+	}
+}
+
+func checkMoves(t *rapid.T, now time.Time, s Snapshot, moves []Move, under map[string]Move) {
+	vms, pools := map[string]VM{}, map[string]Pool{}
+	serving, unavailable := map[string]int{}, map[string]int{}
+	for _, p := range s.Pools {
+		pools[p.Name] = p
+	}
+	for _, vm := range s.VMs {
+		vms[vm.ID] = vm
+		if _, moving := under[vm.ID]; moving {
+			continue
+		}
+		if vm.Serving {
+			serving[vm.Pool]++
+		} else {
+			unavailable[vm.Pool]++
+		}
+	}
+	for _, m := range moves {
+		vm, from := vms[m.VM], pools[m.From]
+		if _, moving := under[m.VM]; moving || !vm.Serving || vm.Pool != m.From || m.To == m.From || pools[m.To].Name == "" {
+			t.Fatalf("move %+v of %+v", m, vm)
+		}
+		if now.Sub(vm.MovedAt) < 10*time.Second {
+			t.Fatalf("%s moves %s after its last move", m.VM, now.Sub(vm.MovedAt))
+		}
+		if serving[m.From]--; serving[m.From] < from.MinimumVMs {
+			t.Fatalf("%s is left with %d of at least %d VMs", m.From, serving[m.From], from.MinimumVMs)
+		}
+		if !from.Spare && unavailable[m.From] >= from.MaxUnavailable {
+			t.Fatalf("%s gives a VM with %d out of service, budget %d", m.From, unavailable[m.From], from.MaxUnavailable)
+		}
+		delete(vms, m.VM)
+	}
+}
+
+// Guards against a hold that ignores regular gaps, or that pays for gaps that
+// are too long.
+func TestHoldFollowsGaps(t *testing.T) {
+	var g gaps
+	for range 20 {
+		g.add(5 * time.Second)
+		g.add(100 * time.Second)
+	}
+	if hold := g.hold(20, 1); hold != 6*time.Second {
+		t.Errorf("half of the gaps take 5 s, a VM is worth 20 s: hold %s, want 6 s", hold)
+	}
+	if hold := g.hold(500, 1); hold != 101*time.Second {
+		t.Errorf("a VM is worth 500 s: hold %s, want 101 s", hold)
+	}
+	if hold := g.hold(5, 1); hold != 0 {
+		t.Errorf("a VM is worth 5 s: hold %s, want 0", hold)
+	}
+}
