--- a/tools/measure/capacity.go
+++ b/tools/measure/capacity.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
-	"os"
+	"math"
 	"runtime"
 	"slices"
 	"sync"
 	"time"
 
+	"gonum.org/v1/plot/plotter"
+
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
 )
 
@@ -242,7 +245,7 @@
 	return best, found
 }
 
-func measureCapacity(s scenario) []Row {
+func measureCapacity(s scenario) ([]Row, []chart) {
 	work := newWorkload(s)
 	policies := []capacity.HoldPolicy{capacity.HoldHistogram, capacity.HoldFixed, capacity.HoldAverage}
 	family := foresights()
@@ -270,14 +273,6 @@
 			clairvoyants[i] = runCapacity(s, work, poolSizes, family[i].plan(work))
 		}
 	})
-	if os.Getenv("FRONTIER") != "" {
-		for i, r := range clairvoyants {
-			fmt.Fprintf(os.Stderr, "%v buffer %.1f moves %d wait %.2f short %.1f\n", family[i], r.buffer, r.moves, r.wait(), quantile(r.waits.short, 0.99))
-		}
-		for i, r := range static {
-			fmt.Fprintf(os.Stderr, "static %d buffer %.1f wait %.2f short %.1f\n", 8+i, r.buffer, r.wait(), quantile(r.waits.short, 0.99))
-		}
-	}
 	ours := held[0]
 	split, splitFound := cheapest(static, ours.wait())
 	best, bestFound := cheapest(clairvoyants, ours.wait())
@@ -310,5 +305,27 @@
 			row("hold by "+name+": moves", "moves", float64(held[i].moves)),
 			row("hold by "+name+": wait p99", "seconds", held[i].wait()))
 	}
-	return rows
+	frontier := chart{
+		file: "buffer-" + s.Deployment + ".svg", title: "Buffer and wait, " + s.Deployment,
+		x: "VMs held as buffer", y: "p99 wait in seconds", logY: true,
+	}
+	frontier.series = append(frontier.series,
+		frontierOf("static split", static), frontierOf("clairvoyant plans", clairvoyants),
+		series{"planner", plotter.XYs{{X: ours.buffer - 0.3, Y: ours.wait()}, {X: ours.buffer + 0.3, Y: ours.wait()}}})
+	return rows, []chart{frontier}
+}
+
+// frontierOf returns the runs for which no other run has both less buffer and
+// less wait.
+func frontierOf(name string, runs []capacityRun) series {
+	sorted := slices.Clone(runs)
+	slices.SortFunc(sorted, func(a, b capacityRun) int { return cmp.Compare(a.buffer, b.buffer) })
+	s, lowest := series{name: name}, math.Inf(1)
+	for _, r := range sorted {
+		if r.wait() < lowest {
+			lowest = r.wait()
+			s.points = append(s.points, plotter.XY{X: r.buffer, Y: max(lowest, 1e-3)})
+		}
+	}
+	return s
 }
--- a/tools/measure/ejection.go
+++ b/tools/measure/ejection.go
@@ -12,7 +12,7 @@
 
 // measureEjection measures workers that fail all they start from a quarter of
 // the run on, and common failures of a whole pool and of half a pool.
-func measureEjection(s scenario) []Row {
+func measureEjection(s scenario) ([]Row, []chart) {
 	learned, learnedFailures := badWorkerShare(s, learnedPool)
 	fcfs, fcfsFailures := badWorkerShare(s, fcfsPool)
 	whole, _ := commonFailure(s, 1)
@@ -23,7 +23,7 @@
 		row("requests that end as failed with failing workers", "requests", learnedFailures).baseline(fcfsFailures),
 		row("workers ejected while a whole pool fails", "workers", whole).bound(0).atMost(0),
 		row("healthy workers ejected while half a pool fails", "workers", half).bound(0).atMost(0),
-	}
+	}, nil
 }
 
 // badWorkerShare returns the starts on bad workers in percent of their fair
--- a/tools/measure/scale.go
+++ b/tools/measure/scale.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"gonum.org/v1/plot/plotter"
+
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
 	"dotterelhead.example/dotterelhead/scheduler/dispatching"
 )
@@ -22,9 +24,10 @@
 
 var scaleWorkers = []int{50, 200, 500, 1000, topWorkers}
 
-func measureScale(s scenario) []Row {
+func measureScale(s scenario) ([]Row, []chart) {
 	var rows []Row
 	var x, y, bound []float64
+	var measured, nLogN plotter.XYs
 	for _, workers := range scaleWorkers {
 		median, shortest := decisionRound(s, workers)
 		r := row("decision round, "+strconv.Itoa(workers)+" workers", "milliseconds", 1000*median)
@@ -33,10 +36,15 @@
 		}
 		rows = append(rows, r)
 		n := float64(workers)
+		measured = append(measured, plotter.XY{X: n, Y: 1000 * shortest})
 		x, y, bound = append(x, math.Log(n)), append(y, math.Log(shortest)), append(bound, math.Log(n*math.Log(n)))
 	}
 	rows = append(rows, row("decision round, growth exponent (bound: n log n)", "exponent", slope(x, y)).
 		bound(slope(x, bound)).atMost(slope(x, bound)))
+	for i := range x {
+		// n log n through the first point.
+		nLogN = append(nLogN, plotter.XY{X: measured[i].X, Y: measured[0].Y * math.Exp(bound[i]-bound[0])})
+	}
 	pools, seconds := 12, 60
 	if s.Quick {
 		pools, seconds = 4, 30
@@ -55,9 +63,13 @@
 		worst, worstFCFS = max(worst, learned[i].longest), max(worstFCFS, fcfs[i].longest)
 		over = max(over, learned[i].overQuota)
 	}
-	return append(rows,
+	rows = append(rows,
 		row("longest wait of urgent work with quotas", "seconds", worst).baseline(worstFCFS).atMost(5.4),
 		row("slots held beyond the quota without urgent work", "slots", over).atMost(0))
+	return rows, []chart{{
+		file: "decision-round.svg", title: "One decision round", x: "workers", y: "milliseconds",
+		logX: true, logY: true, series: []series{{"measured", measured}, {"n log n", nLogN}},
+	}}
 }
 
 // slope is the least squares slope of y over x.
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -9,19 +9,35 @@
 
 const maxQueue = 100_000
 
+// part is one part of the measurement.
+type part struct {
+	name string
+	run  func(s scenario) ([]Row, []chart)
+}
+
+var parts = []part{
+	{"waiting", measureWaiting},
+	{"ejection", measureEjection},
+	{"capacity", measureCapacity},
+	{"scale", measureScale},
+}
+
 func measureDecisions(s scenario) ([]Row, error) {
 	var rows []Row
-	if s.selected("waiting") {
-		rows = append(rows, measureWaiting(s)...)
-	}
-	if s.selected("ejection") {
-		rows = append(rows, measureEjection(s)...)
-	}
-	if s.selected("capacity") {
-		rows = append(rows, measureCapacity(s)...)
-	}
-	if s.selected("scale") {
-		rows = append(rows, measureScale(s)...)
+	for _, p := range parts {
+		if !s.selected(p.name) {
+			continue
+		}
+		measured, charts := p.run(s)
+		rows = append(rows, measured...)
+		if s.Plots == "" {
+			continue
+		}
+		for _, c := range charts {
+			if err := c.save(s.Plots); err != nil {
+				return nil, err
+			}
+		}
 	}
 	return rows, nil
 }
@@ -140,7 +156,7 @@
 
 func (r *roundRobin) Demand(now time.Time) dispatching.Demand { return dispatching.Demand{} }
 
-func measureWaiting(s scenario) []Row {
+func measureWaiting(s scenario) ([]Row, []chart) {
 	work := newWorkload(s)
 	learned := summarise(newSimulation(s, work, learnedPool).run())
 	fcfs := summarise(newSimulation(s, work, fcfsPool).run())
@@ -149,7 +165,7 @@
 	short, long := quantile(learned.short, 0.99), quantile(learned.long, 0.99)
 	fcfsShort, fcfsLong := quantile(fcfs.short, 0.99), quantile(fcfs.long, 0.99)
 	bestShort := quantile(best.short, 0.99)
-	return []Row{
+	rows := []Row{
 		row("short work p99 slowdown against first come first served", "ratio", short).
 			baseline(fcfsShort).bound(bestShort).atMost(fcfsShort / 10),
 		row("short work p99 slowdown against clairvoyant", "ratio", short).
@@ -163,4 +179,19 @@
 		row("refused or failed, without jobs that can never run", "requests", float64(learned.refused)).
 			baseline(float64(fcfs.refused)),
 	}
+	return rows, []chart{
+		slowdowns("short", learned.short, fcfs.short, rr.short, best.short),
+		slowdowns("long", learned.long, fcfs.long, rr.long, best.long),
+	}
+}
+
+func slowdowns(work string, learned, fcfs, rr, best []float64) chart {
+	return chart{
+		file: "slowdown-" + work + ".svg", title: "Slowdown of " + work + " work",
+		x: "slowdown", y: "part of the requests above", logX: true, logY: true,
+		series: []series{
+			distribution("learned", learned), distribution("first come first served", fcfs),
+			distribution("round robin", rr), distribution("clairvoyant", best),
+		},
+	}
 }
