Use reloading TLS files and tokens on all listeners

TLS and token settings were checked but never used: listeners were plain and the operator API was open. The caller, operator and peer listeners and the calls between entry VMs now use tlsconfig, which follows changed files, and the operator API asks for a token of the token file.

serve reports TLS and token files that cannot be used as findings, with the place of the setting that names them and together with all others, before it opens a listener. daemon.New refuses unprotected listeners of settings that come from no file, which the dev command made possible. Errors of the listeners go to the log as event=listener_error.

The functions of package settings that read the files once are gone.

--- a/cmd/dotterelheadd/main.go
+++ b/cmd/dotterelheadd/main.go
@@ -70,7 +70,7 @@
 		Short: "Run one entry VM until SIGTERM",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, found := settings.Load(file)
+			s, found := settings.LoadWithFiles(file)
 			if err := found.Err(); err != nil {
 				return failure{err}
 			}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
-	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"dotterelhead.example/dotterelhead/claims"
@@ -36,11 +34,7 @@
 	// handoverTimeout bounds what a leaving entry VM does after its last
 	// request: another entry VM takes over without it.
 	handoverTimeout = 5 * time.Second
-	// headerTimeout bounds the time in which a caller sends its headers.
-	headerTimeout = 10 * time.Second
-	// idleCallerTimeout closes connections of callers without requests.
-	idleCallerTimeout = 60 * time.Second
-	peerCallTimeout   = time.Hour
+	peerCallTimeout = time.Hour
 )
 
 // Options configure an entry VM.
@@ -74,6 +68,7 @@
 	budget    *lockedBudget
 	runTimes  *runTimes
 
+	security  security
 	config    atomic.Pointer[note.Config]
 	hasFleet  atomic.Bool
 	leaving   atomic.Bool
@@ -87,13 +82,21 @@
 		options.Scope = tally.NoopScope
 	}
 	s := options.Settings
+	if err := s.CheckListeners(); err != nil {
+		return nil, err
+	}
+	secured, err := newSecurity(s, options.Log)
+	if err != nil {
+		return nil, err
+	}
 	e := &EntryVM{
 		options:  options,
 		settings: s,
 		log:      options.Log,
 		platform: platform.NewClient(platform.ClientOptions{BaseURL: s.PlatformURL, Entry: s.ID}),
 		replica:  replica.New(),
-		clients:  peer.NewClients(peer.ClientsOptions{Timeout: peerCallTimeout}),
+		security: secured,
+		clients:  peer.NewClients(peer.ClientsOptions{Timeout: peerCallTimeout, TLS: secured.peer}),
 		budget:   &lockedBudget{budget: retry.NewBudget(retry.Options{Ratio: s.RetryBudgetRatio})},
 		runTimes: newRunTimes(),
 		changed:  make(chan struct{}, 1),
@@ -184,7 +187,7 @@
 
 // Run serves until ctx ends and then leaves gracefully.
 func (e *EntryVM) Run(ctx context.Context) error {
-	if err := e.listeners.open(e.settings); err != nil {
+	if err := e.listeners.open(e.settings, e.security); err != nil {
 		return err
 	}
 	// Components live on while the entry VM leaves, so that requests in
@@ -203,7 +206,7 @@
 	start(func(ctx context.Context) { e.node.Run(ctx) }, running)
 	start(func(ctx context.Context) { e.control.Run(ctx) }, controlling)
 	start(e.followDocuments, running)
-	failed := e.listeners.serve(e.callerHandler(), e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes)
+	failed := e.listeners.serve(e.callerHandler(), e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes, e.log)
 	e.log.Info().Str("event", "listening").Str("entry", e.settings.ID).
 		Str("caller", e.listeners.caller.Addr().String()).Str("operator", e.listeners.operator.Addr().String()).
 		Str("peer", e.listeners.peer.Addr().String()).Msg("")
@@ -391,63 +394,3 @@
 	defer b.mu.Unlock()
 	return b.budget.Allow(now)
 }
-
-// listeners are the three listeners of an entry VM.
-type listeners struct {
-	caller, operator, peer                   net.Listener
-	callerServer, operatorServer, peerServer *http.Server
-}
-
-func (l *listeners) open(s settings.Settings) error {
-	for _, listener := range []struct {
-		address string
-		target  *net.Listener
-	}{{s.CallerListen, &l.caller}, {s.OperatorListen, &l.operator}, {s.PeerListen, &l.peer}} {
-		opened, err := net.Listen("tcp", listener.address)
-		if err != nil {
-			l.closeListeners()
-			return errors.Wrap(err, "listen")
-		}
-		*listener.target = opened
-	}
-	return nil
-}
-
-func (l *listeners) closeListeners() {
-	for _, listener := range []net.Listener{l.caller, l.operator, l.peer} {
-		if listener != nil {
-			listener.Close()
-		}
-	}
-}
-
-// serve starts the servers; the channel receives the first failure.
-func (l *listeners) serve(caller, operator, peer http.Handler, maxHeaderBytes int) <-chan error {
-	failed := make(chan error, 3)
-	start := func(listener net.Listener, handler http.Handler) *http.Server {
-		server := &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout,
-			IdleTimeout: idleCallerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}
-		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				failed <- errors.Wrap(err, "serve")
-			}
-		}()
-		return server
-	}
-	l.callerServer = start(l.caller, caller)
-	l.operatorServer = start(l.operator, operator)
-	l.peerServer = start(l.peer, peer)
-	return failed
-}
-
-func (l *listeners) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	for _, server := range []*http.Server{l.peerServer, l.operatorServer, l.callerServer} {
-		if server.Shutdown(ctx) != nil {
-			server.Close()
-		}
-	}
-}
--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -40,7 +40,7 @@
 	return operator.NewHandler(operator.Options{
 		Store: e.platform, Replica: e.replica, Region: e.settings.Region,
 		Publisher: e.publisher, Ready: e.Ready, Status: e.status,
-		Metrics: e.options.Metrics, Log: e.log,
+		Metrics: e.options.Metrics, Authorize: e.security.authorize(), Log: e.log,
 	})
 }
 
--- /dev/null
+++ b/daemon/listeners.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	stdlog "log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/settings"
+	"dotterelhead.example/dotterelhead/tlsconfig"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller completes the TLS
+	// handshake and sends its headers.
+	headerTimeout = 10 * time.Second
+	// idleCallerTimeout closes connections of callers without requests.
+	idleCallerTimeout = 60 * time.Second
+)
+
+// listeners are the three listeners of an entry VM.
+type listeners struct {
+	caller, operator, peer                   net.Listener
+	callerServer, operatorServer, peerServer *http.Server
+}
+
+func (l *listeners) open(s settings.Settings, secured security) error {
+	for _, listener := range []struct {
+		address string
+		source  *tlsconfig.Source
+		target  *net.Listener
+	}{
+		{s.CallerListen, secured.caller, &l.caller},
+		{s.OperatorListen, secured.operator, &l.operator},
+		{s.PeerListen, secured.peer, &l.peer},
+	} {
+		opened, err := listen(listener.address, listener.source)
+		if err != nil {
+			l.closeListeners()
+			return err
+		}
+		*listener.target = opened
+	}
+	return nil
+}
+
+// listen opens a listener, with TLS when there is a source. TLS listeners speak
+// HTTP/1.1 like the plain ones.
+func listen(address string, source *tlsconfig.Source) (net.Listener, error) {
+	var config *tls.Config
+	if source != nil {
+		var err error
+		if config, err = source.Server(); err != nil {
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+	}
+	opened, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if config == nil {
+		return opened, nil
+	}
+	return tls.NewListener(opened, config), nil
+}
+
+func (l *listeners) closeListeners() {
+	for _, listener := range []net.Listener{l.caller, l.operator, l.peer} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// serve starts the servers; the channel receives the first failure.
+func (l *listeners) serve(caller, operator, peer http.Handler, maxHeaderBytes int, logger *log.Logger) <-chan error {
+	failed := make(chan error, 3)
+	start := func(name string, listener net.Listener, handler http.Handler) *http.Server {
+		server := &http.Server{
+			Handler: handler, ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: idleCallerTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: stdlog.New(serverLog{listener: name, log: logger}, "", 0),
+		}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrap(err, "serve")
+			}
+		}()
+		return server
+	}
+	l.callerServer = start("caller", l.caller, caller)
+	l.operatorServer = start("operator", l.operator, operator)
+	l.peerServer = start("peer", l.peer, peer)
+	return failed
+}
+
+func (l *listeners) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, server := range []*http.Server{l.peerServer, l.operatorServer, l.callerServer} {
+		if server.Shutdown(ctx) != nil {
+			server.Close()
+		}
+	}
+}
+
+// serverLog writes what net/http reports, such as failed handshakes, as events.
+type serverLog struct {
+	listener string
+	log      *log.Logger
+}
+
+// Write implements io.Writer with one event for each call.
+func (s serverLog) Write(text []byte) (int, error) {
+	s.log.Warn().Str("event", "listener_error").Str("listener", s.listener).Bytes("error", bytes.TrimSpace(text)).Msg("")
+	return len(text), nil
+}
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -1,19 +1,20 @@
 package peer
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"dotterelhead.example/dotterelhead/tlsconfig"
 )
 
 // ClientsOptions configure Clients.
 type ClientsOptions struct {
 	// TLS is nil for plain connections.
-	TLS *tls.Config
+	TLS *tlsconfig.Source
 	// Timeout bounds one call. Acquire and Await wait in queues and have
 	// bounds of their own.
 	Timeout time.Duration
@@ -23,6 +24,9 @@
 type Clients struct {
 	scheme string
 	client *http.Client
+	// transport is what the tracing transport wraps, which does not pass
+	// CloseIdleConnections on.
+	transport *http.Transport
 
 	mu      sync.Mutex
 	clients map[string]Peer
@@ -37,14 +41,15 @@
 		}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     15 * time.Second,
-		TLSClientConfig:     options.TLS,
 	}
 	scheme := "http"
 	if options.TLS != nil {
 		scheme = "https"
+		options.TLS.Transport(transport)
 	}
 	return &Clients{
-		scheme: scheme,
+		scheme:    scheme,
+		transport: transport,
 		client: &http.Client{
 			Transport: otelhttp.NewTransport(transport, otelhttp.WithSpanNameFormatter(
 				func(_ string, r *http.Request) string { return "entry VM " + r.URL.Path })),
@@ -67,4 +72,4 @@
 }
 
 // Close closes the idle connections.
-func (c *Clients) Close() { c.client.CloseIdleConnections() }
+func (c *Clients) Close() { c.transport.CloseIdleConnections() }
--- a/settings/check.go
+++ b/settings/check.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 
+	"github.com/pkg/errors"
+
 	"dotterelhead.example/dotterelhead/findings"
 	"dotterelhead.example/dotterelhead/tomlfile"
 )
@@ -163,27 +165,48 @@
 	}
 }
 
-// plainListeners refuses listeners that others reach without protection. Peers
-// need a CA besides, because the peer service has no other authentication.
+// listenerFinding is what is wrong with the protection of a listener.
+type listenerFinding struct{ path, message string }
+
 func (c *checker) plainListeners(s *Settings) {
+	for _, found := range s.plainListeners() {
+		c.add(found.path, "%s", found.message)
+	}
+}
+
+// CheckListeners refuses settings with listeners that others reach without
+// protection. Load does so too; this is for settings that come from no file.
+func (s *Settings) CheckListeners() error {
+	if found := s.plainListeners(); len(found) > 0 {
+		return errors.New(found[0].message)
+	}
+	return nil
+}
+
+// plainListeners finds listeners that others reach without protection. Peers
+// need a CA besides, because the peer service has no other authentication.
+func (s *Settings) plainListeners() []listenerFinding {
 	if s.AllowPlainListeners {
-		return
+		return nil
+	}
+	var found []listenerFinding
+	refuse := func(path, listen, lack string) {
+		found = append(found, listenerFinding{path, fmt.Sprintf(
+			"%s %s is not on loopback and has no %s; set allow_plain_listeners = true to permit this", path, listen, lack)})
 	}
-	const hint = "; set allow_plain_listeners = true to permit this"
 	if exposed(s.CallerListen) && !s.TLS.Caller.Enabled() {
-		c.add("caller_listen", "caller_listen %s is not on loopback and has no TLS%s", s.CallerListen, hint)
+		refuse("caller_listen", s.CallerListen, "TLS")
 	}
-	if exposed(s.OperatorListen) {
-		if !s.TLS.Operator.Enabled() {
-			c.add("operator_listen", "operator_listen %s is not on loopback and has no TLS%s", s.OperatorListen, hint)
-		}
-		if s.OperatorTokenFile == "" {
-			c.add("operator_listen", "operator_listen %s is not on loopback and has no operator_token_file%s", s.OperatorListen, hint)
-		}
+	if exposed(s.OperatorListen) && !s.TLS.Operator.Enabled() {
+		refuse("operator_listen", s.OperatorListen, "TLS")
+	}
+	if exposed(s.OperatorListen) && s.OperatorTokenFile == "" {
+		refuse("operator_listen", s.OperatorListen, "operator_token_file")
 	}
 	if exposed(s.PeerListen) && (!s.TLS.Peer.Enabled() || s.TLS.Peer.CAFile == "") {
-		c.add("peer_listen", "peer_listen %s is not on loopback and has no TLS with a ca_file%s", s.PeerListen, hint)
+		refuse("peer_listen", s.PeerListen, "TLS with a ca_file")
 	}
+	return found
 }
 
 func exposed(listen string) bool {
--- a/settings/files.go
+++ b/settings/files.go
@@ -1,67 +1,62 @@
 package settings
 
 import (
-	"crypto/tls"
-	"crypto/x509"
 	"os"
-	"strings"
 
-	"github.com/pkg/errors"
+	"dotterelhead.example/dotterelhead/tlsconfig"
 )
 
-// OperatorToken reads the operators' bearer token. It is empty when the
-// settings name no file; a file without a token is an error.
-func (s *Settings) OperatorToken() (string, error) {
-	if s.OperatorTokenFile == "" {
-		return "", nil
-	}
-	content, err := os.ReadFile(s.OperatorTokenFile)
-	if err != nil {
-		return "", errors.Wrap(err, "operator_token_file")
-	}
-	token := strings.TrimSpace(string(content))
-	if token == "" {
-		return "", errors.Errorf("operator_token_file %s holds no token", s.OperatorTokenFile)
+// Source returns the TLS configurations that follow the files, or nil without
+// TLS. onError is called when changed files cannot be used.
+func (f TLSFiles) Source(onError func(error)) (*tlsconfig.Source, error) {
+	if !f.Enabled() {
+		return nil, nil
 	}
-	return token, nil
+	return tlsconfig.New(tlsconfig.Options{
+		CertFile: f.CertificateFile, KeyFile: f.KeyFile, CAFile: f.CAFile, OnError: onError,
+	})
 }
 
-// ServerConfig returns the TLS configuration of a listener, or nil without
-// TLS. With a CA file clients have to present a certificate that the CA signed.
-func (f TLSFiles) ServerConfig() (*tls.Config, error) {
-	config, err := f.load()
-	if config == nil || f.CAFile == "" {
-		return config, err
+// files opens the files that the settings name, as the start of the listeners
+// does.
+func (c *checker) files(s *Settings) {
+	c.tlsFiles("tls.caller", s.TLS.Caller)
+	c.tlsFiles("tls.operator", s.TLS.Operator)
+	c.tlsFiles("tls.peer", s.TLS.Peer)
+	const token = "operator_token_file"
+	if s.OperatorTokenFile != "" && c.readable(token, s.OperatorTokenFile) {
+		if _, err := tlsconfig.NewTokens(tlsconfig.TokenOptions{File: s.OperatorTokenFile}); err != nil {
+			c.add(token, "%s cannot be used: %v", token, err)
+		}
 	}
-	config.ClientCAs, config.RootCAs = config.RootCAs, nil
-	config.ClientAuth = tls.RequireAndVerifyClientCert
-	return config, nil
 }
 
-// ClientConfig returns the TLS configuration for calls to a listener with the
-// same files, or nil without TLS.
-func (f TLSFiles) ClientConfig() (*tls.Config, error) { return f.load() }
-
-// load reads the files, the CA into RootCAs.
-func (f TLSFiles) load() (*tls.Config, error) {
-	if !f.Enabled() {
-		return nil, nil
-	}
-	certificate, err := tls.LoadX509KeyPair(f.CertificateFile, f.KeyFile)
-	if err != nil {
-		return nil, errors.Wrapf(err, "certificate_file %s with key_file %s", f.CertificateFile, f.KeyFile)
-	}
-	config := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{certificate}}
-	if f.CAFile == "" {
-		return config, nil
+func (c *checker) tlsFiles(path string, f TLSFiles) {
+	certificate, key, ca := path+".certificate_file", path+".key_file", path+".ca_file"
+	readable := c.readable(certificate, f.CertificateFile)
+	readable = c.readable(key, f.KeyFile) && readable
+	if readable && f.CertificateFile != "" && f.KeyFile != "" {
+		pair := TLSFiles{CertificateFile: f.CertificateFile, KeyFile: f.KeyFile}
+		if _, err := pair.Source(nil); err != nil {
+			c.add(certificate, "%s and key_file cannot be used: %v", certificate, err)
+		}
+	}
+	if f.CAFile != "" && c.readable(ca, f.CAFile) {
+		if _, err := tlsconfig.New(tlsconfig.Options{CAFile: f.CAFile}); err != nil {
+			c.add(ca, "%s cannot be used: %v", ca, err)
+		}
 	}
-	pem, err := os.ReadFile(f.CAFile)
-	if err != nil {
-		return nil, errors.Wrap(err, "ca_file")
+}
+
+// readable reports a file that cannot be read. An empty name is no finding of
+// its own.
+func (c *checker) readable(path, file string) bool {
+	if file == "" {
+		return true
 	}
-	config.RootCAs = x509.NewCertPool()
-	if !config.RootCAs.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("ca_file %s holds no PEM certificate", f.CAFile)
+	if _, err := os.ReadFile(file); err != nil {
+		c.add(path, "%s cannot be read: %v", path, err)
+		return false
 	}
-	return config, nil
+	return true
 }
--- a/settings/files_test.go
+++ b/settings/files_test.go
@@ -1,111 +1,57 @@
 package settings
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
-	"time"
 )
 
-// writePair writes a self-signed certificate for 127.0.0.1 and its key; the
-// certificate is its own CA.
-func writePair(t *testing.T, name string) TLSFiles {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
-		BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
-	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return TLSFiles{
-		CertificateFile: writeFile(t, name+".pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate})),
-		KeyFile:         writeFile(t, name+".key", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})),
-	}
-}
-
-func writeFile(t *testing.T, name string, content []byte) string {
+func writeFile(t *testing.T, name, content string) string {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), name)
-	if err := os.WriteFile(file, content, 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return file
 }
 
-// Guards against a peer listener that lets in clients without a certificate
-// of the CA.
-func TestPeersNeedCertificates(t *testing.T) {
-	peer, stranger := writePair(t, "peer"), writePair(t, "stranger")
-	peer.CAFile, stranger.CAFile = peer.CertificateFile, peer.CertificateFile
-	for _, test := range []struct {
-		client TLSFiles
-		ok     bool
-	}{{peer, true}, {stranger, false}} {
-		if err := handshake(t, peer, test.client); (err == nil) != test.ok {
-			t.Errorf("handshake of %s: %v", test.client.CertificateFile, err)
+// Guards against a start that stops at the first file that cannot be used, or
+// that does not name the setting; and against an empty token file or a CA file
+// without a certificate that opens a listener.
+func TestUnusableFilesAreFindings(t *testing.T) {
+	junk, empty := writeFile(t, "junk", "x"), writeFile(t, "empty", "\n")
+	file := writeFile(t, "entry.toml", minimal+`operator_token_file = "`+empty+`"
+caller_listen = "0.0.0.0:80"
+[tls.operator]
+certificate_file = "/absent/operator.pem"
+key_file = "/absent/operator.key"
+[tls.peer]
+certificate_file = "`+junk+`"
+key_file = "`+junk+`"
+ca_file = "`+junk+`"
+`)
+	_, found := LoadWithFiles(file)
+	want := []string{
+		":5:1: operator_token_file cannot be used: ",
+		":6:1: caller_listen 0.0.0.0:80 is not on loopback and has no TLS",
+		":8:1: tls.operator.certificate_file cannot be read: ",
+		":9:1: tls.operator.key_file cannot be read: ",
+		":11:1: tls.peer.certificate_file and key_file cannot be used: ",
+		":13:1: tls.peer.ca_file cannot be used: ",
+	}
+	if len(found) != len(want) {
+		t.Fatalf("findings are %v", found)
+	}
+	for i, finding := range found {
+		if !strings.HasPrefix(finding.String(), file+want[i]) {
+			t.Errorf("finding %d is %s, want %s", i, finding, want[i])
 		}
 	}
-	peer.CAFile = writeFile(t, "ca.pem", []byte("x"))
-	if _, err := peer.ServerConfig(); err == nil {
-		t.Error("a CA file without a certificate is accepted")
-	}
-	if config, err := (TLSFiles{}).ServerConfig(); config != nil || err != nil {
-		t.Errorf("without files: %v, %v", config, err)
-	}
-}
-
-// handshake returns the server's verdict.
-func handshake(t *testing.T, server, client TLSFiles) error {
-	t.Helper()
-	serverConfig, err := server.ServerConfig()
-	if err != nil {
-		t.Fatal(err)
-	}
-	clientConfig, err := client.ClientConfig()
-	if err != nil {
-		t.Fatal(err)
-	}
-	clientConfig.ServerName = "127.0.0.1"
-	a, b := net.Pipe()
-	go func() {
-		defer b.Close()
-		c := tls.Client(b, clientConfig)
-		if c.Handshake() == nil {
-			c.Read(make([]byte, 1))
-		}
-	}()
-	defer a.Close()
-	return tls.Server(a, serverConfig).Handshake()
-}
-
-// Guards against an empty token file that opens the operator listener.
-func TestOperatorToken(t *testing.T) {
-	s := Settings{}
-	if token, err := s.OperatorToken(); token != "" || err != nil {
-		t.Errorf("without a file: %q, %v", token, err)
-	}
-	s.OperatorTokenFile = writeFile(t, "token", []byte("secret\n"))
-	if token, err := s.OperatorToken(); token != "secret" || err != nil {
-		t.Errorf("with a token: %q, %v", token, err)
+	if _, found := Load(file); len(found) != 1 {
+		t.Errorf("without the files: %v", found)
 	}
-	s.OperatorTokenFile = writeFile(t, "empty", []byte("\n"))
-	if _, err := s.OperatorToken(); err == nil {
-		t.Error("an empty token file is accepted")
+	if source, err := (TLSFiles{}).Source(nil); source != nil || err != nil {
+		t.Errorf("without files: %v, %v", source, err)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -127,8 +127,15 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Load reads a settings file. The files that it names are not opened.
-func Load(file string) (*Settings, findings.List) {
+// Load reads a settings file. The files that it names are not opened, so that a
+// file can be checked on another machine.
+func Load(file string) (*Settings, findings.List) { return load(file, false) }
+
+// LoadWithFiles is Load, and reports the named files that cannot be used
+// together with the other findings.
+func LoadWithFiles(file string) (*Settings, findings.List) { return load(file, true) }
+
+func load(file string, withFiles bool) (*Settings, findings.List) {
 	var found findings.List
 	f, err := os.Open(file)
 	if err != nil {
@@ -141,12 +148,14 @@
 		found.Add(findings.Position{File: file}, "cannot be read: %v", err)
 		return nil, found
 	}
-	return Parse(file, text.Bytes())
+	return parse(file, text.Bytes(), withFiles)
 }
 
 // Parse reads the text of a settings file. The settings are nil when there are
 // findings.
-func Parse(file string, text []byte) (*Settings, findings.List) {
+func Parse(file string, text []byte) (*Settings, findings.List) { return parse(file, text, false) }
+
+func parse(file string, text []byte, withFiles bool) (*Settings, findings.List) {
 	if len(text) > maxFileBytes {
 		var found findings.List
 		found.Add(findings.Position{File: file}, "the file has more than %d bytes", maxFileBytes)
@@ -157,6 +166,9 @@
 	if ok {
 		c := checker{index: index, found: found}
 		c.settings(&s)
+		if withFiles {
+			c.files(&s)
+		}
 		found = c.found
 	}
 	if len(found) > 0 {
--- a/tlsconfig/tlsconfig.go
+++ b/tlsconfig/tlsconfig.go
@@ -14,6 +14,10 @@
 	"github.com/pkg/errors"
 )
 
+// handshakeTimeout bounds the handshake of a new connection, as net/http does
+// for transports without a dial function of their own.
+const handshakeTimeout = 10 * time.Second
+
 // Options name the files of a Source.
 type Options struct {
 	// CertFile and KeyFile hold this process's certificate chain and key in
@@ -125,17 +129,37 @@
 // DialTLSContext connects and completes the handshake with the files of this
 // moment. The server is verified against the host of addr.
 func (s *Source) DialTLSContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	d := &tls.Dialer{NetDialer: &net.Dialer{}, Config: s.Client(host)}
-	conn, err := d.DialContext(ctx, network, addr)
-	return conn, errors.WithStack(err)
+	return s.dial(ctx, (&net.Dialer{}).DialContext, network, addr)
 }
 
-// Transport sets t to connect with DialTLSContext and returns it.
+// Transport sets t to make its TLS connections with the files of the moment and
+// returns it. The DialContext that t has makes the connections below TLS.
 func (s *Source) Transport(t *http.Transport) *http.Transport {
-	t.DialTLSContext = s.DialTLSContext
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return s.dial(ctx, dial, network, addr)
+	}
 	return t
 }
+
+func (s *Source) dial(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error), network, addr string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	plain, err := dial(ctx, network, addr)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	conn := tls.Client(plain, s.Client(host))
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		plain.Close()
+		return nil, errors.Wrap(err, "TLS handshake")
+	}
+	return conn, nil
+}
