--- /dev/null
+++ b/daemon/security_test.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/settings"
+)
+
+// authority signs certificates for 127.0.0.1.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pem         []byte
+	serial      int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{}
+	var err error
+	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must(t, err)
+	c := a.template("ca")
+	c.IsCA, c.BasicConstraintsValid, c.KeyUsage = true, true, x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &a.key.PublicKey, a.key)
+	must(t, err)
+	a.certificate, err = x509.ParseCertificate(der)
+	must(t, err)
+	a.pem = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return a
+}
+
+func (a *authority) template(name string) *x509.Certificate {
+	a.serial++
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+}
+
+func (a *authority) pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return pool
+}
+
+// issue writes a certificate, its key and the CA to dir.
+func (a *authority) issue(t *testing.T, dir, name string) settings.TLSFiles {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must(t, err)
+	c := a.template(name)
+	c.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.certificate, &key.PublicKey, a.key)
+	must(t, err)
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	must(t, err)
+	files := settings.TLSFiles{
+		CertificateFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"), CAFile: filepath.Join(dir, "ca.pem"),
+	}
+	must(t, os.WriteFile(files.CertificateFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	must(t, os.WriteFile(files.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}), 0o600))
+	must(t, os.WriteFile(files.CAFile, a.pem, 0o600))
+	return files
+}
+
+// call sends a request of the peer protocol with a client certificate, or
+// without one, and returns the name of the entry VM's certificate.
+func (a *authority) call(t *testing.T, address string, client *settings.TLSFiles) (string, error) {
+	t.Helper()
+	config := &tls.Config{RootCAs: a.pool()}
+	if client != nil {
+		pair, err := tls.LoadX509KeyPair(client.CertificateFile, client.KeyFile)
+		must(t, err)
+		config.Certificates = []tls.Certificate{pair}
+	}
+	transport := &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}
+	answer, err := (&http.Client{Transport: transport, Timeout: 5 * time.Second}).Post(
+		"https://"+address+"/twirp/dotterelhead.peer.Peer/GrantsInUse", "application/json", strings.NewReader(`{"pool":"workers"}`))
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		t.Errorf("the call of the peer protocol got %d", answer.StatusCode)
+	}
+	return answer.TLS.PeerCertificates[0].Subject.CommonName, nil
+}
+
+// Guards against listeners that ignore their TLS settings: a peer without a
+// certificate of the CA, an operator without a token, a former certificate or
+// token that stays in force, and entry VMs that cannot reach one another.
+func TestMutualTLSAndTokens(t *testing.T) {
+	ca, foreign := newAuthority(t), newAuthority(t)
+	token := filepath.Join(t.TempDir(), "token")
+	must(t, os.WriteFile(token, []byte("secret\n"), 0o600))
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	c := startCluster(t, 3, &tls.Config{RootCAs: ca.pool()}, func(i int, o *Options) {
+		files := ca.issue(t, dirs[i], "first")
+		o.Settings.TLS.Peer = files
+		files.CAFile = ""
+		o.Settings.TLS.Caller, o.Settings.TLS.Operator = files, files
+		o.Settings.OperatorTokenFile = token
+	})
+	c.serveAll(t, "before")
+
+	address := c.entries[1].settings.PeerListen
+	good, stranger := ca.issue(t, t.TempDir(), "client"), foreign.issue(t, t.TempDir(), "stranger")
+	if name, err := ca.call(t, address, &good); err != nil || name != "first" {
+		t.Errorf("a peer with a certificate: %q, %v", name, err)
+	}
+	for name, client := range map[string]*settings.TLSFiles{"no certificate": nil, "a foreign certificate": &stranger} {
+		if _, err := ca.call(t, address, client); err == nil || !strings.Contains(err.Error(), "tls: ") {
+			t.Errorf("a peer with %s: %v", name, err)
+		}
+	}
+	if answer, err := c.client.Get("http://" + c.entries[1].settings.CallerListen); err == nil {
+		answer.Body.Close()
+		if answer.StatusCode != http.StatusBadRequest {
+			t.Errorf("a caller without TLS got %d", answer.StatusCode)
+		}
+	}
+
+	api := "https://" + c.entries[0].settings.OperatorListen
+	status := func(path, token string) int {
+		answer, _ := c.do(t, http.MethodGet, api+path, nil, map[string]string{"Authorization": "Bearer " + token})
+		return answer.StatusCode
+	}
+	for path, want := range map[string]int{"/v1/status": 401, "/v1/config": 401, "/healthz": 200, "/readyz": 200} {
+		if got := status(path, "wrong"); got != want {
+			t.Errorf("%s without the token: %d, want %d", path, got, want)
+		}
+	}
+	if got := status("/v1/status", "secret"); got != 200 {
+		t.Errorf("with the token: %d", got)
+	}
+	if answer, _ := c.do(t, http.MethodPost, api+"/v1/notes", bytes.NewReader([]byte("x")), nil); answer.StatusCode != 401 {
+		t.Errorf("publish without the token: %d", answer.StatusCode)
+	}
+
+	for _, dir := range dirs {
+		ca.issue(t, dir, "second")
+	}
+	must(t, os.WriteFile(token, []byte("changed\n"), 0o600))
+	eventually(t, "the replaced certificate and token are in force", func() bool {
+		name, err := ca.call(t, address, &good)
+		return err == nil && name == "second" && status("/v1/status", "changed") == 200 && status("/v1/status", "secret") == 401
+	})
+	// The next calls between entry VMs need new connections and thereby the
+	// new certificates.
+	for _, e := range c.entries {
+		e.clients.Close()
+	}
+	c.serveAll(t, "after")
+}
+
+// serveAll sends requests with and without a key through every entry VM.
+func (c *cluster) serveAll(t *testing.T, key string) {
+	t.Helper()
+	for i := range c.entries {
+		for _, header := range []map[string]string{nil, {"Idempotency-Key": key + c.entries[i].settings.ID}} {
+			if answer, body := c.send(t, i, http.MethodPost, "/a", strings.NewReader("x"), header); answer.StatusCode != 200 {
+				t.Errorf("entry %d with %v: %d %s", i, header, answer.StatusCode, body)
+			}
+		}
+	}
+}
