Trace every hop of a request

Spans went to the global provider and the trace context to the global propagator, which a process with several entry VMs does not set, and the write of a claim belonged to no request. daemon.Options now has a TracerProvider that all components use, and the W3C trace context is always propagated.

New spans are those of queueing, of the calls about a key and of the store calls that claims wait for; the store call is a child of the first claim and links to the others of its batch. Calls between entry VMs that belong to no request are not traced, since heartbeats alone would make a trace each second for every pair of entry VMs. The caller span takes the service's name only when the service is in force, because callers choose the path. A malformed traceparent of a caller no longer reaches the backend server beside a valid tracestate.

The dev command shuts the telemetry of its entry VMs down.

--- a/claims/owner.go
+++ b/claims/owner.go
@@ -3,18 +3,26 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/time/rate"
 
 	"dotterelhead.example/dotterelhead/peer"
 	"dotterelhead.example/dotterelhead/platform"
 )
 
+// maxSpanLinks bounds the callers that the span of a store call names.
+const maxSpanLinks = 100
+
 // OwnerOptions configures an Owner.
 type OwnerOptions struct {
 	Store   platform.Store
@@ -27,6 +35,9 @@
 	// Now defaults to time.Now.
 	Now func() time.Time
 	Log *log.Logger
+	// Tracer receives a span for each store call that claims wait for; the
+	// default is that of the global provider.
+	Tracer trace.Tracer
 
 	// BatchesPerSecond bounds the writes of all shards together; default 20.
 	// Burst is how many may follow each other at once; default 5.
@@ -67,6 +78,9 @@
 	if o.Log == nil {
 		o.Log = &log.Logger{Level: log.PanicLevel}
 	}
+	if o.Tracer == nil {
+		o.Tracer = otel.Tracer("claims")
+	}
 	return o
 }
 
@@ -98,8 +112,12 @@
 	number  int
 	shard   *shard
 	waiting map[replyID]chan reply
-	// last is the output of the latest step; call is taken from it by run.
+	// traced holds the spans of the waiting callers.
+	traced map[replyID]trace.SpanContext
+	// call is the store call that run is to make next, callFor the spans of
+	// the callers that wait for it.
 	call        *storeCall
+	callFor     []trace.SpanContext
 	wantsPermit bool
 	wake        time.Time
 	kick        chan struct{}
@@ -124,6 +142,7 @@
 			owner: o, number: number,
 			shard:   newShard(l, shardPrefix(options.Region, number), options.EntryID, rand.Uint64(), o.answers),
 			waiting: map[replyID]chan reply{},
+			traced:  map[replyID]trace.SpanContext{},
 			kick:    make(chan struct{}, 1),
 			changed: make(chan struct{}),
 		})
@@ -186,6 +205,7 @@
 			waiting <- reply{id: id, state: peer.KeyState_NOT_OWNER}
 			delete(d.waiting, id)
 		}
+		clear(d.traced)
 		d.shard.reset()
 		d.notifyChanged()
 	}
@@ -295,7 +315,14 @@
 	o.nextReply++
 	id, answer := o.nextReply, make(chan reply, 1)
 	d.waiting[id] = answer
-	d.step(in(id))
+	asked := in(id)
+	if _, ok := asked.(claimInput); ok {
+		// Only claims wait for store calls of their own.
+		if span := trace.SpanContextFromContext(ctx); span.IsSampled() {
+			d.traced[id] = span
+		}
+	}
+	d.step(asked)
 	o.mu.Unlock()
 	select {
 	case got := <-answer:
@@ -307,6 +334,7 @@
 			return <-answer, nil
 		}
 		delete(d.waiting, id)
+		delete(d.traced, id)
 		d.step(forgetInput{reply: id, key: k})
 		return notOwner, errors.Wrap(ctx.Err(), "wait for the shard owner")
 	}
@@ -340,6 +368,7 @@
 	for _, got := range out.replies {
 		if waiting, ok := d.waiting[got.id]; ok {
 			delete(d.waiting, got.id)
+			delete(d.traced, got.id)
 			waiting <- got
 		}
 	}
@@ -351,7 +380,7 @@
 		entry.Str("event", "claims_"+happened.name).Int("shard", d.number).Err(happened.err).Msg("")
 	}
 	if out.call != nil {
-		d.call = out.call
+		d.call, d.callFor = out.call, slices.Collect(maps.Values(d.traced))
 	}
 	d.wantsPermit, d.wake = out.wantsPermit, out.wake
 	if d.shard.phase != before || d.shard.down != downBefore {
@@ -377,10 +406,10 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		call, wantsPermit, wake := d.next()
+		call, callFor, wantsPermit, wake := d.next()
 		switch {
 		case call != nil:
-			d.give(d.makeCall(ctx, call))
+			d.give(d.makeCall(ctx, call, callFor))
 		case wantsPermit:
 			if d.owner.limiter.Wait(ctx) == nil {
 				d.give(permitInput{})
@@ -397,15 +426,16 @@
 	}
 }
 
-func (d *driver) next() (call *storeCall, wantsPermit bool, wake time.Duration) {
+func (d *driver) next() (call *storeCall, callFor []trace.SpanContext, wantsPermit bool, wake time.Duration) {
 	d.owner.mu.Lock()
 	defer d.owner.mu.Unlock()
 	call, d.call = d.call, nil
+	callFor, d.callFor = d.callFor, nil
 	wake = time.Hour
 	if !d.wake.IsZero() {
 		wake = d.wake.Sub(d.owner.options.Now())
 	}
-	return call, d.wantsPermit, wake
+	return call, callFor, d.wantsPermit, wake
 }
 
 func (d *driver) give(in input) {
@@ -416,13 +446,15 @@
 
 // makeCall carries out a store call. While it runs, ticks continue, so that
 // callers are refused in time when the store hangs.
-func (d *driver) makeCall(ctx context.Context, call *storeCall) resultInput {
+func (d *driver) makeCall(ctx context.Context, call *storeCall, callFor []trace.SpanContext) resultInput {
+	ctx, end := d.startSpan(ctx, callFor)
+	defer end()
 	done := make(chan resultInput, 1)
 	go func() { done <- d.callStore(ctx, call) }()
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		_, _, wake := d.next()
+		_, _, _, wake := d.next()
 		timer.Reset(wake)
 		select {
 		case result := <-done:
@@ -434,6 +466,21 @@
 	}
 }
 
+// startSpan starts the span of a store call that callers wait for. A call has
+// one parent, so the callers after the first are links.
+func (d *driver) startSpan(ctx context.Context, callFor []trace.SpanContext) (context.Context, func()) {
+	if len(callFor) == 0 {
+		return ctx, func() {}
+	}
+	var links []trace.Link
+	for _, other := range callFor[1:min(len(callFor), maxSpanLinks)] {
+		links = append(links, trace.Link{SpanContext: other})
+	}
+	ctx, span := d.owner.options.Tracer.Start(trace.ContextWithSpanContext(ctx, callFor[0]), "claims.store",
+		trace.WithLinks(links...), trace.WithAttributes(attribute.Int("shard", d.number), attribute.Int("claims", len(callFor))))
+	return ctx, func() { span.End() }
+}
+
 func (d *driver) callStore(ctx context.Context, call *storeCall) resultInput {
 	ctx, cancel := context.WithTimeout(ctx, d.owner.options.StoreTimeout)
 	defer cancel()
--- a/cmd/dotterelheadd/main.go
+++ b/cmd/dotterelheadd/main.go
@@ -97,7 +97,9 @@
 			tel.Log.Warn().Str("event", "telemetry_shutdown").Err(err).Msg("")
 		}
 	}()
-	entry, err := daemon.New(daemon.Options{Settings: s, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler})
+	entry, err := daemon.New(daemon.Options{
+		Settings: s, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler, TracerProvider: tel.TracerProvider,
+	})
 	if err != nil {
 		return err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,8 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
 
 	"dotterelhead.example/dotterelhead/claims"
 	"dotterelhead.example/dotterelhead/control"
@@ -44,6 +46,8 @@
 	Scope    tally.Scope
 	// Metrics serves /metrics.
 	Metrics http.Handler
+	// TracerProvider receives the spans; the default is the global one.
+	TracerProvider trace.TracerProvider
 }
 
 // EntryVM is one running entry VM.
@@ -81,6 +85,9 @@
 	if options.Scope == nil {
 		options.Scope = tally.NoopScope
 	}
+	if options.TracerProvider == nil {
+		options.TracerProvider = otel.GetTracerProvider()
+	}
 	s := options.Settings
 	if err := s.CheckListeners(); err != nil {
 		return nil, err
@@ -93,10 +100,14 @@
 		options:  options,
 		settings: s,
 		log:      options.Log,
-		platform: platform.NewClient(platform.ClientOptions{BaseURL: s.PlatformURL, Entry: s.ID}),
+		platform: platform.NewClient(platform.ClientOptions{
+			BaseURL: s.PlatformURL, Entry: s.ID, TracerProvider: options.TracerProvider,
+		}),
 		replica:  replica.New(),
 		security: secured,
-		clients:  peer.NewClients(peer.ClientsOptions{Timeout: peerCallTimeout, TLS: secured.peer}),
+		clients: peer.NewClients(peer.ClientsOptions{
+			Timeout: peerCallTimeout, TLS: secured.peer, TracerProvider: options.TracerProvider,
+		}),
 		budget:   &lockedBudget{budget: retry.NewBudget(retry.Options{Ratio: s.RetryBudgetRatio})},
 		runTimes: newRunTimes(),
 		changed:  make(chan struct{}, 1),
@@ -110,11 +121,14 @@
 	return e, nil
 }
 
+func (e *EntryVM) tracer(name string) trace.Tracer { return e.options.TracerProvider.Tracer(name) }
+
 func (e *EntryVM) wireMembership() {
 	incarnation := uuid.NewString()
 	e.forwarder = forward.New(forward.Options{
 		ConnectionLimit: e.connectionLimit,
 		SilentAfter:     e.runTimes.silentAfter,
+		Tracer:          e.tracer("forward"),
 	})
 	e.node = membership.NewNode(membership.Options{
 		Store:            e.platform,
@@ -158,12 +172,14 @@
 		Budget:    e.budget,
 		Observe:   e.runTimes.observe,
 		Scope:     e.options.Scope,
+		Tracer:    e.tracer("ingress"),
 	})
 }
 
 func (e *EntryVM) wireKeys() {
 	e.owner = claims.NewOwner(claims.OwnerOptions{
 		Store: e.platform, Region: e.settings.Region, EntryID: e.settings.ID, Log: e.log,
+		Tracer: e.tracer("claims"),
 		Owned: func(shard int) bool {
 			return claims.ShardOwner(shard, e.node.Live()) == e.settings.ID
 		},
--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
-
 	"dotterelhead.example/dotterelhead/control"
 	"dotterelhead.example/dotterelhead/ingress"
 	"dotterelhead.example/dotterelhead/operator"
@@ -21,6 +19,7 @@
 		Plain:     e.attempts,
 		Keyed:     e.keys,
 		Scope:     e.options.Scope,
+		Tracer:    e.tracer("ingress"),
 		Log:       e.logRefused,
 	})
 }
@@ -62,9 +61,7 @@
 }
 
 func (e *EntryVM) peerHandler() http.Handler {
-	handler := peer.NewPeerServer(&peerService{e})
-	return otelhttp.NewHandler(handler, "peer", otelhttp.WithSpanNameFormatter(
-		func(_ string, r *http.Request) string { return "peer " + r.URL.Path }))
+	return peer.NewHandler(&peerService{e}, e.options.TracerProvider)
 }
 
 // peerService serves the other entry VMs.
--- /dev/null
+++ b/daemon/tracing_test.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
+
+	"dotterelhead.example/dotterelhead/claims"
+	"dotterelhead.example/dotterelhead/dispatch"
+)
+
+// foreignKey returns a key whose shard the entry VM does not own.
+func (c *cluster) foreignKey(entry int) string {
+	id, live := c.entries[entry].settings.ID, c.entries[entry].node.Live()
+	for i := 0; ; i++ {
+		key := fmt.Sprintf("key-%d", i)
+		if claims.ShardOwner(claims.ShardOf(claims.KeyHash("previews", key), claims.DefaultShards), live) != id {
+			return key
+		}
+	}
+}
+
+// spanTree is the spans of one trace.
+type spanTree []tracetest.SpanStub
+
+func entryOf(span tracetest.SpanStub) string {
+	value, _ := span.Resource.Set().Value("service.instance.id")
+	return value.AsString()
+}
+
+// path returns the names of the spans from the root of the trace to a span,
+// with the entry VM where it changes.
+func (s spanTree) path(span tracetest.SpanStub) string {
+	name := span.Name + "@" + entryOf(span)
+	for _, parent := range s {
+		if parent.SpanContext.SpanID() == span.Parent.SpanID() {
+			return s.path(parent) + " > " + name
+		}
+	}
+	if span.Parent.SpanID().String() != callerSpan {
+		return "? > " + name
+	}
+	return name
+}
+
+const (
+	callerTrace = "0af7651916cd43dd8448eb211c80319c"
+	callerSpan  = "b7ad6b7169203331"
+)
+
+// Guards against hops that are missing in the trace of a request or start a
+// trace of their own, and against a caller's trace that is not carried on.
+func TestOneTraceForEachRequest(t *testing.T) {
+	recorded := tracetest.NewInMemoryExporter()
+	c := startCluster(t, 3, nil, func(_ int, o *Options) {
+		o.TracerProvider = sdktrace.NewTracerProvider(sdktrace.WithSyncer(recorded), sdktrace.WithResource(
+			resource.NewSchemaless(attribute.String("service.instance.id", o.Settings.ID))))
+	})
+	// The dispatcher of the pool and the owner of the key are other entry VMs.
+	live := c.entries[0].node.Live()
+	dispatcher := dispatch.Owner("workers", live)
+	via := slices.IndexFunc(c.entries, func(e *clusterEntry) bool { return e.settings.ID != dispatcher })
+	key, id := c.foreignKey(via), c.entries[via].settings.ID
+	owner := claims.ShardOwner(claims.ShardOf(claims.KeyHash("previews", key), claims.DefaultShards), live)
+
+	answer, body := c.send(t, via, http.MethodPost, "/traced", strings.NewReader("x"), map[string]string{
+		"Idempotency-Key": key, "Traceparent": "00-" + callerTrace + "-" + callerSpan + "-01",
+	})
+	if answer.StatusCode != http.StatusOK {
+		t.Fatalf("%d %s", answer.StatusCode, body)
+	}
+	c.stop(t)
+
+	at := func(s string) string { return s + "@" + id }
+	caller := at("caller previews")
+	want := map[string]bool{}
+	for _, path := range []string{
+		caller,
+		caller + " > " + at("key.reserve") + " > " + at("entry VM Reserve") + " > peer Reserve@" + owner,
+		caller + " > " + at("queue") + " > " + at("entry VM Acquire") + " > peer Acquire@" + dispatcher,
+		caller + " > " + at("key.claim") + " > " + at("entry VM Claim") + " > peer Claim@" + owner + " > claims.store@" + owner + " > platform.put@" + owner,
+		caller + " > " + at("backend previews"),
+		caller + " > " + at("key.finish") + " > " + at("entry VM Finish") + " > peer Finish@" + owner,
+	} {
+		want[path] = false
+	}
+	tree := spanTree{}
+	for _, span := range recorded.GetSpans() {
+		if span.SpanContext.TraceID().String() == callerTrace {
+			tree = append(tree, span)
+		}
+		if strings.Contains(span.Name, "Exchange") {
+			t.Fatalf("heartbeats are traced: %s", span.Name)
+		}
+	}
+	var backend trace.SpanContext
+	for _, span := range tree {
+		path := tree.path(span)
+		if strings.HasPrefix(path, "?") {
+			t.Errorf("%s has no parent", path)
+		}
+		if _, ok := want[path]; ok {
+			want[path] = true
+		}
+		if span.Name == "backend previews" {
+			backend = span.SpanContext
+		}
+	}
+	for path, found := range want {
+		if !found {
+			t.Errorf("missing: %s", path)
+		}
+	}
+	if t.Failed() {
+		for _, span := range tree {
+			t.Log(tree.path(span))
+		}
+	}
+	records := c.records()
+	if want := "00-" + callerTrace + "-" + backend.SpanID().String() + "-01"; len(records) != 1 || records[0].Traceparent != want {
+		t.Errorf("the backend server saw %+v, want traceparent %s", records, want)
+	}
+}
--- a/development/development.go
+++ b/development/development.go
@@ -56,10 +56,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	var entries []*daemon.EntryVM
 	for i := range options.Entries {
-		entry, err := newEntry(options, i, fleetPlatform.Addr())
+		entry, tel, err := newEntry(options, i, fleetPlatform.Addr())
 		if err != nil {
 			return err
 		}
+		defer tel.Shutdown(context.Background())
 		entries = append(entries, entry)
 		group.Go(func() error { return entry.Run(ctx) })
 	}
@@ -112,18 +113,18 @@
 	return parts[1], parts[1] + "-" + parts[2]
 }
 
-func newEntry(options Options, i int, platformAddress string) (*daemon.EntryVM, error) {
+func newEntry(options Options, i int, platformAddress string) (*daemon.EntryVM, *telemetry.Telemetry, error) {
 	caller, err := addPort(options.CallerListen, i)
 	if err != nil {
-		return nil, errors.Wrap(err, "--caller-listen")
+		return nil, nil, errors.Wrap(err, "--caller-listen")
 	}
 	operator, err := addPort(options.OperatorListen, i)
 	if err != nil {
-		return nil, errors.Wrap(err, "--operator-listen")
+		return nil, nil, errors.Wrap(err, "--operator-listen")
 	}
 	peerAddress, err := freeAddress()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	s := settings.Defaults()
 	s.ID = fmt.Sprintf("entry-%d", i)
@@ -134,11 +135,12 @@
 	s.ShutdownLoadBalancerWaitSeconds = 0
 	tel, err := telemetry.New(telemetry.Options{InstanceID: s.ID, LogLevel: options.LogLevel})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return daemon.New(daemon.Options{
-		Settings: s, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler,
+	entry, err := daemon.New(daemon.Options{
+		Settings: s, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler, TracerProvider: tel.TracerProvider,
 	})
+	return entry, tel, err
 }
 
 func addPort(address string, i int) (string, error) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -114,6 +115,10 @@
 	attempt := x.run(ctx)
 	if attempt.Err != nil {
 		span.RecordError(attempt.Err)
+		span.SetStatus(codes.Error, attempt.Err.Error())
+	}
+	if attempt.Answer != nil {
+		span.SetAttributes(attribute.Int("http.response.status_code", attempt.Answer.Status))
 	}
 	return attempt
 }
@@ -332,7 +337,11 @@
 	if r.IdempotencyKey != "" {
 		outgoing.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(outgoing.Header))
+	// The caller's own trace headers hold its span, or are not well-formed.
+	for _, name := range (propagation.TraceContext{}).Fields() {
+		outgoing.Header.Del(name)
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(outgoing.Header))
 	return outgoing, nil
 }
 
--- a/ingress/attempts.go
+++ b/ingress/attempts.go
@@ -8,6 +8,10 @@
 
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
 
 	"dotterelhead.example/dotterelhead/dispatch"
 	"dotterelhead.example/dotterelhead/forward"
@@ -46,6 +50,7 @@
 	// Observe receives the run time of each answered request.
 	Observe func(service, operation string, run time.Duration)
 	Scope   tally.Scope
+	Tracer  trace.Tracer
 	Now     func() time.Time
 }
 
@@ -60,6 +65,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Tracer == nil {
+		options.Tracer = otel.Tracer("ingress")
+	}
 	return &Attempts{options: options}
 }
 
@@ -199,10 +207,18 @@
 	if !ok {
 		return dispatch.Grant{}, errNoService
 	}
-	return t.options.Client.Acquire(ctx, dispatch.Request{
+	ctx, span := t.options.Tracer.Start(ctx, "queue", trace.WithAttributes(attribute.String("pool", service.Pool)))
+	defer span.End()
+	grant, err := t.options.Client.Acquire(ctx, dispatch.Request{
 		Pool: service.Pool, Service: r.Service, Operation: r.Operation, Team: r.Team,
 		Declared: r.Declared, StartBy: r.Deadline, Avoid: t.avoid, Urgent: r.Urgent,
 	})
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	} else {
+		span.SetAttributes(attribute.String("worker", grant.Worker))
+	}
+	return grant, err
 }
 
 func refusedResult(err error) request.Result {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -87,8 +88,8 @@
 
 func (h *Handler) serve(w http.ResponseWriter, incoming *http.Request) {
 	started := h.options.Now()
-	ctx := otel.GetTextMapPropagator().Extract(incoming.Context(), propagation.HeaderCarrier(incoming.Header))
-	ctx, span := h.options.Tracer.Start(ctx, "caller "+mux.Vars(incoming)["service"], trace.WithSpanKind(trace.SpanKindServer))
+	ctx := propagation.TraceContext{}.Extract(incoming.Context(), propagation.HeaderCarrier(incoming.Header))
+	ctx, span := h.options.Tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 
 	r, result := h.read(incoming, started)
@@ -103,7 +104,7 @@
 		}
 		result = &served
 	}
-	span.SetAttributes(attribute.String("outcome", string(result.Outcome)))
+	describe(span, r, *result)
 	h.count(r, *result, h.options.Now().Sub(started))
 	if r != nil {
 		w.Header().Set(HeaderRequestID, r.ID)
@@ -115,6 +116,28 @@
 	writeProblem(w, *result)
 }
 
+// describe names the span by the service only once that is known to be in
+// force, because callers choose the path.
+func describe(span trace.Span, r *request.Request, result request.Result) {
+	span.SetAttributes(attribute.String("outcome", string(result.Outcome)))
+	if r != nil {
+		span.SetName("caller " + r.Service)
+		span.SetAttributes(attribute.String("service", r.Service), attribute.String("http.request.method", r.Method),
+			attribute.String("request", r.ID))
+	}
+	status := 0
+	if result.Answer != nil {
+		status = result.Answer.Status
+	} else {
+		status = result.Problem.Status
+		span.SetAttributes(attribute.String("reason", result.Problem.Title))
+	}
+	span.SetAttributes(attribute.Int("http.response.status_code", status))
+	if status >= http.StatusInternalServerError {
+		span.SetStatus(codes.Error, "")
+	}
+}
+
 func (h *Handler) count(r *request.Request, result request.Result, took time.Duration) {
 	h.options.Scope.Tagged(map[string]string{"outcome": string(result.Outcome)}).Counter("requests_total").Inc(1)
 	h.options.Scope.Timer("request_seconds").Record(took)
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 
 	"dotterelhead.example/dotterelhead/claims"
 	"dotterelhead.example/dotterelhead/peer"
@@ -45,9 +47,9 @@
 		Fingerprint: claims.Fingerprint(r.Method, r.Target, r.Body, r.Header.Get("Authorization")),
 		Hold:        time.Until(r.Deadline) + holdMargin,
 	}
-	first, err := k.client.Reserve(ctx, attempt)
+	first, err := k.traced(ctx, "key.reserve", attempt, k.client.Reserve)
 	if err == nil && first.State == peer.KeyState_IN_PROGRESS {
-		first, err = k.client.Await(ctx, attempt)
+		first, err = k.traced(ctx, "key.await", attempt, k.client.Await)
 		if err != nil {
 			return pending(err)
 		}
@@ -74,10 +76,23 @@
 	return result
 }
 
+// traced makes one call about a key in a span of its own.
+func (k *Keys) traced(ctx context.Context, name string, attempt claims.Attempt, call func(context.Context, claims.Attempt) (claims.Result, error)) (claims.Result, error) {
+	ctx, span := k.next.options.Tracer.Start(ctx, name)
+	defer span.End()
+	result, err := call(ctx, attempt)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	} else {
+		span.SetAttributes(attribute.String("state", result.State.String()))
+	}
+	return result, err
+}
+
 // claim records that the attempt is about to be sent. A result ends the
 // request unsent.
 func (k *Keys) claim(ctx context.Context, attempt claims.Attempt) *request.Result {
-	claimed, err := k.client.Claim(ctx, attempt)
+	claimed, err := k.traced(ctx, "key.claim", attempt, k.client.Claim)
 	if err == nil && claimed.State == peer.KeyState_CLAIMED {
 		return nil
 	}
@@ -95,9 +110,13 @@
 	k.reports.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 		defer cancel()
+		ctx, span := k.next.options.Tracer.Start(ctx, "key.finish")
+		defer span.End()
 		// After a failure the owner ends the attempt by itself, and repeats
 		// of the key are told that it may have run.
-		_ = k.client.Finish(ctx, attempt, state, kept)
+		if err := k.client.Finish(ctx, attempt, state, kept); err != nil {
+			span.SetStatus(codes.Error, err.Error())
+		}
 	})
 }
 
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -3,10 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"path"
 	"sync"
 	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"dotterelhead.example/dotterelhead/tlsconfig"
 )
@@ -18,6 +22,9 @@
 	// Timeout bounds one call. Acquire and Await wait in queues and have
 	// bounds of their own.
 	Timeout time.Duration
+	// TracerProvider receives a span for each call made on behalf of a
+	// request; the default is the global one.
+	TracerProvider trace.TracerProvider
 }
 
 // Clients makes and keeps one client for each address of an entry VM.
@@ -42,6 +49,9 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     15 * time.Second,
 	}
+	if options.TracerProvider == nil {
+		options.TracerProvider = otel.GetTracerProvider()
+	}
 	scheme := "http"
 	if options.TLS != nil {
 		scheme = "https"
@@ -51,14 +61,33 @@
 		scheme:    scheme,
 		transport: transport,
 		client: &http.Client{
-			Transport: otelhttp.NewTransport(transport, otelhttp.WithSpanNameFormatter(
-				func(_ string, r *http.Request) string { return "entry VM " + r.URL.Path })),
+			Transport: otelhttp.NewTransport(transport,
+				otelhttp.WithTracerProvider(options.TracerProvider),
+				otelhttp.WithPropagators(propagation.TraceContext{}),
+				otelhttp.WithFilter(isTraced),
+				otelhttp.WithSpanNameFormatter(func(_ string, r *http.Request) string { return "entry VM " + path.Base(r.URL.Path) })),
 			Timeout: options.Timeout,
 		},
 		clients: map[string]Peer{},
 	}
 }
 
+// isTraced leaves out the calls that belong to no request. Heartbeats alone
+// would otherwise make a trace each second for every pair of entry VMs.
+func isTraced(r *http.Request) bool {
+	return trace.SpanContextFromContext(r.Context()).IsValid()
+}
+
+// NewHandler serves the peer protocol, with a server span for each call that
+// carries a trace.
+func NewHandler(service Peer, provider trace.TracerProvider) http.Handler {
+	return otelhttp.NewHandler(NewPeerServer(service), "peer",
+		otelhttp.WithTracerProvider(provider),
+		otelhttp.WithPropagators(propagation.TraceContext{}),
+		otelhttp.WithFilter(func(r *http.Request) bool { return r.Header.Get("Traceparent") != "" }),
+		otelhttp.WithSpanNameFormatter(func(_ string, r *http.Request) string { return "peer " + path.Base(r.URL.Path) }))
+}
+
 // Dial returns the client of an address (host:port).
 func (c *Clients) Dial(address string) Peer {
 	c.mu.Lock()
