--- a/peer/clients.go
+++ b/peer/clients.go
@@ -1,28 +1,39 @@
 package peer
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
+	"path"
 	"sync"
 	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"dotterelhead.example/dotterelhead/tlsconfig"
 )
 
 // ClientsOptions configure Clients.
 type ClientsOptions struct {
 	// TLS is nil for plain connections.
-	TLS *tls.Config
+	TLS *tlsconfig.Source
 	// Timeout bounds one call. Acquire and Await wait in queues and have
 	// bounds of their own.
 	Timeout time.Duration
+	// TracerProvider receives a span for each call made on behalf of a
+	// request; the default is the global one.
+	TracerProvider trace.TracerProvider
 }
 
 // Clients makes and keeps one client for each address of an entry VM.
 type Clients struct {
 	scheme string
 	client *http.Client
+	// transport is what the tracing transport wraps, which does not pass
+	// CloseIdleConnections on.
+	transport *http.Transport
 
 	mu      sync.Mutex
 	clients map[string]Peer
@@ -37,23 +48,46 @@
 		}).DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     15 * time.Second,
-		TLSClientConfig:     options.TLS,
+	}
+	if options.TracerProvider == nil {
+		options.TracerProvider = otel.GetTracerProvider()
 	}
 	scheme := "http"
 	if options.TLS != nil {
 		scheme = "https"
+		options.TLS.Transport(transport)
 	}
 	return &Clients{
-		scheme: scheme,
+		scheme:    scheme,
+		transport: transport,
 		client: &http.Client{
-			Transport: otelhttp.NewTransport(transport, otelhttp.WithSpanNameFormatter(
-				func(_ string, r *http.Request) string { return "entry VM " + r.URL.Path })),
+			Transport: otelhttp.NewTransport(transport,
+				otelhttp.WithTracerProvider(options.TracerProvider),
+				otelhttp.WithPropagators(propagation.TraceContext{}),
+				otelhttp.WithFilter(isTraced),
+				otelhttp.WithSpanNameFormatter(func(_ string, r *http.Request) string { return "entry VM " + path.Base(r.URL.Path) })),
 			Timeout: options.Timeout,
 		},
 		clients: map[string]Peer{},
 	}
 }
 
+// isTraced leaves out the calls that belong to no request. Heartbeats alone
+// would otherwise make a trace each second for every pair of entry VMs.
+func isTraced(r *http.Request) bool {
+	return trace.SpanContextFromContext(r.Context()).IsValid()
+}
+
+// NewHandler serves the peer protocol, with a server span for each call that
+// carries a trace.
+func NewHandler(service Peer, provider trace.TracerProvider) http.Handler {
+	return otelhttp.NewHandler(NewPeerServer(service), "peer",
+		otelhttp.WithTracerProvider(provider),
+		otelhttp.WithPropagators(propagation.TraceContext{}),
+		otelhttp.WithFilter(func(r *http.Request) bool { return r.Header.Get("Traceparent") != "" }),
+		otelhttp.WithSpanNameFormatter(func(_ string, r *http.Request) string { return "peer " + path.Base(r.URL.Path) }))
+}
+
 // Dial returns the client of an address (host:port).
 func (c *Clients) Dial(address string) Peer {
 	c.mu.Lock()
@@ -67,4 +101,4 @@
 }
 
 // Close closes the idle connections.
-func (c *Clients) Close() { c.client.CloseIdleConnections() }
+func (c *Clients) Close() { c.transport.CloseIdleConnections() }
