dispatch: mend lost slots and double grants

Each of these tests failed before the change: - TestLostGrantIsFreedAtOnce: a grant whose answer was lost, or whose caller hung up, stayed taken until the reconciliation (4.0 s); the client now gives it back by its request id. - TestReleaseDuringAdoption: a release that arrived while a new dispatcher asked for the grants in use was forgotten and the grant adopted (5.0 s). - TestGrantsOfOverlapAreAdopted: grants that the old dispatcher issued after the new one had asked were never counted. - TestFrozenDispatcherAsksAgain: a dispatcher that woke granted by old state. - TestSlotsOfSilentEntryAreHeldUntilDeadline: the slots of a silent entry VM were granted again while its requests could still run. - TestSilentEntryDoesNotDelayRefusals: the reconciliation ran between the ticks, so a silent entry VM delayed refusals by a second per pool. - TestPoolWithoutWorkers: requests waited for their deadline. - TestShutdown: a pool was taken over again after Run had ended.

--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -18,6 +18,10 @@
 // maxReleaseBatch bounds the results in one Release call.
 const maxReleaseBatch = 256
 
+// sendAttempts is how often a Release is sent. The second attempt covers a
+// connection that was lost.
+const sendAttempts = 2
+
 // Refusal is the error of a request that got no slot.
 type Refusal struct {
 	Status     peer.AcquireResponse_Status
@@ -135,10 +139,11 @@
 		ctx, cancel = peer.WhileOwner(ctx, owner, func() string { return Owner(r.Pool, c.options.Members()) })
 		defer cancel()
 	}
+	// Each call has an id of its own, so that a call that is repeated after a
+	// lost answer does not meet its predecessor.
+	id := uuid.NewString()
 	answer, err := dispatcher.Acquire(ctx, &peer.AcquireRequest{
-		// Each call has an id of its own, so that a call that is repeated
-		// after a lost answer does not meet its predecessor.
-		RequestId:      uuid.NewString(),
+		RequestId:      id,
 		Entry:          c.options.EntryID,
 		Pool:           r.Pool,
 		Service:        r.Service,
@@ -150,6 +155,12 @@
 		Urgent:         r.Urgent,
 	})
 	if err != nil {
+		if owner != c.options.EntryID {
+			// The slot may have been granted and its answer lost.
+			c.queue(releaseTarget{dispatcher: owner, pool: r.Pool}, &peer.GrantResult{
+				RequestId: id, Result: peer.GrantResult_CANCELLED,
+			})
+		}
 		return Grant{}, errors.Wrapf(err, "ask dispatcher %s", owner)
 	}
 	if answer.Status != peer.AcquireResponse_GRANTED {
@@ -164,25 +175,36 @@
 		Since: c.options.Now(), dispatcher: owner,
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.held[grant.ID] = grant
+	c.mu.Unlock()
+	if Owner(r.Pool, c.options.Members()) != owner {
+		// The new dispatcher may have asked for the grants in use before the
+		// answer arrived, and would grant the slot again.
+		c.Release(grant, peer.GrantResult_CANCELLED, 0)
+		return Grant{}, &Refusal{Status: peer.AcquireResponse_NOT_DISPATCHER}
+	}
 	return grant, nil
 }
 
 // Release gives a grant back and reports how its request went.
 func (c *Client) Release(g Grant, result peer.GrantResult_Result, run time.Duration) {
+	ended := &peer.GrantResult{
+		Grant: g.ID, Worker: g.Worker, Service: g.Service, Operation: g.Operation,
+		Result: result, RunMicros: run.Microseconds(),
+	}
 	c.mu.Lock()
 	delete(c.held, g.ID)
-	dispatcher := g.dispatcher
-	if owner := Owner(g.Pool, c.options.Members()); owner != "" {
+	c.mu.Unlock()
+	c.queue(releaseTarget{dispatcher: g.dispatcher, pool: g.Pool}, ended)
+	if owner := Owner(g.Pool, c.options.Members()); owner != "" && owner != g.dispatcher {
 		// A new dispatcher has adopted the grant under the same id.
-		dispatcher = owner
+		c.queue(releaseTarget{dispatcher: owner, pool: g.Pool}, ended)
 	}
-	target := releaseTarget{dispatcher: dispatcher, pool: g.Pool}
-	c.releases[target] = append(c.releases[target], &peer.GrantResult{
-		Grant: g.ID, Worker: g.Worker, Service: g.Service, Operation: g.Operation,
-		Result: result, RunMicros: run.Microseconds(),
-	})
+}
+
+func (c *Client) queue(target releaseTarget, result *peer.GrantResult) {
+	c.mu.Lock()
+	c.releases[target] = append(c.releases[target], result)
 	c.mu.Unlock()
 	c.wakeUp()
 }
@@ -204,22 +226,31 @@
 	return held
 }
 
-// Run sends the released grants until ctx ends. Results that cannot be
-// delivered are dropped; the dispatcher's reconciliation frees their slots.
+// Run sends the released grants until ctx ends, and then what is left. Results
+// that cannot be delivered are dropped; the dispatcher's reconciliation frees
+// their slots.
 func (c *Client) Run(ctx context.Context) {
+	// A leaving entry VM reports its last results, because the dispatcher
+	// keeps the slots of one that falls silent.
+	sending := context.WithoutCancel(ctx)
 	var group sync.WaitGroup
-	defer group.Wait()
+	sendAll := func() {
+		for _, batch := range c.takeReleases() {
+			group.Go(func() {
+				c.send(sending, batch)
+				c.finishSending(batch.target)
+			})
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
+			group.Wait()
+			sendAll()
+			group.Wait()
 			return
 		case <-c.wake:
-		}
-		for _, batch := range c.takeReleases() {
-			group.Go(func() {
-				c.send(ctx, batch)
-				c.finishSending(batch.target)
-			})
+			sendAll()
 		}
 	}
 }
@@ -269,9 +300,17 @@
 		c.options.Local.Release(ctx, r)
 		return
 	}
-	if client, ok := c.options.Peer(batch.target.dispatcher); ok {
-		ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
-		defer cancel()
-		client.Release(ctx, r)
+	for range sendAttempts {
+		client, ok := c.options.Peer(batch.target.dispatcher)
+		if !ok || c.sendOnce(ctx, client, r) == nil {
+			return
+		}
 	}
 }
+
+func (c *Client) sendOnce(ctx context.Context, client peer.Peer, r *peer.ReleaseRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	_, err := client.Release(ctx, r)
+	return err
+}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,555 @@
+package dispatch
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/scheduler/dispatching"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "30")
+	goleak.VerifyTestMain(m)
+}
+
+// cluster is some entry VMs in one process over an in-memory transport.
+type cluster struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+	workers []dispatching.Worker
+	// lose decides the fate of a call: "", "request" or "answer".
+	lose func(from, to, method string) string
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+type entry struct {
+	*cluster
+	id      string
+	members []string
+	// frozenAt stops the clock and the calls of the entry VM when it is set.
+	frozenAt time.Time
+	server   *Server
+	client   *Client
+}
+
+func (e *entry) now() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.frozenAt.IsZero() {
+		return e.frozenAt
+	}
+	return time.Now()
+}
+
+func newCluster(workers int, slots int, ids ...string) *cluster {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &cluster{entries: map[string]*entry{}, stop: stop, lose: func(_, _, _ string) string { return "" }}
+	for i := range workers {
+		c.workers = append(c.workers, dispatching.Worker{ID: fmt.Sprintf("w%d", i), Slots: slots})
+	}
+	for _, id := range ids {
+		e := &entry{cluster: c, id: id, members: ids}
+		peers := func(to string) (peer.Peer, bool) { return &link{from: e, to: to}, true }
+		members := func() []string {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return e.members
+		}
+		e.server = NewServer(ServerOptions{
+			EntryID: id, Members: members, Peer: peers, Now: e.now,
+			Workers: func(string) []dispatching.Worker {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return c.workers
+			},
+			NewPool: func(string) *dispatching.Pool {
+				return dispatching.NewPool(dispatching.Options{MaxQueue: 1000})
+			},
+			Held: func(pool string) []*peer.GrantInUse { return e.client.Held(pool) },
+		})
+		e.client = NewClient(ClientOptions{EntryID: id, Local: e.server, Members: members, Peer: peers, Now: e.now})
+		c.entries[id] = e
+	}
+	for _, e := range c.entries {
+		c.done.Go(func() { e.server.Run(ctx) })
+		c.done.Go(func() { e.client.Run(ctx) })
+	}
+	return c
+}
+
+func (c *cluster) close() {
+	c.stop()
+	c.done.Wait()
+}
+
+// view sets the members that the named entry VMs believe in; all without names.
+func (c *cluster) view(members []string, of ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, e := range c.entries {
+		if len(of) == 0 || slices.Contains(of, id) {
+			e.members = members
+		}
+	}
+}
+
+func (c *cluster) freeze(id string, frozen bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.entries[id].frozenAt = time.Time{}
+	if frozen {
+		c.entries[id].frozenAt = time.Now()
+	}
+}
+
+func (c *cluster) setLose(lose func(from, to, method string) string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lose = lose
+}
+
+// busy returns the slots that the dispatcher counts as used.
+func (c *cluster) busy(id string) int64 {
+	busy := int64(0)
+	for _, d := range c.entries[id].server.Demand() {
+		busy += d.Busy
+	}
+	return busy
+}
+
+// link carries the calls of one entry VM to another.
+type link struct {
+	peer.Peer
+	from *entry
+	to   string
+}
+
+var errLost = errors.New("message lost")
+
+func call[Q, A any](ctx context.Context, l *link, method string, r Q, handle func(*entry, context.Context, Q) (A, error)) (A, error) {
+	var none A
+	c := l.from.cluster
+	c.mu.Lock()
+	fate := c.lose(l.from.id, l.to, method)
+	to := c.entries[l.to]
+	frozen := !to.frozenAt.IsZero() || !l.from.frozenAt.IsZero()
+	c.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if frozen {
+		<-ctx.Done()
+		return none, ctx.Err()
+	}
+	if fate == "request" {
+		return none, errLost
+	}
+	// As over a connection, the caller's end of the call reaches the callee
+	// later, and an answer that is on its way then reaches nobody.
+	served, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { time.Sleep(time.Millisecond); cancel() })()
+	answer, err := handle(to, served, r)
+	time.Sleep(time.Millisecond)
+	if fate == "answer" {
+		return none, errLost
+	}
+	if ctx.Err() != nil {
+		return none, ctx.Err()
+	}
+	return answer, err
+}
+
+func (l *link) Acquire(ctx context.Context, r *peer.AcquireRequest) (*peer.AcquireResponse, error) {
+	return call(ctx, l, "Acquire", r, func(e *entry, ctx context.Context, r *peer.AcquireRequest) (*peer.AcquireResponse, error) {
+		return e.server.Acquire(ctx, r)
+	})
+}
+
+func (l *link) Release(ctx context.Context, r *peer.ReleaseRequest) (*peer.ReleaseResponse, error) {
+	return call(ctx, l, "Release", r, func(e *entry, ctx context.Context, r *peer.ReleaseRequest) (*peer.ReleaseResponse, error) {
+		return e.server.Release(ctx, r)
+	})
+}
+
+func (l *link) GrantsInUse(ctx context.Context, r *peer.GrantsInUseRequest) (*peer.GrantsInUseResponse, error) {
+	return call(ctx, l, "GrantsInUse", r, func(e *entry, _ context.Context, r *peer.GrantsInUseRequest) (*peer.GrantsInUseResponse, error) {
+		return &peer.GrantsInUseResponse{Grants: e.client.Held(r.Pool)}, nil
+	})
+}
+
+func (e *entry) acquire(ctx context.Context, wait time.Duration) (Grant, error) {
+	return e.client.Acquire(ctx, Request{Pool: "p", Service: "s", Operation: "GET /", StartBy: time.Now().Add(wait)})
+}
+
+func (e *entry) mustAcquire(t *testing.T) Grant {
+	t.Helper()
+	g, err := e.acquire(t.Context(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+var three = []string{"a", "b", "c"}
+
+// roles returns the dispatcher of pool "p" among three entry VMs, the one that
+// follows it, and the third.
+func roles() (first, second, third string) {
+	first = Owner("p", three)
+	rest := slices.DeleteFunc(slices.Clone(three), func(id string) bool { return id == first })
+	second = Owner("p", rest)
+	third = rest[0]
+	if third == second {
+		third = rest[1]
+	}
+	return first, second, third
+}
+
+func without(id string) []string {
+	return slices.DeleteFunc(slices.Clone(three), func(member string) bool { return member == id })
+}
+
+// run runs a test in a bubble with three entry VMs.
+func run(t *testing.T, workers, slots int, test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(workers, slots, three...)
+		defer c.close()
+		test(t, c)
+	})
+}
+
+// Guards against a slot that stays taken for seconds when the answer of
+// Acquire is lost or the caller hangs up while the grant is on its way.
+func TestLostGrantIsFreedAtOnce(t *testing.T) {
+	first, second, _ := roles()
+	t.Run("answer lost", func(t *testing.T) {
+		run(t, 1, 1, func(t *testing.T, c *cluster) {
+			lost := false
+			c.setLose(func(_, _, method string) string {
+				if method == "Acquire" && !lost {
+					lost = true
+					return "answer"
+				}
+				return ""
+			})
+			started := time.Now()
+			c.entries[second].mustAcquire(t)
+			if took := time.Since(started); took > 500*time.Millisecond {
+				t.Fatalf("second try got the slot after %v", took)
+			}
+		})
+	})
+	t.Run("caller cancels", func(t *testing.T) {
+		run(t, 1, 1, func(t *testing.T, c *cluster) {
+			c.entries[second].client.Release(c.entries[second].mustAcquire(t), peer.GrantResult_OK, 0)
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Microsecond)
+			defer cancel()
+			if _, err := c.entries[second].acquire(ctx, time.Minute); err == nil {
+				t.Fatal("the answer arrived before the cancellation")
+			}
+			time.Sleep(100 * time.Millisecond)
+			if busy := c.busy(first); busy != 0 {
+				t.Fatalf("%d slots in use", busy)
+			}
+		})
+	})
+}
+
+// Guards against a healthy worker that is charged with a failure, and in the
+// end ejected, for each caller that gives up.
+func TestCancellationsDoNotEjectWorkers(t *testing.T) {
+	first, _, _ := roles()
+	run(t, 4, 4, func(t *testing.T, c *cluster) {
+		e := c.entries[first]
+		e.client.Release(e.mustAcquire(t), peer.GrantResult_OK, time.Millisecond)
+		owned, _ := e.server.pool("p")
+		for i := range 200 {
+			// Three requests that are answered leave the fourth worker to the
+			// one that is given up.
+			answered := []Grant{e.mustAcquire(t), e.mustAcquire(t), e.mustAcquire(t)}
+			r := &peer.AcquireRequest{RequestId: fmt.Sprint("r", i), Pool: "p", Service: "s", WaitMillis: 1000}
+			if _, ok := owned.push(time.Now(), r); !ok {
+				t.Fatal("not dispatcher")
+			}
+			owned.mu.Lock()
+			owned.withdraw(time.Now(), r.RequestId)
+			owned.mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			for _, g := range answered {
+				e.client.Release(g, peer.GrantResult_OK, 10*time.Millisecond)
+			}
+			synctest.Wait()
+		}
+		owned.mu.Lock()
+		defer owned.mu.Unlock()
+		if ejected := owned.state.Ejected(); len(ejected) > 0 {
+			t.Fatalf("ejected %v", ejected)
+		}
+	})
+}
+
+// Guards against a new dispatcher that adopts a grant whose release reached it
+// while it asked for the grants in use.
+func TestReleaseDuringAdoption(t *testing.T) {
+	first, second, third := roles()
+	run(t, 1, 1, func(t *testing.T, c *cluster) {
+		e := c.entries[third]
+		g := e.mustAcquire(t)
+		c.freeze(first, true)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			e.client.Release(g, peer.GrantResult_OK, 0)
+		}()
+		// A silent member makes the adoption last a second.
+		silent := "x"
+		for Owner("p", []string{second, third, silent}) != second {
+			silent += "x"
+		}
+		c.mu.Lock()
+		c.entries[silent] = &entry{cluster: c, id: silent, frozenAt: time.Now()}
+		c.mu.Unlock()
+		c.view([]string{second, third, silent}, second, third)
+		started := time.Now()
+		e.client.Release(e.mustAcquire(t), peer.GrantResult_OK, 0)
+		if took := time.Since(started); took > adoptTimeout+200*time.Millisecond {
+			t.Fatalf("slot granted after %v", took)
+		}
+		c.mu.Lock()
+		delete(c.entries, silent)
+		c.mu.Unlock()
+		c.view(three)
+	})
+}
+
+// Guards against slots that are granted twice for as long as a request runs
+// that an old dispatcher granted after the new one had asked.
+func TestGrantsOfOverlapAreAdopted(t *testing.T) {
+	first, second, third := roles()
+	run(t, 1, 2, func(t *testing.T, c *cluster) {
+		c.view(without(first), second)
+		c.entries[second].client.Release(c.entries[second].mustAcquire(t), peer.GrantResult_OK, 0)
+		// The third still asks the old dispatcher.
+		c.entries[third].mustAcquire(t)
+		c.entries[third].mustAcquire(t)
+		c.view(without(first))
+		time.Sleep(2*reconcileInterval + time.Second)
+		if g, err := c.entries[second].acquire(t.Context(), time.Second); err == nil {
+			t.Fatalf("granted %v beyond the slots", g)
+		}
+	})
+}
+
+// Guards against a dispatcher that wakes after others replaced it and grants
+// by what it knew before.
+func TestFrozenDispatcherAsksAgain(t *testing.T) {
+	first, second, third := roles()
+	run(t, 1, 1, func(t *testing.T, c *cluster) {
+		c.entries[third].client.Release(c.entries[third].mustAcquire(t), peer.GrantResult_OK, 0)
+		time.Sleep(time.Second)
+		c.freeze(first, true)
+		time.Sleep(3 * time.Second)
+		c.view(without(first), second, third)
+		c.entries[third].mustAcquire(t)
+		c.view(three, second, third)
+		c.freeze(first, false)
+		if g, err := c.entries[first].acquire(t.Context(), time.Second); err == nil {
+			t.Fatalf("granted %v beyond the slots", g)
+		}
+	})
+}
+
+// Guards against the slots of a silent entry VM being granted again while its
+// requests still run, and against keeping them for longer than that.
+func TestSlotsOfSilentEntryAreHeldUntilDeadline(t *testing.T) {
+	first, second, third := roles()
+	run(t, 1, 1, func(t *testing.T, c *cluster) {
+		if _, err := c.entries[third].acquire(t.Context(), 12*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		c.freeze(third, true)
+		time.Sleep(3 * time.Second)
+		c.view(without(third), first, second)
+		if _, err := c.entries[second].acquire(t.Context(), 7*time.Second); err == nil {
+			t.Fatal("granted the slot of a request that may still run")
+		}
+		if _, err := c.entries[second].acquire(t.Context(), 8*time.Second); err != nil {
+			t.Fatalf("the slot is held for too long: %v", err)
+		}
+	})
+}
+
+// Guards against a silent entry VM that stops the deadlines of all pools.
+func TestSilentEntryDoesNotDelayRefusals(t *testing.T) {
+	first, second, third := roles()
+	run(t, 1, 1, func(t *testing.T, c *cluster) {
+		c.entries[second].mustAcquire(t)
+		c.freeze(third, true)
+		time.Sleep(reconcileInterval - 500*time.Millisecond)
+		for range 20 {
+			started := time.Now()
+			c.entries[first].acquire(t.Context(), 100*time.Millisecond)
+			if took := time.Since(started); took > 200*time.Millisecond {
+				t.Fatalf("refused after %v", took)
+			}
+		}
+	})
+}
+
+// Guards against requests that wait for their deadline in a pool without any
+// worker, and against refusing them in the gap of a short change.
+func TestPoolWithoutWorkers(t *testing.T) {
+	first, second, _ := roles()
+	run(t, 0, 1, func(t *testing.T, c *cluster) {
+		for range 2 {
+			started := time.Now()
+			_, err := c.entries[second].acquire(t.Context(), time.Minute)
+			var refusal *Refusal
+			if !errors.As(err, &refusal) || refusal.Status != peer.AcquireResponse_NO_WORKER || time.Since(started) > 1500*time.Millisecond {
+				t.Fatalf("got %v after %v", err, time.Since(started))
+			}
+		}
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			c.mu.Lock()
+			c.workers = []dispatching.Worker{{ID: "w", Slots: 1}}
+			c.mu.Unlock()
+			c.entries[first].server.WorkersChanged()
+		}()
+		c.view(without(first))
+		c.view(three)
+		time.Sleep(time.Second)
+		c.entries[second].mustAcquire(t)
+	})
+}
+
+// Guards against a pool that is taken over again after Run ended, and against
+// releases that are lost in a graceful shutdown.
+func TestShutdown(t *testing.T) {
+	first, second, _ := roles()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 1, three...)
+		g := c.entries[second].mustAcquire(t)
+		released := false
+		c.setLose(func(_, to, method string) string {
+			released = released || method == "Release" && to == first
+			return ""
+		})
+		c.entries[second].client.Release(g, peer.GrantResult_OK, 0)
+		c.close()
+		if !released {
+			t.Error("the release was not sent")
+		}
+		answer, err := c.entries[first].server.Acquire(t.Context(), &peer.AcquireRequest{RequestId: "late", Pool: "p", WaitMillis: 1000})
+		if err != nil || answer.Status != peer.AcquireResponse_NOT_DISPATCHER {
+			t.Errorf("got %v, %v", answer, err)
+		}
+	})
+}
+
+// Guards against slots granted twice, lost slots and requests without an end,
+// with lost messages, cancellations, frozen entry VMs and views that differ.
+func TestSlots(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		changes := rapid.IntRange(0, 2).Draw(rt, "changes")
+		percent := rapid.IntRange(0, 15).Draw(rt, "lost percent")
+		synctest.Test(t, func(t *testing.T) { checkSlots(t, rt, seed, changes, percent) })
+	})
+}
+
+func checkSlots(t *testing.T, rt *rapid.T, seed uint64, changes, percent int) {
+	const slots = 2
+	rng := rand.New(rand.NewPCG(seed, 1))
+	c := newCluster(2, slots, three...)
+	defer c.close()
+	losses := rand.New(rand.NewPCG(seed, 2))
+	c.setLose(func(_, _, method string) string {
+		if losses.IntN(100) >= percent || method == "GrantsInUse" {
+			return ""
+		}
+		return []string{"request", "answer"}[losses.IntN(2)]
+	})
+	var mu sync.Mutex
+	var overlap time.Time
+	running, ended := map[string]int{}, 0
+	var callers sync.WaitGroup
+	// Requests end within 2 s, so that the grants of an overlap are over 2 s
+	// after it, whether they were adopted or not.
+	settled := 2*reconcileInterval + adoptTimeout + 2*time.Second
+	caller := func(e *entry, start, hold, patience time.Duration) {
+		time.Sleep(start)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		g, err := e.acquire(ctx, 5*time.Second)
+		mu.Lock()
+		ended++
+		if err != nil {
+			mu.Unlock()
+			return
+		}
+		if running[g.Worker]++; running[g.Worker] > slots && (overlap.IsZero() || time.Since(overlap) > settled) {
+			rt.Errorf("%d requests on %d slots of %s, %v after the last change", running[g.Worker], slots, g.Worker, time.Since(overlap))
+		}
+		mu.Unlock()
+		time.Sleep(hold)
+		mu.Lock()
+		running[g.Worker]--
+		mu.Unlock()
+		e.client.Release(g, peer.GrantResult_OK, hold)
+	}
+	const requests = 150
+	for range requests {
+		e := c.entries[three[rng.IntN(3)]]
+		milliseconds := func(n int) time.Duration { return time.Duration(rng.IntN(n)) * time.Millisecond }
+		start, hold, patience := milliseconds(30000), milliseconds(2000), milliseconds(8000)
+		callers.Go(func() { caller(e, start, hold, patience) })
+	}
+	for range changes {
+		time.Sleep(time.Duration(rng.IntN(5000)) * time.Millisecond)
+		gone := three[rng.IntN(3)]
+		mark := func() { mu.Lock(); overlap = time.Now(); mu.Unlock() }
+		mark()
+		freeze := rng.IntN(2) == 0
+		if freeze {
+			c.freeze(gone, true)
+			time.Sleep(3 * time.Second)
+			mark()
+		}
+		for _, id := range without(gone) {
+			c.view(without(gone), id)
+			time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+			mark()
+		}
+		time.Sleep(time.Second)
+		c.freeze(gone, false)
+		mark()
+		c.view(three)
+		mark()
+	}
+	callers.Wait()
+	if ended != requests {
+		rt.Errorf("%d of %d calls of Acquire ended", ended, requests)
+	}
+	c.setLose(func(_, _, _ string) string { return "" })
+	time.Sleep(5 * reconcileInterval)
+	for id := range c.entries {
+		if busy := c.busy(id); busy != 0 {
+			rt.Errorf("%d slots lost at %s", busy, id)
+		}
+	}
+}
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -24,6 +24,22 @@
 	// adoptTimeout bounds how long a new dispatcher waits for entry VMs that
 	// do not say which grants they hold.
 	adoptTimeout = time.Second
+	// frozenAfter is the pause between two ticks after which this entry VM
+	// presumes that it was frozen. It is shorter than the time after which the
+	// others replace a silent dispatcher (2 s after its last heartbeat at the
+	// earliest), so that a dispatcher that wakes does not grant by old state.
+	frozenAfter = 1500 * time.Millisecond
+	// silentHold bounds how long the slots of a silent entry VM are held back.
+	// Beyond it, a share of the pool that lies idle costs more than a worker
+	// that runs a few requests beyond its slots.
+	silentHold = 30 * time.Second
+	// missingRounds is the number of successive answers without a grant after
+	// which its holder does not have it. After one, the grant may still be on
+	// its way to an entry VM that has just woken.
+	missingRounds = 2
+	// noWorkerWait is how long a pool may be without any worker before its
+	// requests are refused; moves and reboots leave short gaps.
+	noWorkerWait = time.Second
 )
 
 // ServerOptions configure a Server.
@@ -45,27 +61,55 @@
 // Server is the dispatcher of the pools that this entry VM owns.
 type Server struct {
 	options ServerOptions
+	// asking ends the calls to other entry VMs when the server stops.
+	asking     context.Context
+	stopAsking context.CancelFunc
+	asks       sync.WaitGroup
 
-	mu    sync.Mutex
-	pools map[string]*ownedPool
+	mu     sync.Mutex
+	pools  map[string]*ownedPool
+	ticked time.Time
+	closed bool
 }
 
 // ownedPool is a pool that this entry VM dispatches.
+//
+// Invariant: each grant that the decisions count as in use is in grants, from
+// the moment at which it is decided until it is released.
 type ownedPool struct {
 	name string
 
 	mu      sync.Mutex
 	state   *dispatching.Pool
-	waiting map[string]chan dispatching.Decision
-	grants  map[string]issued
-	ready   bool
-	lost    bool
+	waiting map[string]*waiter
+	grants  map[string]*issued
+	// byRequest finds the grant of a request whose answer was lost.
+	byRequest map[string]string
+	// ended holds the grants that were released while the entry VMs are asked
+	// for theirs, because an answer may still name them; nil at other times.
+	ended map[string]bool
+	// silent holds the time since which an entry VM does not answer.
+	silent        map[string]time.Time
+	withoutWorker time.Time
+	ready         bool
+	lost          bool
+}
+
+// waiter is a request that waits for its decision.
+type waiter struct {
+	entry    string
+	deadline time.Time
+	reply    chan dispatching.Decision
 }
 
 // issued is a grant and the entry VM that holds it.
 type issued struct {
-	entry string
-	at    time.Time
+	entry   string
+	request string
+	at      time.Time
+	// endsBy is the deadline of the request, by which its entry VM has ended it.
+	endsBy  time.Time
+	missing int
 }
 
 // NewServer returns a server without pools.
@@ -73,7 +117,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &Server{options: options, pools: map[string]*ownedPool{}}
+	s := &Server{options: options, pools: map[string]*ownedPool{}}
+	s.asking, s.stopAsking = context.WithCancel(context.Background())
+	return s
 }
 
 func (s *Server) owns(pool string) bool {
@@ -87,22 +133,46 @@
 		s.drop(name)
 		return nil, false
 	}
+	s.dropIfFrozen()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return nil, false
+	}
 	owned, ok := s.pools[name]
 	if !ok {
 		owned = &ownedPool{
-			name:    name,
-			state:   s.options.NewPool(name),
-			waiting: map[string]chan dispatching.Decision{},
-			grants:  map[string]issued{},
+			name:      name,
+			state:     s.options.NewPool(name),
+			waiting:   map[string]*waiter{},
+			grants:    map[string]*issued{},
+			byRequest: map[string]string{},
+			ended:     map[string]bool{},
+			silent:    map[string]time.Time{},
 		}
 		s.pools[name] = owned
-		go s.takeOver(owned)
+		s.asks.Go(func() { s.takeOver(owned) })
 	}
 	return owned, true
 }
 
+// dropIfFrozen drops all pools when this entry VM was frozen: another one may
+// have dispatched them in the meantime, so their grants are asked for again.
+func (s *Server) dropIfFrozen() {
+	s.mu.Lock()
+	frozen := !s.ticked.IsZero() && s.options.Now().Sub(s.ticked) > frozenAfter
+	s.mu.Unlock()
+	if frozen {
+		s.dropAll()
+	}
+}
+
+func (s *Server) dropAll() {
+	for _, owned := range s.all() {
+		s.drop(owned.name)
+	}
+}
+
 // drop refuses what waits in a pool that has another dispatcher now.
 func (s *Server) drop(name string) {
 	s.mu.Lock()
@@ -115,42 +185,78 @@
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
 	owned.lost = true
-	for id, reply := range owned.waiting {
-		close(reply)
+	for id, w := range owned.waiting {
+		close(w.reply)
 		delete(owned.waiting, id)
 	}
 }
 
 // takeOver learns the grants of the previous dispatcher from the entry VMs
 // before the first slot is granted.
+//
+// An entry VM that does not answer within adoptTimeout counts as holding none:
+// nothing tells on which workers its requests run or for how long, and holding
+// back a guessed share of each worker would cost the pool more, at the moment
+// at which its requests already waited for the new dispatcher, than the few
+// requests that a worker may run beyond its slots meanwhile. Its grants are
+// adopted as soon as it answers. Grants that this dispatcher issued itself are
+// known, and kept while their entry VM is silent; see reconcile.
 func (s *Server) takeOver(owned *ownedPool) {
 	held := s.heldByAll(owned.name)
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
 	now := s.options.Now()
+	owned.adopt(now, held)
+	owned.ended = nil
+	owned.ready = true
+	owned.setWorkers(now, s.options.Workers(owned.name))
+}
+
+// adopt counts the grants that other dispatchers issued.
+func (o *ownedPool) adopt(now time.Time, held map[string][]*peer.GrantInUse) {
 	for entry, grants := range held {
 		for _, g := range grants {
-			owned.state.Adopt(now, g.Grant, g.Worker, dispatching.Request{
+			if o.grants[g.Grant] != nil || o.ended[g.Grant] {
+				continue
+			}
+			o.state.Adopt(now, g.Grant, g.Worker, dispatching.Request{
 				ID: g.Grant, Service: g.Service, Operation: g.Operation,
 			})
-			owned.grants[g.Grant] = issued{entry: entry, at: now}
+			o.grants[g.Grant] = &issued{entry: entry, at: now, endsBy: now.Add(silentHold)}
 		}
 	}
-	owned.ready = true
-	owned.deliver(now, owned.state.SetWorkers(now, s.options.Workers(owned.name)))
+}
+
+func (o *ownedPool) setWorkers(now time.Time, workers []dispatching.Worker) {
+	switch {
+	case len(workers) > 0:
+		o.withoutWorker = time.Time{}
+	case o.withoutWorker.IsZero():
+		o.withoutWorker = now
+	}
+	o.deliver(now, o.state.SetWorkers(now, workers))
+}
+
+// hasNoWorker reports whether the pool has been without workers for too long
+// to let requests wait.
+func (o *ownedPool) hasNoWorker(now time.Time) bool {
+	return o.ready && !o.withoutWorker.IsZero() && now.Sub(o.withoutWorker) > noWorkerWait
 }
 
 // heldByAll asks every live entry VM for the grants it holds. Entry VMs that
 // do not answer are missing in the result.
 func (s *Server) heldByAll(pool string) map[string][]*peer.GrantInUse {
-	ctx, cancel := context.WithTimeout(context.Background(), adoptTimeout)
+	ctx, cancel := context.WithTimeout(s.asking, adoptTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	held := map[string][]*peer.GrantInUse{s.options.EntryID: s.options.Held(pool)}
 	var group errgroup.Group
 	for _, member := range s.options.Members() {
+		if member == s.options.EntryID {
+			continue
+		}
 		client, ok := s.options.Peer(member)
-		if member == s.options.EntryID || !ok {
+		if !ok {
 			continue
 		}
 		group.Go(func() error {
@@ -174,18 +280,47 @@
 	for len(decisions) > 0 {
 		d := decisions[0]
 		decisions = decisions[1:]
-		reply, ok := o.waiting[d.RequestID]
-		if ok {
+		if w, ok := o.waiting[d.RequestID]; ok {
 			delete(o.waiting, d.RequestID)
-			reply <- d
+			if d.Reason == dispatching.ReasonNone {
+				o.grants[d.Grant] = &issued{entry: w.entry, request: d.RequestID, at: now, endsBy: w.deadline}
+				o.byRequest[d.RequestID] = d.Grant
+			}
+			w.reply <- d
 			continue
 		}
 		if d.Reason == dispatching.ReasonNone {
-			decisions = append(decisions, o.state.Release(now, d.Grant, dispatching.ResultNotSent, 0)...)
+			// The worker has no part in it, so it is not charged.
+			decisions = append(decisions, o.state.Release(now, d.Grant, dispatching.ResultCancelled, 0)...)
 		}
 	}
 }
 
+// release ends a grant. Unknown grants have no effect.
+func (o *ownedPool) release(now time.Time, grant string, result dispatching.Result, run time.Duration) {
+	if o.ended != nil {
+		o.ended[grant] = true
+	}
+	if g := o.grants[grant]; g != nil {
+		delete(o.grants, grant)
+		delete(o.byRequest, g.request)
+	}
+	o.deliver(now, o.state.Release(now, grant, result, run))
+}
+
+// withdraw ends a request whose caller has gone, whether it waits or was
+// granted a slot that nobody knows of.
+func (o *ownedPool) withdraw(now time.Time, request string) {
+	if w, ok := o.waiting[request]; ok {
+		delete(o.waiting, request)
+		close(w.reply)
+		o.state.Cancel(now, request)
+	}
+	if grant, ok := o.byRequest[request]; ok {
+		o.release(now, grant, dispatching.ResultCancelled, 0)
+	}
+}
+
 var statusOfReason = map[dispatching.Reason]peer.AcquireResponse_Status{
 	dispatching.ReasonNone:              peer.AcquireResponse_GRANTED,
 	dispatching.ReasonQueueFull:         peer.AcquireResponse_QUEUE_FULL,
@@ -211,9 +346,11 @@
 		if !ok {
 			return notDispatcher, nil
 		}
-		return s.answer(owned, r, d), nil
+		return answer(d), nil
 	case <-ctx.Done():
-		owned.cancel(s.options.Now(), r.RequestId, reply)
+		owned.mu.Lock()
+		defer owned.mu.Unlock()
+		owned.withdraw(s.options.Now(), r.RequestId)
 		return nil, ctx.Err()
 	}
 }
@@ -227,45 +364,34 @@
 	if _, twice := o.waiting[r.RequestId]; twice {
 		return nil, false
 	}
-	reply := make(chan dispatching.Decision, 1)
-	o.waiting[r.RequestId] = reply
+	w := &waiter{
+		entry:    r.Entry,
+		deadline: now.Add(time.Duration(r.WaitMillis) * time.Millisecond),
+		reply:    make(chan dispatching.Decision, 1),
+	}
+	if o.hasNoWorker(now) {
+		w.reply <- noWorker(r.RequestId)
+		return w.reply, true
+	}
+	o.waiting[r.RequestId] = w
 	o.deliver(now, o.state.Push(now, dispatching.Request{
 		ID:        r.RequestId,
 		Service:   r.Service,
 		Operation: r.Operation,
 		Team:      r.Team,
 		Declared:  time.Duration(r.DeclaredMillis) * time.Millisecond,
-		StartBy:   now.Add(time.Duration(r.WaitMillis) * time.Millisecond),
+		StartBy:   w.deadline,
 		Avoid:     r.Avoid,
 		Urgent:    r.Urgent,
 	}))
-	return reply, true
+	return w.reply, true
 }
 
-// cancel removes a request whose caller has gone, and gives a slot back that
-// was granted in the meantime.
-func (o *ownedPool) cancel(now time.Time, id string, reply chan dispatching.Decision) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.waiting[id] == reply {
-		delete(o.waiting, id)
-		o.state.Cancel(now, id)
-	}
-	select {
-	case d, ok := <-reply:
-		if ok && d.Reason == dispatching.ReasonNone {
-			o.deliver(now, o.state.Release(now, d.Grant, dispatching.ResultNotSent, 0))
-		}
-	default:
-	}
+func noWorker(request string) dispatching.Decision {
+	return dispatching.Decision{RequestID: request, Reason: dispatching.ReasonNoWorker, RetryAfter: noWorkerWait}
 }
 
-func (s *Server) answer(owned *ownedPool, r *peer.AcquireRequest, d dispatching.Decision) *peer.AcquireResponse {
-	if d.Reason == dispatching.ReasonNone {
-		owned.mu.Lock()
-		owned.grants[d.Grant] = issued{entry: r.Entry, at: s.options.Now()}
-		owned.mu.Unlock()
-	}
+func answer(d dispatching.Decision) *peer.AcquireResponse {
 	return &peer.AcquireResponse{
 		Status:           statusOfReason[d.Reason],
 		Grant:            d.Grant,
@@ -284,8 +410,10 @@
 	peer.GrantResult_SILENT:    dispatching.ResultSilent,
 }
 
-// Release gives slots back. A repeat has no effect.
+// Release gives slots back. A repeat has no effect. A result without a grant
+// gives back what its request waits for or was granted.
 func (s *Server) Release(_ context.Context, r *peer.ReleaseRequest) (*peer.ReleaseResponse, error) {
+	s.dropIfFrozen()
 	s.mu.Lock()
 	owned, ok := s.pools[r.Pool]
 	s.mu.Unlock()
@@ -294,11 +422,17 @@
 	}
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
+	if owned.lost {
+		return &peer.ReleaseResponse{}, nil
+	}
 	now := s.options.Now()
 	for _, result := range r.Results {
-		delete(owned.grants, result.Grant)
+		if result.Grant == "" {
+			owned.withdraw(now, result.RequestId)
+			continue
+		}
 		run := time.Duration(result.RunMicros) * time.Microsecond
-		owned.deliver(now, owned.state.Release(now, result.Grant, resultOfPeer[result.Result], run))
+		owned.release(now, result.Grant, resultOfPeer[result.Result], run)
 	}
 	return &peer.ReleaseResponse{}, nil
 }
@@ -332,7 +466,7 @@
 	for _, owned := range s.all() {
 		owned.mu.Lock()
 		if now := s.options.Now(); owned.ready {
-			owned.deliver(now, owned.state.SetWorkers(now, s.options.Workers(owned.name)))
+			owned.setWorkers(now, s.options.Workers(owned.name))
 		}
 		owned.mu.Unlock()
 	}
@@ -340,6 +474,7 @@
 
 // Run refuses requests that cannot start in time, drops pools that have
 // another dispatcher and frees the slots of lost messages, until ctx ends.
+// Afterwards the server dispatches no pool.
 func (s *Server) Run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -348,42 +483,78 @@
 	for {
 		select {
 		case <-ctx.Done():
-			for _, owned := range s.all() {
-				s.drop(owned.name)
-			}
+			s.close()
 			return
 		case <-tick.C:
 			s.tick()
 		case <-reconcile.C:
-			for _, owned := range s.all() {
-				s.reconcile(owned)
-			}
+			s.reconcileAll()
 		}
 	}
 }
 
+func (s *Server) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.dropAll()
+	s.stopAsking()
+	s.asks.Wait()
+}
+
 func (s *Server) tick() {
+	s.dropIfFrozen()
+	s.mu.Lock()
+	s.ticked = s.options.Now()
+	s.mu.Unlock()
 	for _, owned := range s.all() {
 		if !s.owns(owned.name) {
 			s.drop(owned.name)
 			continue
 		}
 		owned.mu.Lock()
-		now := s.options.Now()
-		owned.deliver(now, owned.state.Tick(now))
+		owned.tick(s.options.Now())
+		owned.mu.Unlock()
+	}
+}
+
+func (o *ownedPool) tick(now time.Time) {
+	o.deliver(now, o.state.Tick(now))
+	if !o.hasNoWorker(now) {
+		return
+	}
+	for id, w := range o.waiting {
+		delete(o.waiting, id)
+		o.state.Cancel(now, id)
+		w.reply <- noWorker(id)
+	}
+}
+
+// reconcileAll reconciles each pool beside the ticks, which a silent entry VM
+// must not delay. A pool that is being asked for already is left out.
+func (s *Server) reconcileAll() {
+	for _, owned := range s.all() {
+		owned.mu.Lock()
+		idle := owned.ready && owned.ended == nil
+		if idle {
+			owned.ended = map[string]bool{}
+		}
 		owned.mu.Unlock()
+		if idle {
+			s.asks.Go(func() { s.reconcile(owned) })
+		}
 	}
 }
 
 // reconcile frees grants whose holder does not know them: the answer to its
-// Acquire or its Release was lost, or the entry VM was replaced.
+// Acquire or its Release was lost, or the entry VM was replaced. It adopts
+// grants that another dispatcher issued while both took the pool for theirs.
+//
+// The grants of an entry VM that does not answer are kept until their requests
+// have ended, because a frozen process does not end what it has sent: the
+// worker goes on with it.
 func (s *Server) reconcile(owned *ownedPool) {
-	started := s.options.Now()
 	held := s.heldByAll(owned.name)
-	members := map[string]bool{}
-	for _, member := range s.options.Members() {
-		members[member] = true
-	}
 	known := map[string]bool{}
 	for _, grants := range held {
 		for _, g := range grants {
@@ -393,12 +564,30 @@
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
 	now := s.options.Now()
+	for entry := range held {
+		delete(owned.silent, entry)
+	}
 	for id, grant := range owned.grants {
-		_, answered := held[grant.entry]
-		settled := started.Sub(grant.at) > reconcileInterval
-		if settled && !known[id] && (answered || !members[grant.entry]) {
-			delete(owned.grants, id)
-			owned.deliver(now, owned.state.Release(now, id, dispatching.ResultCancelled, 0))
+		if _, answered := held[grant.entry]; known[id] {
+			grant.missing = 0
+		} else if answered {
+			if grant.missing++; grant.missing >= missingRounds {
+				owned.release(now, id, dispatching.ResultCancelled, 0)
+			}
+		} else if owned.hasEnded(now, grant) {
+			owned.release(now, id, dispatching.ResultCancelled, 0)
 		}
 	}
+	owned.adopt(now, held)
+	owned.ended = nil
+}
+
+// hasEnded reports whether the request of a silent entry VM counts as ended.
+func (o *ownedPool) hasEnded(now time.Time, grant *issued) bool {
+	since, ok := o.silent[grant.entry]
+	if !ok {
+		since = now
+		o.silent[grant.entry] = now
+	}
+	return !now.Before(grant.endsBy) || now.Sub(since) >= silentHold
 }
