--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -155,24 +155,12 @@
 		}
 		return e, call{service: twoPools[n%2].name, work: 200 * time.Millisecond}
 	})
-	c.publish(`
-[note]
-name = "maintenance"
-base = 1
-[[wave.add]]
-name = "first-wave"
-pools = ["a", "b"]
-max_concurrent = 1
-`)
+	c.publish(waveNote)
 	time.Sleep(2 * time.Second)
 	if !leaving.terminate(20 * time.Second) {
 		t.Error("the entry VM did not stop within 20 s of SIGTERM")
 	}
-	c.eventually(90*time.Second, "the wave ends", func() bool {
-		document, err := c.fleet()
-		c.must(err)
-		return len(document.Waves) == 1 && document.Waves[0].Finished
-	})
+	c.awaitWave(90 * time.Second)
 	replies := l.stop()
 	c.checkHonesty(replies)
 	c.checkOnePool()
