--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -554,6 +554,7 @@
 // have ended, because a frozen process does not end what it has sent: the
 // worker goes on with it.
 func (s *Server) reconcile(owned *ownedPool) {
+	started := s.options.Now()
 	held := s.heldByAll(owned.name)
 	known := map[string]bool{}
 	for _, grants := range held {
@@ -568,7 +569,7 @@
 		delete(owned.silent, entry)
 	}
 	for id, grant := range owned.grants {
-		if _, answered := held[grant.entry]; known[id] {
+		if _, answered := held[grant.entry]; known[id] || grant.at.After(started) {
 			grant.missing = 0
 		} else if answered {
 			if grant.missing++; grant.missing >= missingRounds {
