ingress: keep the answer of a retried request and charge workers only for their own faults

A worker that could not be reached was reported as FAILED, which also charged the job; it is NOT_SENT now. - A request that could not reach three workers was refused as a job that can never run; it avoids at most the last two.

--- a/ingress/attempts.go
+++ b/ingress/attempts.go
@@ -21,6 +21,10 @@
 	// maxAttempts bounds the workers that one request is tried on: a job that
 	// failed on three workers is not the workers' fault.
 	maxAttempts = 3
+	// maxAvoided bounds the workers to avoid: the dispatcher refuses a request
+	// that avoids three as a job that can never run, which attempts that
+	// reached no worker do not show.
+	maxAvoided = maxAttempts - 1
 	// attemptPause keeps a request that finds no usable worker from spinning.
 	attemptPause = 10 * time.Millisecond
 	// defaultRetryAfter is the hint for callers when the refusal has none.
@@ -103,20 +107,21 @@
 	}
 	ticket, err := t.options.Table.Enter(grant.Worker, grant.Generation)
 	if err != nil {
-		t.options.Client.Release(grant, peer.GrantResult_NOT_SENT, 0)
+		t.options.Client.Release(grant, peer.GrantResult_CANCELLED, 0)
 		return t.pause(ctx, err)
 	}
 	if !t.claimed {
 		if result := t.claim(ctx); result != nil {
 			ticket.Leave()
-			t.options.Client.Release(grant, peer.GrantResult_NOT_SENT, 0)
+			t.options.Client.Release(grant, peer.GrantResult_CANCELLED, 0)
 			return result
 		}
 		t.claimed = true
 	}
 	attempt := t.send(ctx, grant, ticket, r)
-	if !errors.Is(attempt.Err, routing.ErrNotServing) && !errors.Is(attempt.Err, forward.ErrConnectionLimit) {
+	if chargesWorker(attempt.Err) {
 		t.avoid = append(t.avoid, grant.Worker)
+		t.avoid = t.avoid[max(0, len(t.avoid)-maxAvoided):]
 	}
 	if !attempt.Sent {
 		// An attempt that reached no worker caused no work, so it is bounded
@@ -128,7 +133,9 @@
 	if attempt.Answer != nil && !isFailure(attempt.Answer) || !t.mayRetry(ctx) {
 		return t.conclude(attempt)
 	}
-	t.failure = attempt.Answer
+	if attempt.Answer != nil {
+		t.failure = attempt.Answer
+	}
 	return nil
 }
 
@@ -137,6 +144,9 @@
 	if attempt.Answer != nil {
 		return &request.Result{Outcome: request.Answered, Answer: attempt.Answer}
 	}
+	if t.failure != nil {
+		return &request.Result{Outcome: request.Answered, Answer: t.failure}
+	}
 	result := request.Lost("the request was sent and its answer was lost: " + attempt.Err.Error())
 	return &result
 }
@@ -243,6 +253,9 @@
 	return attempt
 }
 
+// grantResult tells the dispatcher what the attempt says about the worker.
+// NOT_SENT charges a worker that could not be reached, so it does not stand
+// for causes at this entry VM.
 func grantResult(ctx context.Context, attempt forward.Attempt) peer.GrantResult_Result {
 	switch {
 	case attempt.Silent:
@@ -251,14 +264,20 @@
 		return peer.GrantResult_OK
 	case attempt.Answer != nil:
 		return peer.GrantResult_FAILED
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, !chargesWorker(attempt.Err):
 		return peer.GrantResult_CANCELLED
-	case errors.Is(attempt.Err, routing.ErrNotServing), errors.Is(attempt.Err, routing.ErrNoPermit):
+	case !attempt.Sent:
 		return peer.GrantResult_NOT_SENT
 	}
 	return peer.GrantResult_FAILED
 }
 
+// chargesWorker reports whether the worker may be the cause of an error.
+func chargesWorker(err error) bool {
+	return !errors.Is(err, routing.ErrNotServing) && !errors.Is(err, routing.ErrNoPermit) &&
+		!errors.Is(err, forward.ErrConnectionLimit)
+}
+
 // releasingRest gives the slot back when the answer has been passed on.
 type releasingRest struct {
 	io.ReadCloser
--- /dev/null
+++ b/ingress/attempts_test.go
@@ -0,0 +1,331 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/dispatch"
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/forward"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/request"
+	"dotterelhead.example/dotterelhead/routing"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+// What happens to an attempt. The worker of a grant is named after it.
+const (
+	stepRefused = "refused" // no slot
+	stepStale   = "stale"   // the VM has left the generation of the grant
+	stepPermit  = "permit"  // the permit expires before the first byte
+	stepNoDial  = "no-dial" // the worker does not listen
+	stepOK      = "ok"
+	step500     = "500"
+	step503     = "503"
+	stepLost    = "lost" // the connection is lost after the request arrived
+	stepHalf    = "half" // the answer ends early
+	stepSilent  = "silent"
+	stepLong    = "long"     // an answer of more than 64 KB
+	stepLongCut = "long-cut" // the same, ending early
+)
+
+var workerSteps = []string{stepOK, step500, step503, stepLost, stepHalf, stepSilent, stepLong, stepLongCut}
+
+const longBytes = 200 << 10
+
+// world is a fake dispatcher with scripted workers and the real stages.
+type world struct {
+	// The dispatcher serves Acquire and Release.
+	peer.Peer
+	table    *routing.Table
+	attempts *Attempts
+
+	mu sync.Mutex
+	// next returns the next step for a request.
+	next     func() string
+	avoided  [][]string
+	steps    []string
+	granted  map[string]string
+	released map[string][]peer.GrantResult_Result
+	// arrived counts the requests that workers received, by request.
+	arrived map[string]int
+	// permits is the number of checks that the permit passes; -1 for all.
+	permits int
+	retries int
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{}
+	w.reset(func() string { return stepOK }, 0)
+	document := fleet.Document{}
+	for _, step := range append(workerSteps, stepNoDial, stepPermit) {
+		document.VMs = append(document.VMs, fleet.VM{ID: step, Address: w.listen(t, step), Pool: "p", Phase: fleet.Serving, Generation: 1})
+	}
+	forwarder := forward.New(forward.Options{ConnectionLimit: func() int { return 1000 }})
+	w.table = routing.New(routing.Options{Permit: w, CloseIdle: forwarder.CloseIdle})
+	w.table.Update(document)
+	client := dispatch.NewClient(dispatch.ClientOptions{
+		EntryID: "entry", Members: func() []string { return []string{"dispatcher"} },
+		Peer: func(string) (peer.Peer, bool) { return w, true },
+	})
+	config := note.Config{Services: []note.Service{{Name: "s", Pool: "p"}}}
+	w.attempts = NewAttempts(AttemptsOptions{
+		Config: func() note.Config { return config }, Client: client, Table: w.table, Forwarder: forwarder,
+		Budget: w, Scope: tally.NoopScope,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { client.Run(ctx) })
+	running.Go(func() { forwarder.Run(ctx) })
+	t.Cleanup(func() { stop(); running.Wait() })
+	return w
+}
+
+func (w *world) reset(next func() string, retries int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next, w.retries, w.permits, w.steps, w.avoided = next, retries, -1, nil, nil
+	w.granted, w.released = map[string]string{}, map[string][]peer.GrantResult_Result{}
+	w.arrived = map[string]int{}
+}
+
+// Valid is the routing permit.
+func (w *world) Valid(time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.permits > 0 {
+		w.permits--
+		return true
+	}
+	return w.permits < 0
+}
+
+func (w *world) Request(time.Time) {}
+
+func (w *world) Allow(time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries--
+	return w.retries >= 0
+}
+
+func (w *world) Acquire(_ context.Context, r *peer.AcquireRequest) (*peer.AcquireResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	step := w.next()
+	w.steps = append(w.steps, step)
+	w.avoided = append(w.avoided, r.Avoid)
+	if step == stepRefused {
+		return &peer.AcquireResponse{Status: peer.AcquireResponse_NO_WORKER}, nil
+	}
+	if step == stepPermit {
+		w.permits = 1
+	}
+	w.granted[r.RequestId] = step
+	generation := int64(1)
+	worker := step
+	if step == stepStale {
+		worker, generation = stepOK, 0
+	}
+	return &peer.AcquireResponse{Grant: r.RequestId, Worker: worker, Generation: generation}, nil
+}
+
+func (w *world) Release(_ context.Context, r *peer.ReleaseRequest) (*peer.ReleaseResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, result := range r.Results {
+		w.released[result.Grant] = append(w.released[result.Grant], result.Result)
+	}
+	return &peer.ReleaseResponse{}, nil
+}
+
+func (w *world) listen(t *testing.T, step string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if step == stepNoDial {
+		listener.Close()
+		return listener.Addr().String()
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { w.work(conn, step) })
+		}
+	})
+	t.Cleanup(func() { listener.Close(); serving.Wait() })
+	return listener.Addr().String()
+}
+
+func (w *world) work(conn net.Conn, step string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/healthz" {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		id := r.Header.Get(HeaderRequestID)
+		w.mu.Lock()
+		w.arrived[id]++
+		w.mu.Unlock()
+		status, body, length := 200, id, 0
+		switch step {
+		case stepLost:
+			return
+		case stepSilent:
+			io.Copy(io.Discard, reader)
+			return
+		case step500, step503:
+			fmt.Sscan(step, &status)
+		case stepHalf:
+			length = 1
+		case stepLong, stepLongCut:
+			body = strings.Repeat("x", longBytes)
+			if step == stepLongCut {
+				length = 1
+			}
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nX-Execution: %s\r\nX-Part: 1\r\nX-Part: 2\r\nContent-Length: %d\r\n\r\n%s",
+			status, id, len(body)+length, body)
+		if length > 0 {
+			return
+		}
+	}
+}
+
+func (w *world) request(id, method, key string, timeout time.Duration) *request.Request {
+	return &request.Request{
+		ID: id, Service: "s", Operation: method + " /", Method: method, Target: "/", Header: http.Header{},
+		IdempotencyKey: key, Deadline: time.Now().Add(timeout),
+	}
+}
+
+// settle waits until the releases arrived, and checks that each grant was
+// released once and every ticket left.
+func (w *world) settle(fatalf func(string, ...any)) {
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
+		w.mu.Lock()
+		done := len(w.released) == len(w.granted)
+		w.mu.Unlock()
+		if done || time.Now().After(until) {
+			break
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for grant, step := range w.granted {
+		results := w.released[grant]
+		if len(results) != 1 {
+			fatalf("grant on %s was released %d times", step, len(results))
+			continue
+		}
+		charged := results[0] != peer.GrantResult_CANCELLED
+		if (step == stepStale || step == stepPermit) && charged {
+			fatalf("worker charged with %s, which has its cause elsewhere", step)
+		}
+		if step == stepNoDial && results[0] == peer.GrantResult_FAILED {
+			fatalf("job charged with a worker that could not be reached")
+		}
+	}
+	if n := w.table.InFlight(); n != 0 {
+		fatalf("%d tickets did not leave", n)
+	}
+}
+
+// Guards against outcomes that say more than is known, hidden repeats, retries
+// beyond the budget, and slots or tickets that are not given back.
+func TestOutcomes(t *testing.T) {
+	w := newWorld(t)
+	n := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		script := rapid.SliceOfN(rapid.SampledFrom(append(workerSteps, stepRefused, stepStale, stepPermit, stepNoDial, stepNoDial, stepNoDial)), 0, 5).Draw(t, "script")
+		retries := rapid.IntRange(0, 2).Draw(t, "retries")
+		w.reset(func() string {
+			if len(script) == 0 {
+				return stepRefused
+			}
+			step := script[0]
+			script = script[1:]
+			return step
+		}, retries)
+		r := w.request(fmt.Sprint("r", n), rapid.SampledFrom([]string{"GET", "PUT", "POST"}).Draw(t, "method"), "",
+			time.Duration(rapid.IntRange(20, 80).Draw(t, "timeout"))*time.Millisecond)
+		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		defer cancel()
+		if rapid.IntRange(0, 4).Draw(t, "cancels") == 0 {
+			timer := time.AfterFunc(time.Duration(rapid.IntRange(0, 20).Draw(t, "cancel"))*time.Millisecond, cancel)
+			defer timer.Stop()
+		}
+		result := w.attempts.Serve(ctx, r)
+		w.checkOutcome(t, r, result, retries)
+		w.settle(t.Fatalf)
+	})
+}
+
+func (w *world) checkOutcome(t *rapid.T, r *request.Request, result request.Result, retries int) {
+	complete := true
+	if result.Answer != nil && result.Answer.Rest != nil {
+		rest, err := io.ReadAll(result.Answer.Rest)
+		result.Answer.Rest.Close()
+		complete = err == nil
+		if complete && len(result.Answer.Body)+len(rest) != longBytes {
+			t.Fatalf("answer of %d bytes looks complete", len(result.Answer.Body)+len(rest))
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	arrived := w.arrived[r.ID]
+	last := len(w.steps) - 1
+	switch {
+	case result.Outcome == request.NotRun && arrived > 0:
+		t.Fatalf("not run, but %d workers got it: %v", arrived, w.steps)
+	case !r.Repeatable() && arrived > 1, arrived > 1+retries:
+		t.Fatalf("%d workers got a %s with %d retries allowed: %v", arrived, r.Method, retries, w.steps)
+	case result.Outcome == request.Unknown && last > 0 &&
+		slices.ContainsFunc(w.steps[:last], func(step string) bool { return step == step500 || step == step503 }):
+		t.Fatalf("unknown instead of the answer of an earlier attempt: %v", w.steps)
+	case result.Answer != nil && result.Answer.Rest == nil && string(result.Answer.Body) != r.ID:
+		t.Fatalf("%s got the answer %q", r.ID, result.Answer.Body)
+	case (result.Answer != nil) != (result.Outcome == request.Answered):
+		t.Fatalf("%s with answer %v", result.Outcome, result.Answer)
+	}
+	for _, avoid := range w.avoided {
+		// The dispatcher takes a request that failed on three workers for a
+		// job that can never run.
+		if len(avoid) > maxAttempts-1 {
+			t.Fatalf("%d workers to avoid after %v", len(avoid), w.steps)
+		}
+	}
+}
