Count an entry VM as live only when it answers calls

An entry VM that could be heard but not called stayed the dispatcher of its pools for the others, whose requests waited 10 s and ended as not run (seen when the relay of the process test cut one direction only, because it judged a connection by a port that another process had used before). A worker that was suspected in a common failure got no request for up to 60 s in a pool with free slots; the suspicion now ends after at most 10 s without an own answer.

--- a/membership/node.go
+++ b/membership/node.go
@@ -58,10 +58,13 @@
 type contact struct {
 	incarnation string
 	heard       time.Time
-	exchanged   time.Time
-	leaving     bool
-	digest      map[string]int64
-	demand      []*peer.PoolDemand
+	// answered is when the member last answered a call. Calls to a member that
+	// can only be heard would hang.
+	answered  time.Time
+	exchanged time.Time
+	leaving   bool
+	digest    map[string]int64
+	demand    []*peer.PoolDemand
 }
 
 // debt is owed to an entry VM that exchanged with this one while it was not
@@ -498,7 +501,7 @@
 		return false
 	}
 	c := n.contact(rec.ID)
-	c.heard, c.digest, c.demand, c.leaving = now, digest, response.Demand, response.Leaving
+	c.heard, c.answered, c.digest, c.demand, c.leaving = now, now, digest, response.Demand, response.Leaving
 	if response.Incarnation == "" || response.Incarnation != rec.Incarnation {
 		// The responder is not admitted, or another process than the one
 		// that this registry names.
@@ -701,7 +704,7 @@
 	return n.registered != 0
 }
 
-// Live returns the sorted ids of the members that were heard from within 3 s
+// Live returns the sorted ids of the members that answered within 3 s
 // and are not leaving. This entry VM is among them when it is registered and
 // not leaving, or when it knows of no other.
 func (n *Node) Live() []string {
@@ -710,7 +713,7 @@
 	defer n.mu.Unlock()
 	var out []string
 	for id, c := range n.contacts {
-		if id != n.self.ID && !c.leaving && now.Sub(c.heard) < liveFor {
+		if id != n.self.ID && !c.leaving && now.Sub(c.answered) < liveFor {
 			out = append(out, id)
 		}
 	}
--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -61,6 +61,10 @@
 		},
 		"cut from the store": {(*cluster).cutStore, func(c *cluster, _ *entry) { c.healStore() }},
 		"cut from its peers": {(*cluster).cutPeers, func(c *cluster, _ *entry) { c.healPeers() }},
+		"cannot be called by its peers": {
+			func(_ *cluster, e *entry) { e.relay.setCut(everything) },
+			func(c *cluster, _ *entry) { c.healPeers() },
+		},
 		"cut from both": {
 			func(c *cluster, e *entry) { c.cutStore(e); c.cutPeers(e) },
 			func(c *cluster, _ *entry) { c.healStore(); c.healPeers() },
--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -142,7 +143,10 @@
 		c.t.Log(err)
 		return
 	}
-	lines := bytes.Split(text, []byte("\n"))
+	// Lines of single requests and shards would push the others out.
+	lines := slices.DeleteFunc(bytes.Split(text, []byte("\n")), func(line []byte) bool {
+		return bytes.Contains(line, []byte("event=request_not_answered")) || bytes.Contains(line, []byte("event=claims_"))
+	})
 	c.t.Logf("log of %s, last lines:\n%s", e.id, bytes.Join(lines[max(0, len(lines)-40):], []byte("\n")))
 }
 
@@ -324,17 +328,27 @@
 	target   string
 
 	mu    sync.Mutex
-	cut   func(client net.Addr) bool
+	cut   func(*relayed) bool
 	conns map[net.Conn]bool
 }
 
+// relayed is one connection that an entry VM opened to another one.
+type relayed struct {
+	client net.Conn
+	// owner caches, by process id, whether the process opened it.
+	owner map[int]bool
+}
+
+func nothing(*relayed) bool    { return false }
+func everything(*relayed) bool { return true }
+
 func newRelay(t *testing.T, target string) *relay {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", freeAddresses(t, 1)[0])
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &relay{listener: listener, target: target, cut: func(net.Addr) bool { return false }, conns: map[net.Conn]bool{}}
+	r := &relay{listener: listener, target: target, cut: nothing, conns: map[net.Conn]bool{}}
 	t.Cleanup(func() {
 		listener.Close()
 		r.mu.Lock()
@@ -349,7 +363,7 @@
 			if err != nil {
 				return
 			}
-			go r.pass(conn)
+			go r.pass(&relayed{client: conn, owner: map[int]bool{}})
 		}
 	}()
 	return r
@@ -358,32 +372,31 @@
 func (r *relay) address() string { return r.listener.Addr().String() }
 
 // setCut cuts the connections for which the function returns true.
-func (r *relay) setCut(cut func(client net.Addr) bool) {
+func (r *relay) setCut(cut func(*relayed) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cut = cut
 }
 
-func (r *relay) pass(client net.Conn) {
+func (r *relay) pass(c *relayed) {
 	server, err := net.Dial("tcp", r.target)
 	if err != nil {
-		client.Close()
+		c.client.Close()
 		return
 	}
 	r.mu.Lock()
-	r.conns[client], r.conns[server] = true, true
+	r.conns[c.client], r.conns[server] = true, true
 	r.mu.Unlock()
-	address := client.RemoteAddr()
-	go r.copy(server, client, address)
-	r.copy(client, server, address)
+	go r.copy(server, c.client, c)
+	r.copy(c.client, server, c)
 }
 
-func (r *relay) copy(to, from net.Conn, client net.Addr) {
+func (r *relay) copy(to, from net.Conn, c *relayed) {
 	defer to.Close()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !r.isCut(client) {
+		if n > 0 && !r.isCut(c) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -394,38 +407,38 @@
 	}
 }
 
-func (r *relay) isCut(client net.Addr) bool {
+func (r *relay) isCut(c *relayed) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut(client)
+	return r.cut(c)
+}
+
+// openedBy reports whether a process opened the connection. It is called under
+// the relay's lock.
+func (c *relayed) openedBy(pid int) bool {
+	owned, known := c.owner[pid]
+	if !known {
+		owned = ownsSocket(pid, c.client.RemoteAddr().(*net.TCPAddr).Port)
+		c.owner[pid] = owned
+	}
+	return owned
 }
 
 // cutPeers cuts an entry VM off from its peers in both directions. Connections
 // that the entry VM opens are recognised by the sockets of its process.
 func (c *cluster) cutPeers(e *entry) {
-	e.relay.setCut(func(net.Addr) bool { return true })
+	e.relay.setCut(everything)
 	pid := e.process.Process.Pid
-	var mu sync.Mutex
-	owned := map[string]bool{}
 	for _, other := range c.entries {
-		if other == e {
-			continue
+		if other != e {
+			other.relay.setCut(func(opened *relayed) bool { return opened.openedBy(pid) })
 		}
-		other.relay.setCut(func(client net.Addr) bool {
-			mu.Lock()
-			defer mu.Unlock()
-			address := client.String()
-			if _, known := owned[address]; !known {
-				owned[address] = ownsSocket(pid, client.(*net.TCPAddr).Port)
-			}
-			return owned[address]
-		})
 	}
 }
 
 func (c *cluster) healPeers() {
 	for _, e := range c.entries {
-		e.relay.setCut(func(net.Addr) bool { return false })
+		e.relay.setCut(nothing)
 	}
 }
 
--- a/processtest/load_test.go
+++ b/processtest/load_test.go
@@ -18,8 +18,6 @@
 	key     string
 	// work is how long the request runs at the worker.
 	work time.Duration
-	// fresh uses a connection of its own.
-	id string
 }
 
 // reply is what a caller saw.
--- a/scheduler/ejection/workers.go
+++ b/scheduler/ejection/workers.go
@@ -150,7 +150,7 @@
 		return Trusted
 	case w.ejected:
 		return Ejected
-	case !e.suspects[id] || now.Sub(w.lastFailure) >= w.suspicion(e.options.LastProbe):
+	case !e.suspects[id] || now.Sub(w.lastFailure) >= w.suspicion(e.options.FirstProbe):
 		return Trusted
 	case now.Sub(w.lastStart) < bucketWidth && len(e.suspects)+e.ejected <= e.limit():
 		return Paused
@@ -176,10 +176,12 @@
 	}
 }
 
-// suspicion is how long a worker without a success is the last choice; it grows
-// with each failure.
-func (w *worker) suspicion(longest time.Duration) time.Duration {
-	return min(memory<<min(w.streak-suspectAfter, 8), longest)
+// suspicion is how long a worker without a success is the last choice. It grows
+// with each failure up to memory: after a common failure nothing but its own
+// next answer shows that a worker has recovered, and a pool with free slots
+// gives the last choice no request.
+func (w *worker) suspicion(first time.Duration) time.Duration {
+	return min(first<<min(w.streak-suspectAfter, 8), memory)
 }
 
 // Observe records how a request that started at a time went on a worker.
