Test control role, moves, waves and outages with entry VMs in memory

The tests found a read loop of the membership that read a key without pause while the knowledge of the fleet document stayed old, and a move of a returned VM that shared generation and operation with the move before it.

--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,448 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/membership"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakePlatform is a platform in memory.
+type fakePlatform struct {
+	mu      sync.Mutex
+	down    bool
+	lose    int
+	version int64
+	keys    map[string]platform.KeyValue
+	leases  map[string]time.Time
+	leased  map[string]string
+	changed chan struct{}
+	vms     map[string]*platform.VM
+	reboots int
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{
+		keys: map[string]platform.KeyValue{}, leases: map[string]time.Time{}, leased: map[string]string{},
+		changed: make(chan struct{}), vms: map[string]*platform.VM{},
+	}
+}
+
+func (f *fakePlatform) locked(fn func() error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.ErrUnavailable
+	}
+	for key, lease := range f.leased {
+		if time.Now().After(f.leases[lease]) {
+			delete(f.keys, key)
+			delete(f.leased, key)
+		}
+	}
+	return fn()
+}
+
+func (f *fakePlatform) Get(_ context.Context, key string) (kv platform.KeyValue, err error) {
+	err = f.locked(func() error {
+		var ok bool
+		if kv, ok = f.keys[key]; !ok {
+			return platform.ErrNotFound
+		}
+		return nil
+	})
+	return kv, err
+}
+
+func (f *fakePlatform) Put(_ context.Context, key string, value []byte, expected int64, lease string) (version int64, err error) {
+	err = f.locked(func() error {
+		if f.keys[key].Version != expected {
+			return platform.ErrConflict
+		}
+		f.version++
+		version = f.version
+		f.keys[key] = platform.KeyValue{Key: key, Version: version, Value: value}
+		if lease != "" {
+			f.leased[key] = lease
+		}
+		close(f.changed)
+		f.changed = make(chan struct{})
+		if f.lose > 0 && f.version%int64(f.lose) == 0 {
+			return platform.ErrUnknown
+		}
+		return nil
+	})
+	return version, err
+}
+
+func (f *fakePlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (platform.WatchResult, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		kv, err := f.Get(ctx, key)
+		f.mu.Lock()
+		changed := f.changed
+		f.mu.Unlock()
+		switch {
+		case err == nil && kv.Version > after:
+			return platform.WatchResult{Changed: []platform.KeyValue{kv}}, nil
+		case errors.Is(err, platform.ErrUnavailable):
+			return platform.WatchResult{}, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return platform.WatchResult{}, nil
+		case <-ctx.Done():
+			return platform.WatchResult{}, ctx.Err()
+		}
+	}
+}
+
+func (f *fakePlatform) List(context.Context, string, string, int) ([]platform.KeyValue, error) {
+	return nil, nil
+}
+func (f *fakePlatform) Delete(context.Context, string, int64) error { return nil }
+
+func (f *fakePlatform) GrantLease(_ context.Context, ttl time.Duration) (id string, err error) {
+	err = f.locked(func() error {
+		id = fmt.Sprint("lease", len(f.leases))
+		f.leases[id] = time.Now().Add(ttl)
+		return nil
+	})
+	return id, err
+}
+
+func (f *fakePlatform) KeepAlive(_ context.Context, id string) error {
+	return f.locked(func() error {
+		if time.Now().After(f.leases[id]) {
+			return platform.ErrNotFound
+		}
+		f.leases[id] = time.Now().Add(leaseTTL)
+		return nil
+	})
+}
+
+func (f *fakePlatform) RevokeLease(_ context.Context, id string) error {
+	return f.locked(func() error { f.leases[id] = time.Time{}; return nil })
+}
+
+func (f *fakePlatform) VMs(context.Context) (out []platform.VM, err error) {
+	err = f.locked(func() error {
+		for _, vm := range f.vms {
+			out = append(out, *vm)
+		}
+		return nil
+	})
+	return out, err
+}
+
+func (f *fakePlatform) VM(_ context.Context, id string) (vm platform.VM, err error) {
+	err = f.locked(func() error {
+		if f.vms[id] == nil {
+			return platform.ErrNotFound
+		}
+		vm = *f.vms[id]
+		return nil
+	})
+	return vm, err
+}
+
+func (f *fakePlatform) Drain(context.Context, string, platform.Operation) error { return nil }
+
+// Reboot loses every answer.
+func (f *fakePlatform) Reboot(_ context.Context, id string, op platform.Operation) error {
+	return f.locked(func() error {
+		if vm := f.vms[id]; vm.BootCount == op.ExpectedBoot {
+			vm.BootCount++
+			f.reboots++
+		}
+		return platform.ErrUnknown
+	})
+}
+
+// entryVM is one entry VM with its membership and controller.
+type entryVM struct {
+	peer.Peer
+	*fakePlatform
+	node       *membership.Node
+	controller *Controller
+	replica    *replica.Replica
+	dead       atomic.Bool
+	cancel     context.CancelFunc
+	wait       sync.WaitGroup
+}
+
+func (e *entryVM) Exchange(ctx context.Context, q *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	if e.dead.Load() {
+		return nil, errors.New("connection refused")
+	}
+	return e.node.Exchange(ctx, q)
+}
+
+// RevokeLease fails for a killed process, which gives nothing back.
+func (e *entryVM) RevokeLease(ctx context.Context, id string) error {
+	if e.dead.Load() {
+		return platform.ErrUnavailable
+	}
+	return e.fakePlatform.RevokeLease(ctx, id)
+}
+
+func (e *entryVM) fleet() fleet.Document {
+	doc, _ := e.replica.Get(fleet.Key("r"))
+	d, _ := fleet.Decode(doc.Value)
+	return d
+}
+
+// Plan moves v1 to pool q once.
+func (e *entryVM) Plan(_ time.Time, s Snapshot) []Move {
+	for _, vm := range s.VMs {
+		if vm.ID == "v1" && vm.Pool == "p" {
+			return []Move{{VM: "v1", From: "p", To: "q"}}
+		}
+	}
+	return nil
+}
+
+func (e *entryVM) released() []*peer.ReleasedVM {
+	var out []*peer.ReleasedVM
+	for _, vm := range e.fleet().VMs {
+		if vm.Phase != fleet.Serving {
+			out = append(out, &peer.ReleasedVM{Vm: vm.ID, Generation: vm.Generation})
+		}
+	}
+	return out
+}
+
+func (e *entryVM) start(entries map[string]*entryVM, id string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := e.fakePlatform
+	e.cancel = cancel
+	e.node = membership.NewNode(membership.Options{
+		Store: f, Inventory: f, Replica: e.replica, Region: "r", ID: id, Incarnation: id + "1", PeerAddress: id,
+		Dial:     func(address string) peer.Peer { return entries[address] },
+		Released: e.released,
+	})
+	e.controller = New(Options{
+		Store: e, Inventory: f, Machines: f, Replica: e.replica, Members: e.node, Region: "r",
+		ID: id, Incarnation: id + "1", Capacity: e,
+	})
+	e.wait.Go(func() { _ = e.node.Run(ctx) })
+	e.wait.Go(func() { _ = e.controller.Run(ctx) })
+}
+
+func startRegion(lose int) (*fakePlatform, map[string]*entryVM) {
+	f := newFakePlatform()
+	f.lose = lose
+	config := note.Config{Revision: 1, Pools: []note.Pool{{Name: "p", VMs: []string{"v1", "v2", "v3"}}, {Name: "q", VMs: []string{"v4"}}}}
+	for _, p := range config.Pools {
+		config.Services = append(config.Services, note.Service{Name: p.Name, Pool: p.Name, MaxUnavailable: 1})
+		for i, id := range p.VMs {
+			f.vms[id] = &platform.VM{ID: id, State: platform.VMLive, BootCount: 1, AvailabilityZone: "z", Rack: fmt.Sprint(i)}
+		}
+	}
+	config.Waves = []note.Wave{{Name: "w", Pools: []string{"p", "q"}, MaxConcurrent: 2, TouchedRevision: 1}}
+	_, _ = f.Put(context.Background(), note.ConfigKey, config.Encode(), 0, "")
+	entries := map[string]*entryVM{}
+	for _, id := range []string{"a", "b", "c"} {
+		f.vms[id] = &platform.VM{ID: id, State: platform.VMLive, EntryVM: true}
+		entries[id] = &entryVM{fakePlatform: f, replica: replica.New()}
+	}
+	for id, e := range entries {
+		e.start(entries, id)
+	}
+	return f, entries
+}
+
+func holders(entries map[string]*entryVM) (ids []string) {
+	for id, e := range entries {
+		if e.controller.Status().Holding {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func stop(entries map[string]*entryVM) {
+	for _, e := range entries {
+		e.cancel()
+		e.wait.Wait()
+	}
+}
+
+// Guards against moves and waves that do not reach their end with lost store
+// answers and lost reboot answers, against more than one reboot of a VM, and
+// against a record that stays after an entry VM has left.
+func TestMoveAndWaveEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, entries := startRegion(3)
+		defer stop(entries)
+		time.Sleep(90 * time.Second)
+		for id, e := range entries {
+			d := e.fleet()
+			if len(d.VMs) != 4 || d.VMs[0].Pool != "q" || len(d.Waves) != 1 || !d.Waves[0].Finished {
+				t.Errorf("%s holds %s", id, d.Encode())
+			}
+			if !e.node.Valid(time.Now()) || len(e.node.Live()) != 3 {
+				t.Errorf("%s: valid %v, live %v", id, e.node.Valid(time.Now()), e.node.Live())
+			}
+		}
+		if f.reboots != 4 {
+			t.Errorf("%d reboots for 4 VMs", f.reboots)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := entries["b"].node.Leave(ctx); err != nil || entries["b"].node.Valid(time.Now()) {
+			t.Errorf("leave: %v", err)
+		}
+		time.Sleep(2 * time.Second)
+		if r, _ := entries["a"].node.Registry(); r.Size() != 2 || len(entries["a"].node.Live()) != 2 {
+			t.Errorf("registry %v, live %v", r, entries["a"].node.Live())
+		}
+	})
+}
+
+// Guards against a control role that stays with a dead entry VM for more than
+// 6 s, against a leaving VM that is named later than 3 s, and against a move
+// that waits although a fence can replace the missing confirmation.
+func TestHolderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, entries := startRegion(0)
+		defer stop(entries)
+		time.Sleep(3 * time.Second)
+		held := holders(entries)
+		if len(held) != 1 {
+			t.Fatalf("holders %v", held)
+		}
+		dead := entries[held[0]]
+		dead.dead.Store(true)
+		dead.cancel()
+		dead.wait.Wait()
+		time.Sleep(6 * time.Second)
+		if now := holders(entries); len(now) != 1 || now[0] == held[0] {
+			t.Fatalf("holders %v after %v died", now, held)
+		}
+		f.mu.Lock()
+		f.vms["v4"].State = platform.VMLeaving
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		alive := entries[holders(entries)[0]]
+		if vm := alive.fleet().VMs[3]; vm.Phase == fleet.Serving {
+			t.Errorf("leaving VM is %s", vm.Phase)
+		}
+		time.Sleep(time.Minute)
+		if vm := alive.fleet().VMs[0]; vm.Pool != "q" || f.reboots == 0 {
+			t.Errorf("v1 is %s in %s after %d reboots", vm.Phase, vm.Pool, f.reboots)
+		}
+	})
+}
+
+// Guards against permits that end in a store outage, and against transitions
+// that start during it or within T after it.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, entries := startRegion(0)
+		defer stop(entries)
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.down = true
+		f.mu.Unlock()
+		before := string(entries["a"].fleet().Encode())
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			for id, e := range entries {
+				if !e.node.Valid(time.Now()) {
+					t.Fatalf("%s may not send during the outage", id)
+				}
+			}
+		}
+		f.mu.Lock()
+		f.down = false
+		f.mu.Unlock()
+		time.Sleep(membership.T)
+		if after := string(entries["a"].fleet().Encode()); after != before || len(entries["a"].fleet().VMs) != 4 {
+			t.Errorf("fleet changed from %s to %s", before, after)
+		}
+	})
+}
+
+type casInput struct {
+	expected, written string
+}
+
+type casOutput struct {
+	read    string
+	known   bool
+	unknown bool
+}
+
+// Guards against a holder that takes a write for done that was not, or the
+// other way round, when answers are lost and two more holders write.
+func TestWritesAreLinearizable(t *testing.T) {
+	f := newFakePlatform()
+	f.lose = 3
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	record := func(client int, in casInput, call time.Time, out casOutput) {
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call.UnixNano(), Return: time.Now().UnixNano()})
+	}
+	var clients sync.WaitGroup
+	for client := range 3 {
+		clients.Go(func() {
+			node := membership.NewNode(membership.Options{Replica: replica.New(), Region: "r"})
+			h := &holder{c: New(Options{Store: f, Replica: replica.New(), Members: node, Region: "r"})}
+			for i := range 30 {
+				call := time.Now()
+				value, version, _ := h.read(t.Context(), fleet.Key("r"))
+				record(client, casInput{}, call, casOutput{read: string(value)})
+				next := fleet.Document{Term: int64(client*100 + i + 1)}
+				call = time.Now()
+				err := h.write(t.Context(), next, version)
+				out := casOutput{known: err == nil, unknown: errors.Is(err, errLost)}
+				record(client, casInput{expected: string(value), written: string(next.Encode())}, call, out)
+			}
+		})
+	}
+	clients.Wait()
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{""} },
+		Step: func(state, input, output any) []any {
+			in, out := input.(casInput), output.(casOutput)
+			matches := state == in.expected
+			switch {
+			case in.written == "" && state == out.read:
+				return []any{state}
+			case in.written == "":
+				return nil
+			case out.unknown && matches:
+				return []any{state, in.written}
+			case out.unknown || (!out.known && !matches):
+				return []any{state}
+			case out.known && matches:
+				return []any{in.written}
+			}
+			return nil
+		},
+	}
+	if !porcupine.CheckOperations(model.ToModel(), history) {
+		t.Error("the history of reads and writes is not linearizable")
+	}
+}
--- a/control/controller.go
+++ b/control/controller.go
@@ -148,9 +148,10 @@
 	key := LeaseKey(c.o.Region)
 	held, err := c.get(ctx, key)
 	if err == nil {
-		watchCtx, cancel := context.WithTimeout(ctx, 2*interval+callTimeout)
+		// The wait is short because a lapsed lease need not end a watch.
+		watchCtx, cancel := context.WithTimeout(ctx, interval+callTimeout)
 		defer cancel()
-		_, err = c.o.Store.Watch(watchCtx, key, held.Version, 2*interval)
+		_, err = c.o.Store.Watch(watchCtx, key, held.Version, interval)
 		return "", err
 	}
 	if !errors.Is(err, platform.ErrNotFound) {
@@ -256,6 +257,10 @@
 // errDeposed reports that a later holder has written the fleet document.
 var errDeposed = errors.New("a later holder has written the fleet document")
 
+// errLost reports that the answer to a write was lost and that the document
+// read afterwards is another one. The write may have taken effect before.
+var errLost = errors.New("answer lost, outcome of the write not known")
+
 // holder is the state of one tenure of the role.
 type holder struct {
 	c *Controller
@@ -277,8 +282,9 @@
 // round takes one snapshot, steps the document and carries out its actions.
 func (h *holder) round(ctx context.Context) error {
 	err := h.attempt(ctx)
-	// A conflict is an answer of the store.
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	// A conflict is an answer of the store, and so is the read after a write
+	// whose answer was lost.
+	if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, errLost) {
 		h.steadySince = time.Time{}
 	}
 	return err
@@ -364,7 +370,7 @@
 	if errors.Is(err, platform.ErrUnknown) {
 		var kv platform.KeyValue
 		if kv, err = h.c.get(ctx, key); err == nil && !bytes.Equal(kv.Value, value) {
-			err = platform.ErrConflict
+			err = errLost
 		}
 		version = kv.Version
 	}
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -280,18 +280,18 @@
 }
 
 // returned puts a VM back into service, through a move when its pool is not
-// its home pool.
+// its home pool. The new generation gives the move an operation of its own.
 func (s *stepper) returned(vm *VM) {
 	if vm.HomePool == "" {
 		return
 	}
 	vm.DownSinceUnixMillis = 0
+	vm.Generation++
 	if vm.Pool != vm.HomePool {
 		s.release(vm, vm.HomePool)
 		return
 	}
 	vm.Phase = Serving
-	vm.Generation++
 }
 
 func (s *stepper) endTransition(vm *VM) {
--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -475,6 +475,15 @@
 		w.vms[vm].State = rapid.SampledFrom([]platform.VMState{platform.VMLive, platform.VMLeaving}).Draw(w.t, "state")
 	case 12:
 		w.vms[vm].BootCount++
+	case 13, 14:
+		// The first two are cut off together while others join: they may
+		// still hold a registry in which they are a majority.
+		for i, cut := range w.entries {
+			cut.noStore, cut.island = i < 2, min(1, max(0, 2-i))
+		}
+		for len(w.entries) < 5 {
+			w.spawn(fmt.Sprintf("e%d", len(w.entries)))
+		}
 	}
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -331,10 +331,16 @@
 			// Registration precedes the first read of the fleet document.
 			first = true
 			sleep(ctx, 50*time.Millisecond)
-		case first || (stale && !watching):
+		case first:
 			if err = n.read(ctx, key); err == nil {
 				first = false
 			}
+		case stale && !watching:
+			// The pause bounds the reads of this key while the knowledge of
+			// the fleet document, read by another loop, stays old.
+			if err = n.read(ctx, key); err == nil {
+				sleep(ctx, storeRetry)
+			}
 		case watching:
 			err = n.watch(ctx, key)
 		default:
