--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -39,6 +39,10 @@
 	StartBy time.Time
 	Avoid   []string
 	Urgent  bool
+	// Fingerprint is the same for repeats of one job.
+	Fingerprint string
+	// NonRepeatable requests are not tried on a worker that is under suspicion.
+	NonRepeatable bool
 }
 
 // Grant is a slot on a worker until it is released.
@@ -153,6 +157,8 @@
 		WaitMillis:     max(1, wait.Milliseconds()),
 		Avoid:          r.Avoid,
 		Urgent:         r.Urgent,
+		Fingerprint:    r.Fingerprint,
+		NonRepeatable:  r.NonRepeatable,
 	})
 	if err != nil {
 		if owner != c.options.EntryID {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -375,14 +375,16 @@
 	}
 	o.waiting[r.RequestId] = w
 	o.deliver(now, o.state.Push(now, dispatching.Request{
-		ID:        r.RequestId,
-		Service:   r.Service,
-		Operation: r.Operation,
-		Team:      r.Team,
-		Declared:  time.Duration(r.DeclaredMillis) * time.Millisecond,
-		StartBy:   w.deadline,
-		Avoid:     r.Avoid,
-		Urgent:    r.Urgent,
+		ID:            r.RequestId,
+		Service:       r.Service,
+		Operation:     r.Operation,
+		Team:          r.Team,
+		Declared:      time.Duration(r.DeclaredMillis) * time.Millisecond,
+		StartBy:       w.deadline,
+		Avoid:         r.Avoid,
+		Urgent:        r.Urgent,
+		Fingerprint:   r.Fingerprint,
+		NonRepeatable: r.NonRepeatable,
 	}))
 	return w.reply, true
 }
--- a/ingress/attempts.go
+++ b/ingress/attempts.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel"
@@ -29,6 +32,10 @@
 	// that avoids three as a job that can never run, which attempts that
 	// reached no worker do not show.
 	maxAvoided = maxAttempts - 1
+	// abandonedSlotHold is how long the slot of a request that was given up is
+	// held. A worker takes a moment to notice the closed connection; without
+	// the hold a wave of cancellations ran 9 requests on 8 slots.
+	abandonedSlotHold = 100 * time.Millisecond
 	// attemptPause keeps a request that finds no usable worker from spinning.
 	attemptPause = 10 * time.Millisecond
 	// defaultRetryAfter is the hint for callers when the refusal has none.
@@ -84,7 +91,7 @@
 // byte is sent. A result from claim ends the request unsent.
 func (a *Attempts) ServeClaimed(ctx context.Context, r *request.Request, claim func(context.Context) *request.Result) request.Result {
 	a.options.Budget.Request(a.options.Now())
-	t := &trial{Attempts: a, request: r, claim: claim}
+	t := &trial{Attempts: a, request: r, claim: claim, fingerprint: fingerprintOf(r)}
 	for {
 		if result := t.attempt(ctx); result != nil {
 			return *result
@@ -98,6 +105,8 @@
 	request *request.Request
 	claim   func(context.Context) *request.Result
 	claimed bool
+	// fingerprint recognises a job that fails wherever it runs.
+	fingerprint string
 	// sent tells whether a byte of the request may have reached a worker.
 	sent     bool
 	failures int
@@ -106,6 +115,16 @@
 	failure *request.Answer
 }
 
+// fingerprintOf is the same for repeats of one job.
+func fingerprintOf(r *request.Request) string {
+	hash := xxhash.New()
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Target), r.Body} {
+		fmt.Fprintf(hash, "%d ", len(part))
+		hash.Write(part)
+	}
+	return strconv.FormatUint(hash.Sum64(), 16)
+}
+
 // attempt makes one attempt. It returns nil when another one is to follow.
 func (t *trial) attempt(ctx context.Context) *request.Result {
 	r := t.request
@@ -222,6 +241,7 @@
 	grant, err := t.options.Client.Acquire(ctx, dispatch.Request{
 		Pool: service.Pool, Service: r.Service, Operation: r.Operation, Team: r.Team,
 		Declared: r.Declared, StartBy: r.Deadline, Avoid: t.avoid, Urgent: r.Urgent,
+		Fingerprint: t.fingerprint, NonRepeatable: !r.Repeatable(),
 	})
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
@@ -253,9 +273,13 @@
 	}
 	started := a.options.Now()
 	attempt := a.options.Forwarder.Send(ctx, ticket, r)
+	run := a.options.Now().Sub(started)
+	result := grantResult(ctx, attempt)
 	release := func() {
-		run := a.options.Now().Sub(started)
-		a.options.Client.Release(grant, grantResult(ctx, attempt), run)
+		if attempt.Answer != nil {
+			run = a.options.Now().Sub(started)
+		}
+		a.options.Client.Release(grant, result, run)
 		cancel()
 		if attempt.Answer != nil && a.options.Observe != nil {
 			a.options.Observe(r.Service, r.Operation, run)
@@ -265,7 +289,11 @@
 		attempt.Answer.Rest = &releasingRest{ReadCloser: attempt.Answer.Rest, release: release}
 		return attempt
 	}
-	release()
+	if attempt.Sent && attempt.Answer == nil {
+		time.AfterFunc(abandonedSlotHold, release)
+	} else {
+		release()
+	}
 	return attempt
 }
 
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -281,7 +282,7 @@
 			p.park(w)
 			continue
 		}
-		worker, ok := p.slots.Pick(w.request.Avoid)
+		worker, ok := p.slots.Pick(p.avoided(w.request))
 		if !ok {
 			// The workers that it avoids are the only free ones.
 			w.queue.Remove(w.order)
@@ -310,6 +311,18 @@
 	return decisions
 }
 
+// avoided returns the workers that a request should not get. A request that
+// has failed on every worker of the pool may get any: waiting for another one
+// would only use up its time.
+func (p *Pool) avoided(r Request) []string {
+	for id := range p.workers {
+		if !slices.Contains(r.Avoid, id) {
+			return r.Avoid
+		}
+	}
+	return nil
+}
+
 // nextRequest returns the request that gets the next free slot.
 func (p *Pool) nextRequest() *waiting {
 	if e := p.urgent.Peek(); e != nil {
--- a/scheduler/dispatching/pool_test.go
+++ b/scheduler/dispatching/pool_test.go
@@ -200,3 +200,15 @@
 		}
 	})
 }
+
+// Guards against a retry that waits until its deadline because it has failed on
+// every worker of a small pool.
+func TestRequestThatAvoidsAllWorkersGetsAny(t *testing.T) {
+	now := time.Unix(0, 0)
+	p := NewPool(Options{MaxQueue: 10})
+	p.SetWorkers(now, []Worker{{ID: "w1", Slots: 1}, {ID: "w2", Slots: 1}})
+	decisions := p.Push(now, Request{ID: "r", StartBy: now.Add(time.Second), Avoid: []string{"w1", "w2"}})
+	if len(decisions) != 1 || decisions[0].Reason != ReasonNone {
+		t.Fatalf("got %+v", decisions)
+	}
+}
