--- a/claims/client.go
+++ b/claims/client.go
@@ -26,7 +26,8 @@
 	// RetryPause is the pause before a call is repeated at an owner that did
 	// not know yet that it is one; default 100 ms.
 	RetryPause time.Duration
-	// AwaitStep bounds one Await call to a peer; default 10 s.
+	// AwaitStep bounds one Await call to a peer; default 10 s. The timeout of
+	// calls to peers must be longer.
 	AwaitStep time.Duration
 }
 
@@ -51,9 +52,9 @@
 // Client sends attempts to the owners of their keys.
 //
 // A request may be sent only after Claim returned CLAIMED. After any other
-// outcome of Claim, an error included, the attempt must not be sent; after an
-// error the caller ends it with Finish and NOT_RUN, which gives the key back in
-// case that the claim was recorded.
+// outcome, an error included, the attempt must not be sent, now or later. After
+// an error of Reserve or Claim the caller ends the attempt with Finish and
+// NOT_RUN: the reservation or the claim may have been made.
 type Client struct {
 	options ClientOptions
 }
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -98,12 +98,12 @@
 	number  int
 	shard   *shard
 	waiting map[replyID]chan reply
-	// last is the output of the latest step; call is taken from it by run.
+	// call, wantsPermit and wake are what the latest step asked run to do.
 	call        *storeCall
 	wantsPermit bool
 	wake        time.Time
 	kick        chan struct{}
-	// settled is closed and replaced whenever the phase may have changed.
+	// changed is closed and replaced whenever the phase or down has changed.
 	changed chan struct{}
 }
 
@@ -217,6 +217,35 @@
 	return nil
 }
 
+// Stats describes an owner at one moment.
+type Stats struct {
+	// Shards counts the shards that are served, Unavailable those that refuse
+	// new keys because the store fails.
+	Shards, Unavailable int
+	// Keys counts the remembered keys, Running the attempts in progress.
+	Keys, Running int
+	// AnswerBytes is the size of the kept answers.
+	AnswerBytes int
+}
+
+// Stats returns the present figures.
+func (o *Owner) Stats() Stats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	stats := Stats{AnswerBytes: o.answers.size}
+	for _, d := range o.shards {
+		if d.shard.phase == phaseOwner {
+			stats.Shards++
+		}
+		if d.shard.phase != phaseIdle && d.shard.down {
+			stats.Unavailable++
+		}
+		stats.Keys += len(d.shard.index)
+		stats.Running += len(d.shard.running)
+	}
+	return stats
+}
+
 // Reserve announces an attempt on a key.
 func (o *Owner) Reserve(ctx context.Context, request *peer.ReserveRequest) (*peer.ReserveResponse, error) {
 	in, err := parseAttempt(request.GetKeyHash(), request.GetFingerprint(), request.GetAttempt(), request.GetHoldMillis())
--- a/claims/owner_test.go
+++ b/claims/owner_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +25,7 @@
 type region struct {
 	t       *testing.T
 	store   *memoryStore
+	mu      sync.Mutex
 	members []string
 	entries map[string]*entryVM
 }
@@ -29,26 +33,7 @@
 func newRegion(t *testing.T, store *memoryStore, members ...string) *region {
 	r := &region{t: t, store: store, members: members, entries: map[string]*entryVM{}}
 	for _, id := range members {
-		owner := NewOwner(OwnerOptions{
-			Store: store, Region: "north", EntryID: id,
-			Owned: func(shard int) bool { return ShardOwner(shard, members) == id },
-			// Simulated days would take long with the default.
-			OwnershipInterval: time.Minute,
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			if err := owner.Run(ctx); !errors.Is(err, context.Canceled) {
-				t.Errorf("run %s: %v", id, err)
-			}
-		}()
-		client := NewClient(ClientOptions{
-			Local: owner, EntryID: id,
-			Members: func() []string { return members },
-			Peer:    func(other string) (peer.Peer, bool) { return ownerPeer{Owner: r.entries[other].Owner}, true },
-		})
-		r.entries[id] = &entryVM{Owner: owner, client: client, stop: func() { cancel(); <-done }}
+		r.start(id)
 	}
 	return r
 }
@@ -92,33 +77,199 @@
 	}
 }
 
+// start runs an owner until the returned function is called.
+func (r *region) start(id string) {
+	owner := NewOwner(OwnerOptions{
+		Store: r.store, Region: "north", EntryID: id,
+		Owned: func(shard int) bool { return ShardOwner(shard, r.live()) == id },
+		// Simulated days would take long with the default.
+		OwnershipInterval: time.Minute,
+	})
+	ctx, cancel := context.WithCancel(r.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := owner.Run(ctx); !errors.Is(err, context.Canceled) {
+			r.t.Errorf("run %s: %v", id, err)
+		}
+	}()
+	client := NewClient(ClientOptions{
+		Local: owner, EntryID: id, Members: r.live,
+		Peer: func(other string) (peer.Peer, bool) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			e, ok := r.entries[other]
+			if !ok {
+				return nil, false
+			}
+			return ownerPeer{Owner: e.Owner}, true
+		},
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.entries[id] = &entryVM{Owner: owner, client: client, stop: func() { cancel(); <-done }}
+}
+
+func (r *region) live() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.members)
+}
+
+// replace makes other entry VMs the members.
+func (r *region) replace(members ...string) {
+	r.mu.Lock()
+	r.members = members
+	entries := maps.Clone(r.entries)
+	r.mu.Unlock()
+	for _, e := range entries {
+		wakeUp(e.Owner.kick)
+	}
+}
+
+func (r *region) client(n int) *Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[r.members[n%len(r.members)]].client
+}
+
 // Guards against a repeat that runs again, or gets no answer, at any entry VM.
 func TestRepeatGetsTheFirstAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRegion(t, newMemoryStore(1), "a", "b", "c")
 		defer r.stop()
-		ctx := t.Context()
+		ctx, a, b := t.Context(), r.client(0), r.client(1)
 		for n := range 20 {
-			first, repeat := attemptOn(fmt.Sprint("key", n), fmt.Sprint("first", n)), attemptOn(fmt.Sprint("key", n), fmt.Sprint("second", n))
-			a, b := r.entries["a"].client, r.entries["b"].client
-			r.expect(peer.KeyState_RESERVED)(a.Reserve(ctx, first))
-			r.expect(peer.KeyState_IN_PROGRESS)(b.Reserve(ctx, repeat))
-			r.expect(peer.KeyState_CLAIMED)(a.Claim(ctx, first))
-			answer := &peer.KeptAnswer{Status: 201, Body: []byte("made")}
+			on := func(attempt string) Attempt { return attemptOn(fmt.Sprint("key", n), fmt.Sprint(attempt, n)) }
+			r.expect(peer.KeyState_RESERVED)(a.Reserve(ctx, on("first")))
+			r.expect(peer.KeyState_IN_PROGRESS)(b.Reserve(ctx, on("second")))
+			r.expect(peer.KeyState_CLAIMED)(a.Claim(ctx, on("first")))
 			time.AfterFunc(15*time.Second, func() {
-				if err := a.Finish(ctx, first, peer.KeyState_ANSWERED, answer); err != nil {
-					t.Error(err)
-				}
+				r.finish(a, on("first"), peer.KeyState_ANSWERED, []byte("made"))
 			})
-			if got := r.expect(peer.KeyState_ANSWERED)(b.Await(ctx, repeat)); got.Answer.GetStatus() != 201 {
+			if got := r.expect(peer.KeyState_ANSWERED)(b.Await(ctx, on("second"))); string(got.Answer.GetBody()) != "made" {
 				t.Fatalf("the waiter got %v", got.Answer)
 			}
-			late := attemptOn(fmt.Sprint("key", n), fmt.Sprint("third", n))
-			r.expect(peer.KeyState_ANSWERED)(b.Reserve(ctx, late))
-			time.Sleep(11 * time.Minute)
-			r.expect(peer.KeyState_FINISHED)(b.Reserve(ctx, late))
-			time.Sleep(25 * time.Hour)
-			r.expect(peer.KeyState_RESERVED)(b.Reserve(ctx, late))
+			r.expect(peer.KeyState_ANSWERED)(b.Reserve(ctx, on("third")))
+		}
+		time.Sleep(11 * time.Minute)
+		r.expect(peer.KeyState_FINISHED)(b.Reserve(ctx, attemptOn("key0", "third")))
+		time.Sleep(25 * time.Hour)
+		r.expect(peer.KeyState_RESERVED)(b.Reserve(ctx, attemptOn("key0", "third")))
+	})
+}
+
+func (r *region) finish(c *Client, a Attempt, state peer.KeyState, body []byte) {
+	if err := c.Finish(r.t.Context(), a, state, &peer.KeptAnswer{Status: 201, Body: body}); err != nil {
+		r.t.Error(err)
+	}
+}
+
+// Guards against answers that are kept beyond the bound, and against marks that
+// are lost at a shutdown.
+func TestHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(t, newMemoryStore(1), "a", "b")
+		defer r.stop()
+		a, b := r.client(0), r.client(1)
+		for n := range 40 {
+			attempt := attemptOn(fmt.Sprint("key", n), "first")
+			r.expect(peer.KeyState_CLAIMED)(a.Claim(t.Context(), attempt))
+			r.finish(a, attempt, peer.KeyState_ANSWERED, make([]byte, 70<<10))
+			r.expect(peer.KeyState_FINISHED)(a.Reserve(t.Context(), attemptOn(fmt.Sprint("key", n), "second")))
+		}
+		if err := r.entries["a"].Handover(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		r.replace("b")
+		for n := range 40 {
+			r.expect(peer.KeyState_FINISHED)(b.Reserve(t.Context(), attemptOn(fmt.Sprint("key", n), "third")))
+		}
+	})
+}
+
+// Guards against callers that wait, or are told something false, while the
+// store is down or hangs.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore(1)
+		r := newRegion(t, store, "a", "b")
+		defer r.stop()
+		ctx, a := t.Context(), r.client(0)
+		known := attemptOn("known", "first")
+		known.Hold = 10 * time.Minute
+		r.expect(peer.KeyState_CLAIMED)(a.Claim(ctx, known))
+		for n, fault := range []func(*memoryStore){
+			func(m *memoryStore) { m.down = true },
+			func(m *memoryStore) { m.hang = true },
+		} {
+			store.set(fault)
+			for i := range 60 {
+				begun := time.Now()
+				attempt := attemptOn(fmt.Sprint("key", n, i%3), fmt.Sprint("t", n, i))
+				got, err := a.Reserve(ctx, attempt)
+				if err == nil && got.State == peer.KeyState_RESERVED {
+					got, err = a.Claim(ctx, attempt)
+				}
+				r.expect(peer.KeyState_STORE_UNAVAILABLE)(got, err)
+				if waited := time.Since(begun); waited > time.Second || i > 3 && waited > 0 {
+					t.Fatalf("attempt %d waited %v", i, waited)
+				}
+				r.expect(peer.KeyState_IN_PROGRESS)(a.Reserve(ctx, attemptOn("known", "second")))
+				time.Sleep(time.Second)
+			}
+			store.set(func(m *memoryStore) { m.down, m.hang = false, false })
+			time.Sleep(3 * time.Second)
+			attempt := attemptOn(fmt.Sprint("key", n, 0), fmt.Sprint("after", n))
+			r.expect(peer.KeyState_RESERVED)(a.Reserve(ctx, attempt))
+			r.expect(peer.KeyState_CLAIMED)(a.Claim(ctx, attempt))
 		}
 	})
 }
+
+// Guards against a lone claim that waits for company, and against a write for
+// every claim.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore(1)
+		r := newRegion(t, store, "a")
+		defer r.stop()
+		r.expect(peer.KeyState_CLAIMED)(r.client(0).Claim(t.Context(), attemptOn("warm", "up")))
+		time.Sleep(5 * time.Second)
+		store.set(func(m *memoryStore) { m.writes = 0; m.delay = time.Millisecond })
+		begun := time.Now()
+		r.expect(peer.KeyState_CLAIMED)(r.client(0).Claim(t.Context(), attemptOn("lone", "claim")))
+		if waited := time.Since(begun); waited > 3*time.Millisecond {
+			t.Errorf("a lone claim took %v", waited)
+		}
+		var claims sync.WaitGroup
+		for n := range 2000 {
+			claims.Go(func() {
+				r.expect(peer.KeyState_CLAIMED)(r.client(0).Claim(t.Context(), attemptOn(fmt.Sprint("key", n), "t")))
+			})
+		}
+		claims.Wait()
+		if store.writes > 100 || time.Since(begun) > 3*time.Second {
+			t.Errorf("2000 claims took %d writes and %v", store.writes, time.Since(begun))
+		}
+	})
+}
+
+// Guards against shards that move although their owner stayed, and against a
+// member that owns none.
+func TestShardOwnerMovesLittle(t *testing.T) {
+	members := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	owned := map[string]int{}
+	for shard := range 1000 {
+		before := ShardOwner(shard, members)
+		owned[before]++
+		if after := ShardOwner(shard, members[1:]); before != "a" && after != before {
+			t.Errorf("shard %d moved from %s to %s", shard, before, after)
+		}
+	}
+	for _, member := range members {
+		if owned[member] < 80 || owned[member] > 170 {
+			t.Errorf("%s owns %d of 1000 shards", member, owned[member])
+		}
+	}
+}
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -28,6 +28,9 @@
 	markDelay time.Duration
 	// settleWithin bounds how long callers wait for the store.
 	settleWithin time.Duration
+	// lostReads is how many reads in a row may be lost before the store counts
+	// as down.
+	lostReads int
 	// refuseMin and refuseMax bound the pause between probes of the store.
 	refuseMin, refuseMax time.Duration
 	// endedFor is how long a late message of an ended attempt is recognised.
@@ -41,7 +44,7 @@
 	return limits{
 		chunkRecords: 100, batchRecords: 500, listPage: 100,
 		hold: 2 * time.Minute, keep: 24 * time.Hour, markDelay: time.Second,
-		settleWithin: time.Second, refuseMin: 100 * time.Millisecond, refuseMax: time.Second,
+		settleWithin: time.Second, lostReads: 2, refuseMin: 100 * time.Millisecond, refuseMax: time.Second,
 		endedFor: time.Minute, retakeAfter: time.Second,
 	}
 }
@@ -86,6 +89,8 @@
 	// unsettled is set when an answer was lost: the write may take effect at
 	// any later time, until another write of the same chunk succeeds.
 	unsettled bool
+	// lostReads counts the reads in a row whose answer was lost.
+	lostReads int
 	claims    []claimant
 	// marks are the keys whose mark this write makes durable.
 	marks []key
@@ -124,7 +129,6 @@
 	number  uint32
 	version int64
 	newest  uint32
-	keys    []key
 }
 
 type endedAttempt struct {
@@ -151,6 +155,8 @@
 //   - A key with a record in state CLAIMED is granted again only to the attempt
 //     that the record names, or after that attempt was not granted, or gave the
 //     key back.
+//   - Writes and deletions are made only with a permit, so that the driver bounds
+//     their rate.
 //   - The last chunk is never deleted. Otherwise an owner that slept for longer
 //     than records are kept could create a chunk again and not notice.
 type shard struct {
@@ -169,6 +175,9 @@
 	open        image
 	openVersion int64
 
+	// deletionTurn gives the next permit to a deletion that is due.
+	deletionTurn bool
+
 	// While the chunks are read: the key after which the reading goes on, the
 	// highest sealed chunk in the index, the version of the unsealed chunk held
 	// in open, and the number of a chunk that was found neither sealed nor last.
@@ -197,6 +206,7 @@
 	retryAt    time.Time
 	notBefore  time.Time
 	nextExpiry time.Time
+	nextSweep  time.Time
 
 	out output
 }
@@ -331,6 +341,7 @@
 	if hold <= 0 {
 		hold = s.limits.hold
 	}
+	hold = min(hold, s.limits.keep)
 	first := &running{
 		attempt: in.attempt, fingerprint: in.fingerprint, phase: p,
 		expires: now.Add(hold), waiters: map[string]struct{}{},
@@ -378,7 +389,7 @@
 // is not free, after replying so.
 func (s *shard) startAtClaim(now time.Time, in claimInput) *running {
 	known, ok := s.index[in.key]
-	if ok && known.is(chunk.State_CLAIMED) && known.attempt == attemptHash(in.attempt) && known.fingerprint == in.fingerprint {
+	if ok && !s.isExpired(now, known) && known.is(chunk.State_CLAIMED) && known.attempt == attemptHash(in.attempt) && known.fingerprint == in.fingerprint {
 		// The attempt repeats a claim whose reply it did not get.
 		return s.start(now, in.attemptInput, attemptClaimed)
 	}
@@ -554,6 +565,21 @@
 		}
 	}
 	s.answers.evict(now)
+	s.sweep(now)
+}
+
+// sweep removes the expired records from the index. Going through all of them
+// now and then takes less memory than a list of the keys by their age.
+func (s *shard) sweep(now time.Time) {
+	if now.Before(s.nextSweep) {
+		return
+	}
+	s.nextSweep = now.Add(s.limits.keep / 24)
+	for k, known := range s.index {
+		if s.isExpired(now, known) {
+			delete(s.index, k)
+		}
+	}
 }
 
 // refuseWaiting answers the claims that wait for a write. Their attempts end
--- a/claims/write.go
+++ b/claims/write.go
@@ -38,6 +38,9 @@
 	if len(s.running) > 0 || len(s.endedOrder) > 0 || s.answers.size > 0 {
 		s.wakeAt(s.nextExpiry)
 	}
+	if len(s.index) > 0 {
+		s.wakeAt(s.nextSweep)
+	}
 	if s.call != nil {
 		return
 	}
@@ -103,27 +106,34 @@
 		s.emit(now, &storeCall{kind: callGet, key: chunkKey(s.prefix, s.open.number)})
 		return
 	}
-	if len(s.pending) > 0 {
+	if len(s.pending) > 0 || s.deletionDue(now) {
 		s.out.wantsPermit = true
 		return
 	}
+	if s.canDelete() {
+		s.wakeAt(s.deletionTime())
+	}
 	if len(s.dirty) > 0 {
 		if due := s.dirtySince.Add(s.limits.markDelay); now.Before(due) {
 			s.wakeAt(due)
 		} else {
 			s.out.wantsPermit = true
-			return
 		}
 	}
-	if len(s.sealed) == 0 || len(s.sealed) == 1 && s.openVersion == 0 {
-		return
-	}
-	oldest := s.sealed[0]
-	if due := time.Unix(int64(oldest.newest)+1, 0).Add(s.limits.keep); now.Before(due) {
-		s.wakeAt(due)
-	} else {
-		s.emit(now, &storeCall{kind: callDelete, key: chunkKey(s.prefix, oldest.number), expected: oldest.version})
-	}
+}
+
+// canDelete reports whether there is a sealed chunk that is not the last chunk.
+func (s *shard) canDelete() bool {
+	return len(s.sealed) > 1 || len(s.sealed) == 1 && s.openVersion != 0
+}
+
+// deletionTime is when all records of the oldest chunk have expired.
+func (s *shard) deletionTime() time.Time {
+	return time.Unix(int64(s.sealed[0].newest)+1, 0).Add(s.limits.keep)
+}
+
+func (s *shard) deletionDue(now time.Time) bool {
+	return s.canDelete() && !now.Before(s.deletionTime())
 }
 
 // permit makes the write that was waiting for its turn.
@@ -131,9 +141,20 @@
 	if s.call != nil || now.Before(s.retryAt) || s.phase < phaseTaking {
 		return
 	}
+	if s.write == nil && s.phase == phaseOwner && s.deletionTurn && s.deletionDue(now) {
+		s.delete(now)
+		return
+	}
 	if s.write == nil {
 		s.form(now)
 	}
+	// Deletions take turns with batches: under steady load there is always a
+	// batch to write, and chunks would pile up.
+	s.deletionTurn = true
+	if s.write == nil && s.phase == phaseOwner && s.deletionDue(now) {
+		s.delete(now)
+		return
+	}
 	if s.write == nil || s.write.stage != stagePut {
 		return
 	}
@@ -143,6 +164,12 @@
 	})
 }
 
+func (s *shard) delete(now time.Time) {
+	oldest := s.sealed[0]
+	s.deletionTurn = false
+	s.emit(now, &storeCall{kind: callDelete, key: chunkKey(s.prefix, oldest.number), expected: oldest.version})
+}
+
 // form collects the waiting claims and marks into a write of the open chunk.
 func (s *shard) form(now time.Time) {
 	w := &write{expected: s.openVersion, begun: now, image: image{
@@ -329,9 +356,8 @@
 }
 
 func summary(sealed image, version int64) sealedChunk {
-	result := sealedChunk{number: sealed.number, version: version, keys: make([]key, len(sealed.records))}
-	for n, r := range sealed.records {
-		result.keys[n] = r.key
+	result := sealedChunk{number: sealed.number, version: version}
+	for _, r := range sealed.records {
 		result.newest = max(result.newest, r.claimed)
 	}
 	return result
@@ -347,13 +373,7 @@
 	case in.err != nil && !errors.Is(in.err, platform.ErrNotFound):
 		s.event("delete_failed", in.err)
 	}
-	oldest := s.sealed[0]
 	s.sealed = slices.Delete(s.sealed, 0, 1)
-	for _, k := range oldest.keys {
-		if known, ok := s.index[k]; ok && known.chunkNumber() == oldest.number {
-			delete(s.index, k)
-		}
-	}
 }
 
 // probed takes the result of a read that tests whether the store is back.
@@ -371,6 +391,7 @@
 
 func (s *shard) written(now time.Time, in resultInput) {
 	w := s.write
+	w.lostReads = 0
 	switch {
 	case in.err == nil:
 		s.tookEffect(now, in.version)
@@ -402,7 +423,7 @@
 	w := s.write
 	missing := errors.Is(in.err, platform.ErrNotFound)
 	if in.err != nil && !missing {
-		s.failed(now, in.err)
+		s.readFailed(now, w, in.err)
 		return
 	}
 	if in.value.Version == w.expected {
@@ -425,6 +446,16 @@
 	s.fenced(now)
 }
 
+// readFailed repeats a read whose answer was lost before it counts as a sign
+// that the store is down: single losses are ordinary.
+func (s *shard) readFailed(now time.Time, w *write, err error) {
+	if errors.Is(err, platform.ErrUnknown) && w.lostReads < s.limits.lostReads {
+		w.lostReads++
+		return
+	}
+	s.failed(now, err)
+}
+
 func (s *shard) fenced(now time.Time) {
 	if s.phase != phaseTaking {
 		s.lostOwnership(now, errFenced)
@@ -449,7 +480,7 @@
 func (s *shard) verified(now time.Time, in resultInput) {
 	switch {
 	case in.err != nil:
-		s.failed(now, in.err)
+		s.readFailed(now, s.write, in.err)
 	case len(in.list) > 0:
 		s.fenced(now)
 	default:
@@ -467,7 +498,6 @@
 		s.event("taken", nil)
 		s.apply(now, w.image)
 	} else {
-		s.forgetExpired(now)
 		s.commitClaims(now, w)
 		s.commitMarks(w)
 	}
@@ -478,16 +508,6 @@
 	}
 }
 
-// forgetExpired removes the expired records of the open chunk, which its next
-// image no longer holds.
-func (s *shard) forgetExpired(now time.Time) {
-	for _, r := range s.open.records {
-		if known, ok := s.index[r.key]; ok && known.chunkNumber() == s.open.number && s.isExpired(now, known) {
-			delete(s.index, r.key)
-		}
-	}
-}
-
 func (s *shard) commitClaims(now time.Time, w *write) {
 	for _, c := range w.claims {
 		first := s.claiming(c)
