Check in the claims property that every caller gets a reply

After the faults of a history stop, no message may be left without a reply within 130 s, which is longer than an attempt's bound.

--- a/claims/client.go
+++ b/claims/client.go
@@ -94,7 +94,9 @@
 	})
 }
 
-// Claim records that the attempt is about to be sent.
+// Claim records that the attempt is about to be sent. Besides the states that
+// end the attempt it may return IN_PROGRESS, when the shard has a new owner and
+// another attempt reserved the key there first; the attempt may then Await it.
 func (c *Client) Claim(ctx context.Context, attempt Attempt) (Result, error) {
 	request := &peer.ClaimRequest{
 		KeyHash: attempt.KeyHash, Fingerprint: attempt.Fingerprint, Attempt: attempt.ID,
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -22,7 +22,8 @@
 	EntryID string
 	// Shards defaults to DefaultShards.
 	Shards int
-	// Owned reports whether this entry VM should own a shard; see SetOwned.
+	// Owned reports whether this entry VM should own a shard; see SetOwned. It
+	// must not block or call the Owner.
 	Owned func(shard int) bool
 	// Now defaults to time.Now.
 	Now func() time.Time
@@ -375,9 +376,9 @@
 	for _, happened := range out.events {
 		entry := d.owner.options.Log.Info()
 		if happened.err != nil {
-			entry = d.owner.options.Log.Warn()
+			entry = d.owner.options.Log.Warn().Err(happened.err)
 		}
-		entry.Str("event", "claims_"+happened.name).Int("shard", d.number).Err(happened.err).Msg("")
+		entry.Str("event", "claims_"+happened.name).Int("shard", d.number).Msg("")
 	}
 	if out.call != nil {
 		d.call = out.call
--- a/claims/property_test.go
+++ b/claims/property_test.go
@@ -30,8 +30,8 @@
 	return l
 }
 
-// Guards against two grants of a key, and against answers of another request,
-// in any order of messages, lost and late store answers, crashes, takeovers
+// Guards against two grants of a key, against answers of another request, and
+// against callers that never get a reply, in any order of messages, lost and late store answers, crashes, takeovers
 // and pauses of several owners of one shard.
 func TestNoKeyIsGrantedTwice(t *testing.T) {
 	reached := map[string]int{}
@@ -41,6 +41,7 @@
 		for range rapid.IntRange(200, 1000).Draw(t, "steps") {
 			randomStep(t, m)
 		}
+		m.checkReplies()
 		for _, a := range m.attempts {
 			reached[a.outcome.String()]++
 		}
@@ -60,13 +61,13 @@
 	case weight < 25:
 		k := rapid.SampledFrom([]string{"k1", "k2", "k3", "k4", "k5", "k6"}).Draw(t, "key")
 		a := m.begin(k, rapid.SampledFrom([]uint64{1, 1, 1, 2}).Draw(t, "fingerprint"))
-		m.step(n, reserveInput{m.message(a)})
+		m.step(n, reserveInput{m.message(n, a)})
 	case weight < 60:
-		m.forAttempt(t, func(a *modelAttempt) { m.step(n, claimInput{m.message(a)}) }, "waiting")
+		m.forAttempt(t, func(a *modelAttempt) { m.step(n, claimInput{m.message(n, a)}) }, "waiting")
 	case weight < 63:
-		m.forAttempt(t, func(a *modelAttempt) { m.step(n, claimInput{m.message(a)}) }, "over", "granted")
+		m.forAttempt(t, func(a *modelAttempt) { m.step(n, claimInput{m.message(n, a)}) }, "over", "granted")
 	case weight < 68:
-		m.forAttempt(t, func(a *modelAttempt) { m.step(n, awaitInput{m.message(a)}) }, "waiting")
+		m.forAttempt(t, func(a *modelAttempt) { m.step(n, awaitInput{m.message(n, a)}) }, "waiting")
 	case weight < 80:
 		m.forAttempt(t, func(a *modelAttempt) { m.finish(n, a, peer.KeyState_ANSWERED) }, "granted")
 	case weight < 82:
@@ -82,7 +83,7 @@
 	case weight < 184:
 		m.step(n, releaseInput{})
 	case weight < 186:
-		m.restart(n)
+		m.crash(n)
 	case weight < 188:
 		if len(m.late) > 0 {
 			m.perform(m.late[rapid.IntRange(0, len(m.late)-1).Draw(t, "late write")])
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -179,8 +180,10 @@
 type model struct {
 	*world
 	attempts []*modelAttempt
-	byReply  map[replyID]*modelAttempt
-	fail     func(format string, args ...any)
+	// byReply and at hold the messages that have no reply yet.
+	byReply map[replyID]*modelAttempt
+	at      map[replyID]*node
+	fail    func(format string, args ...any)
 }
 
 type modelAttempt struct {
@@ -195,7 +198,7 @@
 }
 
 func newModel(l limits, fail func(string, ...any), names ...string) *model {
-	m := &model{world: newWorld(l, names...), byReply: map[replyID]*modelAttempt{}, fail: fail}
+	m := &model{world: newWorld(l, names...), byReply: map[replyID]*modelAttempt{}, at: map[replyID]*node{}, fail: fail}
 	m.onReply = m.observe
 	return m
 }
@@ -209,15 +212,36 @@
 }
 
 // message returns the attempt's input with a fresh reply.
-func (m *model) message(a *modelAttempt) attemptInput {
+func (m *model) message(n *node, a *modelAttempt) attemptInput {
 	in := a.attemptInput
 	in.reply = m.reply()
-	m.byReply[in.reply] = a
+	m.byReply[in.reply], m.at[in.reply] = a, n
 	return in
 }
 
+// crash restarts a node; the callers that wait there get an error.
+func (m *model) crash(n *node) {
+	m.restart(n)
+	maps.DeleteFunc(m.at, func(_ replyID, at *node) bool { return at == n })
+}
+
+// checkReplies lets time pass without faults and checks that nobody still waits.
+func (m *model) checkReplies() {
+	for range 130 {
+		m.now = m.now.Add(time.Second)
+		for _, n := range m.nodes {
+			m.step(n, tickInput{})
+			m.run(n)
+		}
+	}
+	for id, n := range m.at {
+		m.fail("%s got no reply from %s", m.byReply[id].attempt, n.name)
+	}
+}
+
 func (m *model) observe(r reply) {
 	a := m.byReply[r.id]
+	delete(m.at, r.id)
 	if a == nil || a.state != "waiting" {
 		return
 	}
@@ -228,16 +252,25 @@
 		a.state, a.granted = "granted", m.now
 	case peer.KeyState_ANSWERED:
 		a.state = "over"
-		if !slices.ContainsFunc(m.attempts, func(b *modelAttempt) bool {
-			return b.ran && b.attempt == string(r.answer.GetBody()) && b.key == a.key && b.fingerprint == a.fingerprint
-		}) {
-			m.fail("%s got the answer of %q", a.attempt, r.answer.GetBody())
-		}
-	case peer.KeyState_FINISHED, peer.KeyState_UNKNOWN, peer.KeyState_MISMATCH, peer.KeyState_NOT_RUN, peer.KeyState_STORE_UNAVAILABLE:
+		m.checkRan(a, string(r.answer.GetBody()))
+	case peer.KeyState_FINISHED:
+		a.state = "over"
+		m.checkRan(a, "")
+	case peer.KeyState_UNKNOWN, peer.KeyState_MISMATCH, peer.KeyState_NOT_RUN, peer.KeyState_STORE_UNAVAILABLE:
 		a.state = "over"
 	}
 }
 
+// checkRan checks that an attempt with the same request as a ran; the named one
+// unless name is empty.
+func (m *model) checkRan(a *modelAttempt, name string) {
+	if !slices.ContainsFunc(m.attempts, func(b *modelAttempt) bool {
+		return b.ran && (name == "" || b.attempt == name) && b.key == a.key && b.fingerprint == a.fingerprint
+	}) {
+		m.fail("%s got the outcome of %q, which did not run", a.attempt, name)
+	}
+}
+
 func (m *model) checkGrant(a *modelAttempt) {
 	for _, b := range m.attempts {
 		if b != a && b.key == a.key && !b.granted.IsZero() && m.now.Sub(b.granted) < m.limits.keep-time.Minute {
