Return NOT_OWNER from the claims client with every error

The zero value of the state is RESERVED, which lets an attempt go on; a caller that overlooked the error would have done so. A test runs the messages over Twirp on loopback.

--- a/claims/client.go
+++ b/claims/client.go
@@ -45,11 +45,13 @@
 // Result is what the owner says about a key.
 type Result struct {
 	State peer.KeyState
-	// Answer is set with the state ANSWERED.
+	// Answer is set with the state ANSWERED. It is shared and must not be changed.
 	Answer *peer.KeptAnswer
 }
 
-// Client sends attempts to the owners of their keys.
+// Client sends attempts to the owners of their keys. An attempt takes these
+// steps: Reserve; Await when another attempt is IN_PROGRESS, which ends it;
+// else Claim as soon as it has a slot; send; Finish.
 //
 // A request may be sent only after Claim returned CLAIMED. After any other
 // outcome, an error included, the attempt must not be sent, now or later. After
@@ -171,13 +173,20 @@
 }
 
 func (c *Client) askOwner(ctx context.Context, entryID string, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
-	if entryID == c.options.EntryID && c.options.Local != nil {
-		return call(ctx, c.options.Local)
+	var owner ownerAPI = c.options.Local
+	if entryID != c.options.EntryID || c.options.Local == nil {
+		remote, ok := c.options.Peer(entryID)
+		if !ok {
+			return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(ErrNoOwner, "entry VM %q", entryID)
+		}
+		owner = remote
 	}
-	if remote, ok := c.options.Peer(entryID); ok {
-		return call(ctx, remote)
+	result, err := call(ctx, owner)
+	if err != nil {
+		// The zero state is RESERVED, which would let the attempt go on.
+		return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(err, "owner %s", entryID)
 	}
-	return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(ErrNoOwner, "entry VM %q", entryID)
+	return result, nil
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/claims/owner_test.go
+++ b/claims/owner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -273,3 +274,34 @@
 		}
 	}
 }
+
+// Guards against messages that lose a field on the wire, and against an error
+// that looks like the permission to go on.
+func TestOverTwirp(t *testing.T) {
+	r := newRegion(t, newMemoryStore(1), "a")
+	server := httptest.NewServer(peer.NewPeerServer(ownerPeer{Owner: r.entries["a"].Owner}))
+	remote := peer.NewPeerProtobufClient(server.URL, server.Client())
+	client := NewClient(ClientOptions{
+		EntryID: "b", Members: func() []string { return []string{"a"} }, AwaitStep: 50 * time.Millisecond,
+		Peer: func(string) (peer.Peer, bool) { return remote, true },
+	})
+	first, second := attemptOn("key", "first"), attemptOn("key", "second")
+	r.expect(peer.KeyState_RESERVED)(client.Reserve(t.Context(), first))
+	r.expect(peer.KeyState_IN_PROGRESS)(client.Reserve(t.Context(), second))
+	r.expect(peer.KeyState_CLAIMED)(client.Claim(t.Context(), first))
+	time.AfterFunc(100*time.Millisecond, func() { r.finish(client, first, peer.KeyState_ANSWERED, []byte("made")) })
+	if got := r.expect(peer.KeyState_ANSWERED)(client.Await(t.Context(), second)); string(got.Answer.GetBody()) != "made" {
+		t.Errorf("the waiter got %v", got.Answer)
+	}
+	other := second
+	other.Fingerprint = Fingerprint("PUT", "/key", nil, "")
+	r.expect(peer.KeyState_MISMATCH)(client.Await(t.Context(), other))
+	r.stop()
+	if err := client.Finish(t.Context(), first, peer.KeyState_NOT_RUN, nil); !errors.Is(err, ErrNoOwner) {
+		t.Errorf("finish at a stopped owner: %v", err)
+	}
+	server.Close()
+	if got, err := client.Reserve(t.Context(), second); err == nil || got.State != peer.KeyState_NOT_OWNER {
+		t.Errorf("got %s and error %v from a closed server", got.State, err)
+	}
+}
