--- a/claims/client.go
+++ b/claims/client.go
@@ -29,7 +29,8 @@
 	// RetryWindow bounds these repeats; default 5 s, which is longer than the
 	// 3 s after which the owner of a silent entry VM's shards is another one.
 	RetryWindow time.Duration
-	// AwaitStep bounds one Await call to a peer; default 10 s.
+	// AwaitStep bounds one Await call to a peer; default 10 s. The timeout of
+	// calls to peers must be longer.
 	AwaitStep time.Duration
 }
 
@@ -47,16 +48,18 @@
 // Result is what the owner says about a key.
 type Result struct {
 	State peer.KeyState
-	// Answer is set with the state ANSWERED.
+	// Answer is set with the state ANSWERED. It is shared and must not be changed.
 	Answer *peer.KeptAnswer
 }
 
-// Client sends attempts to the owners of their keys.
+// Client sends attempts to the owners of their keys. An attempt takes these
+// steps: Reserve; Await when another attempt is IN_PROGRESS, which ends it;
+// else Claim as soon as it has a slot; send; Finish.
 //
 // A request may be sent only after Claim returned CLAIMED. After any other
-// outcome of Claim, an error included, the attempt must not be sent; after an
-// error the caller ends it with Finish and NOT_RUN, which gives the key back in
-// case that the claim was recorded.
+// outcome, an error included, the attempt must not be sent, now or later. After
+// an error of Reserve or Claim the caller ends the attempt with Finish and
+// NOT_RUN: the reservation or the claim may have been made.
 type Client struct {
 	options ClientOptions
 }
@@ -99,7 +102,9 @@
 	})
 }
 
-// Claim records that the attempt is about to be sent.
+// Claim records that the attempt is about to be sent. Besides the states that
+// end the attempt it may return IN_PROGRESS, when the shard has a new owner and
+// another attempt reserved the key there first; the attempt may then Await it.
 func (c *Client) Claim(ctx context.Context, attempt Attempt) (Result, error) {
 	request := &peer.ClaimRequest{
 		KeyHash: attempt.KeyHash, Fingerprint: attempt.Fingerprint, Attempt: attempt.ID,
@@ -171,15 +176,23 @@
 }
 
 func (c *Client) askOwner(ctx context.Context, keyHash []byte, entryID string, call func(context.Context, ownerAPI) (Result, error)) (Result, error) {
-	if entryID == c.options.EntryID && c.options.Local != nil {
-		return call(ctx, c.options.Local)
-	}
-	if remote, ok := c.options.Peer(entryID); ok {
-		ctx, cancel := peer.WhileOwner(ctx, entryID, func() string { return c.owner(keyHash) })
+	var owner ownerAPI = c.options.Local
+	if entryID != c.options.EntryID || c.options.Local == nil {
+		remote, ok := c.options.Peer(entryID)
+		if !ok {
+			return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(ErrNoOwner, "entry VM %q", entryID)
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = peer.WhileOwner(ctx, entryID, func() string { return c.owner(keyHash) })
 		defer cancel()
-		return call(ctx, remote)
+		owner = remote
+	}
+	result, err := call(ctx, owner)
+	if err != nil {
+		// The zero state is RESERVED, which would let the attempt go on.
+		return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(err, "owner %s", entryID)
 	}
-	return Result{State: peer.KeyState_NOT_OWNER}, errors.Wrapf(ErrNoOwner, "entry VM %q", entryID)
+	return result, nil
 }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -30,7 +30,8 @@
 	EntryID string
 	// Shards defaults to DefaultShards.
 	Shards int
-	// Owned reports whether this entry VM should own a shard; see SetOwned.
+	// Owned reports whether this entry VM should own a shard; see SetOwned. It
+	// must not block or call the Owner.
 	Owned func(shard int) bool
 	// Now defaults to time.Now.
 	Now func() time.Time
@@ -114,14 +115,14 @@
 	waiting map[replyID]chan reply
 	// traced holds the spans of the waiting callers.
 	traced map[replyID]trace.SpanContext
-	// call is the store call that run is to make next, callFor the spans of
-	// the callers that wait for it.
+	// call, wantsPermit and wake are what the latest step asked run to do;
+	// callFor holds the spans of the callers that wait for call.
 	call        *storeCall
 	callFor     []trace.SpanContext
 	wantsPermit bool
 	wake        time.Time
 	kick        chan struct{}
-	// settled is closed and replaced whenever the phase may have changed.
+	// changed is closed and replaced whenever the phase or down has changed.
 	changed chan struct{}
 }
 
@@ -237,6 +238,35 @@
 	return nil
 }
 
+// Stats describes an owner at one moment.
+type Stats struct {
+	// Shards counts the shards that are served, Unavailable those that refuse
+	// new keys because the store fails.
+	Shards, Unavailable int
+	// Keys counts the remembered keys, Running the attempts in progress.
+	Keys, Running int
+	// AnswerBytes is the size of the kept answers.
+	AnswerBytes int
+}
+
+// Stats returns the present figures.
+func (o *Owner) Stats() Stats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	stats := Stats{AnswerBytes: o.answers.size}
+	for _, d := range o.shards {
+		if d.shard.phase == phaseOwner {
+			stats.Shards++
+		}
+		if d.shard.phase != phaseIdle && d.shard.down {
+			stats.Unavailable++
+		}
+		stats.Keys += len(d.shard.index)
+		stats.Running += len(d.shard.running)
+	}
+	return stats
+}
+
 // Reserve announces an attempt on a key.
 func (o *Owner) Reserve(ctx context.Context, request *peer.ReserveRequest) (*peer.ReserveResponse, error) {
 	in, err := parseAttempt(request.GetKeyHash(), request.GetFingerprint(), request.GetAttempt(), request.GetHoldMillis())
@@ -375,9 +405,9 @@
 	for _, happened := range out.events {
 		entry := d.owner.options.Log.Info()
 		if happened.err != nil {
-			entry = d.owner.options.Log.Warn()
+			entry = d.owner.options.Log.Warn().Err(happened.err)
 		}
-		entry.Str("event", "claims_"+happened.name).Int("shard", d.number).Err(happened.err).Msg("")
+		entry.Str("event", "claims_"+happened.name).Int("shard", d.number).Msg("")
 	}
 	if out.call != nil {
 		d.call, d.callFor = out.call, slices.Collect(maps.Values(d.traced))
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -129,7 +129,6 @@
 	number  uint32
 	version int64
 	newest  uint32
-	keys    []key
 }
 
 type endedAttempt struct {
@@ -156,6 +155,8 @@
 //   - A key with a record in state CLAIMED is granted again only to the attempt
 //     that the record names, or after that attempt was not granted, or gave the
 //     key back.
+//   - Writes and deletions are made only with a permit, so that the driver bounds
+//     their rate.
 //   - The last chunk is never deleted. Otherwise an owner that slept for longer
 //     than records are kept could create a chunk again and not notice.
 type shard struct {
@@ -174,6 +175,9 @@
 	open        image
 	openVersion int64
 
+	// deletionTurn gives the next permit to a deletion that is due.
+	deletionTurn bool
+
 	// While the chunks are read: the key after which the reading goes on, the
 	// highest sealed chunk in the index, the version of the unsealed chunk held
 	// in open, and the number of a chunk that was found neither sealed nor last.
@@ -202,6 +206,7 @@
 	retryAt    time.Time
 	notBefore  time.Time
 	nextExpiry time.Time
+	nextSweep  time.Time
 
 	out output
 }
@@ -336,6 +341,7 @@
 	if hold <= 0 {
 		hold = s.limits.hold
 	}
+	hold = min(hold, s.limits.keep)
 	first := &running{
 		attempt: in.attempt, fingerprint: in.fingerprint, phase: p,
 		expires: now.Add(hold), waiters: map[string]struct{}{},
@@ -383,7 +389,7 @@
 // is not free, after replying so.
 func (s *shard) startAtClaim(now time.Time, in claimInput) *running {
 	known, ok := s.index[in.key]
-	if ok && known.is(chunk.State_CLAIMED) && known.attempt == attemptHash(in.attempt) && known.fingerprint == in.fingerprint {
+	if ok && !s.isExpired(now, known) && known.is(chunk.State_CLAIMED) && known.attempt == attemptHash(in.attempt) && known.fingerprint == in.fingerprint {
 		// The attempt repeats a claim whose reply it did not get.
 		return s.start(now, in.attemptInput, attemptClaimed)
 	}
@@ -559,6 +565,21 @@
 		}
 	}
 	s.answers.evict(now)
+	s.sweep(now)
+}
+
+// sweep removes the expired records from the index. Going through all of them
+// now and then takes less memory than a list of the keys by their age.
+func (s *shard) sweep(now time.Time) {
+	if now.Before(s.nextSweep) {
+		return
+	}
+	s.nextSweep = now.Add(s.limits.keep / 24)
+	for k, known := range s.index {
+		if s.isExpired(now, known) {
+			delete(s.index, k)
+		}
+	}
 }
 
 // refuseWaiting answers the claims that wait for a write. Their attempts end
