Wait for the attempt that came first when a new owner knows of one

After a takeover, Claim may answer that another attempt is in progress; the caller was told that the key may have run instead of getting its answer. Test processes reserve blocks of ports, since several may run at once.

--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -49,10 +49,7 @@
 	}
 	first, err := k.traced(ctx, "key.reserve", attempt, k.client.Reserve)
 	if err == nil && first.State == peer.KeyState_IN_PROGRESS {
-		first, err = k.traced(ctx, "key.await", attempt, k.client.Await)
-		if err != nil {
-			return pending(err)
-		}
+		return k.await(ctx, attempt)
 	}
 	if err != nil {
 		k.finish(ctx, attempt, peer.KeyState_NOT_RUN, nil)
@@ -61,21 +58,35 @@
 	if first.State != peer.KeyState_RESERVED {
 		return resultOfKey(first)
 	}
-	claimed := true
+	var refused *claims.Result
 	result := k.next.ServeClaimed(ctx, r, func(ctx context.Context) *request.Result {
-		ended := k.claim(ctx, attempt)
-		claimed = ended == nil
+		ended, state := k.claim(ctx, attempt)
+		refused = state
 		return ended
 	})
-	state, kept := endOf(result)
-	if !claimed {
-		// The result is that of another attempt, or a refusal.
-		state, kept = peer.KeyState_NOT_RUN, nil
+	if refused == nil {
+		state, kept := endOf(result)
+		k.finish(ctx, attempt, state, kept)
+		return result
+	}
+	k.finish(ctx, attempt, peer.KeyState_NOT_RUN, nil)
+	if refused.State == peer.KeyState_IN_PROGRESS {
+		// A new owner knows of an attempt that came first. The slot is given
+		// back by now, so that waiting holds no one up.
+		return k.await(ctx, attempt)
 	}
-	k.finish(ctx, attempt, state, kept)
 	return result
 }
 
+// await returns how the attempt that came first ended.
+func (k *Keys) await(ctx context.Context, attempt claims.Attempt) request.Result {
+	first, err := k.traced(ctx, "key.await", attempt, k.client.Await)
+	if err != nil {
+		return pending(err)
+	}
+	return resultOfKey(first)
+}
+
 // traced makes one call about a key in a span of its own.
 func (k *Keys) traced(ctx context.Context, name string, attempt claims.Attempt, call func(context.Context, claims.Attempt) (claims.Result, error)) (claims.Result, error) {
 	ctx, span := k.next.options.Tracer.Start(ctx, name)
@@ -89,19 +100,18 @@
 	return result, err
 }
 
-// claim records that the attempt is about to be sent. A result ends the
-// request unsent.
-func (k *Keys) claim(ctx context.Context, attempt claims.Attempt) *request.Result {
+// claim records that the attempt is about to be sent. A result, with what the
+// owner said, ends the request unsent.
+func (k *Keys) claim(ctx context.Context, attempt claims.Attempt) (*request.Result, *claims.Result) {
 	claimed, err := k.traced(ctx, "key.claim", attempt, k.client.Claim)
 	if err == nil && claimed.State == peer.KeyState_CLAIMED {
-		return nil
+		return nil, nil
 	}
+	result := resultOfKey(claimed)
 	if err != nil {
-		result := uncheckedKey(err.Error())
-		return &result
+		result = uncheckedKey(err.Error())
 	}
-	result := resultOfKey(claimed)
-	return &result
+	return &result, &claimed
 }
 
 // finish reports the end of the attempt without keeping the caller waiting.
--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -34,6 +34,11 @@
 			return 1
 		}
 		defer os.RemoveAll(programs)
+		if err := reservePorts(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer portGuard.Close()
 		build := exec.Command("go", "build", "-o", programs, "../cmd/dotterelheadd", "../cmd/dotterelhead")
 		if out, err := build.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
@@ -300,11 +305,33 @@
 	return fleet.Decode(kv.Value)
 }
 
-// nextPort is below the ports that the kernel gives to outgoing connections,
-// which could otherwise take a port between its choice and its use.
-var nextPort atomic.Int32
+const (
+	// firstPort and lastPort are below the ports that the kernel gives to
+	// outgoing connections, which could otherwise take a port between its
+	// choice and its use.
+	firstPort, lastPort = 10000, 32000
+	// portsPerProcess are reserved for one process by listening on the first,
+	// because several runs of these tests may go on at the same time.
+	portsPerProcess = 1000
+)
 
-func init() { nextPort.Store(int32(10000 + os.Getpid()%10000)) }
+var (
+	nextPort  atomic.Int32
+	portGuard net.Listener
+)
+
+// reservePorts takes a block of ports for this process.
+func reservePorts() error {
+	for port := firstPort; port < lastPort; port += portsPerProcess {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			portGuard = listener
+			nextPort.Store(int32(port))
+			return nil
+		}
+	}
+	return fmt.Errorf("no free block of ports between %d and %d", firstPort, lastPort)
+}
 
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
