Add the metrics that operators alert on

Only requests, retries and request times were counted.

Refusals of a dispatcher have titles of their own instead of "no slot", since titles are the reasons in the metrics. Services that are not in force are no label values, because callers choose them. The log level trace, which the settings accept, no longer stops the start.

New for this: claims.Owner.Stats, membership.Node.StoreAge, tlsconfig.Source.Expires.

--- a/claims/owner.go
+++ b/claims/owner.go
@@ -104,6 +104,40 @@
 	answers   *answers
 	shards    []*driver
 	kick      chan struct{}
+	// writeFailures counts the writes that failed or whose answer was lost.
+	writeFailures int64
+}
+
+// Stats describe the shards that this entry VM owns.
+type Stats struct {
+	OwnedShards int
+	// UnavailableShards refuse new keys because the store fails.
+	UnavailableShards int
+	// UnsettledClaims wait until it is known whether their write took effect.
+	UnsettledClaims int
+	// WriteFailures counts the writes that failed or whose answer was lost,
+	// without those that another owner won.
+	WriteFailures int64
+}
+
+// Stats returns the present state.
+func (o *Owner) Stats() Stats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	stats := Stats{WriteFailures: o.writeFailures}
+	for _, d := range o.shards {
+		if d.shard.phase == phaseIdle {
+			continue
+		}
+		stats.OwnedShards++
+		if d.shard.down {
+			stats.UnavailableShards++
+		}
+		if w := d.shard.write; w != nil && w.unsettled {
+			stats.UnsettledClaims += len(w.claims)
+		}
+	}
+	return stats
 }
 
 // driver connects one shard to the store. Its fields are guarded by Owner.mu.
@@ -458,6 +492,11 @@
 		timer.Reset(wake)
 		select {
 		case result := <-done:
+			if call.kind == callPut && result.err != nil && !errors.Is(result.err, platform.ErrConflict) {
+				d.owner.mu.Lock()
+				d.owner.writeFailures++
+				d.owner.mu.Unlock()
+			}
 			return result
 		case <-timer.C:
 			d.give(tickInput{})
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -175,12 +175,12 @@
 
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if holds() {
 			return
 		}
 	}
-	t.Fatalf("not within 30 s: %s", what)
+	t.Fatalf("not within 10 s: %s", what)
 }
 
 // Guards against an entry VM that leaves goroutines behind, requests cut by a
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,8 +71,10 @@
 	control   *control.Controller
 	budget    *lockedBudget
 	runTimes  *runTimes
+	ingress   *ingress.Handler
 
 	security  security
+	metrics   *metrics
 	config    atomic.Pointer[note.Config]
 	hasFleet  atomic.Bool
 	leaving   atomic.Bool
@@ -117,7 +119,9 @@
 	e.wireRequests()
 	e.wireKeys()
 	e.wireControl()
+	e.metrics = newMetrics(e)
 	e.replica.Subscribe(e.onDocument)
+	e.replica.Subscribe(e.metrics.onDocument)
 	return e, nil
 }
 
@@ -188,6 +192,7 @@
 		Local: e.owner, EntryID: e.settings.ID, Peer: e.peer, Members: e.node.Live,
 	})
 	e.keys = ingress.NewKeys(client, e.attempts)
+	e.ingress = e.newIngress()
 }
 
 func (e *EntryVM) wireControl() {
@@ -222,7 +227,8 @@
 	start(func(ctx context.Context) { e.node.Run(ctx) }, running)
 	start(func(ctx context.Context) { e.control.Run(ctx) }, controlling)
 	start(e.followDocuments, running)
-	failed := e.listeners.serve(e.callerHandler(), e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes, e.log)
+	start(e.metrics.run, running)
+	failed := e.listeners.serve(e.ingress, e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes, e.log)
 	e.log.Info().Str("event", "listening").Str("entry", e.settings.ID).
 		Str("caller", e.listeners.caller.Addr().String()).Str("operator", e.listeners.operator.Addr().String()).
 		Str("peer", e.listeners.peer.Addr().String()).Msg("")
@@ -310,6 +316,7 @@
 			return
 		}
 		e.table.Update(document)
+		e.metrics.onFleet(document)
 		e.hasFleet.Store(true)
 	default:
 		return
--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -12,7 +12,7 @@
 	"dotterelhead.example/dotterelhead/request"
 )
 
-func (e *EntryVM) callerHandler() http.Handler {
+func (e *EntryVM) newIngress() *ingress.Handler {
 	return ingress.NewHandler(ingress.Options{
 		Config:    e.configInForce,
 		Accepting: e.accepting,
--- a/ingress/attempts.go
+++ b/ingress/attempts.go
@@ -207,6 +207,7 @@
 	if !ok {
 		return dispatch.Grant{}, errNoService
 	}
+	asked := t.options.Now()
 	ctx, span := t.options.Tracer.Start(ctx, "queue", trace.WithAttributes(attribute.String("pool", service.Pool)))
 	defer span.End()
 	grant, err := t.options.Client.Acquire(ctx, dispatch.Request{
@@ -217,20 +218,37 @@
 		span.SetStatus(codes.Error, err.Error())
 	} else {
 		span.SetAttributes(attribute.String("worker", grant.Worker))
+		t.options.Scope.Tagged(map[string]string{"pool": service.Pool}).Timer("queue_wait_seconds").Record(t.options.Now().Sub(asked))
 	}
 	return grant, err
 }
 
+// titleOfRefusal names the refusals of a dispatcher. The titles are also the
+// reasons in the metrics.
+var titleOfRefusal = map[peer.AcquireResponse_Status]string{
+	peer.AcquireResponse_QUEUE_FULL:           "queue full",
+	peer.AcquireResponse_CANNOT_START_IN_TIME: "cannot start in time",
+	peer.AcquireResponse_NOT_DISPATCHER:       "no dispatcher",
+	peer.AcquireResponse_NO_WORKER:            "no worker",
+	peer.AcquireResponse_FAILING_JOB:          "failing job",
+	peer.AcquireResponse_QUOTA:                "quota used up",
+}
+
 func refusedResult(err error) request.Result {
 	var refusal *dispatch.Refusal
-	if !errors.As(err, &refusal) {
-		return request.Refused(http.StatusServiceUnavailable, "not started in time", err.Error(), defaultRetryAfter)
-	}
-	status := http.StatusServiceUnavailable
-	if refusal.Status == peer.AcquireResponse_QUOTA {
-		status = http.StatusTooManyRequests
+	title, status, retryAfter := "not started in time", http.StatusServiceUnavailable, defaultRetryAfter
+	switch {
+	case errors.As(err, &refusal):
+		title, retryAfter = titleOfRefusal[refusal.Status], max(refusal.RetryAfter, defaultRetryAfter)
+		if refusal.Status == peer.AcquireResponse_QUOTA {
+			status = http.StatusTooManyRequests
+		}
+	case errors.Is(err, routing.ErrNoPermit):
+		title = "no permit"
+	case errors.Is(err, context.Canceled):
+		title = "caller gone"
 	}
-	return request.Refused(status, "no slot", refusal.Error(), max(refusal.RetryAfter, defaultRetryAfter))
+	return request.Refused(status, title, err.Error(), retryAfter)
 }
 
 // send makes one attempt and reports it to the dispatcher.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -62,10 +63,14 @@
 
 // Handler serves callers.
 type Handler struct {
-	options Options
-	router  *mux.Router
+	options  Options
+	router   *mux.Router
+	inFlight atomic.Int64
 }
 
+// InFlight returns the number of requests that callers wait for.
+func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+
 // NewHandler returns the handler of the caller listener.
 func NewHandler(options Options) *Handler {
 	if options.Now == nil {
@@ -87,6 +92,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.router.ServeHTTP(w, r) }
 
 func (h *Handler) serve(w http.ResponseWriter, incoming *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
 	started := h.options.Now()
 	ctx := propagation.TraceContext{}.Extract(incoming.Context(), propagation.HeaderCarrier(incoming.Header))
 	ctx, span := h.options.Tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindServer))
@@ -139,13 +146,29 @@
 }
 
 func (h *Handler) count(r *request.Request, result request.Result, took time.Duration) {
-	h.options.Scope.Tagged(map[string]string{"outcome": string(result.Outcome)}).Counter("requests_total").Inc(1)
-	h.options.Scope.Timer("request_seconds").Record(took)
+	// Names that callers choose are no labels: only services in force are.
+	service := noService
+	if r != nil {
+		service = r.Service
+	}
+	scope := h.options.Scope.Tagged(map[string]string{"service": service})
+	scope.Tagged(map[string]string{"outcome": string(result.Outcome)}).Counter("requests_total").Inc(1)
+	scope.Timer("request_seconds").Record(took)
+	if result.Outcome == request.NotRun {
+		scope.Tagged(map[string]string{"reason": reason(result.Problem)}).Counter("requests_refused_total").Inc(1)
+	}
 	if result.Answer == nil && h.options.Log != nil {
 		h.options.Log(r, result, took)
 	}
 }
 
+// noService is the service label of requests that were refused before their
+// service was known.
+const noService = "none"
+
+// reason is the title of a problem as a label. Titles are constants.
+func reason(p *request.Problem) string { return strings.ReplaceAll(strings.ToLower(p.Title), " ", "_") }
+
 // read reads and checks a request. The result is set when it is refused.
 func (h *Handler) read(incoming *http.Request, now time.Time) (*request.Request, *request.Result) {
 	refuse := func(status int, title, detail string) (*request.Request, *request.Result) {
--- a/membership/node.go
+++ b/membership/node.go
@@ -694,6 +694,14 @@
 	return n.permit.Valid(now)
 }
 
+// StoreAge returns the age of the knowledge of the fleet document, from the
+// store or through a peer; ok is false while there is none.
+func (n *Node) StoreAge(now time.Time) (age time.Duration, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.permit.StoreAge(now)
+}
+
 // Registered reports whether this process is registered.
 func (n *Node) Registered() bool {
 	n.mu.Lock()
--- a/telemetry/logger.go
+++ b/telemetry/logger.go
@@ -21,7 +21,7 @@
 
 // LoggerOptions configure a Logger.
 type LoggerOptions struct {
-	// Level is "debug", "info", "warn" or "error"; the default is "info".
+	// Level is "trace", "debug", "info", "warn" or "error"; the default is "info".
 	Level string
 	// Writer receives the lines; the default is standard error.
 	Writer io.Writer
@@ -32,7 +32,7 @@
 // NewLogger returns a logger that writes logfmt.
 func NewLogger(o LoggerOptions) (*Logger, error) {
 	levels := map[string]log.Level{
-		"": log.InfoLevel, "debug": log.DebugLevel, "info": log.InfoLevel, "warn": log.WarnLevel, "error": log.ErrorLevel,
+		"": log.InfoLevel, "trace": log.TraceLevel, "debug": log.DebugLevel, "info": log.InfoLevel, "warn": log.WarnLevel, "error": log.ErrorLevel,
 	}
 	level, ok := levels[o.Level]
 	if !ok {
--- a/tlsconfig/tlsconfig.go
+++ b/tlsconfig/tlsconfig.go
@@ -80,6 +80,16 @@
 	return m, nil
 }
 
+// Expires returns the end of the validity of the certificate in force; zero
+// without a certificate.
+func (s *Source) Expires() time.Time {
+	m := s.files.current()
+	if m.certificate == nil || m.certificate.Leaf == nil {
+		return time.Time{}
+	}
+	return m.certificate.Leaf.NotAfter
+}
+
 // Server returns a configuration for a listener. Each handshake uses the files
 // of that moment; with a CA the client must present a certificate signed by it.
 // Without NextProtos the listener speaks HTTP/1.1 only.
