Answer every bad request of a caller with one problem

Requests that net/http refuses by itself, such as headers that are too large or not well-formed, got plain text without an outcome. The connections of the caller listener now replace what net/http writes while no handler serves by a problem with the outcome not-run.

Path segments . and .. are refused, also encoded, since backend servers differ in how they resolve them. Headers of dotterelhead that occur more than once, teams of more than 128 bytes and other values of Dotterelhead-Urgent than true and false are refused too. A timeout has at least 1 ms.

The body is read until the deadline of the request. Before, a caller that sent its body slowly held its entry VM without bound, and with it the graceful shutdown. limits.max_body_bytes and limits.default_deadline_seconds, which had no effect, are in force.

--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -18,9 +18,13 @@
 		Accepting: e.accepting,
 		Plain:     e.attempts,
 		Keyed:     e.keys,
-		Scope:     e.options.Scope,
-		Tracer:    e.tracer("ingress"),
-		Log:       e.logRefused,
+
+		MaxBodyBytes:    e.settings.Limits.MaxBodyBytes,
+		DefaultDeadline: e.settings.Limits.DefaultDeadline(),
+
+		Scope:  e.options.Scope,
+		Tracer: e.tracer("ingress"),
+		Log:    e.logRefused,
 	})
 }
 
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
+	"dotterelhead.example/dotterelhead/ingress"
 	"dotterelhead.example/dotterelhead/settings"
 	"dotterelhead.example/dotterelhead/tlsconfig"
 )
@@ -79,7 +80,7 @@
 }
 
 // serve starts the servers; the channel receives the first failure.
-func (l *listeners) serve(caller, operator, peer http.Handler, maxHeaderBytes int, logger *log.Logger) <-chan error {
+func (l *listeners) serve(caller *ingress.Handler, operator, peer http.Handler, maxHeaderBytes int, logger *log.Logger) <-chan error {
 	failed := make(chan error, 3)
 	start := func(name string, listener net.Listener, handler http.Handler) *http.Server {
 		server := &http.Server{
@@ -87,6 +88,9 @@
 			IdleTimeout: idleCallerTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: stdlog.New(serverLog{listener: name, log: logger}, "", 0),
 		}
+		if handler == caller {
+			listener = caller.Attach(server, listener)
+		}
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- errors.Wrap(err, "serve")
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -43,9 +44,16 @@
 const (
 	maxKeyBytes       = 255
 	maxRequestIDBytes = 128
-	maxTimeoutSeconds = 3600
+	maxTeamBytes      = 128
+	// Less than 1 ms leaves no time for any request.
+	minTimeoutSeconds = 0.001
+	minRunTimeSeconds = 1e-6
+	maxSeconds        = 3600
 )
 
+// titleMalformed is the title of problems with the form of a request.
+const titleMalformed = "malformed request"
+
 // Options configure a Handler.
 type Options struct {
 	// Config returns the configuration in force.
@@ -54,8 +62,12 @@
 	Accepting func() bool
 	// Plain serves requests without, Keyed those with an idempotency key.
 	Plain, Keyed request.Stage
-	Scope        tally.Scope
-	Tracer       trace.Tracer
+	// MaxBodyBytes applies beside the limit of the service; 0 means none.
+	MaxBodyBytes int64
+	// DefaultDeadline applies to services without a deadline.
+	DefaultDeadline time.Duration
+	Scope           tally.Scope
+	Tracer          trace.Tracer
 	// Log receives one event for each request that was not answered.
 	Log func(r *request.Request, result request.Result, took time.Duration)
 	Now func() time.Time
@@ -83,7 +95,9 @@
 	h.router.HandleFunc("/v1/services/{service}", h.serve)
 	h.router.HandleFunc("/v1/services/{service}/{path:.*}", h.serve)
 	h.router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		writeProblem(w, request.Refused(http.StatusNotFound, "no such path", "callers use /v1/services/{service}/{path}", 0))
+		result := request.Refused(http.StatusNotFound, "no such path", "callers use /v1/services/{service}/{path}", 0)
+		h.count(nil, result, 0)
+		writeProblem(w, result)
 	})
 	return h
 }
@@ -99,7 +113,7 @@
 	ctx, span := h.options.Tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 
-	r, result := h.read(incoming, started)
+	r, result := h.read(w, incoming, started)
 	if result == nil {
 		deadlined, cancel := context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
@@ -170,7 +184,7 @@
 func reason(p *request.Problem) string { return strings.ReplaceAll(strings.ToLower(p.Title), " ", "_") }
 
 // read reads and checks a request. The result is set when it is refused.
-func (h *Handler) read(incoming *http.Request, now time.Time) (*request.Request, *request.Result) {
+func (h *Handler) read(w http.ResponseWriter, incoming *http.Request, now time.Time) (*request.Request, *request.Result) {
 	refuse := func(status int, title, detail string) (*request.Request, *request.Result) {
 		result := request.Refused(status, title, detail, defaultRetryAfter)
 		return nil, &result
@@ -183,24 +197,56 @@
 	if !ok {
 		return refuse(http.StatusNotFound, "no such service", "service "+strconv.Quote(name)+" is not in force")
 	}
+	if service.DeadlineSeconds <= 0 {
+		service.DeadlineSeconds = h.options.DefaultDeadline.Seconds()
+	}
 	r, err := parseHeaders(incoming, service, now)
 	if err != nil {
-		return refuse(http.StatusBadRequest, "malformed request", err.Error())
+		return refuse(http.StatusBadRequest, titleMalformed, err.Error())
 	}
-	r.Body, err = io.ReadAll(http.MaxBytesReader(nil, incoming.Body, service.MaxBodyBytes))
+	limit := service.MaxBodyBytes
+	if h.options.MaxBodyBytes > 0 {
+		limit = min(limit, h.options.MaxBodyBytes)
+	}
+	r.Body, err = readBody(w, incoming, limit, r.Deadline)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return refuse(http.StatusRequestEntityTooLarge, "body too large",
-			"service "+name+" takes at most "+strconv.FormatInt(service.MaxBodyBytes, 10)+" bytes")
-	}
-	if err != nil {
+			"service "+name+" takes at most "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, "body not received in time", "the body was not complete at the deadline of the request")
+	case err != nil:
 		return refuse(http.StatusBadRequest, "body not received", err.Error())
 	}
 	return r, nil
 }
 
+// readBody reads the whole body. Its end by the deadline of the request bounds
+// what a slow caller holds, and with it the graceful shutdown.
+func readBody(w http.ResponseWriter, incoming *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "read body")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, incoming.Body, limit))
+	if err != nil {
+		return nil, errors.Wrap(err, "read body")
+	}
+	// net/http notices by reading that the caller hangs up.
+	if err := controller.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "read body")
+	}
+	return body, nil
+}
+
 func parseHeaders(incoming *http.Request, service note.Service, now time.Time) (*request.Request, error) {
 	header := incoming.Header
+	for _, name := range []string{HeaderIdempotencyKey, HeaderTimeoutSeconds, HeaderRunTimeSeconds, HeaderTeam, HeaderUrgent, HeaderRequestID} {
+		if len(header.Values(name)) > 1 {
+			return nil, errors.Errorf("%s must occur at most once", name)
+		}
+	}
 	r := &request.Request{
 		ID:      header.Get(HeaderRequestID),
 		Service: service.Name,
@@ -210,6 +256,15 @@
 		Urgent:  header.Get(HeaderUrgent) == "true",
 		Header:  header.Clone(),
 	}
+	if hasDotSegment(incoming.URL.EscapedPath()) {
+		return nil, errors.New("the path must have no segments . and .., encoded or not")
+	}
+	if len(r.Team) > maxTeamBytes {
+		return nil, errors.Errorf("%s has more than %d bytes", HeaderTeam, maxTeamBytes)
+	}
+	if urgent := header.Get(HeaderUrgent); urgent != "" && urgent != "true" && urgent != "false" {
+		return nil, errors.Errorf("%s must be true or false", HeaderUrgent)
+	}
 	r.Operation = operation(r.Method, r.Target)
 	if r.ID == "" {
 		r.ID = uuid.NewString()
@@ -218,28 +273,29 @@
 		return nil, errors.Errorf("%s has more than %d bytes", HeaderRequestID, maxRequestIDBytes)
 	}
 	if keys, ok := header[HeaderIdempotencyKey]; ok {
-		if len(keys) != 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
-			return nil, errors.Errorf("%s must occur once, with 1 to %d bytes", HeaderIdempotencyKey, maxKeyBytes)
+		if keys[0] == "" || len(keys[0]) > maxKeyBytes {
+			return nil, errors.Errorf("%s must have 1 to %d bytes", HeaderIdempotencyKey, maxKeyBytes)
 		}
 		r.IdempotencyKey = keys[0]
 	}
-	timeout, err := parseSeconds(header, HeaderTimeoutSeconds, service.DeadlineSeconds)
+	timeout, err := parseSeconds(header, HeaderTimeoutSeconds, minTimeoutSeconds, service.DeadlineSeconds)
 	if err != nil {
 		return nil, err
 	}
 	r.Deadline = now.Add(timeout)
-	r.Declared, err = parseSeconds(header, HeaderRunTimeSeconds, 0)
+	r.Declared, err = parseSeconds(header, HeaderRunTimeSeconds, minRunTimeSeconds, 0)
 	return r, err
 }
 
-// parseSeconds reads a header that holds a number of seconds.
-func parseSeconds(header http.Header, name string, unset float64) (time.Duration, error) {
+// parseSeconds reads a header that holds a number of seconds. The comparison
+// also refuses NaN.
+func parseSeconds(header http.Header, name string, low, unset float64) (time.Duration, error) {
 	seconds := unset
 	if text := header.Get(name); text != "" {
 		var err error
 		seconds, err = strconv.ParseFloat(text, 64)
-		if err != nil || math.IsNaN(seconds) || seconds <= 0 || seconds > maxTimeoutSeconds {
-			return 0, errors.Errorf("%s must be a number of seconds above 0 and up to %d", name, maxTimeoutSeconds)
+		if err != nil || !(seconds >= low && seconds <= maxSeconds) {
+			return 0, errors.Errorf("%s must be a number of seconds from %v to %d", name, low, maxSeconds)
 		}
 	}
 	return time.Duration(seconds * float64(time.Second)), nil
@@ -256,6 +312,19 @@
 	return path
 }
 
+// hasDotSegment reports whether a path has a segment that servers take for the
+// same or the parent directory. Backend servers differ in how they resolve
+// these, so that the path would mean something else to each.
+func hasDotSegment(escapedPath string) bool {
+	for segment := range strings.SplitSeq(escapedPath, "/") {
+		switch strings.ReplaceAll(strings.ToLower(segment), "%2e", ".") {
+		case ".", "..":
+			return true
+		}
+	}
+	return false
+}
+
 // operation names the method and the first segment of the path. Deeper
 // segments usually hold identifiers, which would make one operation of each.
 func operation(method, target string) string {
@@ -301,8 +370,14 @@
 }
 
 func writeProblem(w http.ResponseWriter, result request.Result) {
+	body := encodeProblem(w.Header(), result)
+	w.WriteHeader(result.Problem.Status)
+	w.Write(body)
+}
+
+// encodeProblem sets the headers of a problem and returns its body.
+func encodeProblem(header http.Header, result request.Result) []byte {
 	p := result.Problem
-	header := w.Header()
 	header.Set("Content-Type", "application/problem+json")
 	header.Set(HeaderOutcome, string(result.Outcome))
 	if result.Outcome == request.NotRun {
@@ -316,6 +391,5 @@
 		// A problem holds only strings and a number.
 		panic(err)
 	}
-	w.WriteHeader(p.Status)
-	w.Write(body)
+	return body
 }
