Trace the operator API and bound the time of a publish

Store calls of a publish were spans without a parent; the operator API now has a server span, without probes and scrapes. An operator that sends a note slowly is cut off after 30 s.

operator.BearerToken is gone, as the token file is the only source of tokens; the tests of the API use the tokens of tlsconfig instead, and check the same requests.

--- a/command/command_test.go
+++ b/command/command_test.go
@@ -134,6 +134,8 @@
 	}
 }
 
+func isOperator(r *http.Request) bool { return r.Header.Get("Authorization") == "Bearer secret" }
+
 // Guards against exit codes and places that differ from section 8 of the
 // design page.
 func TestExitCodes(t *testing.T) {
@@ -141,7 +143,7 @@
 	if code, _, err := run(t, live, "publish", first); code != ExitDone {
 		t.Fatal(err)
 	}
-	guarded := serve(t, newHandler(operator.BearerToken("secret")))
+	guarded := serve(t, newHandler(isOperator))
 	stranger := serve(t, http.NotFoundHandler())
 	isolated := serve(t, operator.NewHandler(operator.Options{Store: downStore{}, Replica: replica.New()}))
 	stopped := httptest.NewServer(nil)
--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.opentelemetry.io/otel/propagation"
+
 	"dotterelhead.example/dotterelhead/control"
 	"dotterelhead.example/dotterelhead/ingress"
 	"dotterelhead.example/dotterelhead/operator"
@@ -39,12 +43,21 @@
 	line.Msg("")
 }
 
+// isAPI leaves probes and scrapes out of the traces.
+func isAPI(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/v1/") }
+
 func (e *EntryVM) operatorHandler() http.Handler {
-	return operator.NewHandler(operator.Options{
+	handler := operator.NewHandler(operator.Options{
 		Store: e.platform, Replica: e.replica, Region: e.settings.Region,
 		Publisher: e.publisher, Ready: e.Ready, Status: e.status,
 		Metrics: e.options.Metrics, Authorize: e.security.authorize(), Log: e.log,
 	})
+	// Callers of the API choose the path, so the span is named by the method.
+	return otelhttp.NewHandler(handler, "operator",
+		otelhttp.WithTracerProvider(e.options.TracerProvider),
+		otelhttp.WithPropagators(propagation.TraceContext{}),
+		otelhttp.WithFilter(isAPI),
+		otelhttp.WithSpanNameFormatter(func(_ string, r *http.Request) string { return "operator " + r.Method }))
 }
 
 // entryStatus is the state of this entry VM in the status of operators.
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -21,6 +21,9 @@
 	// headerTimeout bounds the time in which a caller completes the TLS
 	// handshake and sends its headers.
 	headerTimeout = 10 * time.Second
+	// operatorReadTimeout bounds the time in which an operator sends a note.
+	// The other listeners have requests whose handlers outlast such a bound.
+	operatorReadTimeout = 30 * time.Second
 	// idleCallerTimeout closes connections of callers without requests.
 	idleCallerTimeout = 60 * time.Second
 )
@@ -81,26 +84,26 @@
 
 // serve starts the servers; the channel receives the first failure.
 func (l *listeners) serve(caller *ingress.Handler, operator, peer http.Handler, maxHeaderBytes int, logger *log.Logger) <-chan error {
-	failed := make(chan error, 3)
-	start := func(name string, listener net.Listener, handler http.Handler) *http.Server {
-		server := &http.Server{
+	server := func(name string, handler http.Handler) *http.Server {
+		return &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout,
 			IdleTimeout: idleCallerTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog: stdlog.New(serverLog{listener: name, log: logger}, "", 0),
 		}
-		if handler == caller {
-			listener = caller.Attach(server, listener)
-		}
+	}
+	l.callerServer, l.operatorServer, l.peerServer = server("caller", caller), server("operator", operator), server("peer", peer)
+	l.operatorServer.ReadTimeout = operatorReadTimeout
+	failed := make(chan error, 3)
+	start := func(server *http.Server, listener net.Listener) {
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failed <- errors.Wrap(err, "serve")
 			}
 		}()
-		return server
 	}
-	l.callerServer = start("caller", l.caller, caller)
-	l.operatorServer = start("operator", l.operator, operator)
-	l.peerServer = start("peer", l.peer, peer)
+	start(l.callerServer, caller.Attach(l.callerServer, l.caller))
+	start(l.operatorServer, l.operator)
+	start(l.peerServer, l.peer)
 	return failed
 }
 
--- a/daemon/tracing_test.go
+++ b/daemon/tracing_test.go
@@ -77,6 +77,10 @@
 	if answer.StatusCode != http.StatusOK {
 		t.Fatalf("%d %s", answer.StatusCode, body)
 	}
+	api := "http://" + c.entries[via].settings.OperatorListen + "/v1/notes"
+	c.do(t, http.MethodPost, api, strings.NewReader("[note]\nname = \"n\"\nbase = 1\n[[team.add]]\nname = \"t\"\n"),
+		map[string]string{"Traceparent": "00-" + callerTrace + "-" + callerSpan + "-01"})
+	c.do(t, http.MethodGet, "http://"+c.entries[via].settings.OperatorListen+"/readyz", nil, nil)
 	c.stop(t)
 
 	at := func(s string) string { return s + "@" + id }
@@ -89,6 +93,7 @@
 		caller + " > " + at("key.claim") + " > " + at("entry VM Claim") + " > peer Claim@" + owner + " > claims.store@" + owner + " > platform.put@" + owner,
 		caller + " > " + at("backend previews"),
 		caller + " > " + at("key.finish") + " > " + at("entry VM Finish") + " > peer Finish@" + owner,
+		at("operator POST") + " > " + at("platform.put"),
 	} {
 		want[path] = false
 	}
@@ -97,8 +102,8 @@
 		if span.SpanContext.TraceID().String() == callerTrace {
 			tree = append(tree, span)
 		}
-		if strings.Contains(span.Name, "Exchange") {
-			t.Fatalf("heartbeats are traced: %s", span.Name)
+		if strings.Contains(span.Name, "Exchange") || span.Name == "operator GET" {
+			t.Fatalf("heartbeats or probes are traced: %s", span.Name)
 		}
 	}
 	var backend trace.SpanContext
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -1,13 +1,10 @@
 package operator
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"github.com/gorilla/mux"
 	"github.com/phuslu/log"
@@ -79,18 +76,6 @@
 	return r
 }
 
-// BearerToken returns an Authorize function that admits requests with the
-// token. It takes the same time for every token of the caller. An empty token
-// admits nobody.
-func BearerToken(token string) func(*http.Request) bool {
-	want := sha256.Sum256([]byte(token))
-	return func(r *http.Request) bool {
-		scheme, given, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-		got := sha256.Sum256([]byte(strings.TrimSpace(given)))
-		return token != "" && strings.EqualFold(scheme, "Bearer") && subtle.ConstantTimeCompare(got[:], want[:]) == 1
-	}
-}
-
 func (h *handler) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if h.Authorize != nil && !h.Authorize(r) {
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"dotterelhead.example/dotterelhead/fleet"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/replica"
+	"dotterelhead.example/dotterelhead/tlsconfig"
 )
 
 const poolNote = `[note]
@@ -40,7 +43,16 @@
 	ready   bool
 }
 
-func newEntry(store *fakeStore) *entry {
+func newEntry(t *testing.T, store *fakeStore) *entry {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(file, []byte("secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tokens, err := tlsconfig.NewTokens(tlsconfig.TokenOptions{File: file})
+	if err != nil {
+		t.Fatal(err)
+	}
 	e := &entry{store: store, replica: replica.New(), ready: true}
 	e.Handler = NewHandler(Options{
 		Store: store, Replica: e.replica, Region: "r",
@@ -50,7 +62,7 @@
 		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			fmt.Fprintln(w, "metric 1")
 		}),
-		Authorize: BearerToken("secret"),
+		Authorize: tokens.Allowed,
 	})
 	return e
 }
@@ -78,7 +90,7 @@
 // Guards against answers that an operator's tool would take for another
 // outcome.
 func TestPublishAnswers(t *testing.T) {
-	e := newEntry(newFakeStore(nil))
+	e := newEntry(t, newFakeStore(nil))
 	var published PublishAnswer
 	e.do(t, "POST", "/v1/notes", poolNote, http.StatusOK, &published)
 	e.do(t, "POST", "/v1/notes", poolNote, http.StatusOK, &published)
@@ -108,7 +120,7 @@
 // without knowledge that claims revision 0.
 func TestReadBackDuringOutage(t *testing.T) {
 	store := newFakeStore(nil)
-	e, ignorant := newEntry(store), newEntry(store)
+	e, ignorant := newEntry(t, store), newEntry(t, store)
 	var config ConfigAnswer
 	e.do(t, "GET", "/v1/config", "", http.StatusOK, &config)
 	if config.Revision != 0 || config.Pools == nil || config.Waves == nil {
@@ -136,7 +148,7 @@
 
 // Guards against a status that hides VMs out of service.
 func TestStatusJoinsFleetAndConfiguration(t *testing.T) {
-	e := newEntry(newFakeStore(nil))
+	e := newEntry(t, newFakeStore(nil))
 	e.do(t, "POST", "/v1/notes", poolNote, http.StatusOK, nil)
 	document := fleet.Document{
 		VMs: []fleet.VM{
@@ -170,7 +182,7 @@
 // Guards against an API that is open without the token, and against probes
 // that need one.
 func TestAuthorizationAndProbes(t *testing.T) {
-	e := newEntry(newFakeStore(nil))
+	e := newEntry(t, newFakeStore(nil))
 	e.ready = false
 	tests := []struct {
 		path, authorization string
