--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -12,6 +12,7 @@
 func main() {
 	root := &cobra.Command{Use: "measure", Short: "Measure the decisions of dotterelhead", SilenceUsage: true}
 	root.AddCommand(decisionsCommand())
+	root.AddCommand(overheadCommand())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
