forward: suspect a connection only while the worker keeps a call waiting

The silence is now that of the call of Read or Write under way. - TestAnswerDoesNotWaitForProbe: an answer that arrived during the probe of its connection waited for the probe (3.0 s instead of 2.1 s).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -11,10 +11,11 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -124,9 +125,16 @@
 	conn      *connection
 	ticket    *routing.Ticket
 	request   *request.Request
-	// stop ends the guard that interrupts the connection.
-	stop   func()
-	silent chan struct{}
+
+	// The guard interrupts the connection. After stop it touches it no more,
+	// because the connection may carry another request by then.
+	mu      sync.Mutex
+	stopped bool
+	silent  bool
+	// probing ends with the guard; timer is nil without a silence to watch.
+	probing  context.Context
+	stopping []func()
+	timer    *time.Timer
 }
 
 func (x *exchange) run(ctx context.Context) Attempt {
@@ -137,7 +145,7 @@
 		return Attempt{Err: err}
 	}
 	outgoing.Header.Set("Dotterelhead-Pool", x.ticket.VM().Pool)
-	outgoing.Header.Set("Dotterelhead-Generation", fmt.Sprint(x.ticket.VM().Generation))
+	outgoing.Header.Set("Dotterelhead-Generation", strconv.FormatInt(x.ticket.VM().Generation, 10))
 	counter := &countingWriter{writer: x.conn}
 	if err := outgoing.Write(counter); err != nil {
 		return x.fail(ctx, counter.written > 0, errors.Wrap(err, "send request"))
@@ -170,43 +178,66 @@
 }
 
 // guard interrupts the connection when ctx ends, and suspects it when nothing
-// arrives for too long.
+// moves on it for too long.
 func (x *exchange) guard(ctx context.Context) {
-	done := make(chan struct{})
-	finished := make(chan struct{})
-	x.silent = make(chan struct{})
-	go func() {
-		defer close(finished)
-		var suspect <-chan time.Time
-		if after := x.silentAfter(); after > 0 {
-			timer := time.NewTimer(after)
-			defer timer.Stop()
-			suspect = timer.C
-		}
-		for {
-			select {
-			case <-done:
-				return
-			case <-ctx.Done():
-				x.conn.SetDeadline(time.Unix(1, 0))
-				return
-			case <-suspect:
-				suspect = nil
-				if x.forwarder.isReachable(ctx, x.ticket.VM().Address) {
-					close(x.silent)
-					x.conn.SetDeadline(time.Unix(1, 0))
-					return
-				}
-			}
+	ended := context.AfterFunc(ctx, func() { x.interrupt(func() bool { return true }) })
+	x.stopping = append(x.stopping, func() { ended() })
+	after := x.silentAfter()
+	if after <= 0 {
+		return
+	}
+	probing, cancel := context.WithCancel(ctx)
+	x.probing = probing
+	x.stopping = append(x.stopping, cancel)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.timer = time.AfterFunc(after, func() { x.suspect(after) })
+}
+
+// interrupt ends the reading and writing on the connection, unless the
+// exchange is over or the condition, checked under the lock, is false.
+func (x *exchange) interrupt(condition func() bool) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.stopped || !condition() {
+		return false
+	}
+	x.conn.SetDeadline(time.Unix(1, 0))
+	return true
+}
+
+// suspect closes a connection on which nothing has moved for a time, if the
+// worker answers on a new one.
+func (x *exchange) suspect(after time.Duration) {
+	wait := after - x.conn.silence()
+	if wait <= 0 {
+		wait = after
+		reachable := x.forwarder.isReachable(x.probing, x.ticket.VM().Address)
+		if x.interrupt(func() bool { x.silent = reachable && x.conn.silence() >= after; return x.silent }) {
+			return
 		}
-	}()
-	x.stop = func() {
-		close(done)
-		<-finished
-		x.stop = func() {}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.stopped {
+		x.timer.Reset(wait)
 	}
 }
 
+// stop ends the guard. It does not wait for a probe.
+func (x *exchange) stop() {
+	x.mu.Lock()
+	x.stopped = true
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+	x.mu.Unlock()
+	for _, stop := range x.stopping {
+		stop()
+	}
+	x.stopping = nil
+}
+
 func (x *exchange) silentAfter() time.Duration {
 	if x.forwarder.options.SilentAfter == nil {
 		return 0
@@ -227,20 +258,20 @@
 		return false
 	}
 	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	return isHealthy(newConnection(conn), dialTimeout)
 }
 
 func (x *exchange) fail(ctx context.Context, sent bool, err error) Attempt {
 	x.abandon()
 	attempt := Attempt{Sent: sent, Err: err}
-	select {
-	case <-x.silent:
+	// abandon has ended the guard, so silent does not change any more.
+	switch {
+	case x.silent:
 		attempt.Silent = true
 		attempt.Err = errors.New("connection went silent while the worker answers on a new one")
-	default:
-		if ctx.Err() != nil {
-			attempt.Err = ctx.Err()
-		}
+	case ctx.Err() != nil:
+		attempt.Err = ctx.Err()
 	}
 	return attempt
 }
@@ -322,11 +353,13 @@
 		return nil, errors.Wrap(err, "request target")
 	}
 	target.Scheme, target.Host = "http", address
-	outgoing, err := http.NewRequest(r.Method, target.String(), bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, errors.Wrap(err, "build request")
+	outgoing := &http.Request{
+		Method: r.Method, URL: target, Host: address, Header: r.Header.Clone(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+	}
+	if len(r.Body) > 0 {
+		outgoing.Body, outgoing.ContentLength = io.NopCloser(bytes.NewReader(r.Body)), int64(len(r.Body))
 	}
-	outgoing.Header = r.Header.Clone()
 	RemoveHopHeaders(outgoing.Header)
 	outgoing.Header.Set("X-Request-Id", r.ID)
 	if r.IdempotencyKey != "" {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -272,3 +272,82 @@
 		})
 	}
 }
+
+// Guards against cutting an answer that takes longer than the silence allowed
+// but makes progress, and against blaming a caller that reads slowly.
+func TestProgressIsNotSilence(t *testing.T) {
+	t.Parallel()
+	for name, pause := range map[string]time.Duration{"slow worker": 700 * time.Millisecond, "slow caller": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const parts = 5
+			part := strings.Repeat("x", wholeAnswerBytes)
+			w := startWorker(t, func(w *worker, _ int64, conn net.Conn, reader *bufio.Reader) {
+				w.receive(conn, reader)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", parts*len(part))
+				for range parts {
+					time.Sleep(pause)
+					fmt.Fprint(conn, part)
+				}
+				w.receive(conn, reader)
+			})
+			f := newFixture(t, w, time.Millisecond)
+			a := f.send(t, context.Background(), keyed())
+			if a.Answer == nil {
+				t.Fatalf("got %+v", a)
+			}
+			if pause == 0 {
+				time.Sleep(silentMinimum + 500*time.Millisecond)
+			}
+			rest, err := io.ReadAll(a.Answer.Rest)
+			a.Answer.Rest.Close()
+			if err != nil || len(a.Answer.Body)+len(rest) != parts*len(part) {
+				t.Fatalf("read %d bytes, error %v", len(a.Answer.Body)+len(rest), err)
+			}
+		})
+	}
+}
+
+// Guards against an answer that waits for the probe of its silent connection.
+func TestAnswerDoesNotWaitForProbe(t *testing.T) {
+	t.Parallel()
+	w := startWorker(t, func(w *worker, n int64, conn net.Conn, reader *bufio.Reader) {
+		if n > 1 {
+			io.Copy(io.Discard, reader) // The probe gets no answer.
+			return
+		}
+		w.receive(conn, reader)
+		time.Sleep(silentMinimum + 100*time.Millisecond)
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		w.receive(conn, reader)
+	})
+	started := time.Now()
+	a := newFixture(t, w, time.Millisecond).send(t, context.Background(), keyed())
+	if took := time.Since(started); a.Answer == nil || took > silentMinimum+600*time.Millisecond {
+		t.Fatalf("got %+v after %v", a, took)
+	}
+}
+
+func BenchmarkSend(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })}
+	go server.Serve(listener)
+	defer server.Close()
+	f := New(Options{ConnectionLimit: func() int { return 4 }, SilentAfter: func(string, string) time.Duration { return time.Second }})
+	defer f.connections.closeAll()
+	table := routing.New(routing.Options{Permit: &permit{}})
+	table.Update(fleet.Document{VMs: []fleet.VM{{ID: "w1", Address: listener.Addr().String(), Pool: "p", Phase: fleet.Serving, Generation: 3}}})
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, err := table.Enter("w1", 3)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if a := f.Send(b.Context(), ticket, keyed()); a.Answer == nil {
+			b.Fatal(a.Err)
+		}
+	}
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +36,36 @@
 	reader *bufio.Reader
 	vm     string
 	idleAt time.Time
+	// blocked is when the call of Read or Write that is under way began, as
+	// the time since epoch; 0 when there is none.
+	blocked atomic.Int64
+}
+
+// epoch makes the times of blocked monotonic.
+var epoch = time.Now()
+
+// Read reads from the connection.
+func (c *connection) Read(p []byte) (int, error) {
+	c.blocked.Store(int64(time.Since(epoch)))
+	defer c.blocked.Store(0)
+	return c.Conn.Read(p)
+}
+
+// Write writes to the connection.
+func (c *connection) Write(p []byte) (int, error) {
+	c.blocked.Store(int64(time.Since(epoch)))
+	defer c.blocked.Store(0)
+	return c.Conn.Write(p)
+}
+
+// silence returns for how long the other end has kept a call waiting. A
+// caller that takes its answer slowly is no silence of the worker.
+func (c *connection) silence() time.Duration {
+	began := c.blocked.Load()
+	if began == 0 {
+		return 0
+	}
+	return time.Since(epoch) - time.Duration(began)
 }
 
 // connections keeps the idle connections to all workers and bounds the open
@@ -120,7 +151,9 @@
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{Conn: conn, reader: bufio.NewReader(conn)}
+	c := &connection{Conn: conn}
+	c.reader = bufio.NewReader(c)
+	return c
 }
 
 func (c *connections) forget(vm string) {
