--- a/forward/forward.go
+++ b/forward/forward.go
@@ -146,9 +146,13 @@
 	}
 	outgoing.Header.Set("Dotterelhead-Pool", x.ticket.VM().Pool)
 	outgoing.Header.Set("Dotterelhead-Generation", strconv.FormatInt(x.ticket.VM().Generation, 10))
-	counter := &countingWriter{writer: x.conn}
-	if err := outgoing.Write(counter); err != nil {
-		return x.fail(ctx, counter.written > 0, errors.Wrap(err, "send request"))
+	x.conn.written = false
+	err = outgoing.Write(x.conn.writer)
+	if err == nil {
+		err = x.conn.writer.Flush()
+	}
+	if err != nil {
+		return x.fail(ctx, x.conn.written, errors.Wrap(err, "send request"))
 	}
 	answer, err := http.ReadResponse(x.conn.reader, outgoing)
 	for err == nil && answer.StatusCode >= 100 && answer.StatusCode < 200 {
@@ -318,17 +322,6 @@
 	return nil
 }
 
-type countingWriter struct {
-	writer  io.Writer
-	written int64
-}
-
-func (w *countingWriter) Write(p []byte) (int, error) {
-	n, err := w.writer.Write(p)
-	w.written += int64(n)
-	return n, err
-}
-
 // hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -78,7 +78,6 @@
 	permit    *permit
 	table     *routing.Table
 	forwarder *Forwarder
-	stop      context.CancelFunc
 }
 
 func newFixture(t *testing.T, w *worker, silentAfter time.Duration) *fixture {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -34,8 +34,11 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
-	vm     string
-	idleAt time.Time
+	writer *bufio.Writer
+	// written tells whether a byte of the present request was written.
+	written bool
+	vm      string
+	idleAt  time.Time
 	// blocked is when the call of Read or Write that is under way began, as
 	// the time since epoch; 0 when there is none.
 	blocked atomic.Int64
@@ -55,7 +58,9 @@
 func (c *connection) Write(p []byte) (int, error) {
 	c.blocked.Store(int64(time.Since(epoch)))
 	defer c.blocked.Store(0)
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.written = c.written || n > 0
+	return n, err
 }
 
 // silence returns for how long the other end has kept a call waiting. A
@@ -152,7 +157,7 @@
 
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
-	c.reader = bufio.NewReader(c)
+	c.reader, c.writer = bufio.NewReader(c), bufio.NewWriter(c)
 	return c
 }
 
