--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -7,11 +7,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+
+	"dotterelhead.example/dotterelhead/tools/measure/sizing"
 )
 
 func main() {
 	root := &cobra.Command{Use: "measure", Short: "Measure the decisions of dotterelhead", SilenceUsage: true}
-	root.AddCommand(decisionsCommand())
+	root.AddCommand(decisionsCommand(), sizing.Command())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/tools/measure/sizing/documents.go
@@ -0,0 +1,282 @@
+package sizing
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelhead.example/dotterelhead/control"
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/membership"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/routing"
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
+	"dotterelhead.example/dotterelhead/scheduler/dispatching"
+	"dotterelhead.example/dotterelhead/scheduler/maintenance"
+)
+
+// documentLines are the sizes of the documents.
+type documentLines struct {
+	fleetByWorker, configByWorker, configByPool, configByTeam, registryByEntry, listByWorker line
+}
+
+// exact measures values that are the same in every run.
+func exact(sizes []int, value func(n int) float64) series {
+	var s series
+	for _, n := range sizes {
+		s.add(float64(n), value(n), value(n))
+	}
+	return s
+}
+
+// documentSlopes measures the encodings that the daemons use.
+func (m *measurement) documentSlopes() documentLines {
+	var l documentLines
+	configBytes := func(s size) float64 { return float64(len(configOf(s).Encode())) }
+	workers := []int{50, 200, 500, 1000, 2000}
+	l.fleetByWorker = m.slope("fleet document", "B", "worker", exact(workers, func(n int) float64 {
+		return float64(len(fleetOf(configOf(size{workers: n, pools: 6, teams: 1}), vms(n)).Encode()))
+	}))
+	l.listByWorker = m.slope("platform's list", "B", "worker", exact(workers, func(n int) float64 {
+		value, err := json.Marshal(platform.VMsAnswer{VMs: vms(n)})
+		if err != nil {
+			panic(err)
+		}
+		return float64(len(value))
+	}))
+	l.configByWorker = m.slope("configuration", "B", "worker", exact(workers, func(n int) float64 {
+		return configBytes(size{workers: n, pools: 6, teams: 1})
+	}))
+	l.configByPool = m.slope("configuration, a service with each pool", "B", "pool", exact([]int{6, 30, 60, 117}, func(n int) float64 {
+		return configBytes(size{workers: 500, pools: n, teams: 1})
+	}))
+	l.configByTeam = m.slope("configuration", "B", "team", exact([]int{10, 100, 300, 710}, func(n int) float64 {
+		return configBytes(size{workers: 500, pools: 6, teams: n})
+	}))
+	l.registryByEntry = m.slope("registry", "B", "entry VM", exact([]int{3, 6, 12, 24, 96}, func(n int) float64 {
+		return float64(len(registryOf(n).Encode()))
+	}))
+	return l
+}
+
+func registryOf(n int) membership.Registry {
+	var r membership.Registry
+	for i := range n {
+		r = r.Add(membership.Record{
+			ID: fmt.Sprintf("entry-%02d", i), Incarnation: uuid.Nil.String(),
+			PeerAddress: fmt.Sprintf("10.0.0.%d:8100", i+10), AvailabilityZone: regionName + "-a", Listed: true,
+		})
+	}
+	return r
+}
+
+// copied is what an entry VM keeps for a fleet: the documents as received and
+// as decoded, the routing table and the dispatchers of its pools.
+type copied struct {
+	raw    [][]byte
+	config note.Config
+	table  *routing.Table
+	pools  []*dispatching.Pool
+}
+
+type noPermit struct{}
+
+func (noPermit) Valid(time.Time) bool { return false }
+
+func copyOf(configValue, fleetValue []byte) copied {
+	c := copied{raw: [][]byte{append([]byte(nil), configValue...), append([]byte(nil), fleetValue...)}}
+	var err error
+	if c.config, err = note.DecodeConfig(c.raw[0]); err != nil {
+		panic(err)
+	}
+	document, err := fleet.Decode(c.raw[1])
+	if err != nil {
+		panic(err)
+	}
+	c.table = routing.New(routing.Options{Permit: noPermit{}, CloseIdle: func(string) {}, Emptied: func() {}})
+	c.table.Update(document)
+	for _, p := range c.config.Pools {
+		pool := dispatching.NewPool(dispatching.Options{MaxQueue: note.DefaultMaxQueue})
+		var workers []dispatching.Worker
+		for _, vm := range c.table.Serving(p.Name) {
+			workers = append(workers, dispatching.Worker{
+				ID: vm.ID, Address: vm.Address, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
+				Slots: p.SlotsPerWorker, Generation: vm.Generation,
+			})
+		}
+		pool.SetWorkers(time.Now(), workers)
+		c.pools = append(c.pools, pool)
+	}
+	return c
+}
+
+// copyBytes is the memory of one copy.
+func copyBytes(s size) float64 {
+	config := configOf(s)
+	configValue, fleetValue := config.Encode(), fleetOf(config, vms(s.workers)).Encode()
+	const copies = 10
+	before := liveBytes()
+	held := make([]copied, copies)
+	for i := range held {
+		held[i] = copyOf(configValue, fleetValue)
+	}
+	used := liveBytes() - before
+	runtime.KeepAlive(held)
+	runtime.KeepAlive(configValue)
+	runtime.KeepAlive(fleetValue)
+	return used / copies
+}
+
+// memoryLines are the memory of an entry VM for the fleet of its region.
+type memoryLines struct{ byWorker, byPool line }
+
+func (m *measurement) memorySlopes() memoryLines {
+	var l memoryLines
+	var workers, pools series
+	for _, n := range []int{50, 200, 500, 1000, 2000} {
+		s := size{workers: n, pools: 6, teams: 1}
+		workers.add(float64(n), copyBytes(s), copyBytes(s))
+	}
+	for _, n := range []int{6, 30, 60, 117} {
+		s := size{workers: 500, pools: n, teams: 1}
+		pools.add(float64(n), copyBytes(s), copyBytes(s))
+	}
+	l.byWorker = m.slope("memory of an entry VM that dispatches every pool", "B", "worker", workers)
+	l.byPool = m.slope("memory of an entry VM that dispatches every pool", "B", "pool", pools)
+	return l
+}
+
+// cpuLines are the processor times of decisions in microseconds.
+type cpuLines struct{ step, wave, plan, round, relay line }
+
+// processorSlopes measures pure decisions on fleets whose pools grow with them.
+func (m *measurement) processorSlopes() cpuLines {
+	var step, wave, plan, round, relay series
+	for _, n := range []int{50, 200, 500, 1000, 2000} {
+		pools := max(6, n*117/2000)
+		config := configOf(size{workers: n, pools: pools, teams: 1})
+		// One wave over the whole fleet.
+		for _, p := range config.Pools {
+			if len(config.Waves) == 0 {
+				config.Waves = []note.Wave{{Name: "wave", MaxConcurrent: 4, TouchedRevision: 1}}
+			}
+			config.Waves[0].Pools = append(config.Waves[0].Pools, p.Name)
+		}
+		list := vms(n)
+		document := fleetOf(config, list)
+		inputs := fleet.Inputs{Now: time.Now(), Term: 1, Config: config, List: list, Steady: true}
+		configValue, fleetValue := config.Encode(), document.Encode()
+		add := func(s *series, run func()) { s.add(float64(n), m.cost(run), m.cost(run)) }
+		waves := maintenanceOf(config, document)
+		add(&step, func() { fleet.Step(document, inputs) })
+		add(&wave, func() { maintenance.Next(waves) })
+		planner, snapshot, now := capacity.NewPlanner(capacity.Options{WaitingWeight: 1, BufferWeight: 1}), capacityOf(config, document), time.Now()
+		add(&plan, func() {
+			now = now.Add(time.Second)
+			planner.Plan(now, snapshot)
+		})
+		answer, err := json.Marshal(platform.KeyValue{Key: fleet.Key(regionName), Version: 1, Value: fleetValue})
+		if err != nil {
+			panic(err)
+		}
+		listAnswer, err := json.Marshal(platform.VMsAnswer{VMs: list})
+		if err != nil {
+			panic(err)
+		}
+		add(&round, func() { roundOf(answer, listAnswer, configValue, inputs, waves) })
+		add(&relay, func() {
+			decoded, err := fleet.Decode(fleetValue)
+			if err != nil {
+				panic(err)
+			}
+			table := routing.New(routing.Options{Permit: noPermit{}, CloseIdle: func(string) {}, Emptied: func() {}})
+			table.Update(decoded)
+		})
+	}
+	return cpuLines{
+		step:  m.slope("processor time of a fleet step", "us", "worker", step),
+		wave:  m.slope("processor time of a maintenance plan", "us", "worker", wave),
+		plan:  m.slope("processor time of a capacity plan", "us", "worker", plan),
+		round: m.slope("processor time of a control round without its calls", "us", "worker", round),
+		relay: m.slope("processor time to take in a fleet document", "us", "worker", relay),
+	}
+}
+
+// roundOf does what the control holder does each second between its calls.
+func roundOf(answer, listAnswer, configValue []byte, inputs fleet.Inputs, waves maintenance.Snapshot) {
+	var kv platform.KeyValue
+	var listed platform.VMsAnswer
+	if err := json.Unmarshal(answer, &kv); err != nil {
+		panic(err)
+	}
+	if err := json.Unmarshal(listAnswer, &listed); err != nil {
+		panic(err)
+	}
+	config, err := note.DecodeConfig(configValue)
+	if err != nil {
+		panic(err)
+	}
+	document, err := fleet.Decode(kv.Value)
+	if err != nil {
+		panic(err)
+	}
+	inputs.Config, inputs.List = config, listed.VMs
+	maintenance.Next(waves)
+	next, _ := fleet.Step(document, inputs)
+	next.Encode()
+	document.Encode()
+}
+
+func maintenanceOf(config note.Config, document fleet.Document) maintenance.Snapshot {
+	s := maintenance.Snapshot{Pools: control.MaintenancePools(config)}
+	for _, vm := range document.VMs {
+		s.VMs = append(s.VMs, maintenance.VM{
+			ID: vm.ID, Pool: vm.Pool, HomePool: vm.HomePool, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
+		})
+	}
+	for _, w := range config.Waves {
+		s.Waves = append(s.Waves, maintenance.Wave{Name: w.Name, Pools: w.Pools, MaxConcurrent: w.MaxConcurrent})
+	}
+	return s
+}
+
+func capacityOf(config note.Config, document fleet.Document) capacity.Snapshot {
+	var s capacity.Snapshot
+	counts := map[string]int{}
+	for _, vm := range document.VMs {
+		counts[vm.Pool]++
+		s.VMs = append(s.VMs, capacity.VM{
+			ID: vm.ID, Pool: vm.Pool, HomePool: vm.HomePool, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack, Serving: true,
+		})
+	}
+	for i, p := range config.Pools {
+		s.Pools = append(s.Pools, capacity.Pool{
+			Name: p.Name, Spare: i == 0, VMs: counts[p.Name], MinimumVMs: p.MinimumVMs, MaxUnavailable: 1,
+			SlotsPerWorker: p.SlotsPerWorker, SlotsWanted: float64(2 * counts[p.Name]), Busy: 2 * counts[p.Name],
+		})
+	}
+	return s
+}
+
+// cost returns the processor time of one call in microseconds: the median of
+// several loops.
+func (m *measurement) cost(run func()) float64 {
+	loops, each := 5, 40*time.Millisecond
+	if m.quick {
+		loops, each = 3, 10*time.Millisecond
+	}
+	run()
+	var costs []float64
+	for range loops {
+		calls, before := 0, processTime()
+		for begun := time.Now(); time.Since(begun) < each || calls == 0; calls++ {
+			run()
+		}
+		costs = append(costs, float64((processTime()-before).Microseconds())/float64(calls))
+	}
+	return median(costs)
+}
--- /dev/null
+++ b/tools/measure/sizing/fit.go
@@ -0,0 +1,69 @@
+package sizing
+
+import (
+	"math"
+	"slices"
+)
+
+// point is one measured value at a size.
+type point struct{ x, y float64 }
+
+// line is a least-squares fit of points.
+type line struct {
+	slope, intercept float64
+	// r2 is the part of the variance that the line explains; 1 for points
+	// without variance.
+	r2 float64
+}
+
+// fit returns the least-squares line through points of at least two sizes.
+func fit(points []point) line {
+	var n, sumX, sumY float64
+	for _, p := range points {
+		n++
+		sumX += p.x
+		sumY += p.y
+	}
+	meanX, meanY := sumX/n, sumY/n
+	var xx, xy, yy float64
+	for _, p := range points {
+		xx += (p.x - meanX) * (p.x - meanX)
+		xy += (p.x - meanX) * (p.y - meanY)
+		yy += (p.y - meanY) * (p.y - meanY)
+	}
+	l := line{slope: xy / xx, r2: 1}
+	l.intercept = meanY - l.slope*meanX
+	if yy > 0 {
+		l.r2 = xy * xy / (xx * yy)
+	}
+	return l
+}
+
+// at returns the value of the line at a size.
+func (l line) at(x float64) float64 { return l.intercept + l.slope*x }
+
+// crossing returns the size at which the line reaches a limit, or infinity
+// when it never does.
+func (l line) crossing(limit float64) float64 {
+	if l.slope <= 0 {
+		return math.Inf(1)
+	}
+	return max(0, (limit-l.intercept)/l.slope)
+}
+
+// spread returns the relative difference between two measurements of a slope.
+func spread(a, b float64) float64 {
+	if a == b {
+		return 0
+	}
+	return 2 * math.Abs(a-b) / (math.Abs(a) + math.Abs(b))
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
+}
--- /dev/null
+++ b/tools/measure/sizing/region.go
@@ -0,0 +1,337 @@
+package sizing
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/daemon"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/settings"
+	"dotterelhead.example/dotterelhead/standin"
+)
+
+const (
+	regionName   = "sizing"
+	readyTimeout = 40 * time.Second
+	zones        = 3
+)
+
+// size is the size of a measured region.
+type size struct {
+	entries, workers, pools, teams int
+	// backends starts a stand-in backend server for each worker.
+	backends bool
+}
+
+// region is a region of entry VMs in this process. Workers exist in the
+// platform's list only, because no requests are sent to them.
+type region struct {
+	size      size
+	platform  *standin.Platform
+	entries   []*daemon.EntryVM
+	ids       []string
+	storeSide []*relay
+	peerSide  []*relay
+	callers   []string
+	revision  int64
+
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	failure atomic.Pointer[error]
+}
+
+func workerID(i int) string {
+	zone := string(rune('a' + i%zones))
+	return fmt.Sprintf("vm-%s-r%03d-%d", zone, i/zones/4, i/zones%4)
+}
+
+func vms(n int) []platform.VM {
+	list := make([]platform.VM, n)
+	for i := range list {
+		id := workerID(i)
+		list[i] = platform.VM{
+			ID: id, Address: fmt.Sprintf("10.%d.%d.%d:8080", i%zones, i/200, i%200+10),
+			AvailabilityZone: regionName + "-" + string(rune('a'+i%zones)), Rack: id[:9],
+			State: platform.VMLive, BootCount: 1,
+		}
+	}
+	return list
+}
+
+// noteOf returns a note that adds the pools, services and teams of a size.
+func noteOf(s size) []byte {
+	var b strings.Builder
+	b.WriteString("[note]\nname = \"configuration of a measured region\"\nbase = 0\n")
+	for p := range s.pools {
+		fmt.Fprintf(&b, "\n[[pool.add]]\nname = \"pool-%03d\"\nvms = [", p)
+		members := 0
+		for w := p; w < s.workers; w += s.pools {
+			fmt.Fprintf(&b, "%q, ", workerID(w))
+			members++
+		}
+		fmt.Fprintf(&b, "]\nminimum_vms = %d\n", min(1, members))
+		fmt.Fprintf(&b, "\n[[service.add]]\nname = \"service-%03d\"\npool = \"pool-%03d\"\nmax_unavailable = 1\n", p, p)
+	}
+	for t := range s.teams {
+		fmt.Fprintf(&b, "\n[[team.add]]\nname = \"team-%03d\"\nslot_quota = 32\n", t)
+	}
+	return []byte(b.String())
+}
+
+// startRegion starts a region and waits until every entry VM is ready.
+func startRegion(ctx context.Context, s size) (*region, error) {
+	ctx, stop := context.WithCancel(ctx)
+	listed := vms(s.workers)
+	if s.backends {
+		listed = nil
+	}
+	r := &region{size: s, stop: stop, platform: standin.NewPlatform(standin.PlatformOptions{VMs: listed})}
+	if err := r.platform.Start(context.WithoutCancel(ctx)); err != nil {
+		return nil, err
+	}
+	if s.backends {
+		for _, vm := range vms(s.workers) {
+			backend := standin.NewBackend(standin.BackendOptions{
+				ID: vm.ID, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack, Platform: r.platform.Addr(),
+			})
+			if err := backend.Start(ctx); err != nil {
+				r.close()
+				return nil, err
+			}
+		}
+	}
+	for i := range s.entries {
+		if err := r.addEntry(i); err != nil {
+			r.close()
+			return nil, err
+		}
+	}
+	for _, entry := range r.entries {
+		r.running.Go(func() {
+			if err := entry.Run(ctx); err != nil {
+				r.failure.Store(&err)
+			}
+		})
+	}
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := r.publish(ready, noteOf(s)); err != nil {
+		r.close()
+		return nil, err
+	}
+	for _, entry := range r.entries {
+		for !entry.Ready() || !entry.Serves() {
+			if err := r.failure.Load(); err != nil || ready.Err() != nil {
+				r.close()
+				if err != nil {
+					return nil, *err
+				}
+				return nil, errors.Errorf("a region of %+v did not become ready", s)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return r, nil
+}
+
+func (r *region) addEntry(i int) error {
+	listen, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	peerSide, err := newRelay(listen)
+	if err != nil {
+		return err
+	}
+	r.peerSide = append(r.peerSide, peerSide)
+	storeSide, err := newRelay(r.platform.Addr())
+	if err != nil {
+		return err
+	}
+	r.storeSide = append(r.storeSide, storeSide)
+	caller, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	r.callers = append(r.callers, caller)
+	s := settings.Defaults()
+	s.ID = fmt.Sprintf("entry-%02d", i)
+	s.Region, s.AvailabilityZone = regionName, regionName+"-"+string(rune('a'+i%zones))
+	s.CallerListen, s.OperatorListen = caller, "127.0.0.1:0"
+	s.PeerListen, s.PeerAddress = listen, peerSide.address()
+	s.PlatformURL = "http://" + storeSide.address()
+	s.ShutdownLoadBalancerWaitSeconds = 0
+	r.platform.Register(platform.VM{ID: s.ID, AvailabilityZone: s.AvailabilityZone, EntryVM: true})
+	entry, err := daemon.New(daemon.Options{Settings: s, Log: &log.Logger{Level: log.PanicLevel}})
+	if err != nil {
+		return err
+	}
+	r.entries, r.ids = append(r.entries, entry), append(r.ids, s.ID)
+	return nil
+}
+
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address that is free at the moment. Its port
+// is below the range from which the system takes ports, so that no relay or
+// connection takes it before the entry VM listens.
+func freeAddress() (string, error) {
+	for {
+		port := 20_000 + nextPort.Add(1)
+		if port > 32_000 {
+			return "", errors.New("no free port between 20000 and 32000")
+		}
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(int(port))))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String(), nil
+		}
+	}
+}
+
+// publish publishes a note, again while the store cannot be reached.
+func (r *region) publish(ctx context.Context, text []byte) error {
+	for {
+		outcome, err := r.entries[0].Publish(ctx, text)
+		if err == nil {
+			r.revision = outcome.Revision
+			return outcome.Findings.Err()
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (r *region) close() {
+	r.stop()
+	r.running.Wait()
+	for _, side := range append(r.storeSide, r.peerSide...) {
+		side.close()
+	}
+	r.platform.Close()
+}
+
+// settle waits until the start is over: no shard of keys is taken over and no
+// document is written for two seconds.
+func (r *region) settle() {
+	busy := func() int64 {
+		counts := r.platform.Counts()
+		return counts["put"] + counts["list"]
+	}
+	last, since := busy(), time.Now()
+	for begun := since; time.Since(since) < 2*time.Second && time.Since(begun) < readyTimeout; {
+		time.Sleep(50 * time.Millisecond)
+		if now := busy(); now != last {
+			last, since = now, time.Now()
+		}
+	}
+}
+
+// reading is the state of all counters at a moment.
+type reading struct {
+	at          time.Time
+	store, peer []traffic
+	counts      map[string]int64
+	cpu         time.Duration
+}
+
+func (r *region) read() reading {
+	out := reading{at: time.Now(), counts: r.platform.Counts(), cpu: processTime()}
+	for i := range r.storeSide {
+		out.store = append(out.store, r.storeSide[i].read())
+		out.peer = append(out.peer, r.peerSide[i].read())
+	}
+	return out
+}
+
+// window is what happened between two readings.
+type window struct {
+	seconds     float64
+	store, peer []traffic
+	counts      map[string]int64
+	cpu         time.Duration
+}
+
+func (r *region) measure(length time.Duration) window {
+	before := r.read()
+	time.Sleep(length)
+	return r.read().since(before)
+}
+
+func (a reading) since(before reading) window {
+	w := window{seconds: a.at.Sub(before.at).Seconds(), counts: map[string]int64{}, cpu: a.cpu - before.cpu}
+	for i := range a.store {
+		w.store = append(w.store, a.store[i].minus(before.store[i]))
+		w.peer = append(w.peer, a.peer[i].minus(before.peer[i]))
+	}
+	for name, n := range a.counts {
+		w.counts[name] = n - before.counts[name]
+	}
+	return w
+}
+
+// peerBytes returns bytes between entry VMs, each counted once.
+func (w window) peerBytes() float64 {
+	var sum float64
+	for _, t := range w.peer {
+		sum += t.total()
+	}
+	return sum
+}
+
+func (w window) peerCalls() float64 {
+	var sum float64
+	for _, t := range w.peer {
+		sum += t.allCalls()
+	}
+	return sum
+}
+
+func (w window) storeCalls() float64 {
+	var n int64
+	for _, calls := range w.counts {
+		n += calls
+	}
+	return float64(n)
+}
+
+// holder is the entry VM that keeps the control lease alive, or -1.
+func (w window) holder() int {
+	for i, t := range w.store {
+		if t.calls["keepalive"] > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// processTime is the processor time of this process so far.
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// liveBytes is the memory in use after a collection, stacks included.
+func liveBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
--- /dev/null
+++ b/tools/measure/sizing/sizing.go
@@ -0,0 +1,122 @@
+// Package sizing measures how the cost of entry VMs grows with the size of a
+// region, for docs/CAPACITY.md.
+package sizing
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// Row is one line of the table. The fields of the first block are those of
+// every table of the tool and are null where they do not apply.
+type Row struct {
+	Measure  string   `json:"measure"`
+	Unit     string   `json:"unit"`
+	Value    float64  `json:"value"`
+	Baseline *float64 `json:"baseline"`
+	Bound    *float64 `json:"bound"`
+	Target   *float64 `json:"target"`
+	Met      *bool    `json:"met"`
+
+	// Value is a slope when Fit is set.
+	Fit *Fit `json:"fit,omitempty"`
+}
+
+// Fit is the least-squares line behind a slope.
+type Fit struct {
+	Per       string    `json:"per"`
+	Sizes     []float64 `json:"sizes"`
+	Values    []float64 `json:"values"`
+	Intercept float64   `json:"intercept"`
+	R2        float64   `json:"r2"`
+	// Repeat is the slope of a second measurement and Spread its relative
+	// difference.
+	Repeat float64 `json:"repeat"`
+	Spread float64 `json:"spread"`
+}
+
+// Command returns the command "capacity".
+func Command() *cobra.Command {
+	var quick bool
+	var output string
+	command := &cobra.Command{
+		Use:   "capacity",
+		Short: "Measure how the cost of entry VMs grows with the fleet",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if output != "text" && output != "json" {
+				return errors.Errorf("unknown output %q: use text or json", output)
+			}
+			m := &measurement{quick: quick}
+			if err := m.run(command.Context()); err != nil {
+				return err
+			}
+			if output == "json" {
+				encoder := json.NewEncoder(command.OutOrStdout())
+				encoder.SetIndent("", "  ")
+				return encoder.Encode(m.rows)
+			}
+			return writeText(command.OutOrStdout(), m.rows)
+		},
+	}
+	command.Flags().BoolVar(&quick, "quick", false, "shorter and fewer runs, ends within 30 s")
+	command.Flags().StringVar(&output, "output", "text", "text or json")
+	return command
+}
+
+func writeText(w io.Writer, rows []Row) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "measure\tunit\tvalue\tat zero\tR2\tspread\ttarget\tmet")
+	for _, r := range rows {
+		zero, r2, spread, target, met := "-", "-", "-", "-", "-"
+		if r.Fit != nil {
+			zero = fmt.Sprintf("%.4g", r.Fit.Intercept)
+			r2 = fmt.Sprintf("%.4f", r.Fit.R2)
+			spread = fmt.Sprintf("%.1f%%", 100*r.Fit.Spread)
+		}
+		if r.Target != nil {
+			target, met = fmt.Sprintf("%.4g", *r.Target), fmt.Sprint(*r.Met)
+		}
+		fmt.Fprintf(table, "%s\t%s\t%.4g\t%s\t%s\t%s\t%s\t%s\n", r.Measure, r.Unit, r.Value, zero, r2, spread, target, met)
+	}
+	return table.Flush()
+}
+
+// measurement collects the rows of one run.
+type measurement struct {
+	quick bool
+	rows  []Row
+}
+
+// series is a value measured twice at each of several sizes.
+type series struct{ first, second []point }
+
+func (s *series) add(x, first, second float64) {
+	s.first = append(s.first, point{x, first})
+	s.second = append(s.second, point{x, second})
+}
+
+// slope adds the slope of a series and returns its line.
+func (m *measurement) slope(measure, unit, per string, s series) line {
+	l, again := fit(s.first), fit(s.second)
+	f := &Fit{Per: per, Intercept: l.intercept, R2: l.r2, Repeat: again.slope, Spread: spread(l.slope, again.slope)}
+	for _, p := range s.first {
+		f.Sizes, f.Values = append(f.Sizes, p.x), append(f.Values, p.y)
+	}
+	m.rows = append(m.rows, Row{Measure: measure, Unit: unit + " per " + per, Value: l.slope, Fit: f})
+	return l
+}
+
+func (m *measurement) run(ctx context.Context) error {
+	m.documentSlopes()
+	m.memorySlopes()
+	m.processorSlopes()
+	_, err := m.regionSlopes(ctx)
+	return err
+}
--- /dev/null
+++ b/tools/measure/sizing/sweeps.go
@@ -0,0 +1,262 @@
+package sizing
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/platform"
+)
+
+// changes is the number of notes, and of VMs that go, in each repeat of a
+// sweep.
+const changes = 2
+
+// sample is what was measured of one region; each field holds two repeats.
+type sample struct {
+	size size
+	// bytes and exchanges are those of one entry VM, sent and received.
+	bytes, exchanges [2]float64
+	// steady are the calls of a region without reads of single keys, which
+	// depend on the phase of the watches.
+	steady, calls [2]float64
+	holderBytes   [2]float64
+	cpu           [2]float64
+	// noteBytes, noteCalls, fleetBytes and fleetCalls are those of one change.
+	noteBytes, noteWrites   [2]float64
+	fleetBytes, fleetWrites [2]float64
+}
+
+// measureRegion runs one region. Bytes of changes are those above the idle
+// exchange.
+func (m *measurement) measureRegion(ctx context.Context, s size) (sample, error) {
+	out := sample{size: s}
+	r, err := startRegion(ctx, s)
+	if err != nil {
+		return out, err
+	}
+	defer r.close()
+	r.settle()
+	entries := float64(s.entries)
+	var idle [2]float64
+	for i := range 2 {
+		w := r.measure(m.window())
+		idle[i] = w.peerBytes() / w.seconds
+		// Each byte leaves one entry VM and reaches another.
+		out.bytes[i] = 2 * idle[i] / entries
+		out.exchanges[i] = 2 * w.peerCalls() / w.seconds / entries
+		out.calls[i] = w.storeCalls() / w.seconds
+		out.steady[i] = (w.storeCalls() - float64(w.counts["get"])) / w.seconds
+		out.cpu[i] = w.cpu.Seconds() / w.seconds / entries
+		if h := w.holder(); h >= 0 {
+			out.holderBytes[i] = w.store[h].total() / w.seconds
+		}
+	}
+	for i := range 2 {
+		w, err := r.duringChanges(m.changeWindow(), func(n int) error { return r.publish(ctx, r.change(i*changes+n)) })
+		if err != nil {
+			return out, err
+		}
+		out.noteBytes[i] = 2 * (w.peerBytes() - idle[i]*w.seconds) / changes / entries
+		out.noteWrites[i] = float64(w.counts["put"]) / changes
+	}
+	for i := range 2 {
+		w, err := r.duringChanges(m.changeWindow(), func(n int) error {
+			// The last workers go, so that no pool becomes empty.
+			r.platform.Remove(workerID(s.workers - 1 - i*changes - n))
+			return nil
+		})
+		if err != nil {
+			return out, err
+		}
+		out.fleetBytes[i] = 2 * (w.peerBytes() - idle[i]*w.seconds) / changes / entries
+		out.fleetWrites[i] = float64(w.counts["put"]) / changes
+	}
+	return out, nil
+}
+
+func (m *measurement) window() time.Duration {
+	if m.quick {
+		return 2 * time.Second
+	}
+	// Two periods of a watch.
+	return 4 * time.Second
+}
+
+func (m *measurement) changeWindow() time.Duration {
+	if m.quick {
+		return 1200 * time.Millisecond
+	}
+	return 1500 * time.Millisecond
+}
+
+// duringChanges makes changes, each with time to reach every entry VM.
+func (r *region) duringChanges(each time.Duration, change func(n int) error) (window, error) {
+	before := r.read()
+	for n := range changes {
+		if err := change(n); err != nil {
+			return window{}, err
+		}
+		time.Sleep(each)
+	}
+	return r.read().since(before), nil
+}
+
+// change returns a small note against the configuration in force.
+func (r *region) change(n int) []byte {
+	return fmt.Appendf(nil, "[note]\nname = \"change %d\"\nbase = %d\n\n[[team.change]]\nname = \"team-000\"\nslot_quota = %d\n",
+		n, r.revision, 33+n)
+}
+
+// sweep measures regions of several sizes: one after the other, because
+// processor time is that of the process, or together for a quick run.
+func (m *measurement) sweep(ctx context.Context, together bool, sizes []size) ([]sample, error) {
+	samples := make([]sample, len(sizes))
+	group, ctx := errgroup.WithContext(ctx)
+	if !together {
+		group.SetLimit(1)
+	}
+	for i, s := range sizes {
+		group.Go(func() (err error) {
+			samples[i], err = m.measureRegion(ctx, s)
+			return err
+		})
+	}
+	return samples, group.Wait()
+}
+
+// collect makes a series of one field of the samples.
+func collect(samples []sample, x func(size) int, field func(sample) [2]float64) series {
+	var s series
+	for _, p := range samples {
+		y := field(p)
+		s.add(float64(x(p.size)), y[0], y[1])
+	}
+	return s
+}
+
+func entriesOf(s size) int { return s.entries }
+func workersOf(s size) int { return s.workers }
+func poolsOf(s size) int   { return s.pools }
+
+// regionLines are the lines that the check against the budgets needs.
+type regionLines struct {
+	exchange, steady, calls line
+	holder                  line
+	entryCPU                line
+	noteCopies, fleetCopies float64
+}
+
+func (m *measurement) regionSlopes(ctx context.Context) (regionLines, error) {
+	var byEntry, byWorker, byPool []size
+	for _, n := range []int{3, 6, 12, 24} {
+		byEntry = append(byEntry, size{entries: n, workers: 48, pools: 6, teams: 10})
+	}
+	for _, n := range []int{50, 200, 500, 1000} {
+		byWorker = append(byWorker, size{entries: 4, workers: n, pools: 6, teams: 10})
+	}
+	for _, n := range []int{6, 30, 60, 117} {
+		byPool = append(byPool, size{entries: 4, workers: 500, pools: n, teams: 10})
+	}
+	var entries, workers, pools []sample
+	var err error
+	if m.quick {
+		var all []sample
+		all, err = m.sweep(ctx, true, append(append(byEntry, byWorker...), byPool...))
+		entries, workers, pools = all[:4], all[4:8], all[8:]
+	} else {
+		if entries, err = m.sweep(ctx, false, byEntry); err == nil {
+			workers, err = m.sweep(ctx, true, byWorker)
+		}
+		if err == nil {
+			pools, err = m.sweep(ctx, true, byPool)
+		}
+	}
+	if err != nil {
+		return regionLines{}, err
+	}
+	var lines regionLines
+	byEntries := func(field func(sample) [2]float64) series { return collect(entries, entriesOf, field) }
+	lines.exchange = m.slope("idle exchange: bytes sent and received by an entry VM", "B/s", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.bytes }))
+	m.slope("idle exchange: calls made and served by an entry VM", "1/s", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.exchanges }))
+	lines.steady = m.slope("platform calls of a region without reads of single keys", "1/s", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.steady }))
+	lines.calls = m.slope("platform calls of a region", "1/s", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.calls }))
+	if !m.quick {
+		lines.entryCPU = m.slope("processor time of an idle entry VM, with its part of stand-in and relays", "cores", "entry VM",
+			byEntries(func(s sample) [2]float64 { return s.cpu }))
+	}
+	m.slope("store writes for a note", "writes", "entry VM", byEntries(func(s sample) [2]float64 { return s.noteWrites }))
+	m.slope("bytes of a note between entry VMs, sent and received by each", "B", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.noteBytes }))
+	m.slope("bytes of a change of the fleet between entry VMs, sent and received by each", "B", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.fleetBytes }))
+
+	byWorkers := func(field func(sample) [2]float64) series { return collect(workers, workersOf, field) }
+	lines.holder = m.slope("bytes of the control holder from and to the platform", "B/s", "worker",
+		byWorkers(func(s sample) [2]float64 { return s.holderBytes }))
+	m.slope("platform calls of a region of 4 entry VMs without reads of single keys", "1/s", "worker",
+		byWorkers(func(s sample) [2]float64 { return s.steady }))
+	m.slope("store writes for a change of the fleet", "writes", "worker",
+		byWorkers(func(s sample) [2]float64 { return s.fleetWrites }))
+	perNote := m.slope("bytes of a note between 4 entry VMs, sent and received by each", "B", "worker",
+		byWorkers(func(s sample) [2]float64 { return s.noteBytes }))
+	perFleet := m.slope("bytes of a change of the fleet between 4 entry VMs, sent and received by each", "B", "worker",
+		byWorkers(func(s sample) [2]float64 { return s.fleetBytes }))
+	lines.noteCopies = perNote.slope / configSlope()
+	lines.fleetCopies = perFleet.slope / fleetSlope()
+
+	m.slope("platform calls of a region of 4 entry VMs without reads of single keys", "1/s", "pool",
+		collect(pools, poolsOf, func(s sample) [2]float64 { return s.steady }))
+	m.slope("bytes of a note between 4 entry VMs, sent and received by each", "B", "pool",
+		collect(pools, poolsOf, func(s sample) [2]float64 { return s.noteBytes }))
+	return lines, nil
+}
+
+// configOf returns the configuration that a region of a size has in force
+// after many small notes.
+func configOf(s size) note.Config {
+	apply := func(c note.Config, text []byte) note.Config {
+		n, found := note.Parse("note.toml", text)
+		if err := found.Err(); err != nil {
+			panic(err)
+		}
+		next, found := note.Apply(c, n)
+		if err := found.Err(); err != nil {
+			panic(err)
+		}
+		return next
+	}
+	c := apply(note.Config{}, noteOf(s))
+	r := region{}
+	for i := range note.MaxRecent {
+		r.revision = c.Revision
+		c = apply(c, r.change(i))
+	}
+	return c
+}
+
+// fleetOf returns the fleet document that the step makes of a new fleet.
+func fleetOf(config note.Config, list []platform.VM) fleet.Document {
+	document, _ := fleet.Step(fleet.Document{}, fleet.Inputs{Now: time.Now(), Term: 1, Config: config, List: list})
+	return document
+}
+
+func configSlope() float64 {
+	return float64(len(configOf(size{workers: 1000, pools: 6, teams: 1}).Encode())-
+		len(configOf(size{workers: 200, pools: 6, teams: 1}).Encode())) / 800
+}
+
+func fleetSlope() float64 {
+	of := func(n int) int {
+		return len(fleetOf(configOf(size{workers: n, pools: 6, teams: 1}), vms(n)).Encode())
+	}
+	return float64(of(1000)-of(200)) / 800
+}
