--- /dev/null
+++ b/tools/measure/sizing/callers.go
@@ -0,0 +1,192 @@
+package sizing
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"dotterelhead.example/dotterelhead/claims"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/standin"
+)
+
+// callerLines are the costs of requests.
+type callerLines struct{ cpu, bytes, keyWrites line }
+
+// callerSlopes sends requests through three entry VMs to real connections of
+// stand-in backend servers.
+func (m *measurement) callerSlopes(ctx context.Context) (callerLines, error) {
+	var l callerLines
+	r, err := startRegion(ctx, size{entries: 3, workers: 12, pools: 2, teams: 2, backends: true})
+	if err != nil {
+		return l, err
+	}
+	defer r.close()
+	r.settle()
+	w := r.measure(m.window())
+	idleBytes, idleCPU := w.peerBytes()/w.seconds, w.cpu.Seconds()/w.seconds
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	if _, err := r.send(ctx, client, 200, 16, 0, false); err != nil {
+		return l, err
+	}
+	var cpu, bytes, writes series
+	requests, keys, rate := []int{500, 1000, 2000, 4000}, []int{50, 100, 200, 400}, 200.0
+	if m.quick {
+		requests, keys, rate = []int{250, 500, 750, 1000}, []int{25, 50, 100, 150}, 200
+	}
+	for _, n := range requests {
+		var cpuOf, bytesOf [2]float64
+		for i := range 2 {
+			w, err := r.send(ctx, client, n, 16, 0, false)
+			if err != nil {
+				return l, err
+			}
+			cpuOf[i] = (w.cpu.Seconds() - idleCPU*w.seconds) * 1e6
+			bytesOf[i] = w.peerBytes() - idleBytes*w.seconds
+		}
+		cpu.add(float64(n), cpuOf[0], cpuOf[1])
+		bytes.add(float64(n), bytesOf[0], bytesOf[1])
+	}
+	for _, n := range keys {
+		var writesOf [2]float64
+		for i := range 2 {
+			w, err := r.send(ctx, client, n, 16, rate, true)
+			if err != nil {
+				return l, err
+			}
+			writesOf[i] = float64(w.counts["put"])
+		}
+		writes.add(float64(n), writesOf[0], writesOf[1])
+	}
+	if !m.quick {
+		l.cpu = m.slope("processor time of requests, with caller and backend server", "us", "request", cpu)
+	}
+	l.bytes = m.slope("bytes between entry VMs for requests, 2 of 3 dispatched elsewhere", "B", "request", bytes)
+	l.keyWrites = m.slope(fmt.Sprintf("store writes for keys at %.0f keys/s", rate), "writes", "key", writes)
+	return l, nil
+}
+
+var nextKey atomic.Int64
+
+// send sends n requests, at a rate unless it is 0, and measures until the
+// marks of finished keys are written.
+func (r *region) send(ctx context.Context, client *http.Client, n, concurrency int, rate float64, keyed bool) (window, error) {
+	before := r.read()
+	begun := time.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(concurrency)
+	for i := range n {
+		if rate > 0 {
+			time.Sleep(time.Until(begun.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+		}
+		group.Go(func() error { return r.request(ctx, client, i, keyed) })
+	}
+	err := group.Wait()
+	if keyed {
+		time.Sleep(time.Second)
+	}
+	return r.read().since(before), err
+}
+
+func (r *region) request(ctx context.Context, client *http.Client, i int, keyed bool) error {
+	method := http.MethodGet
+	if keyed {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s/v1/services/service-%03d/item", r.callers[i%len(r.callers)], i%r.size.pools)
+	q, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return err
+	}
+	if keyed {
+		q.Header.Set("Idempotency-Key", fmt.Sprintf("key-%d", nextKey.Add(1)))
+	}
+	response, err := client.Do(q)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = errors.Errorf("status %d: %s", response.StatusCode, body)
+	}
+	return err
+}
+
+// keyMemory measures what the owner of all shards holds for finished keys.
+func (m *measurement) keyMemory(ctx context.Context) (line, error) {
+	var s series
+	sizes := []int{4000, 8000, 16_000, 32_000}
+	for _, n := range sizes {
+		var used [2]float64
+		for i := range 2 {
+			var err error
+			if used[i], err = ownerBytes(ctx, n); err != nil {
+				return line{}, err
+			}
+		}
+		s.add(float64(n), used[0], used[1])
+	}
+	return m.slope("memory of a shard owner for keys of the last 24 h", "B", "key", s), nil
+}
+
+// ownerBytes is the memory that is freed with an owner of n keys.
+func ownerBytes(ctx context.Context, n int) (float64, error) {
+	store := standin.NewPlatform(standin.PlatformOptions{})
+	if err := store.Start(ctx); err != nil {
+		return 0, err
+	}
+	defer store.Close()
+	client := platform.NewClient(platform.ClientOptions{BaseURL: store.Addr()})
+	defer client.CloseIdleConnections()
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	owner := claims.NewOwner(claims.OwnerOptions{
+		Store: client, Region: regionName, EntryID: "entry-00", BatchesPerSecond: 1e6, Burst: 1000,
+		Owned: func(int) bool { return true },
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = owner.Run(running)
+	}()
+	group, running2 := errgroup.WithContext(running)
+	group.SetLimit(400)
+	for i := range n {
+		group.Go(func() error { return claimOne(running2, owner, i) })
+	}
+	if err := group.Wait(); err != nil {
+		return 0, err
+	}
+	// The marks of finished attempts are written with a delay.
+	time.Sleep(time.Second)
+	with := liveBytes()
+	stop()
+	<-ended
+	owner = nil
+	return with - liveBytes(), nil
+}
+
+func claimOne(ctx context.Context, owner *claims.Owner, i int) error {
+	key := claims.KeyHash("service", fmt.Sprint("key-", i))
+	fingerprint := claims.Fingerprint(http.MethodPost, "/item", nil, "")
+	attempt := fmt.Sprint("attempt-", i)
+	reserved, err := owner.Reserve(ctx, &peer.ReserveRequest{KeyHash: key, Fingerprint: fingerprint, Attempt: attempt, Entry: "entry-00"})
+	if err != nil || reserved.State != peer.KeyState_RESERVED {
+		return errors.Errorf("reserve: %v %v", reserved.GetState(), err)
+	}
+	claimed, err := owner.Claim(ctx, &peer.ClaimRequest{KeyHash: key, Fingerprint: fingerprint, Attempt: attempt, Entry: "entry-00"})
+	if err != nil || claimed.State != peer.KeyState_CLAIMED {
+		return errors.Errorf("claim: %v %v", claimed.GetState(), err)
+	}
+	_, err = owner.Finish(ctx, &peer.FinishRequest{KeyHash: key, Attempt: attempt, State: peer.KeyState_FINISHED})
+	return err
+}
--- a/tools/measure/sizing/fit.go
+++ b/tools/measure/sizing/fit.go
@@ -39,6 +39,16 @@
 	return l
 }
 
+// exponent returns the slope of the logarithms: 1 for a value that grows with
+// the size, 2 for one that grows with its square.
+func exponent(points []point) float64 {
+	logs := make([]point, len(points))
+	for i, p := range points {
+		logs[i] = point{math.Log(p.x), math.Log(p.y)}
+	}
+	return fit(logs).slope
+}
+
 // at returns the value of the line at a size.
 func (l line) at(x float64) float64 { return l.intercept + l.slope*x }
 
--- a/tools/measure/sizing/sizing.go
+++ b/tools/measure/sizing/sizing.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 )
 
 // Row is one line of the table. The fields of the first block are those of
@@ -35,6 +36,8 @@
 	Values    []float64 `json:"values"`
 	Intercept float64   `json:"intercept"`
 	R2        float64   `json:"r2"`
+	// Exponent is the slope of the logarithms, for processor times.
+	Exponent float64 `json:"exponent,omitempty"`
 	// Repeat is the slope of a second measurement and Spread its relative
 	// difference.
 	Repeat float64 `json:"repeat"`
@@ -72,18 +75,21 @@
 
 func writeText(w io.Writer, rows []Row) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "measure\tunit\tvalue\tat zero\tR2\tspread\ttarget\tmet")
+	fmt.Fprintln(table, "measure\tunit\tvalue\tat zero\tR2\texponent\tspread\ttarget\tmet")
 	for _, r := range rows {
-		zero, r2, spread, target, met := "-", "-", "-", "-", "-"
+		zero, r2, power, spread, target, met := "-", "-", "-", "-", "-", "-"
 		if r.Fit != nil {
 			zero = fmt.Sprintf("%.4g", r.Fit.Intercept)
 			r2 = fmt.Sprintf("%.4f", r.Fit.R2)
+			if r.Fit.Exponent != 0 {
+				power = fmt.Sprintf("%.2f", r.Fit.Exponent)
+			}
 			spread = fmt.Sprintf("%.1f%%", 100*r.Fit.Spread)
 		}
 		if r.Target != nil {
 			target, met = fmt.Sprintf("%.4g", *r.Target), fmt.Sprint(*r.Met)
 		}
-		fmt.Fprintf(table, "%s\t%s\t%.4g\t%s\t%s\t%s\t%s\t%s\n", r.Measure, r.Unit, r.Value, zero, r2, spread, target, met)
+		fmt.Fprintf(table, "%s\t%s\t%.4g\t%s\t%s\t%s\t%s\t%s\t%s\n", r.Measure, r.Unit, r.Value, zero, r2, power, spread, target, met)
 	}
 	return table.Flush()
 }
@@ -109,14 +115,49 @@
 	for _, p := range s.first {
 		f.Sizes, f.Values = append(f.Sizes, p.x), append(f.Values, p.y)
 	}
+	if unit == "us" {
+		f.Exponent = exponent(s.first)
+	}
 	m.rows = append(m.rows, Row{Measure: measure, Unit: unit + " per " + per, Value: l.slope, Fit: f})
 	return l
 }
 
 func (m *measurement) run(ctx context.Context) error {
-	m.documentSlopes()
-	m.memorySlopes()
-	m.processorSlopes()
-	_, err := m.regionSlopes(ctx)
+	all := lines{documents: m.documentSlopes(), memory: m.memorySlopes(), processor: m.processorSlopes()}
+	if m.quick {
+		if err := m.runTogether(ctx, &all); err != nil {
+			return err
+		}
+		m.checkBudgets(all)
+		return nil
+	}
+	var err error
+	if all.callers, err = m.callerSlopes(ctx); err != nil {
+		return err
+	}
+	if all.keyMemory, err = m.keyMemory(ctx); err != nil {
+		return err
+	}
+	if all.region, err = m.regionSlopes(ctx); err != nil {
+		return err
+	}
+	m.checkBudgets(all)
+	return nil
+}
+
+// runTogether measures what does not depend on the processor at the same time.
+func (m *measurement) runTogether(ctx context.Context, all *lines) error {
+	callers, regions := &measurement{quick: true}, &measurement{quick: true}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		all.callers, err = callers.callerSlopes(ctx)
+		return err
+	})
+	group.Go(func() (err error) {
+		all.region, err = regions.regionSlopes(ctx)
+		return err
+	})
+	err := group.Wait()
+	m.rows = append(append(m.rows, callers.rows...), regions.rows...)
 	return err
 }
--- a/tools/measure/sizing/sweeps.go
+++ b/tools/measure/sizing/sweeps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,14 +22,19 @@
 	size size
 	// bytes and exchanges are those of one entry VM, sent and received.
 	bytes, exchanges [2]float64
-	// steady are the calls of a region without reads of single keys, which
-	// depend on the phase of the watches.
+	// steady are the calls of a region without reads of single keys, whose
+	// number depends on the phase of the watches.
 	steady, calls [2]float64
-	holderBytes   [2]float64
-	cpu           [2]float64
+	// readBacks are the reads of the configuration and the registry by entry
+	// VMs that find their knowledge too old.
+	readBacks   [2]float64
+	holderBytes [2]float64
+	cpu, memory [2]float64
 	// noteBytes, noteCalls, fleetBytes and fleetCalls are those of one change.
 	noteBytes, noteWrites   [2]float64
 	fleetBytes, fleetWrites [2]float64
+	// configSize and fleetSize are the documents at the end.
+	configSize, fleetSize float64
 }
 
 // measureRegion runs one region. Bytes of changes are those above the idle
@@ -52,9 +58,15 @@
 		out.calls[i] = w.storeCalls() / w.seconds
 		out.steady[i] = (w.storeCalls() - float64(w.counts["get"])) / w.seconds
 		out.cpu[i] = w.cpu.Seconds() / w.seconds / entries
+		for _, t := range w.store {
+			out.readBacks[i] += float64(t.calls["GET notes"]+t.calls["GET members"]) / w.seconds
+		}
 		if h := w.holder(); h >= 0 {
-			out.holderBytes[i] = w.store[h].total() / w.seconds
+			t := w.store[h]
+			// A round makes each of these reads once.
+			out.holderBytes[i] = t.answerBytes("GET fleet") + t.answerBytes("GET /v1/vms")
 		}
+		out.memory[i] = liveBytes()
 	}
 	for i := range 2 {
 		w, err := r.duringChanges(m.changeWindow(), func(n int) error { return r.publish(ctx, r.change(i*changes+n)) })
@@ -76,7 +88,19 @@
 		out.fleetBytes[i] = 2 * (w.peerBytes() - idle[i]*w.seconds) / changes / entries
 		out.fleetWrites[i] = float64(w.counts["put"]) / changes
 	}
-	return out, nil
+	out.configSize, out.fleetSize, err = r.documentSizes(ctx)
+	return out, err
+}
+
+func (r *region) documentSizes(ctx context.Context) (config, document float64, err error) {
+	client := platform.NewClient(platform.ClientOptions{BaseURL: r.platform.Addr()})
+	defer client.CloseIdleConnections()
+	configValue, err := client.Get(ctx, note.ConfigKey)
+	if err != nil {
+		return 0, 0, err
+	}
+	fleetValue, err := client.Get(ctx, fleet.Key(regionName))
+	return float64(len(configValue.Value)), float64(len(fleetValue.Value)), err
 }
 
 func (m *measurement) window() time.Duration {
@@ -147,8 +171,11 @@
 type regionLines struct {
 	exchange, steady, calls line
 	holder                  line
-	entryCPU                line
-	noteCopies, fleetCopies float64
+	entryCPU, readBacks     line
+	memory                  line
+	// noteCopies and fleetCopies are by the bytes of the documents, times the
+	// number of other entry VMs.
+	noteCopies, fleetCopies line
 }
 
 func (m *measurement) regionSlopes(ctx context.Context) (regionLines, error) {
@@ -169,11 +196,10 @@
 		all, err = m.sweep(ctx, true, append(append(byEntry, byWorker...), byPool...))
 		entries, workers, pools = all[:4], all[4:8], all[8:]
 	} else {
+		var others []sample
 		if entries, err = m.sweep(ctx, false, byEntry); err == nil {
-			workers, err = m.sweep(ctx, true, byWorker)
-		}
-		if err == nil {
-			pools, err = m.sweep(ctx, true, byPool)
+			others, err = m.sweep(ctx, true, append(byWorker, byPool...))
+			workers, pools = others[:4], others[4:]
 		}
 	}
 	if err != nil {
@@ -189,9 +215,13 @@
 		byEntries(func(s sample) [2]float64 { return s.steady }))
 	lines.calls = m.slope("platform calls of a region", "1/s", "entry VM",
 		byEntries(func(s sample) [2]float64 { return s.calls }))
+	lines.readBacks = m.slope("reads of configuration and registry in a region (holder: 1/s)", "1/s", "entry VM",
+		byEntries(func(s sample) [2]float64 { return s.readBacks }))
 	if !m.quick {
 		lines.entryCPU = m.slope("processor time of an idle entry VM, with its part of stand-in and relays", "cores", "entry VM",
 			byEntries(func(s sample) [2]float64 { return s.cpu }))
+		lines.memory = m.slope("live memory of a process with idle entry VMs, stand-in and relays", "B", "entry VM",
+			byEntries(func(s sample) [2]float64 { return s.memory }))
 	}
 	m.slope("store writes for a note", "writes", "entry VM", byEntries(func(s sample) [2]float64 { return s.noteWrites }))
 	m.slope("bytes of a note between entry VMs, sent and received by each", "B", "entry VM",
@@ -200,23 +230,22 @@
 		byEntries(func(s sample) [2]float64 { return s.fleetBytes }))
 
 	byWorkers := func(field func(sample) [2]float64) series { return collect(workers, workersOf, field) }
-	lines.holder = m.slope("bytes of the control holder from and to the platform", "B/s", "worker",
+	lines.holder = m.slope("reads of the control holder, one round a second", "B/s", "worker",
 		byWorkers(func(s sample) [2]float64 { return s.holderBytes }))
 	m.slope("platform calls of a region of 4 entry VMs without reads of single keys", "1/s", "worker",
 		byWorkers(func(s sample) [2]float64 { return s.steady }))
 	m.slope("store writes for a change of the fleet", "writes", "worker",
 		byWorkers(func(s sample) [2]float64 { return s.fleetWrites }))
-	perNote := m.slope("bytes of a note between 4 entry VMs, sent and received by each", "B", "worker",
-		byWorkers(func(s sample) [2]float64 { return s.noteBytes }))
-	perFleet := m.slope("bytes of a change of the fleet between 4 entry VMs, sent and received by each", "B", "worker",
-		byWorkers(func(s sample) [2]float64 { return s.fleetBytes }))
-	lines.noteCopies = perNote.slope / configSlope()
-	lines.fleetCopies = perFleet.slope / fleetSlope()
-
 	m.slope("platform calls of a region of 4 entry VMs without reads of single keys", "1/s", "pool",
 		collect(pools, poolsOf, func(s sample) [2]float64 { return s.steady }))
-	m.slope("bytes of a note between 4 entry VMs, sent and received by each", "B", "pool",
-		collect(pools, poolsOf, func(s sample) [2]float64 { return s.noteBytes }))
+	var notes, removals series
+	for _, p := range slices.Concat(entries, workers, pools) {
+		others := float64(p.size.entries - 1)
+		notes.add(others*(p.configSize+p.fleetSize), p.noteBytes[0], p.noteBytes[1])
+		removals.add(others*p.fleetSize, p.fleetBytes[0], p.fleetBytes[1])
+	}
+	lines.noteCopies = m.slope("bytes of a note at an entry VM, by (entry VMs - 1) x (configuration + fleet document)", "B", "B", notes)
+	lines.fleetCopies = m.slope("bytes of a change of the fleet at an entry VM, by (entry VMs - 1) x fleet document", "B", "B", removals)
 	return lines, nil
 }
 
@@ -248,15 +277,3 @@
 	document, _ := fleet.Step(fleet.Document{}, fleet.Inputs{Now: time.Now(), Term: 1, Config: config, List: list})
 	return document
 }
-
-func configSlope() float64 {
-	return float64(len(configOf(size{workers: 1000, pools: 6, teams: 1}).Encode())-
-		len(configOf(size{workers: 200, pools: 6, teams: 1}).Encode())) / 800
-}
-
-func fleetSlope() float64 {
-	of := func(n int) int {
-		return len(fleetOf(configOf(size{workers: n, pools: 6, teams: 1}), vms(n)).Encode())
-	}
-	return float64(of(1000)-of(200)) / 800
-}
