--- a/tools/measure/sizing/budgets.go
+++ b/tools/measure/sizing/budgets.go
@@ -76,11 +76,13 @@
 
 	m.budget("platform calls of 4 regions of 24 without reads of single keys", "1/s",
 		regionsAhead*l.region.steady.at(entriesAhead), readBudget)
-	m.budget("platform calls of 4 regions of 24, as measured", "1/s", regionsAhead*l.region.calls.at(entriesAhead), readBudget)
+	m.value("platform calls of a region, largest window of the sweep over entry VMs", "1/s", l.region.mostCalls)
 	m.budget("writes of claims at their limit, 8 owners in one region", "1/s", 8*batchesBySec, writeBudget)
 	m.budget("writes of claims at their limit, 16 owners in each of 4 regions", "1/s",
 		regionsAhead*shards*batchesBySec, writeBudget)
 
+	m.value("demand of 30 pools in all exchanges of an entry VM, 24 in the region", "B/s",
+		4*(entriesAhead-1)*l.documents.demandByPool.slope*poolsAhead/entriesAhead)
 	workerMemory := l.memory.byWorker.at(workersAhead) + l.memory.byPool.slope*(poolsAhead-6)
 	m.value("memory of an entry VM for 500 workers and 30 pools", "B", workerMemory)
 	if !m.quick {
--- a/tools/measure/sizing/documents.go
+++ b/tools/measure/sizing/documents.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
 
 	"dotterelhead.example/dotterelhead/control"
 	"dotterelhead.example/dotterelhead/fleet"
 	"dotterelhead.example/dotterelhead/membership"
 	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
 	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/routing"
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
@@ -21,7 +23,7 @@
 
 // documentLines are the sizes of the documents.
 type documentLines struct {
-	fleetByWorker, configByWorker, configByPool, configByTeam, registryByEntry, listByWorker line
+	fleetByWorker, configByWorker, configByPool, configByTeam, registryByEntry, listByWorker, demandByPool line
 }
 
 // exact measures values that are the same in every run.
@@ -60,6 +62,20 @@
 	l.registryByEntry = m.slope("registry", "B", "entry VM", exact([]int{3, 6, 12, 24, 96}, func(n int) float64 {
 		return float64(len(registryOf(n).Encode()))
 	}))
+	l.demandByPool = m.slope("demand in an exchange", "B", "pool", exact([]int{1, 6, 30, 117}, func(n int) float64 {
+		q := &peer.ExchangeRequest{}
+		for i := range n {
+			q.Demand = append(q.Demand, &peer.PoolDemand{Pool: fmt.Sprintf("pool-%03d", i), SlotsWanted: 31.5, Queued: 200, Busy: 30})
+		}
+		return float64(proto.Size(q))
+	}))
+	m.slope("confirmation of a release in an exchange", "B", "VM in transition", exact([]int{1, 4, 16, 64}, func(n int) float64 {
+		q := &peer.ExchangeRequest{}
+		for i := range n {
+			q.Released = append(q.Released, &peer.ReleasedVM{Vm: workerID(i), Generation: 1000})
+		}
+		return float64(proto.Size(q))
+	}))
 	return l
 }
 
