--- a/claims/owner.go
+++ b/claims/owner.go
@@ -109,38 +109,6 @@
 	writeFailures int64
 }
 
-// Stats describe the shards that this entry VM owns.
-type Stats struct {
-	OwnedShards int
-	// UnavailableShards refuse new keys because the store fails.
-	UnavailableShards int
-	// UnsettledClaims wait until it is known whether their write took effect.
-	UnsettledClaims int
-	// WriteFailures counts the writes that failed or whose answer was lost,
-	// without those that another owner won.
-	WriteFailures int64
-}
-
-// Stats returns the present state.
-func (o *Owner) Stats() Stats {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	stats := Stats{WriteFailures: o.writeFailures}
-	for _, d := range o.shards {
-		if d.shard.phase == phaseIdle {
-			continue
-		}
-		stats.OwnedShards++
-		if d.shard.down {
-			stats.UnavailableShards++
-		}
-		if w := d.shard.write; w != nil && w.unsettled {
-			stats.UnsettledClaims += len(w.claims)
-		}
-	}
-	return stats
-}
-
 // driver connects one shard to the store. Its fields are guarded by Owner.mu.
 type driver struct {
 	owner   *Owner
@@ -274,9 +242,14 @@
 
 // Stats describes an owner at one moment.
 type Stats struct {
-	// Shards counts the shards that are served, Unavailable those that refuse
-	// new keys because the store fails.
-	Shards, Unavailable int
+	// OwnedShards are served; UnavailableShards refuse new keys because the
+	// store fails.
+	OwnedShards, UnavailableShards int
+	// UnsettledClaims wait until it is known whether their write took effect.
+	UnsettledClaims int
+	// WriteFailures counts the writes that failed or whose answer was lost,
+	// without those that another owner won.
+	WriteFailures int64
 	// Keys counts the remembered keys, Running the attempts in progress.
 	Keys, Running int
 	// AnswerBytes is the size of the kept answers.
@@ -287,16 +260,19 @@
 func (o *Owner) Stats() Stats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	stats := Stats{AnswerBytes: o.answers.size}
+	stats := Stats{WriteFailures: o.writeFailures, AnswerBytes: o.answers.size}
 	for _, d := range o.shards {
+		stats.Keys += len(d.shard.index)
+		stats.Running += len(d.shard.running)
 		if d.shard.phase == phaseOwner {
-			stats.Shards++
+			stats.OwnedShards++
 		}
 		if d.shard.phase != phaseIdle && d.shard.down {
-			stats.Unavailable++
+			stats.UnavailableShards++
+		}
+		if w := d.shard.write; w != nil && w.unsettled {
+			stats.UnsettledClaims += len(w.claims)
 		}
-		stats.Keys += len(d.shard.index)
-		stats.Running += len(d.shard.running)
 	}
 	return stats
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -19,6 +19,7 @@
 	"dotterelhead.example/dotterelhead/peer"
 	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -211,10 +212,10 @@
 }
 
 // Plan moves v1 to pool q once.
-func (e *entryVM) Plan(_ time.Time, s Snapshot) []Move {
+func (e *entryVM) Plan(_ time.Time, s capacity.Snapshot) []capacity.Move {
 	for _, vm := range s.VMs {
 		if vm.ID == "v1" && vm.Pool == "p" {
-			return []Move{{VM: "v1", From: "p", To: "q"}}
+			return []capacity.Move{{VM: "v1", From: "p", To: "q"}}
 		}
 	}
 	return nil
