Move the emptiest VMs first and return to the need between bursts

A move waits for the work on its VM, so the planner now takes the VMs with the fewest busy slots (VM.Busy). After a burst a pool gives all VMs beyond its usual need between bursts to the next one, and a burst starts at 1.1 times the level of earlier ones.

--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -15,10 +15,14 @@
 	endSmoothing = 3 * time.Second
 	endRatio     = 0.6
 	// lasting is how long a need beyond the level of earlier bursts has to last.
-	lasting = 8 * time.Second
+	lasting = 14 * time.Second
 	// settling is the time after the start of a burst whose needs say nothing
 	// about its level.
 	settling = 5 * time.Second
+	// idleWeight is the weight of a second in the need between bursts.
+	idleWeight = 0.05
+	// levelMargin is the margin over the average level of earlier bursts.
+	levelMargin = 1.1
 	// levelWeight is the weight of a new burst in the expected level.
 	levelWeight = 0.3
 	// burstRatio is how many times its usual need a pool needs in a burst.
@@ -64,6 +68,8 @@
 	burstStart   time.Time
 	sum, seconds float64
 	expected     float64
+	// idle is the average need between bursts.
+	idle float64
 }
 
 type need struct {
@@ -132,12 +138,17 @@
 		// The first seconds of a burst show too little demand, the next ones the
 		// backlog of the first. Earlier bursts tell the level; a need beyond it
 		// counts once it lasts.
-		target = max(int(math.Ceil(h.expected)), h.smallest(now, lasting), pool.MinimumVMs)
+		target = max(int(math.Ceil(levelMargin*h.expected)), h.smallest(now, lasting), pool.MinimumVMs)
 		floor = target
 	}
 	if !h.inBurst && float64(needed) < endRatio*float64(target) {
 		floor = needed
 	}
+	if ending := now.Sub(h.burstEnd) < settling; !h.inBurst && ending && pool.Queued == 0 {
+		// The demand still falls; what the pool needed between earlier bursts
+		// tells where to.
+		floor = min(floor, max(int(math.Ceil(h.idle)), pool.MinimumVMs))
+	}
 	if latest := h.largest(now, endSmoothing); float64(latest) < endRatio*float64(target) {
 		target = latest
 	}
@@ -212,6 +223,9 @@
 		h.sum += float64(vms)
 		h.seconds++
 	}
+	if !h.inBurst && now.Sub(h.burstEnd) >= settling {
+		h.idle += idleWeight * (float64(vms) - h.idle)
+	}
 	if h.inBurst {
 		h.level = max(h.level, vms)
 	}
@@ -288,9 +302,13 @@
 	return r
 }
 
-// sortMovable puts lent VMs first, then orders by identifier.
+// sortMovable puts the VMs with the fewest busy slots first, lent ones before
+// others, and orders the rest by identifier.
 func sortMovable(vms []VM) {
 	slices.SortFunc(vms, func(a, b VM) int {
+		if a.Busy != b.Busy {
+			return a.Busy - b.Busy
+		}
 		if lentA, lentB := a.Pool != a.HomePool, b.Pool != b.HomePool; lentA != lentB {
 			if lentA {
 				return -1
@@ -372,8 +390,9 @@
 }
 
 func (r *round) move(from, to *poolState) {
-	// A VM that goes home needs no move back later.
-	i := max(slices.IndexFunc(from.movable, func(vm VM) bool { return vm.HomePool == to.Name }), 0)
+	// Of equally busy VMs one that goes home needs no move back later.
+	least := from.movable[0].Busy
+	i := max(slices.IndexFunc(from.movable, func(vm VM) bool { return vm.HomePool == to.Name && vm.Busy == least }), 0)
 	vm := from.movable[i]
 	from.movable = slices.Delete(from.movable, i, i+1)
 	from.serving--
--- a/scheduler/capacity/types.go
+++ b/scheduler/capacity/types.go
@@ -34,6 +34,9 @@
 	Serving bool
 	// Target is the pool that a move under way takes the VM to, if known.
 	Target string
+	// Busy is the number of slots in use on the VM, if known. A move waits for
+	// them, so VMs with few of them move first.
+	Busy int
 	// MovedAt is when the VM last changed its pool.
 	MovedAt time.Time
 }
