Count half of the busy slots as demand, start bursts at 1.3 times their level

Long work keeps slots busy after a burst, so the pool that ended its burst gave its VMs to the next one too late and these came from the spare pool.

--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -22,7 +22,7 @@
 	// idleWeight is the weight of a second in the need between bursts.
 	idleWeight = 0.05
 	// levelMargin is the margin over the average level of earlier bursts.
-	levelMargin = 1.1
+	levelMargin = 1.3
 	// levelWeight is the weight of a new burst in the expected level.
 	levelWeight = 0.3
 	// burstRatio is how many times its usual need a pool needs in a burst.
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -25,6 +25,10 @@
 	shortLoadFall = 5 * time.Second
 	// reserveDeviations is the margin of the reserve for short work.
 	reserveDeviations = 1
+	// busyShare is the part of the busy slots that counts as lasting demand when
+	// less work arrives. Long work holds slots for many seconds after a burst,
+	// and counting all of them hides its end.
+	busyShare = 0.5
 	// drainTime is the time in which a queue should be worked off; it turns
 	// queued work into slots wanted.
 	drainTime = 30 * time.Second
@@ -199,7 +203,7 @@
 func (p *Pool) Demand(now time.Time) Demand {
 	queued, busy := len(p.requests), len(p.grants)
 	backlog := min(float64(queued), p.queuedWork.Seconds()/drainTime.Seconds())
-	return Demand{SlotsWanted: max(float64(busy), p.offered.at(now)) + backlog, Queued: queued, Busy: busy}
+	return Demand{SlotsWanted: max(busyShare*float64(busy), p.offered.at(now)) + backlog, Queued: queued, Busy: busy}
 }
 
 func operation(r Request) runtimes.Operation {
