Learn the level of a burst only from bursts of some seconds

An outlier of the declared run times looked like a burst and taught a level of five VMs, to which the next real burst was held for 14 s.

--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -16,6 +16,9 @@
 	endRatio     = 0.6
 	// lasting is how long a need beyond the level of earlier bursts has to last.
 	lasting = 14 * time.Second
+	// minimumBurst is the number of seconds after settling from which the level
+	// of a burst is learned; a single outlier would set it too low.
+	minimumBurst = 5
 	// settling is the time after the start of a burst whose needs say nothing
 	// about its level.
 	settling = 5 * time.Second
@@ -135,10 +138,7 @@
 	target = h.largest(now, smoothing)
 	floor = min(target, h.largest(now, endSmoothing))
 	if h.inBurst && h.expected > 0 {
-		// The first seconds of a burst show too little demand, the next ones the
-		// backlog of the first. Earlier bursts tell the level; a need beyond it
-		// counts once it lasts.
-		target = max(int(math.Ceil(levelMargin*h.expected)), h.smallest(now, lasting), pool.MinimumVMs)
+		target = max(h.burstTarget(now), pool.MinimumVMs)
 		floor = target
 	}
 	if !h.inBurst && float64(needed) < endRatio*float64(target) {
@@ -187,9 +187,16 @@
 	return vms
 }
 
+// burstTarget is the number of VMs for a burst under way. The first seconds
+// show too little demand, the next ones the backlog of the first, so earlier
+// bursts tell the level; a need beyond it counts once it lasts.
+func (h *history) burstTarget(now time.Time) int {
+	return max(int(math.Ceil(levelMargin*h.expected)), h.smallest(now, lasting))
+}
+
 // learnLevel takes the average need of the burst that ended into account.
 func (h *history) learnLevel() {
-	if h.seconds == 0 {
+	if h.seconds < minimumBurst {
 		return
 	}
 	level := h.sum / h.seconds
--- a/tools/measure/ejection.go
+++ b/tools/measure/ejection.go
@@ -13,10 +13,14 @@
 // measureEjection measures workers that fail all they start from a quarter of
 // the run on, and common failures of a whole pool and of half a pool.
 func measureEjection(s scenario) ([]Row, []chart) {
-	learned, learnedFailures := badWorkerShare(s, learnedPool)
-	fcfs, fcfsFailures := badWorkerShare(s, fcfsPool)
-	whole, _ := commonFailure(s, 1)
-	_, half := commonFailure(s, 0.5)
+	var learned, learnedFailures, fcfs, fcfsFailures, whole, half float64
+	tasks := []func(){
+		func() { learned, learnedFailures = badWorkerShare(s, learnedPool) },
+		func() { fcfs, fcfsFailures = badWorkerShare(s, fcfsPool) },
+		func() { whole, _ = commonFailure(s, 1) },
+		func() { _, half = commonFailure(s, 0.5) },
+	}
+	parallel(len(tasks), func(i int) { tasks[i]() })
 	return []Row{
 		row("starts on failing workers from 5 s after their first failure, of fair share", "percent", learned).
 			baseline(fcfs).bound(0).atMost(1),
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -158,10 +158,16 @@
 
 func measureWaiting(s scenario) ([]Row, []chart) {
 	work := newWorkload(s)
-	learned := summarise(newSimulation(s, work, learnedPool).run())
-	fcfs := summarise(newSimulation(s, work, fcfsPool).run())
-	rr := summarise(newSimulation(s, work, newRoundRobin).run())
-	best := summarise(clairvoyant(work))
+	pools := []func(int) dispatcher{learnedPool, fcfsPool, newRoundRobin, nil}
+	results := make([]waits, len(pools))
+	parallel(len(pools), func(i int) {
+		if pools[i] == nil {
+			results[i] = summarise(clairvoyant(work))
+		} else {
+			results[i] = summarise(newSimulation(s, work, pools[i]).run())
+		}
+	})
+	learned, fcfs, rr, best := results[0], results[1], results[2], results[3]
 	short, long := quantile(learned.short, 0.99), quantile(learned.long, 0.99)
 	fcfsShort, fcfsLong := quantile(fcfs.short, 0.99), quantile(fcfs.long, 0.99)
 	bestShort := quantile(best.short, 0.99)
