--- a/control/control_test.go
+++ b/control/control_test.go
@@ -230,19 +230,22 @@
 	return out
 }
 
-func (e *entryVM) start(entries map[string]*entryVM, id string) {
-	ctx, cancel := context.WithCancel(context.Background())
+func (e *entryVM) build(entries map[string]*entryVM, id string) {
 	f := e.fakePlatform
-	e.cancel = cancel
 	e.node = membership.NewNode(membership.Options{
 		Store: f, Inventory: f, Replica: e.replica, Region: "r", ID: id, Incarnation: id + "1", PeerAddress: id,
 		Dial:     func(address string) peer.Peer { return entries[address] },
-		Released: e.released,
+		Released: e.released, Confirmed: func() { e.controller.Trigger() },
 	})
 	e.controller = New(Options{
 		Store: e, Inventory: f, Machines: f, Replica: e.replica, Members: e.node, Region: "r",
 		ID: id, Incarnation: id + "1", Capacity: e,
 	})
+}
+
+func (e *entryVM) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
 	e.wait.Go(func() { _ = e.node.Run(ctx) })
 	e.wait.Go(func() { _ = e.controller.Run(ctx) })
 }
@@ -265,7 +268,10 @@
 		entries[id] = &entryVM{fakePlatform: f, replica: replica.New()}
 	}
 	for id, e := range entries {
-		e.start(entries, id)
+		e.build(entries, id)
+	}
+	for _, e := range entries {
+		e.start()
 	}
 	return f, entries
 }
--- a/control/controller.go
+++ b/control/controller.go
@@ -27,6 +27,9 @@
 	// contactWindow is how recent the last exchange with a member must be to
 	// count as uninterrupted contact: one exchange a second and one lost.
 	contactWindow = 3 * time.Second
+	// triggerDelay collects confirmations that arrive together, so that they
+	// cost one round of store calls.
+	triggerDelay = 20 * time.Millisecond
 )
 
 // LeaseKey returns the store key of the control lease of a region.
@@ -41,6 +44,9 @@
 	// RegistryVersions returns the version of the registry that each member holds.
 	RegistryVersions() map[membership.Member]int64
 	DemandOfMembers() []*peer.PoolDemand
+	// Registered reports whether this process is in the registry; only a
+	// registered one contends for the role.
+	Registered() bool
 	Trigger()
 }
 
@@ -86,6 +92,8 @@
 	Steady bool
 	// LastError is the error of the last round.
 	LastError string
+	// Waits explains the transitions under way.
+	Waits []fleet.Wait
 }
 
 // New returns a controller.
@@ -93,7 +101,13 @@
 	if o.Log == nil {
 		o.Log = &log.Logger{Level: log.PanicLevel}
 	}
-	return &Controller{o: o, trigger: make(chan struct{}, 1)}
+	c := &Controller{o: o, trigger: make(chan struct{}, 1)}
+	o.Replica.Subscribe(func(doc replica.Document) {
+		if doc.Key != fleet.Key(o.Region) {
+			c.Trigger()
+		}
+	})
+	return c
 }
 
 // Trigger starts a round at once when this entry VM holds the role.
@@ -120,6 +134,10 @@
 // Run contends for the role until the context ends and then gives it back.
 func (c *Controller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !c.o.Members.Registered() {
+			sleep(ctx, interval/4)
+			continue
+		}
 		lease, err := c.acquire(ctx)
 		if err != nil {
 			sleep(ctx, interval)
@@ -224,11 +242,14 @@
 			message = err.Error()
 			c.o.Log.Warn().Str("event", "control_round_failed").Err(err).Msg("")
 		}
-		c.setStatus(func(s *Status) { s.Term, s.Steady, s.LastError = h.term, h.steady(time.Now()), message })
+		c.setStatus(func(s *Status) {
+			s.Term, s.Steady, s.LastError, s.Waits = h.term, h.steady(time.Now()), message, h.waits
+		})
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
 		case <-c.trigger:
+			sleep(ctx, triggerDelay)
 		}
 	}
 }
@@ -270,7 +291,8 @@
 	// steadySince is zero while the store or a majority is out of contact.
 	steadySince time.Time
 	// done holds the operations whose call was answered, to spare repeats.
-	done map[string]time.Time
+	done  map[string]time.Time
+	waits []fleet.Wait
 	// repaired is the version of the configuration at the last repair.
 	repaired int64
 }
@@ -340,25 +362,39 @@
 	if in.Steady {
 		h.plan(s, &in)
 	}
+	h.waits = fleet.Waits(s.document, in)
 	next, actions := fleet.Step(s.document, in)
+	if h.readBoots(ctx, actions, in.Boots) {
+		next, actions = fleet.Step(s.document, in)
+	}
+	return next, actions
+}
+
+// readBoots answers the boot counts that a step asks for. The calls run side
+// by side, so that a silent platform delays a round by one timeout.
+func (h *holder) readBoots(ctx context.Context, actions []fleet.Action, boots map[string]fleet.Boot) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var calls sync.WaitGroup
 	for _, a := range actions {
 		if a.Kind != fleet.ActionReadBoot {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		vm, err := h.c.o.Machines.VM(callCtx, a.VM)
-		cancel()
-		switch {
-		case err == nil:
-			in.Boots[a.VM] = fleet.Boot{Count: vm.BootCount}
-		case errors.Is(err, platform.ErrNotFound):
-			in.Boots[a.VM] = fleet.Boot{Gone: true}
-		}
+		calls.Go(func() {
+			vm, err := h.c.o.Machines.VM(ctx, a.VM)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				boots[a.VM] = fleet.Boot{Count: vm.BootCount}
+			case errors.Is(err, platform.ErrNotFound):
+				boots[a.VM] = fleet.Boot{Gone: true}
+			}
+		})
 	}
-	if len(in.Boots) > 0 {
-		next, actions = fleet.Step(s.document, in)
-	}
-	return next, actions
+	calls.Wait()
+	return len(boots) > 0
 }
 
 // write returns nil only when the document is known to be in the store.
@@ -386,34 +422,41 @@
 const repeatAfter = 10 * time.Second
 
 func (h *holder) carryOut(ctx context.Context, actions []fleet.Action) {
-	for _, a := range actions {
-		if time.Since(h.done[a.Operation.ID]) < repeatAfter {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		var err error
-		switch a.Kind {
-		case fleet.ActionReboot:
-			err = h.c.o.Machines.Reboot(callCtx, a.VM, a.Operation)
-		case fleet.ActionDrain:
-			err = h.c.o.Machines.Drain(callCtx, a.VM, a.Operation)
-		default:
-			cancel()
-			continue
-		}
-		cancel()
-		if err != nil {
-			h.c.o.Log.Warn().Str("event", "operation_failed").Str("kind", string(a.Kind)).
-				Str("vm", a.VM).Str("operation", a.Operation.ID).Err(err).Msg("")
-			continue
-		}
-		h.done[a.Operation.ID] = time.Now()
-	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var calls sync.WaitGroup
 	for id, at := range h.done {
 		if time.Since(at) >= repeatAfter {
 			delete(h.done, id)
 		}
 	}
+	for _, a := range actions {
+		mu.Lock()
+		_, done := h.done[a.Operation.ID]
+		mu.Unlock()
+		if done || a.Kind == fleet.ActionReadBoot {
+			continue
+		}
+		calls.Go(func() {
+			if err := h.call(ctx, a); err != nil {
+				h.c.o.Log.Warn().Str("event", "operation_failed").Str("kind", string(a.Kind)).
+					Str("vm", a.VM).Str("operation", a.Operation.ID).Err(err).Msg("")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			h.done[a.Operation.ID] = time.Now()
+		})
+	}
+	calls.Wait()
+}
+
+func (h *holder) call(ctx context.Context, a fleet.Action) error {
+	if a.Kind == fleet.ActionReboot {
+		return h.c.o.Machines.Reboot(ctx, a.VM, a.Operation)
+	}
+	return h.c.o.Machines.Drain(ctx, a.VM, a.Operation)
 }
 
 func (h *holder) repair(ctx context.Context, s snapshot) error {
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -163,6 +163,54 @@
 	return true
 }
 
+// Wait says what a transition waits for.
+type Wait struct {
+	VM      string
+	Pool    string
+	Phase   Phase
+	Purpose Purpose
+	// Entries are the entry VMs that have not confirmed the release.
+	Entries []string
+	Reason  string
+}
+
+// Waits explains the transitions that are under way, for operators.
+func Waits(d Document, in Inputs) []Wait {
+	var out []Wait
+	for _, vm := range d.VMs {
+		if vm.Phase != Releasing && vm.Phase != Rebooting {
+			continue
+		}
+		w := Wait{VM: vm.ID, Pool: vm.Pool, Phase: vm.Phase, Purpose: vm.Purpose}
+		if vm.Phase == Rebooting {
+			w.Reason = fmt.Sprintf("the boot count is still %d", vm.ExpectedBoot)
+			out = append(out, w)
+			continue
+		}
+		missing := unconfirmed(vm, in.Entries)
+		reachable := false
+		for _, e := range missing {
+			w.Entries = append(w.Entries, e.ID)
+			reachable = reachable || e.Reachable
+		}
+		_, fencing := in.Fences[vm.ID]
+		switch {
+		case len(missing) == 0:
+			w.Reason = "confirmed by every entry VM"
+		case reachable:
+			w.Reason = "requests in flight on an entry VM that is in contact"
+		case vm.Purpose == PurposeLeaving:
+			w.Reason = "an entry VM out of contact has not confirmed; ends when the platform's list drops the VM"
+		case fencing:
+			w.Reason = "an entry VM out of contact has not confirmed; a reboot follows"
+		default:
+			w.Reason = "no majority of the entry VMs has confirmed"
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
 type stepper struct {
 	in      Inputs
 	d       Document
--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -28,6 +28,9 @@
 
 const region = "r"
 
+// freezeTicks outlasts the wait of a fence and its reboot.
+const freezeTicks = 13
+
 // request is one request on its way: the connection is opened first, then the
 // permit is checked, then the bytes are written, then they arrive.
 type request struct {
@@ -43,12 +46,13 @@
 	id, incarnation string
 	node            *Node
 	replica         *replica.Replica
+	decoded         fleet.Document
+	decodedVersion  int64
 	frozen          bool
 	noStore         bool
 	island          int
 	inFlight        []*request
 	round           *round
-	term            int64
 	fences          map[string]fleet.Fence
 	reply           *reply
 }
@@ -67,7 +71,6 @@
 	digests       map[Member]int64
 	document      fleet.Document
 	version       int64
-	read          bool
 }
 
 type value struct {
@@ -83,7 +86,11 @@
 	// healed ends all random faults.
 	healed bool
 	// quiet is the number of ticks without a new fault.
-	quiet     int
+	quiet int
+	// target is the VM that a fault is about: it is called and moved more
+	// often, which makes rare interleavings likely.
+	target    string
+	frozen    *entry
 	version   int64
 	store     map[string]value
 	vms       map[string]*platform.VM
@@ -91,8 +98,11 @@
 	operation map[string]bool
 	reboots   map[string]int
 	config    note.Config
-	entries   []*entry
-	born      int
+	decoded   fleet.Document
+	// decodedVersion is the version that decoded was read from.
+	decodedVersion int64
+	entries        []*entry
+	born           int
 }
 
 func newWorld(t *rapid.T) *world {
@@ -135,11 +145,11 @@
 	if !ok {
 		return fleet.Document{}
 	}
-	d, err := fleet.Decode(doc.Value)
-	if err != nil {
-		panic(err)
+	if e.decodedVersion != doc.Version {
+		e.decoded, _ = fleet.Decode(doc.Value)
+		e.decodedVersion = doc.Version
 	}
-	return d
+	return e.decoded
 }
 
 // released is what a forwarder reports: VMs out of service without requests in
@@ -178,11 +188,12 @@
 }
 
 func (w *world) document() fleet.Document {
-	d, err := fleet.Decode(w.store[fleet.Key(region)].data)
-	if err != nil {
-		return fleet.Document{}
+	held := w.store[fleet.Key(region)]
+	if w.decodedVersion != held.version {
+		w.decoded, _ = fleet.Decode(held.data)
+		w.decodedVersion = held.version
 	}
-	return d
+	return w.decoded
 }
 
 func (w *world) register(e *entry) {
@@ -237,7 +248,7 @@
 	if len(vms) == 0 {
 		return
 	}
-	vm := vms[rapid.IntRange(0, len(vms)-1).Draw(w.t, "vm")]
+	vm := vms[w.pick(vms)]
 	if vm.Phase != fleet.Serving || w.gone[vm.ID] {
 		return
 	}
@@ -246,6 +257,15 @@
 	w.advanceRequest(e, r)
 }
 
+func (w *world) pick(vms []fleet.VM) int {
+	for i, vm := range vms {
+		if vm.ID == w.target && w.chance(60, "target") {
+			return i
+		}
+	}
+	return rapid.IntRange(0, len(vms)-1).Draw(w.t, "vm")
+}
+
 func (w *world) advanceRequest(e *entry, r *request) {
 	if !r.checked {
 		if !e.node.Valid(w.now) {
@@ -253,7 +273,7 @@
 			return
 		}
 		r.checked = true
-		if w.chance(30, "pause before write") {
+		if w.quiet == freezeTicks || w.chance(30, "pause before write") {
 			return
 		}
 	}
@@ -341,13 +361,13 @@
 	e.fences = fleet.Observe(e.fences, r.document, in.Entries, r.now)
 	in.Fences = e.fences
 	w.plan(r.document, &in)
-	next, actions := fleet.Step(r.document, in)
+	_, actions := fleet.Step(r.document, in)
 	for _, a := range actions {
 		if a.Kind == fleet.ActionReadBoot {
 			in.Boots[a.VM] = fleet.Boot{Count: w.vms[a.VM].BootCount, Gone: w.gone[a.VM]}
 		}
 	}
-	next, actions = fleet.Step(r.document, in)
+	next, actions := fleet.Step(r.document, in)
 	if string(next.Encode()) != string(r.document.Encode()) {
 		if !w.put(fleet.Key(region), next.Encode(), r.version) {
 			return
@@ -365,7 +385,7 @@
 
 func (w *world) plan(d fleet.Document, in *fleet.Inputs) {
 	if len(d.VMs) > 0 && w.chance(30, "move") {
-		vm := d.VMs[rapid.IntRange(0, len(d.VMs)-1).Draw(w.t, "moved vm")]
+		vm := d.VMs[w.pick(d.VMs)]
 		to := map[string]string{"pool0": "pool1", "pool1": "pool0"}[vm.Pool]
 		in.Moves = append(in.Moves, fleet.Move{VM: vm.ID, From: vm.Pool, To: to})
 	}
@@ -449,12 +469,16 @@
 	vm := fmt.Sprintf("v%d", rapid.IntRange(1, 5).Draw(w.t, "vm"))
 	switch rapid.IntRange(0, 15).Draw(w.t, "fault") {
 	case 0:
+		// Frozen between the check of the permit and the write.
+		w.target, w.quiet, w.frozen = vm, freezeTicks, e
+		w.send(e)
 		e.frozen = true
 	case 1:
 		e.noStore = true
 	case 2:
 		e.island = rapid.IntRange(0, 1).Draw(w.t, "island")
 	case 3:
+		w.target, w.quiet = vm, 5
 		e.noStore, e.island = true, 1
 	case 4:
 		w.storeDown = true
@@ -492,6 +516,9 @@
 }
 
 func (w *world) tick() {
+	if w.frozen != nil && w.quiet == 0 {
+		w.frozen.frozen = false
+	}
 	w.now = w.now.Add(time.Duration(rapid.IntRange(200, 1500).Draw(w.t, "ms")) * time.Millisecond)
 	for _, e := range w.entries {
 		if e.frozen {
--- a/membership/node.go
+++ b/membership/node.go
@@ -51,7 +51,10 @@
 	// transition once listed must stay true for the life of the process.
 	Released func() []*peer.ReleasedVM
 	Demand   func() []*peer.PoolDemand
-	Log      *log.Logger
+	// Confirmed is called when another member has confirmed a release. It
+	// must not block and must not call the node; it may be nil.
+	Confirmed func()
+	Log       *log.Logger
 }
 
 // contact is what is known of another member.
@@ -623,15 +626,23 @@
 		held = map[string]int64{}
 		n.confirmations[m] = held
 	}
-	record(held, released)
+	if record(held, released) && n.o.Confirmed != nil {
+		n.o.Confirmed()
+	}
 }
 
-// record keeps the highest released generation of each VM. A released
-// generation stays released, so late messages do no harm.
-func record(held map[string]int64, released []*peer.ReleasedVM) {
+// record keeps the highest released generation of each VM and reports whether
+// one was new. A released generation stays released, so late messages do no
+// harm.
+func record(held map[string]int64, released []*peer.ReleasedVM) bool {
+	grown := false
 	for _, r := range released {
-		held[r.Vm] = max(held[r.Vm], r.Generation)
+		if r.Generation > held[r.Vm] {
+			held[r.Vm] = r.Generation
+			grown = true
+		}
 	}
+	return grown
 }
 
 // confirmable lists the own releases without those that an unregistered entry
