--- a/control/control_test.go
+++ b/control/control_test.go
@@ -35,6 +35,8 @@
 	changed chan struct{}
 	vms     map[string]*platform.VM
 	reboots int
+	// late is an entry VM that is started by the test itself.
+	late *entryVM
 }
 
 func newFakePlatform() *fakePlatform {
@@ -233,8 +235,13 @@
 func (e *entryVM) build(entries map[string]*entryVM, id string) {
 	f := e.fakePlatform
 	e.node = membership.NewNode(membership.Options{
-		Store: f, Inventory: f, Replica: e.replica, Region: "r", ID: id, Incarnation: id + "1", PeerAddress: id,
-		Dial:     func(address string) peer.Peer { return entries[address] },
+		Store: f, Inventory: f, Replica: e.replica, Region: "r", ID: id, Incarnation: id + "1", PeerAddress: id, Seeds: []string{"a", "b", "c"},
+		Dial: func(address string) peer.Peer {
+			if address == "late" {
+				return f.late
+			}
+			return entries[address]
+		},
 		Released: e.released, Confirmed: func() { e.controller.Trigger() },
 	})
 	e.controller = New(Options{
@@ -267,6 +274,8 @@
 		f.vms[id] = &platform.VM{ID: id, State: platform.VMLive, EntryVM: true}
 		entries[id] = &entryVM{fakePlatform: f, replica: replica.New()}
 	}
+	f.late = &entryVM{fakePlatform: f, replica: replica.New()}
+	f.late.build(entries, "late")
 	for id, e := range entries {
 		e.build(entries, id)
 	}
@@ -359,7 +368,8 @@
 	})
 }
 
-// Guards against permits that end in a store outage, and against transitions
+// Guards against permits that end in a store outage, against an entry VM that
+// starts in the outage and learns nothing from its peers, and against transitions
 // that start during it or within T after it.
 func TestStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -370,6 +380,13 @@
 		f.down = true
 		f.mu.Unlock()
 		before := string(entries["a"].fleet().Encode())
+		late := f.late
+		late.start()
+		defer func() { late.cancel(); late.wait.Wait() }()
+		time.Sleep(2 * time.Second)
+		if late.node.Registered() || !late.node.Valid(time.Now()) || len(late.fleet().VMs) != 4 {
+			t.Errorf("late entry VM: valid %v, holds %s", late.node.Valid(time.Now()), late.fleet().Encode())
+		}
 		for range 600 {
 			time.Sleep(100 * time.Millisecond)
 			for id, e := range entries {
--- a/control/controller.go
+++ b/control/controller.go
@@ -325,7 +325,7 @@
 	}
 	h.updateSteady(s)
 	next, actions := h.step(ctx, s)
-	if !bytes.Equal(next.Encode(), s.document.Encode()) {
+	if !next.Equal(s.document) {
 		if err := h.write(ctx, next, s.version); err != nil {
 			return err
 		}
--- a/fleet/document.go
+++ b/fleet/document.go
@@ -2,7 +2,10 @@
 // between pools and carries them through maintenance.
 package fleet
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"slices"
+)
 
 // Key returns the store key of the fleet document of a region.
 func Key(region string) string { return "fleet/" + region }
@@ -105,3 +108,14 @@
 	}
 	return value
 }
+
+// Equal reports whether both documents say the same, whoever wrote them.
+func (d Document) Equal(o Document) bool {
+	return d.ConfigRevision == o.ConfigRevision && d.LastGeneration == o.LastGeneration &&
+		slices.Equal(d.VMs, o.VMs) && slices.EqualFunc(d.Waves, o.Waves, WaveProgress.equal)
+}
+
+func (w WaveProgress) equal(o WaveProgress) bool {
+	return w.Name == o.Name && w.Revision == o.Revision && slices.Equal(w.Done, o.Done) &&
+		w.Paused == o.Paused && w.Reason == o.Reason && w.Finished == o.Finished
+}
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"strings"
@@ -112,6 +111,7 @@
 	s.progress()
 	s.applyWaves()
 	if in.Steady {
+		s.count()
 		s.startConfigMoves()
 		s.startMoves()
 		s.startMaintenance()
@@ -218,9 +218,18 @@
 	list    map[string]platform.VM
 	home    map[string]string
 	pools   map[string]note.Pool
+	usage   map[string]*usage
 	actions []Action
 }
 
+// usage is the state of a pool while new transitions are chosen.
+type usage struct {
+	serving int
+	out     int
+	budget  int
+	limited bool
+}
+
 func newStepper(d Document, in Inputs) *stepper {
 	s := &stepper{
 		in: in, d: d,
@@ -492,16 +501,16 @@
 	}
 	for _, id := range s.order() {
 		vm := s.vms[id]
-		if vm.Phase != Serving || !s.withinBudget(vm.Pool) {
+		_, exists := s.pools[vm.Pool]
+		stays := vm.Pool == vm.HomePool || (exists && vm.Lent && vm.HomePool != "")
+		if vm.Phase != Serving || stays || !s.takeOut(vm.Pool) {
 			continue
 		}
-		_, exists := s.pools[vm.Pool]
-		switch {
-		case vm.HomePool == "":
+		if vm.HomePool == "" {
 			vm.Phase, vm.Purpose = Releasing, PurposeLeaving
-		case vm.Pool != vm.HomePool && (!exists || !vm.Lent):
-			s.release(vm, vm.HomePool)
+			continue
 		}
+		s.release(vm, vm.HomePool)
 	}
 }
 
@@ -519,7 +528,7 @@
 		if _, ok := s.pools[m.To]; !ok || vm.HomePool == "" {
 			continue
 		}
-		if s.serving(m.From)-1 < s.pools[m.From].MinimumVMs || !s.withinBudget(m.From) {
+		if s.usage[m.From].serving <= s.pools[m.From].MinimumVMs || !s.takeOut(m.From) {
 			continue
 		}
 		s.release(vm, m.To)
@@ -530,7 +539,7 @@
 func (s *stepper) startMaintenance() {
 	for _, m := range s.in.Starts {
 		vm := s.vms[m.VM]
-		if vm == nil || vm.Phase != Serving || !s.withinBudget(vm.Pool) || !s.pending(m) {
+		if vm == nil || vm.Phase != Serving || !s.pending(m) || !s.takeOut(vm.Pool) {
 			continue
 		}
 		vm.Phase, vm.Purpose, vm.Wave = Releasing, PurposeMaintenance, m.Wave
@@ -544,30 +553,36 @@
 	})
 }
 
-func (s *stepper) serving(pool string) int {
-	n := 0
+// count takes stock of every pool once, so that a step stays linear in the
+// number of VMs.
+func (s *stepper) count() {
+	s.usage = map[string]*usage{}
 	for _, vm := range s.vms {
-		if vm.Pool == pool && vm.Phase == Serving {
-			n++
+		u := s.usage[vm.Pool]
+		if u == nil {
+			u = &usage{}
+			u.budget, u.limited = Budget(s.in.Config, vm.Pool)
+			s.usage[vm.Pool] = u
+		}
+		switch {
+		case vm.Phase == Serving:
+			u.serving++
+		case !vm.Removed(s.in.Now):
+			u.out++
 		}
 	}
-	return n
-}
-
-// withinBudget reports whether one more VM of the pool may go out of service.
-func (s *stepper) withinBudget(pool string) bool {
-	budget, limited := Budget(s.in.Config, pool)
-	return !limited || s.unavailable(pool) < budget
 }
 
-func (s *stepper) unavailable(pool string) int {
-	n := 0
-	for _, vm := range s.vms {
-		if vm.Pool == pool && vm.Phase != Serving && !vm.Removed(s.in.Now) {
-			n++
-		}
+// takeOut counts one more VM of the pool as out of service if the budget
+// allows it.
+func (s *stepper) takeOut(pool string) bool {
+	u := s.usage[pool]
+	if u.limited && u.out >= u.budget {
+		return false
 	}
-	return n
+	u.serving--
+	u.out++
+	return true
 }
 
 // RemovedAfter is how long a VM that is gone counts as failed. After that the
@@ -629,7 +644,7 @@
 		s.d.VMs = append(s.d.VMs, *vm)
 	}
 	slices.SortFunc(s.d.VMs, func(a, b VM) int { return strings.Compare(a.ID, b.ID) })
-	if !bytes.Equal(s.d.Encode(), before.Encode()) {
+	if !s.d.Equal(before) {
 		s.d.Term = s.in.Term
 	}
 	return s.d
