--- a/control/control_test.go
+++ b/control/control_test.go
@@ -36,6 +36,8 @@
 	changed chan struct{}
 	vms     map[string]*platform.VM
 	reboots int
+	// late is an entry VM that is started by the test itself.
+	late *entryVM
 }
 
 func newFakePlatform() *fakePlatform {
@@ -231,19 +233,27 @@
 	return out
 }
 
-func (e *entryVM) start(entries map[string]*entryVM, id string) {
-	ctx, cancel := context.WithCancel(context.Background())
+func (e *entryVM) build(entries map[string]*entryVM, id string) {
 	f := e.fakePlatform
-	e.cancel = cancel
 	e.node = membership.NewNode(membership.Options{
-		Store: f, Inventory: f, Replica: e.replica, Region: "r", ID: id, Incarnation: id + "1", PeerAddress: id,
-		Dial:     func(address string) peer.Peer { return entries[address] },
-		Released: e.released,
+		Store: f, Inventory: f, Replica: e.replica, Region: "r", ID: id, Incarnation: id + "1", PeerAddress: id, Seeds: []string{"a", "b", "c"},
+		Dial: func(address string) peer.Peer {
+			if address == "late" {
+				return f.late
+			}
+			return entries[address]
+		},
+		Released: e.released, Confirmed: func() { e.controller.Trigger() },
 	})
 	e.controller = New(Options{
 		Store: e, Inventory: f, Machines: f, Replica: e.replica, Members: e.node, Region: "r",
 		ID: id, Incarnation: id + "1", Capacity: e,
 	})
+}
+
+func (e *entryVM) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
 	e.wait.Go(func() { _ = e.node.Run(ctx) })
 	e.wait.Go(func() { _ = e.controller.Run(ctx) })
 }
@@ -265,8 +275,13 @@
 		f.vms[id] = &platform.VM{ID: id, State: platform.VMLive, EntryVM: true}
 		entries[id] = &entryVM{fakePlatform: f, replica: replica.New()}
 	}
+	f.late = &entryVM{fakePlatform: f, replica: replica.New()}
+	f.late.build(entries, "late")
 	for id, e := range entries {
-		e.start(entries, id)
+		e.build(entries, id)
+	}
+	for _, e := range entries {
+		e.start()
 	}
 	return f, entries
 }
@@ -354,7 +369,8 @@
 	})
 }
 
-// Guards against permits that end in a store outage, and against transitions
+// Guards against permits that end in a store outage, against an entry VM that
+// starts in the outage and learns nothing from its peers, and against transitions
 // that start during it or within T after it.
 func TestStoreOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -365,6 +381,13 @@
 		f.down = true
 		f.mu.Unlock()
 		before := string(entries["a"].fleet().Encode())
+		late := f.late
+		late.start()
+		defer func() { late.cancel(); late.wait.Wait() }()
+		time.Sleep(2 * time.Second)
+		if late.node.Registered() || !late.node.Valid(time.Now()) || len(late.fleet().VMs) != 4 {
+			t.Errorf("late entry VM: valid %v, holds %s", late.node.Valid(time.Now()), late.fleet().Encode())
+		}
 		for range 600 {
 			time.Sleep(100 * time.Millisecond)
 			for id, e := range entries {
