Check the quiet time after an outage just before its end

The share of a failing worker is counted over 30 s: at 90 requests a second the two probes of the first 10 s were 1.1% of its fair share.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -399,7 +399,9 @@
 		f.mu.Lock()
 		f.down = false
 		f.mu.Unlock()
-		time.Sleep(membership.T)
+		// At T itself a transition is allowed, and its order against this check
+		// is not fixed.
+		time.Sleep(membership.T - time.Millisecond)
 		if after := string(entries["a"].fleet().Encode()); after != before || len(entries["a"].fleet().VMs) != 4 {
 			t.Errorf("fleet changed from %s to %s", before, after)
 		}
--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -274,7 +274,9 @@
 	time.Sleep(2 * time.Second)
 	c.backends["a-0"].SetFaults(standin.BackendFaults{Fail: true})
 	failing := time.Now()
-	time.Sleep(15 * time.Second)
+	// Probes follow at growing intervals, so that their share is counted over
+	// a time that is long against the first ones.
+	time.Sleep(35 * time.Second)
 	replies := l.stop()
 	c.checkHonesty(replies)
 	late, total := 0, 0
