Let the span of an attempt last until its answer ends

The span of a streamed answer ended with its first 64 KB; it now ends with the answer, as an error when the answer breaks off. Log lines of the entry VM no longer carry its id twice.

Tests check that serve refuses what check-config refuses and that each started transition is counted once.

--- /dev/null
+++ b/cmd/dotterelheadd/main_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// Guards against a serve that opens a listener although its settings would be
+// refused by check-config or name files that cannot be used.
+func TestServeRefusesUnprotectedListeners(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.toml")
+	text := `id = "a"
+region = "r"
+availability_zone = "z"
+platform_url = "http://127.0.0.1:1"
+caller_listen = "0.0.0.0:0"
+operator_token_file = "/absent/token"
+`
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for command, want := range map[string][]string{
+		"serve":        {":5:1: caller_listen 0.0.0.0:0 is not on loopback and has no TLS", ":6:1: operator_token_file cannot be read"},
+		"check-config": {":5:1: caller_listen 0.0.0.0:0 is not on loopback and has no TLS"},
+	} {
+		root := rootCommand()
+		root.SetArgs([]string{command, "--config", file})
+		root.SetOut(io.Discard)
+		err := root.ExecuteContext(t.Context())
+		if !errors.As(err, new(failure)) {
+			t.Fatalf("%s: %v", command, err)
+		}
+		if lines := strings.Split(err.Error(), "\n"); len(lines) != len(want) {
+			t.Errorf("%s: %v", command, err)
+		}
+		for _, finding := range want {
+			if !strings.Contains(err.Error(), file+finding) {
+				t.Errorf("%s does not report %s: %v", command, finding, err)
+			}
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -229,7 +229,7 @@
 	start(e.followDocuments, running)
 	start(e.metrics.run, running)
 	failed := e.listeners.serve(e.ingress, e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes, e.log)
-	e.log.Info().Str("event", "listening").Str("entry", e.settings.ID).
+	e.log.Info().Str("event", "listening").
 		Str("caller", e.listeners.caller.Addr().String()).Str("operator", e.listeners.operator.Addr().String()).
 		Str("peer", e.listeners.peer.Addr().String()).Msg("")
 
@@ -244,14 +244,14 @@
 	e.listeners.close()
 	e.clients.Close()
 	e.platform.CloseIdleConnections()
-	e.log.Info().Str("event", "stopped").Str("entry", e.settings.ID).Msg("")
+	e.log.Info().Str("event", "stopped").Msg("")
 	return err
 }
 
 // leave carries out the graceful shutdown in the order that loses nothing:
 // unready, requests finished, roles handed over, registry left.
 func (e *EntryVM) leave(stopControl context.CancelFunc) {
-	e.log.Info().Str("event", "leaving").Str("entry", e.settings.ID).Msg("")
+	e.log.Info().Str("event", "leaving").Msg("")
 	e.leaving.Store(true)
 	e.listeners.callerServer.SetKeepAlivesEnabled(false)
 	time.Sleep(e.settings.ShutdownLoadBalancerWait())
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
+	"dotterelhead.example/dotterelhead/fleet"
 	"dotterelhead.example/dotterelhead/standin"
 	"dotterelhead.example/dotterelhead/telemetry"
 )
@@ -34,6 +37,38 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
+// Guards against transitions that operators do not see, and against a step of
+// a transition that counts as another one.
+func TestStartedTransitionsAreCounted(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := &metrics{scope: scope}
+	vm := func(id string, phase fleet.Phase, purpose fleet.Purpose) fleet.VM {
+		return fleet.VM{ID: id, Phase: phase, Purpose: purpose}
+	}
+	for _, vms := range [][]fleet.VM{
+		{vm("a", fleet.Serving, ""), vm("b", fleet.Serving, ""), vm("new", fleet.Releasing, fleet.PurposeMove)},
+		{vm("a", fleet.Releasing, fleet.PurposeMove), vm("b", fleet.Releasing, fleet.PurposeMaintenance)},
+		{vm("a", fleet.Rebooting, fleet.PurposeMove), vm("b", fleet.Rebooting, fleet.PurposeMaintenance)},
+		{vm("a", fleet.Rebooting, fleet.PurposeMove), vm("b", fleet.Serving, "")},
+		{vm("a", fleet.Serving, ""), vm("b", fleet.Releasing, fleet.PurposeLeaving)},
+	} {
+		next := fleet.Document{VMs: vms}
+		m.countStarted(next)
+		m.fleet = next
+	}
+	counts := map[string]int64{}
+	for _, counter := range scope.Snapshot().Counters() {
+		counts[counter.Name()+counter.Tags()["purpose"]] = counter.Value()
+	}
+	want := map[string]int64{
+		"transitions_started_totalmove": 1, "transitions_started_totalmaintenance": 1, "transitions_started_totalleaving": 1,
+		"reboots_started_total": 2,
+	}
+	if !maps.Equal(counts, want) {
+		t.Errorf("counted %v, want %v", counts, want)
+	}
+}
+
 // Guards against metrics that operators cannot look up, documented ones that
 // do not exist, and gauges that say something else than the entry VM.
 func TestMetrics(t *testing.T) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -100,7 +100,24 @@
 	vm := ticket.VM()
 	ctx, span := f.options.Tracer.Start(ctx, "backend "+r.Service, trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("worker", vm.ID), attribute.String("pool", vm.Pool)))
-	defer span.End()
+	attempt := f.send(ctx, ticket, r)
+	if attempt.Err != nil {
+		span.RecordError(attempt.Err)
+		span.SetStatus(codes.Error, attempt.Err.Error())
+	}
+	if attempt.Answer != nil {
+		span.SetAttributes(attribute.Int("http.response.status_code", attempt.Answer.Status))
+		if rest, ok := attempt.Answer.Rest.(*rest); ok {
+			rest.span = span
+			return attempt
+		}
+	}
+	span.End()
+	return attempt
+}
+
+func (f *Forwarder) send(ctx context.Context, ticket *routing.Ticket, r *request.Request) Attempt {
+	vm := ticket.VM()
 	conn, err := f.connections.get(ctx, vm.ID, vm.Address)
 	if err != nil {
 		ticket.Leave()
@@ -112,15 +129,7 @@
 		return Attempt{Err: err}
 	}
 	x := &exchange{forwarder: f, conn: conn, ticket: ticket, request: r}
-	attempt := x.run(ctx)
-	if attempt.Err != nil {
-		span.RecordError(attempt.Err)
-		span.SetStatus(codes.Error, attempt.Err.Error())
-	}
-	if attempt.Answer != nil {
-		span.SetAttributes(attribute.Int("http.response.status_code", attempt.Answer.Status))
-	}
-	return attempt
+	return x.run(ctx)
 }
 
 // exchange is one request and its answer on a connection.
@@ -264,6 +273,8 @@
 	close    bool
 	ended    bool
 	closed   bool
+	// span is that of the attempt; it ends with the answer.
+	span trace.Span
 }
 
 func (b *rest) Read(p []byte) (int, error) {
@@ -280,6 +291,12 @@
 		return nil
 	}
 	b.closed = true
+	if b.span != nil {
+		if !b.ended {
+			b.span.SetStatus(codes.Error, "the answer was not read to its end")
+		}
+		b.span.End()
+	}
 	x := b.exchange
 	x.stop()
 	if b.ended && !b.close && x.ticket.Serving() {
