Count the calls of the platform by result

Operators could not see whether the store fails or is slow, nor how near its writes are to the rate that it takes. platform_calls_total and platform_call_seconds show this.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -103,7 +103,7 @@
 		settings: s,
 		log:      options.Log,
 		platform: platform.NewClient(platform.ClientOptions{
-			BaseURL: s.PlatformURL, Entry: s.ID, TracerProvider: options.TracerProvider,
+			BaseURL: s.PlatformURL, Entry: s.ID, TracerProvider: options.TracerProvider, Scope: options.Scope,
 		}),
 		replica:  replica.New(),
 		security: secured,
