Wait for entry VMs that are heard from in one direction only

A member to which calls fail, but which still sends, counted as out of contact, so that a reboot could cut its requests in flight. Entries of the platform's list that are older than a reboot that was seen say nothing about a VM.

--- a/control/controller.go
+++ b/control/controller.go
@@ -41,6 +41,8 @@
 	Confirmations() map[membership.Member]map[string]int64
 	// Contacts returns the start of the last complete exchange per member.
 	Contacts() map[membership.Member]time.Time
+	// Heard returns when each member was last heard from, in either direction.
+	Heard() map[string]time.Time
 	// RegistryVersions returns the version of the registry that each member holds.
 	RegistryVersions() map[membership.Member]int64
 	DemandOfMembers() []*peer.PoolDemand
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -24,6 +24,7 @@
 	now              time.Time
 	confirmations    map[membership.Member]map[string]int64
 	contacts         map[membership.Member]time.Time
+	heard            map[string]time.Time
 	registryVersions map[membership.Member]int64
 	demand           []*peer.PoolDemand
 	document         fleet.Document
@@ -42,6 +43,7 @@
 		now:              time.Now(),
 		confirmations:    o.Members.Confirmations(),
 		contacts:         o.Members.Contacts(),
+		heard:            o.Members.Heard(),
 		registryVersions: o.Members.RegistryVersions(),
 		demand:           o.Members.DemandOfMembers(),
 	}
@@ -100,16 +102,22 @@
 		Boots: map[string]fleet.Boot{}, FenceWait: membership.T + membership.Margin,
 	}
 	for _, rec := range s.registry.Members {
-		at, ok := s.contacts[rec.Member()]
 		in.Entries = append(in.Entries, fleet.Entry{
 			ID: rec.ID, QuorumFloor: rec.QuorumFloor,
-			Reachable: ok && s.now.Sub(at) < membership.T,
+			Reachable: s.hears(rec.ID),
 			Released:  s.confirmations[rec.Member()],
 		})
 	}
 	return in
 }
 
+// hears reports whether an entry VM was heard from within T. One that still
+// sends, although calls to it fail, finishes its requests and confirms.
+func (s snapshot) hears(id string) bool {
+	at, ok := s.heard[id]
+	return ok && s.now.Sub(at) < membership.T
+}
+
 // plan asks the planners for new transitions.
 func (h *holder) plan(s snapshot, in *fleet.Inputs) {
 	if h.c.o.Capacity != nil {
@@ -200,10 +208,7 @@
 // gone reports whether an entry VM has left the platform. The list lags, so a
 // VM that is absent from it may be new: the platform is asked about it.
 func (h *holder) gone(ctx context.Context, rec membership.Record, s snapshot) bool {
-	if len(s.list) == 0 || rec.ID == h.c.o.ID {
-		return false
-	}
-	if at, ok := s.contacts[rec.Member()]; ok && s.now.Sub(at) < membership.T {
+	if len(s.list) == 0 || s.hears(rec.ID) {
 		return false
 	}
 	for _, vm := range s.list {
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"dotterelhead.example/dotterelhead/note"
@@ -219,6 +219,7 @@
 	home    map[string]string
 	pools   map[string]note.Pool
 	usage   map[string]*usage
+	ids     []string
 	actions []Action
 }
 
@@ -233,9 +234,9 @@
 func newStepper(d Document, in Inputs) *stepper {
 	s := &stepper{
 		in: in, d: d,
-		vms:   map[string]*VM{},
-		list:  map[string]platform.VM{},
-		home:  map[string]string{},
+		vms:   make(map[string]*VM, len(in.List)),
+		list:  make(map[string]platform.VM, len(in.List)),
+		home:  make(map[string]string, len(in.List)),
 		pools: map[string]note.Pool{},
 	}
 	for _, vm := range d.VMs {
@@ -298,6 +299,7 @@
 					ID: l.ID, Pool: s.home[l.ID], HomePool: s.home[l.ID],
 					Phase: Serving, Generation: s.d.LastGeneration + 1,
 				}
+				s.ids = nil
 			}
 		}
 	}
@@ -310,6 +312,9 @@
 		switch {
 		case !listed:
 			s.missing(vm)
+		case l.BootCount < vm.BootCount:
+			// The entry is older than a reboot that was seen, and the drain
+			// before it may be why it says leaving.
 		case l.State == platform.VMLeaving:
 			s.leaving(vm)
 		case vm.Phase == Down:
@@ -376,6 +381,7 @@
 			if vm.HomePool == "" && s.configured() && s.released(vm) {
 				s.d.LastGeneration = max(s.d.LastGeneration, vm.Generation)
 				delete(s.vms, id)
+				s.ids = nil
 			}
 		}
 	}
@@ -627,23 +633,22 @@
 	}
 }
 
+// order returns the ids of the VMs in order. It is kept until a VM is added or
+// removed.
 func (s *stepper) order() []string {
-	ids := make([]string, 0, len(s.vms))
-	for id := range s.vms {
-		ids = append(ids, id)
+	if s.ids == nil {
+		s.ids = slices.Sorted(maps.Keys(s.vms))
 	}
-	slices.Sort(ids)
-	return ids
+	return s.ids
 }
 
 // result assembles the document. The term changes only with another change, so
 // that an idle holder writes nothing.
 func (s *stepper) result(before Document) Document {
 	s.d.VMs = make([]VM, 0, len(s.vms))
-	for _, vm := range s.vms {
-		s.d.VMs = append(s.d.VMs, *vm)
+	for _, id := range s.order() {
+		s.d.VMs = append(s.d.VMs, *s.vms[id])
 	}
-	slices.SortFunc(s.d.VMs, func(a, b VM) int { return strings.Compare(a.ID, b.ID) })
 	if !s.d.Equal(before) {
 		s.d.Term = s.in.Term
 	}
--- a/membership/node.go
+++ b/membership/node.go
@@ -780,6 +780,17 @@
 	return out
 }
 
+// Heard returns when each member was last heard from, in either direction.
+func (n *Node) Heard() map[string]time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[string]time.Time{n.self.ID: time.Now()}
+	for id, c := range n.contacts {
+		out[id] = c.heard
+	}
+	return out
+}
+
 // RegistryVersions returns the version of the registry that each member held
 // at its last exchange.
 func (n *Node) RegistryVersions() map[Member]int64 {
--- a/scheduler/maintenance/plan.go
+++ b/scheduler/maintenance/plan.go
@@ -194,7 +194,8 @@
 func (p *planner) choose(pending, inFlight []VM, free int) []VM {
 	byPlace := map[place][]VM{}
 	for _, vm := range pending {
-		byPlace[placeOf(vm)] = append(byPlace[placeOf(vm)], vm)
+		at := placeOf(vm)
+		byPlace[at] = append(byPlace[at], vm)
 	}
 	places := slices.SortedFunc(maps.Keys(byPlace), comparePlaces)
 	if len(inFlight) > 0 {
