Push only documents that originate on the entry VM

Every member that received a document sent it on to all others, which multiplies a change of the fleet document by the square of the members. Members now push what they read from the store or wrote themselves; the exchange each second fetches what was missed.

--- a/membership/node.go
+++ b/membership/node.go
@@ -82,14 +82,20 @@
 	trigger chan struct{}
 	kick    chan struct{}
 
-	mu            sync.Mutex
-	permit        *Permit
-	registry      Registry
-	version       int64
-	registered    int64
-	superseded    bool
-	leaving       bool
-	contacts      map[string]*contact
+	mu         sync.Mutex
+	permit     *Permit
+	registry   Registry
+	version    int64
+	registered int64
+	superseded bool
+	leaving    bool
+	contacts   map[string]*contact
+	// received and origin hold the versions that came from peers and those
+	// that came from the store or were written here. Only the latter are
+	// pushed: pushing what peers have sent would multiply each change by the
+	// square of the number of members.
+	received      map[string]int64
+	origin        map[string]int64
 	confirmations map[Member]map[string]int64
 	debts         map[Member]*debt
 	clients       map[string]peer.Peer
@@ -110,6 +116,8 @@
 		kick:          make(chan struct{}, 1),
 		permit:        NewPermit(o.ID),
 		contacts:      map[string]*contact{},
+		received:      map[string]int64{},
+		origin:        map[string]int64{},
 		confirmations: map[Member]map[string]int64{},
 		debts:         map[Member]*debt{},
 		clients:       map[string]peer.Peer{},
@@ -137,7 +145,15 @@
 
 // onDocument runs under the lock of the replica.
 func (n *Node) onDocument(doc replica.Document) {
-	defer n.Trigger()
+	n.mu.Lock()
+	origin := n.received[doc.Key] != doc.Version
+	if origin {
+		n.origin[doc.Key] = doc.Version
+	}
+	n.mu.Unlock()
+	if origin {
+		n.Trigger()
+	}
 	if doc.Key != Key(n.o.Region) {
 		return
 	}
@@ -541,7 +557,7 @@
 	n.mu.Unlock()
 	q.Digest = fromDigest(n.o.Replica.Digest())
 	if known != nil {
-		q.Documents = fromDocuments(n.newer(known))
+		q.Documents = fromDocuments(n.pushed(known))
 	}
 	q.Released = n.confirmable()
 	q.Demand = n.demand()
@@ -832,6 +848,9 @@
 	keys := n.Keys()
 	for _, doc := range docs {
 		if slices.Contains(keys, doc.Key) {
+			n.mu.Lock()
+			n.received[doc.Key] = max(n.received[doc.Key], doc.Version)
+			n.mu.Unlock()
 			n.o.Replica.Apply(replica.Document{Key: doc.Key, Version: doc.Version, Value: doc.Value})
 		}
 	}
@@ -848,9 +867,18 @@
 	return true
 }
 
-// lacks reports whether the other side is known to hold an older document.
+// lacks reports whether a document has to be pushed to the other side.
 func (n *Node) lacks(digest map[string]int64) bool {
-	return len(n.newer(digest)) > 0
+	return len(n.pushed(digest)) > 0
+}
+
+// pushed returns the documents newer than the digest that originate here. The
+// other side asks for the rest by its own exchange.
+func (n *Node) pushed(digest map[string]int64) []replica.Document {
+	newer := n.newer(digest)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.DeleteFunc(newer, func(doc replica.Document) bool { return n.origin[doc.Key] != doc.Version })
 }
 
 // newer returns the documents of Keys that are newer than the digest. Other
