--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -512,6 +512,14 @@
 		for len(w.entries) < 5 {
 			w.spawn(fmt.Sprintf("e%d", len(w.entries)))
 		}
+	case 15:
+		// A note that names v3 for the other pool.
+		w.config.Revision++
+		homes := [][]string{{"v1", "v2", "v3"}, {"v4", "v5"}}
+		if w.config.Revision%2 == 0 {
+			homes = [][]string{{"v1", "v2"}, {"v3", "v4", "v5"}}
+		}
+		w.config.Pools = []note.Pool{{Name: "pool0", VMs: homes[0]}, {Name: "pool1", VMs: homes[1]}}
 	}
 }
 
