--- a/control/controller.go
+++ b/control/controller.go
@@ -295,6 +295,8 @@
 	// done holds the operations whose call was answered, to spare repeats.
 	done  map[string]time.Time
 	waits []fleet.Wait
+	// goneSince holds the members that the platform no longer knows.
+	goneSince map[membership.Member]time.Time
 	// repaired is the version of the configuration at the last repair.
 	repaired int64
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -181,11 +181,23 @@
 // quorum floors.
 func (h *holder) tidyRegistry(ctx context.Context, s snapshot) error {
 	next := s.registry
+	gone := map[membership.Member]time.Time{}
 	for _, rec := range s.registry.Members {
-		if h.gone(ctx, rec, s) {
+		if !h.gone(ctx, rec, s) {
+			continue
+		}
+		since, ok := h.goneSince[rec.Member()]
+		if !ok {
+			since = s.now
+		}
+		gone[rec.Member()] = since
+		// An unregistered entry VM may send for T after its last exchange
+		// with the member, whose debt ends with it.
+		if s.now.Sub(since) >= membership.T+membership.Margin {
 			next = next.Remove(rec.Member())
 		}
 	}
+	h.goneSince = gone
 	next, raised := next.RaiseFloors(func(m membership.Member) bool {
 		return s.registryVersions[m] >= s.registryVersion
 	})
--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -326,7 +326,7 @@
 	}
 	if e.round == nil {
 		r := &round{
-			now: w.now, confirmations: e.node.Confirmations(),
+			now: w.now, confirmations: e.node.confirmationsAt(w.now),
 			contacts: e.node.contactsAt(w.now), digests: e.node.RegistryVersions(),
 		}
 		r.document, r.version = w.document(), w.store[fleet.Key(region)].version
--- a/membership/node.go
+++ b/membership/node.go
@@ -88,8 +88,11 @@
 	version    int64
 	registered int64
 	superseded bool
-	leaving    bool
-	contacts   map[string]*contact
+	// withholdUntil is T after the registration: a former process under the
+	// same id may have owed debts that are not known here.
+	withholdUntil time.Time
+	leaving       bool
+	contacts      map[string]*contact
 	// received and origin hold the versions that came from peers and those
 	// that came from the store or were written here. Only the latter are
 	// pushed: pushing what peers have sent would multiply each change by the
@@ -277,6 +280,7 @@
 	defer n.mu.Unlock()
 	n.registered = doc.Version
 	n.permit.Register(now)
+	n.withholdUntil = now.Add(T)
 }
 
 func (n *Node) readRegistry(ctx context.Context) (Registry, replica.Document, error) {
@@ -316,7 +320,15 @@
 	n.mu.Lock()
 	n.leaving = true
 	n.permit.Close()
+	var owed time.Time
+	for _, d := range n.debts {
+		if d.last.After(owed) {
+			owed = d.last
+		}
+	}
 	n.mu.Unlock()
+	// The debts end with the process: what rested on it has to lapse first.
+	sleep(ctx, time.Until(owed.Add(T)))
 	for {
 		registry, doc, err := n.readRegistry(ctx)
 		if err == nil && !registry.Contains(n.self) {
@@ -559,7 +571,7 @@
 	if known != nil {
 		q.Documents = fromDocuments(n.pushed(known))
 	}
-	q.Released = n.confirmable()
+	q.Released = n.confirmable(now)
 	q.Demand = n.demand()
 	return q
 }
@@ -600,15 +612,16 @@
 	p := &peer.ExchangeResponse{
 		Responder: n.self.ID, StoreAgeMillis: n.storeAgeMillis(now), Leaving: n.leaving,
 	}
-	// Without an incarnation the sender does not count this process.
-	if n.permit.Admitted() {
+	// Without an incarnation the sender does not count this process. A process
+	// that leaves takes on no debt.
+	if n.permit.Admitted() && (!n.leaving || n.debts[sender] == nil) {
 		p.Incarnation = n.self.Incarnation
 	}
 	n.mu.Unlock()
 	own := n.o.Replica.Digest()
 	p.Digest = fromDigest(own)
 	p.Documents = fromDocuments(n.newer(digest))
-	p.Released = n.confirmable()
+	p.Released = n.confirmable(now)
 	p.Demand = n.demand()
 	return p
 }
@@ -663,13 +676,16 @@
 
 // confirmable lists the own releases without those that an unregistered entry
 // VM, which relied on this member, has not released.
-func (n *Node) confirmable() []*peer.ReleasedVM {
+func (n *Node) confirmable(now time.Time) []*peer.ReleasedVM {
 	if n.o.Released == nil {
 		return nil
 	}
 	released := n.o.Released()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if now.Before(n.withholdUntil) {
+		return nil
+	}
 	return slices.DeleteFunc(slices.Clone(released), func(r *peer.ReleasedVM) bool {
 		for _, d := range n.debts {
 			if d.released[r.Vm] < r.Generation {
@@ -763,8 +779,10 @@
 
 // Confirmations returns the highest released generation per member and VM, the
 // own ones included.
-func (n *Node) Confirmations() map[Member]map[string]int64 {
-	own := n.confirmable()
+func (n *Node) Confirmations() map[Member]map[string]int64 { return n.confirmationsAt(time.Now()) }
+
+func (n *Node) confirmationsAt(now time.Time) map[Member]map[string]int64 {
+	own := n.confirmable(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := make(map[Member]map[string]int64, len(n.confirmations)+1)
