--- a/control/controller.go
+++ b/control/controller.go
@@ -41,6 +41,8 @@
 	Confirmations() map[membership.Member]map[string]int64
 	// Contacts returns the start of the last complete exchange per member.
 	Contacts() map[membership.Member]time.Time
+	// Heard returns when each member was last heard from, in either direction.
+	Heard() map[string]time.Time
 	// RegistryVersions returns the version of the registry that each member holds.
 	RegistryVersions() map[membership.Member]int64
 	DemandOfMembers() []*peer.PoolDemand
@@ -293,6 +295,8 @@
 	// done holds the operations whose call was answered, to spare repeats.
 	done  map[string]time.Time
 	waits []fleet.Wait
+	// goneSince holds the members that the platform no longer knows.
+	goneSince map[membership.Member]time.Time
 	// repaired is the version of the configuration at the last repair.
 	repaired int64
 }
--- a/membership/node.go
+++ b/membership/node.go
@@ -85,14 +85,23 @@
 	trigger chan struct{}
 	kick    chan struct{}
 
-	mu            sync.Mutex
-	permit        *Permit
-	registry      Registry
-	version       int64
-	registered    int64
-	superseded    bool
+	mu         sync.Mutex
+	permit     *Permit
+	registry   Registry
+	version    int64
+	registered int64
+	superseded bool
+	// withholdUntil is T after the registration: a former process under the
+	// same id may have owed debts that are not known here.
+	withholdUntil time.Time
 	leaving       bool
 	contacts      map[string]*contact
+	// received and origin hold the versions that came from peers and those
+	// that came from the store or were written here. Only the latter are
+	// pushed: pushing what peers have sent would multiply each change by the
+	// square of the number of members.
+	received      map[string]int64
+	origin        map[string]int64
 	confirmations map[Member]map[string]int64
 	debts         map[Member]*debt
 	clients       map[string]peer.Peer
@@ -113,6 +122,8 @@
 		kick:          make(chan struct{}, 1),
 		permit:        NewPermit(o.ID),
 		contacts:      map[string]*contact{},
+		received:      map[string]int64{},
+		origin:        map[string]int64{},
 		confirmations: map[Member]map[string]int64{},
 		debts:         map[Member]*debt{},
 		clients:       map[string]peer.Peer{},
@@ -140,7 +151,15 @@
 
 // onDocument runs under the lock of the replica.
 func (n *Node) onDocument(doc replica.Document) {
-	defer n.Trigger()
+	n.mu.Lock()
+	origin := n.received[doc.Key] != doc.Version
+	if origin {
+		n.origin[doc.Key] = doc.Version
+	}
+	n.mu.Unlock()
+	if origin {
+		n.Trigger()
+	}
 	if doc.Key != Key(n.o.Region) {
 		return
 	}
@@ -264,6 +283,7 @@
 	defer n.mu.Unlock()
 	n.registered = doc.Version
 	n.permit.Register(now)
+	n.withholdUntil = now.Add(T)
 }
 
 func (n *Node) readRegistry(ctx context.Context) (Registry, replica.Document, error) {
@@ -303,7 +323,15 @@
 	n.mu.Lock()
 	n.leaving = true
 	n.permit.Close()
+	var owed time.Time
+	for _, d := range n.debts {
+		if d.last.After(owed) {
+			owed = d.last
+		}
+	}
 	n.mu.Unlock()
+	// The debts end with the process: what rested on it has to lapse first.
+	sleep(ctx, time.Until(owed.Add(T)))
 	for {
 		registry, doc, err := n.readRegistry(ctx)
 		if err == nil && !registry.Contains(n.self) {
@@ -544,9 +572,9 @@
 	n.mu.Unlock()
 	q.Digest = fromDigest(n.o.Replica.Digest())
 	if known != nil {
-		q.Documents = fromDocuments(n.newer(known))
+		q.Documents = fromDocuments(n.pushed(known))
 	}
-	q.Released = n.confirmable()
+	q.Released = n.confirmable(now)
 	q.Demand = n.demand()
 	return q
 }
@@ -587,15 +615,16 @@
 	p := &peer.ExchangeResponse{
 		Responder: n.self.ID, StoreAgeMillis: n.storeAgeMillis(now), Leaving: n.leaving,
 	}
-	// Without an incarnation the sender does not count this process.
-	if n.permit.Admitted() {
+	// Without an incarnation the sender does not count this process. A process
+	// that leaves takes on no debt.
+	if n.permit.Admitted() && (!n.leaving || n.debts[sender] == nil) {
 		p.Incarnation = n.self.Incarnation
 	}
 	n.mu.Unlock()
 	own := n.o.Replica.Digest()
 	p.Digest = fromDigest(own)
 	p.Documents = fromDocuments(n.newer(digest))
-	p.Released = n.confirmable()
+	p.Released = n.confirmable(now)
 	p.Demand = n.demand()
 	return p
 }
@@ -650,13 +679,16 @@
 
 // confirmable lists the own releases without those that an unregistered entry
 // VM, which relied on this member, has not released.
-func (n *Node) confirmable() []*peer.ReleasedVM {
+func (n *Node) confirmable(now time.Time) []*peer.ReleasedVM {
 	if n.o.Released == nil {
 		return nil
 	}
 	released := n.o.Released()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if now.Before(n.withholdUntil) {
+		return nil
+	}
 	return slices.DeleteFunc(slices.Clone(released), func(r *peer.ReleasedVM) bool {
 		for _, d := range n.debts {
 			if d.released[r.Vm] < r.Generation {
@@ -758,8 +790,10 @@
 
 // Confirmations returns the highest released generation per member and VM, the
 // own ones included.
-func (n *Node) Confirmations() map[Member]map[string]int64 {
-	own := n.confirmable()
+func (n *Node) Confirmations() map[Member]map[string]int64 { return n.confirmationsAt(time.Now()) }
+
+func (n *Node) confirmationsAt(now time.Time) map[Member]map[string]int64 {
+	own := n.confirmable(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	out := make(map[Member]map[string]int64, len(n.confirmations)+1)
@@ -791,6 +825,17 @@
 	return out
 }
 
+// Heard returns when each member was last heard from, in either direction.
+func (n *Node) Heard() map[string]time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[string]time.Time{n.self.ID: time.Now()}
+	for id, c := range n.contacts {
+		out[id] = c.heard
+	}
+	return out
+}
+
 // RegistryVersions returns the version of the registry that each member held
 // at its last exchange.
 func (n *Node) RegistryVersions() map[Member]int64 {
@@ -832,6 +877,9 @@
 	keys := n.Keys()
 	for _, doc := range docs {
 		if slices.Contains(keys, doc.Key) {
+			n.mu.Lock()
+			n.received[doc.Key] = max(n.received[doc.Key], doc.Version)
+			n.mu.Unlock()
 			n.o.Replica.Apply(replica.Document{Key: doc.Key, Version: doc.Version, Value: doc.Value})
 		}
 	}
@@ -848,9 +896,18 @@
 	return true
 }
 
-// lacks reports whether the other side is known to hold an older document.
+// lacks reports whether a document has to be pushed to the other side.
 func (n *Node) lacks(digest map[string]int64) bool {
-	return len(n.newer(digest)) > 0
+	return len(n.pushed(digest)) > 0
+}
+
+// pushed returns the documents newer than the digest that originate here. The
+// other side asks for the rest by its own exchange.
+func (n *Node) pushed(digest map[string]int64) []replica.Document {
+	newer := n.newer(digest)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.DeleteFunc(newer, func(doc replica.Document) bool { return n.origin[doc.Key] != doc.Version })
 }
 
 // newer returns the documents of Keys that are newer than the digest. Other
