dispatch: ask again when the connection to the dispatcher goes silent

TestSilentConnectionToDispatcher failed before: a request whose Acquire was on a connection that went silent waited for its deadline. After 2 s, then 4 s and so on, the client asks again under the same request id on another connection; the dispatcher keeps the place in the queue and repeats a lost answer.

--- a/dispatch/client.go
+++ b/dispatch/client.go
@@ -15,6 +15,10 @@
 // changed or could not be reached.
 const retryInterval = 50 * time.Millisecond
 
+// askAgainAfter is how long the first call of Acquire may go without an answer
+// before a second one is made.
+const askAgainAfter = 2 * time.Second
+
 // maxReleaseBatch bounds the results in one Release call.
 const maxReleaseBatch = 256
 
@@ -142,7 +146,11 @@
 	// Each call has an id of its own, so that a call that is repeated after a
 	// lost answer does not meet its predecessor.
 	id := uuid.NewString()
-	answer, err := dispatcher.Acquire(ctx, &peer.AcquireRequest{
+	ask := c.askRemote
+	if owner == c.options.EntryID {
+		ask = acquirer.Acquire
+	}
+	answer, err := ask(dispatcher, ctx, &peer.AcquireRequest{
 		RequestId:      id,
 		Entry:          c.options.EntryID,
 		Pool:           r.Pool,
@@ -186,6 +194,52 @@
 	return grant, nil
 }
 
+// acquired is what one call of Acquire returned.
+type acquired struct {
+	call   int
+	answer *peer.AcquireResponse
+	err    error
+}
+
+// askRemote calls a remote dispatcher, and again on another connection when no
+// answer comes for a while, because connections can go silent while new ones
+// work. The dispatcher knows the request by its id: it keeps its place in the
+// queue, and repeats an answer that was lost.
+func (c *Client) askRemote(dispatcher acquirer, ctx context.Context, r *peer.AcquireRequest) (*peer.AcquireResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan acquired)
+	call := func(n int) {
+		answer, err := dispatcher.Acquire(ctx, r)
+		select {
+		case answers <- acquired{call: n, answer: answer, err: err}:
+		case <-ctx.Done():
+		}
+	}
+	latest, wait := 1, askAgainAfter
+	go call(latest)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case got := <-answers:
+			replaced := got.err != nil || got.answer.Status == peer.AcquireResponse_NOT_DISPATCHER
+			if got.call < latest && replaced {
+				continue
+			}
+			return got.answer, got.err
+		case <-timer.C:
+			latest++
+			go call(latest)
+			// Long waits are usually those of a long queue.
+			wait *= 2
+			timer.Reset(wait)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // Release gives a grant back and reports how its request went.
 func (c *Client) Release(g Grant, result peer.GrantResult_Result, run time.Duration) {
 	ended := &peer.GrantResult{
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -31,7 +31,8 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	workers []dispatching.Worker
-	// lose decides the fate of a call: "", "request" or "answer".
+	// lose decides the fate of a call: "", "request" or "answer" is lost, or
+	// its connection goes "silent" before the one or the other.
 	lose func(from, to, method string) string
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -154,8 +155,12 @@
 		<-ctx.Done()
 		return none, ctx.Err()
 	}
-	if fate == "request" {
+	switch fate {
+	case "request":
 		return none, errLost
+	case "silent request":
+		<-ctx.Done()
+		return none, ctx.Err()
 	}
 	// As over a connection, the caller's end of the call reaches the callee
 	// later, and an answer that is on its way then reaches nobody.
@@ -164,8 +169,11 @@
 	defer context.AfterFunc(ctx, func() { time.Sleep(time.Millisecond); cancel() })()
 	answer, err := handle(to, served, r)
 	time.Sleep(time.Millisecond)
-	if fate == "answer" {
+	switch fate {
+	case "answer":
 		return none, errLost
+	case "silent answer":
+		<-ctx.Done()
 	}
 	if ctx.Err() != nil {
 		return none, ctx.Err()
@@ -270,6 +278,46 @@
 	})
 }
 
+// Guards against a request that waits for its deadline because the connection
+// to its dispatcher went silent, and against losing its place in the queue.
+func TestSilentConnectionToDispatcher(t *testing.T) {
+	_, second, third := roles()
+	for _, fate := range []string{"silent request", "silent answer"} {
+		t.Run(fate, func(t *testing.T) {
+			run(t, 1, 1, func(t *testing.T, c *cluster) {
+				silent := true
+				c.setLose(func(_, _, method string) string {
+					if method == "Acquire" && silent {
+						silent = false
+						return fate
+					}
+					return ""
+				})
+				started := time.Now()
+				g := c.entries[second].mustAcquire(t)
+				if took := time.Since(started); took > 3*time.Second {
+					t.Fatalf("slot granted after %v", took)
+				}
+				order := make(chan string, 2)
+				for _, id := range []string{second, third} {
+					go func() {
+						g := c.entries[id].mustAcquire(t)
+						order <- id
+						c.entries[id].client.Release(g, peer.GrantResult_OK, 0)
+					}()
+					time.Sleep(500 * time.Millisecond)
+				}
+				time.Sleep(10 * time.Second)
+				c.entries[second].client.Release(g, peer.GrantResult_OK, 0)
+				if first := <-order; first != second {
+					t.Fatalf("%s overtook %s", first, second)
+				}
+				<-order
+			})
+		})
+	}
+}
+
 // Guards against a healthy worker that is charged with a failure, and in the
 // end ejected, for each caller that gives up.
 func TestCancellationsDoNotEjectWorkers(t *testing.T) {
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -100,13 +100,18 @@
 	entry    string
 	deadline time.Time
 	reply    chan dispatching.Decision
+	// replaced tells that a later call of the same request waits instead.
+	replaced bool
 }
 
 // issued is a grant and the entry VM that holds it.
 type issued struct {
 	entry   string
 	request string
-	at      time.Time
+	// decision repeats an answer that was lost.
+	decision dispatching.Decision
+	waiter   *waiter
+	at       time.Time
 	// endsBy is the deadline of the request, by which its entry VM has ended it.
 	endsBy  time.Time
 	missing int
@@ -283,7 +288,7 @@
 		if w, ok := o.waiting[d.RequestID]; ok {
 			delete(o.waiting, d.RequestID)
 			if d.Reason == dispatching.ReasonNone {
-				o.grants[d.Grant] = &issued{entry: w.entry, request: d.RequestID, at: now, endsBy: w.deadline}
+				o.grants[d.Grant] = &issued{entry: w.entry, request: d.RequestID, decision: d, waiter: w, at: now, endsBy: w.deadline}
 				o.byRequest[d.RequestID] = d.Grant
 			}
 			w.reply <- d
@@ -337,12 +342,12 @@
 	if !ok {
 		return notDispatcher, nil
 	}
-	reply, ok := owned.push(s.options.Now(), r)
+	w, ok := owned.push(s.options.Now(), r)
 	if !ok {
 		return notDispatcher, nil
 	}
 	select {
-	case d, ok := <-reply:
+	case d, ok := <-w.reply:
 		if !ok {
 			return notDispatcher, nil
 		}
@@ -350,28 +355,43 @@
 	case <-ctx.Done():
 		owned.mu.Lock()
 		defer owned.mu.Unlock()
-		owned.withdraw(s.options.Now(), r.RequestId)
+		if !w.replaced {
+			owned.withdraw(s.options.Now(), r.RequestId)
+		}
 		return nil, ctx.Err()
 	}
 }
 
-func (o *ownedPool) push(now time.Time, r *peer.AcquireRequest) (chan dispatching.Decision, bool) {
+// push adds a request to the queue. A repeat of a request that waits takes its
+// place; one of a request that has a slot gets the same answer.
+func (o *ownedPool) push(now time.Time, r *peer.AcquireRequest) (*waiter, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lost {
 		return nil, false
 	}
-	if _, twice := o.waiting[r.RequestId]; twice {
-		return nil, false
-	}
 	w := &waiter{
 		entry:    r.Entry,
 		deadline: now.Add(time.Duration(r.WaitMillis) * time.Millisecond),
 		reply:    make(chan dispatching.Decision, 1),
 	}
+	if former, ok := o.waiting[r.RequestId]; ok {
+		former.replaced = true
+		close(former.reply)
+		w.deadline = former.deadline
+		o.waiting[r.RequestId] = w
+		return w, true
+	}
+	if grant, ok := o.byRequest[r.RequestId]; ok {
+		g := o.grants[grant]
+		g.waiter.replaced = true
+		g.waiter = w
+		w.reply <- g.decision
+		return w, true
+	}
 	if o.hasNoWorker(now) {
 		w.reply <- noWorker(r.RequestId)
-		return w.reply, true
+		return w, true
 	}
 	o.waiting[r.RequestId] = w
 	o.deliver(now, o.state.Push(now, dispatching.Request{
@@ -384,7 +404,7 @@
 		Avoid:     r.Avoid,
 		Urgent:    r.Urgent,
 	}))
-	return w.reply, true
+	return w, true
 }
 
 func noWorker(request string) dispatching.Decision {
