--- a/tools/measure/overhead.go
+++ b/tools/measure/overhead.go
@@ -90,22 +90,18 @@
 	return rows, err
 }
 
-// freePorts returns the first of n successive ports that are free.
+// freePorts returns the first of n successive ports that are free. They lie
+// below the range from which Linux takes the ports of outgoing connections.
 func freePorts(n int) (int, error) {
-	for range 100 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		port := listener.Addr().(*net.TCPAddr).Port
-		listener.Close()
+	for port := 21000; port < 32000; port += n {
 		free := true
 		for i := range n {
-			next, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)))
-			if free = err == nil; !free {
+			listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)))
+			if err != nil {
+				free = false
 				break
 			}
-			next.Close()
+			listener.Close()
 		}
 		if free {
 			return port, nil
