--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	workers []dispatching.Worker
+	slots   int
 	// lose decides the fate of a call: "", "request" or "answer" is lost, or
 	// its connection goes "silent" before the one or the other.
 	lose func(from, to, method string) string
@@ -59,10 +60,8 @@
 
 func newCluster(workers int, slots int, ids ...string) *cluster {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &cluster{entries: map[string]*entry{}, stop: stop, lose: func(_, _, _ string) string { return "" }}
-	for i := range workers {
-		c.workers = append(c.workers, dispatching.Worker{ID: fmt.Sprintf("w%d", i), Slots: slots})
-	}
+	c := &cluster{entries: map[string]*entry{}, slots: slots, stop: stop, lose: func(_, _, _ string) string { return "" }}
+	c.setWorkers(workers)
 	for _, id := range ids {
 		e := &entry{cluster: c, id: id, members: ids}
 		peers := func(to string) (peer.Peer, bool) { return &link{from: e, to: to}, true }
@@ -109,6 +108,19 @@
 	}
 }
 
+// setWorkers changes the serving workers to the first n.
+func (c *cluster) setWorkers(n int) {
+	c.mu.Lock()
+	c.workers = nil
+	for i := range n {
+		c.workers = append(c.workers, dispatching.Worker{ID: fmt.Sprintf("w%d", i), Slots: c.slots})
+	}
+	c.mu.Unlock()
+	for _, e := range c.entries {
+		e.server.WorkersChanged()
+	}
+}
+
 func (c *cluster) freeze(id string, frozen bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -473,10 +485,7 @@
 		}
 		go func() {
 			time.Sleep(500 * time.Millisecond)
-			c.mu.Lock()
-			c.workers = []dispatching.Worker{{ID: "w", Slots: 1}}
-			c.mu.Unlock()
-			c.entries[first].server.WorkersChanged()
+			c.setWorkers(1)
 		}()
 		c.view(without(first))
 		c.view(three)
@@ -593,6 +602,11 @@
 		c.view(three)
 		mark()
 	}
+	for i := range 10 {
+		// The second worker leaves and returns while slots are granted.
+		c.setWorkers(2 - i%2)
+		time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+	}
 	callers.Wait()
 	if ended != requests {
 		rt.Errorf("%d of %d calls of Acquire ended", ended, requests)
