dispatch: free the slots of a dead process, hold those of a silent one

The reconciliation also asks the holders of grants that are not live any more. TestSlotsOfDeadEntryAreFreed fails without it.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -5,8 +5,10 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +35,7 @@
 	workers []dispatching.Worker
 	slots   int
 	// lose decides the fate of a call: "", "request" or "answer" is lost, or
-	// its connection goes "silent" before the one or the other.
+	// its connection is "refused" or goes "silent" before the one or the other.
 	lose func(from, to, method string) string
 	stop context.CancelFunc
 	done sync.WaitGroup
@@ -168,6 +170,8 @@
 		return none, ctx.Err()
 	}
 	switch fate {
+	case "refused":
+		return none, errors.Wrap(syscall.ECONNREFUSED, "dial")
 	case "request":
 		return none, errLost
 	case "silent request":
@@ -453,6 +457,41 @@
 	})
 }
 
+// Guards against the slots of a dead process being held until the deadlines of
+// its requests.
+func TestSlotsOfDeadEntryAreFreed(t *testing.T) {
+	first, second, third := roles()
+	run(t, 1, 1, func(t *testing.T, c *cluster) {
+		c.entries[third].mustAcquire(t)
+		c.setLose(func(_, to, _ string) string {
+			if to == third {
+				return "refused"
+			}
+			return ""
+		})
+		time.Sleep(3 * time.Second)
+		c.view(without(third), first, second)
+		if _, err := c.entries[second].acquire(t.Context(), 2*reconcileInterval); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against an error of the peer client that hides a refused connection.
+func TestRefusedConnectionIsRecognised(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	clients := peer.NewClients(peer.ClientsOptions{Timeout: time.Second})
+	defer clients.Close()
+	_, err = clients.Dial(listener.Addr().String()).GrantsInUse(t.Context(), &peer.GrantsInUseRequest{})
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("got %v", err)
+	}
+}
+
 // Guards against a silent entry VM that stops the deadlines of all pools.
 func TestSilentEntryDoesNotDelayRefusals(t *testing.T) {
 	first, second, third := roles()
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -5,9 +5,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"dotterelhead.example/dotterelhead/peer"
@@ -248,15 +252,23 @@
 	return o.ready && !o.withoutWorker.IsZero() && now.Sub(o.withoutWorker) > noWorkerWait
 }
 
-// heldByAll asks every live entry VM for the grants it holds. Entry VMs that
-// do not answer are missing in the result.
-func (s *Server) heldByAll(pool string) map[string][]*peer.GrantInUse {
+// heldByAll asks the live entry VMs and the named ones for the grants they
+// hold. Entry VMs that do not answer are missing in the result; those whose
+// process is gone hold none.
+func (s *Server) heldByAll(pool string, named ...string) map[string][]*peer.GrantInUse {
 	ctx, cancel := context.WithTimeout(s.asking, adoptTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	held := map[string][]*peer.GrantInUse{s.options.EntryID: s.options.Held(pool)}
+	set := func(member string, grants []*peer.GrantInUse) {
+		mu.Lock()
+		defer mu.Unlock()
+		held[member] = grants
+	}
+	members := slices.Concat(s.options.Members(), named)
+	slices.Sort(members)
 	var group errgroup.Group
-	for _, member := range s.options.Members() {
+	for _, member := range slices.Compact(members) {
 		if member == s.options.EntryID {
 			continue
 		}
@@ -266,12 +278,14 @@
 		}
 		group.Go(func() error {
 			answer, err := client.GrantsInUse(ctx, &peer.GrantsInUseRequest{Pool: pool})
-			if err != nil {
-				return nil
+			switch {
+			case err == nil:
+				set(member, answer.Grants)
+			case errors.Is(err, syscall.ECONNREFUSED):
+				// Its VM is up and the process is gone, so its connections to
+				// the workers are closed.
+				set(member, nil)
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			held[member] = answer.Grants
 			return nil
 		})
 	}
@@ -572,10 +586,11 @@
 //
 // The grants of an entry VM that does not answer are kept until their requests
 // have ended, because a frozen process does not end what it has sent: the
-// worker goes on with it.
+// worker goes on with it. Those of a process that is known to be gone are
+// freed, because its connections are closed and the workers know it.
 func (s *Server) reconcile(owned *ownedPool) {
 	started := s.options.Now()
-	held := s.heldByAll(owned.name)
+	held := s.heldByAll(owned.name, owned.holders()...)
 	known := map[string]bool{}
 	for _, grants := range held {
 		for _, g := range grants {
@@ -603,6 +618,19 @@
 	owned.ended = nil
 }
 
+// holders returns the entry VMs that hold grants, and forgets the silence of
+// all others.
+func (o *ownedPool) holders() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	holding := map[string]bool{}
+	for _, grant := range o.grants {
+		holding[grant.entry] = true
+	}
+	maps.DeleteFunc(o.silent, func(entry string, _ time.Time) bool { return !holding[entry] })
+	return slices.Collect(maps.Keys(holding))
+}
+
 // hasEnded reports whether the request of a silent entry VM counts as ended.
 func (o *ownedPool) hasEnded(now time.Time, grant *issued) bool {
 	since, ok := o.silent[grant.entry]
