--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -5,9 +5,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"dotterelhead.example/dotterelhead/peer"
@@ -100,13 +104,18 @@
 	entry    string
 	deadline time.Time
 	reply    chan dispatching.Decision
+	// replaced tells that a later call of the same request waits instead.
+	replaced bool
 }
 
 // issued is a grant and the entry VM that holds it.
 type issued struct {
 	entry   string
 	request string
-	at      time.Time
+	// decision repeats an answer that was lost.
+	decision dispatching.Decision
+	waiter   *waiter
+	at       time.Time
 	// endsBy is the deadline of the request, by which its entry VM has ended it.
 	endsBy  time.Time
 	missing int
@@ -243,15 +252,23 @@
 	return o.ready && !o.withoutWorker.IsZero() && now.Sub(o.withoutWorker) > noWorkerWait
 }
 
-// heldByAll asks every live entry VM for the grants it holds. Entry VMs that
-// do not answer are missing in the result.
-func (s *Server) heldByAll(pool string) map[string][]*peer.GrantInUse {
+// heldByAll asks the live entry VMs and the named ones for the grants they
+// hold. Entry VMs that do not answer are missing in the result; those whose
+// process is gone hold none.
+func (s *Server) heldByAll(pool string, named ...string) map[string][]*peer.GrantInUse {
 	ctx, cancel := context.WithTimeout(s.asking, adoptTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	held := map[string][]*peer.GrantInUse{s.options.EntryID: s.options.Held(pool)}
+	set := func(member string, grants []*peer.GrantInUse) {
+		mu.Lock()
+		defer mu.Unlock()
+		held[member] = grants
+	}
+	members := slices.Concat(s.options.Members(), named)
+	slices.Sort(members)
 	var group errgroup.Group
-	for _, member := range s.options.Members() {
+	for _, member := range slices.Compact(members) {
 		if member == s.options.EntryID {
 			continue
 		}
@@ -261,12 +278,14 @@
 		}
 		group.Go(func() error {
 			answer, err := client.GrantsInUse(ctx, &peer.GrantsInUseRequest{Pool: pool})
-			if err != nil {
-				return nil
+			switch {
+			case err == nil:
+				set(member, answer.Grants)
+			case errors.Is(err, syscall.ECONNREFUSED):
+				// Its VM is up and the process is gone, so its connections to
+				// the workers are closed.
+				set(member, nil)
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			held[member] = answer.Grants
 			return nil
 		})
 	}
@@ -283,7 +302,7 @@
 		if w, ok := o.waiting[d.RequestID]; ok {
 			delete(o.waiting, d.RequestID)
 			if d.Reason == dispatching.ReasonNone {
-				o.grants[d.Grant] = &issued{entry: w.entry, request: d.RequestID, at: now, endsBy: w.deadline}
+				o.grants[d.Grant] = &issued{entry: w.entry, request: d.RequestID, decision: d, waiter: w, at: now, endsBy: w.deadline}
 				o.byRequest[d.RequestID] = d.Grant
 			}
 			w.reply <- d
@@ -337,12 +356,12 @@
 	if !ok {
 		return notDispatcher, nil
 	}
-	reply, ok := owned.push(s.options.Now(), r)
+	w, ok := owned.push(s.options.Now(), r)
 	if !ok {
 		return notDispatcher, nil
 	}
 	select {
-	case d, ok := <-reply:
+	case d, ok := <-w.reply:
 		if !ok {
 			return notDispatcher, nil
 		}
@@ -350,28 +369,43 @@
 	case <-ctx.Done():
 		owned.mu.Lock()
 		defer owned.mu.Unlock()
-		owned.withdraw(s.options.Now(), r.RequestId)
+		if !w.replaced {
+			owned.withdraw(s.options.Now(), r.RequestId)
+		}
 		return nil, ctx.Err()
 	}
 }
 
-func (o *ownedPool) push(now time.Time, r *peer.AcquireRequest) (chan dispatching.Decision, bool) {
+// push adds a request to the queue. A repeat of a request that waits takes its
+// place; one of a request that has a slot gets the same answer.
+func (o *ownedPool) push(now time.Time, r *peer.AcquireRequest) (*waiter, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.lost {
 		return nil, false
 	}
-	if _, twice := o.waiting[r.RequestId]; twice {
-		return nil, false
-	}
 	w := &waiter{
 		entry:    r.Entry,
 		deadline: now.Add(time.Duration(r.WaitMillis) * time.Millisecond),
 		reply:    make(chan dispatching.Decision, 1),
 	}
+	if former, ok := o.waiting[r.RequestId]; ok {
+		former.replaced = true
+		close(former.reply)
+		w.deadline = former.deadline
+		o.waiting[r.RequestId] = w
+		return w, true
+	}
+	if grant, ok := o.byRequest[r.RequestId]; ok {
+		g := o.grants[grant]
+		g.waiter.replaced = true
+		g.waiter = w
+		w.reply <- g.decision
+		return w, true
+	}
 	if o.hasNoWorker(now) {
 		w.reply <- noWorker(r.RequestId)
-		return w.reply, true
+		return w, true
 	}
 	o.waiting[r.RequestId] = w
 	o.deliver(now, o.state.Push(now, dispatching.Request{
@@ -386,7 +420,7 @@
 		Fingerprint:   r.Fingerprint,
 		NonRepeatable: r.NonRepeatable,
 	}))
-	return w.reply, true
+	return w, true
 }
 
 func noWorker(request string) dispatching.Decision {
@@ -554,10 +588,11 @@
 //
 // The grants of an entry VM that does not answer are kept until their requests
 // have ended, because a frozen process does not end what it has sent: the
-// worker goes on with it.
+// worker goes on with it. Those of a process that is known to be gone are
+// freed, because its connections are closed and the workers know it.
 func (s *Server) reconcile(owned *ownedPool) {
 	started := s.options.Now()
-	held := s.heldByAll(owned.name)
+	held := s.heldByAll(owned.name, owned.holders()...)
 	known := map[string]bool{}
 	for _, grants := range held {
 		for _, g := range grants {
@@ -585,6 +620,19 @@
 	owned.ended = nil
 }
 
+// holders returns the entry VMs that hold grants, and forgets the silence of
+// all others.
+func (o *ownedPool) holders() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	holding := map[string]bool{}
+	for _, grant := range o.grants {
+		holding[grant.entry] = true
+	}
+	maps.DeleteFunc(o.silent, func(entry string, _ time.Time) bool { return !holding[entry] })
+	return slices.Collect(maps.Keys(holding))
+}
+
 // hasEnded reports whether the request of a silent entry VM counts as ended.
 func (o *ownedPool) hasEnded(now time.Time, grant *issued) bool {
 	since, ok := o.silent[grant.entry]
