--- /dev/null
+++ b/scheduler/capacity/trace_test.go
@@ -0,0 +1,89 @@
+package capacity
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// world carries out the moves of a planner; a move takes four seconds.
+type world struct {
+	planner *Planner
+	now     time.Time
+	s       Snapshot
+	under   map[string]arrival
+}
+
+type arrival struct {
+	to string
+	at time.Time
+}
+
+func newWorld() *world {
+	w := &world{planner: NewPlanner(Options{}), now: time.Unix(1000, 0), under: map[string]arrival{}}
+	w.s.Pools = []Pool{
+		{Name: "spare", Spare: true, SlotsPerWorker: 8},
+		{Name: "a", MinimumVMs: 4, MaxUnavailable: 1, SlotsPerWorker: 8},
+		{Name: "b", MinimumVMs: 4, MaxUnavailable: 1, SlotsPerWorker: 8},
+	}
+	for i := range 24 {
+		pool := w.s.Pools[i%3].Name
+		w.s.VMs = append(w.s.VMs, VM{ID: fmt.Sprintf("vm%02d", i), Pool: pool, HomePool: pool, Serving: true})
+	}
+	return w
+}
+
+// second plans once and returns the moves between each two pools.
+func (w *world) second() string {
+	w.now = w.now.Add(time.Second)
+	for i := range w.s.VMs {
+		vm := &w.s.VMs[i]
+		if a, ok := w.under[vm.ID]; ok && !a.at.After(w.now) {
+			vm.Pool, vm.Serving, vm.MovedAt = a.to, true, w.now
+			delete(w.under, vm.ID)
+		}
+	}
+	counts := map[string]int{}
+	for _, m := range w.planner.Plan(w.now, w.s) {
+		counts[m.From+"->"+m.To]++
+		i := slices.IndexFunc(w.s.VMs, func(vm VM) bool { return vm.ID == m.VM })
+		w.s.VMs[i].Serving = false
+		w.under[m.VM] = arrival{m.To, w.now.Add(4 * time.Second)}
+	}
+	var parts []string
+	for route, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s %d", route, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+// Guards against the faults that the measurements showed; each trace says
+// which one.
+func TestTraces(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		w := newWorld()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var seconds int
+			var a, b float64
+			d.ScanArgs(t, "seconds", &seconds)
+			d.ScanArgs(t, "a", &a)
+			d.ScanArgs(t, "b", &b)
+			w.s.Pools[1].SlotsWanted, w.s.Pools[2].SlotsWanted = a, b
+			var out strings.Builder
+			for i := range seconds {
+				if moves := w.second(); moves != "" {
+					fmt.Fprintf(&out, "%d s: %s\n", i+1, moves)
+				}
+			}
+			if out.Len() == 0 {
+				return "no moves\n"
+			}
+			return out.String()
+		})
+	})
+}
--- /dev/null
+++ b/tools/measure/measure_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+)
+
+// small is a workload of fifteen seconds, so that tests take little time.
+func small(seed uint64) (scenario, workload) {
+	s := scenario{Deployment: "mas-trunk", Seed: seed, Quick: true}
+	w := newWorkload(s)
+	w.until = 15 * time.Second
+	end := slices.IndexFunc(w.jobs, func(j job) bool { return j.arrive >= w.until })
+	w.jobs, w.rackLostAt = w.jobs[:end], w.until/2
+	return s, w
+}
+
+// Guards against figures that differ between runs with the same seed.
+func TestRunsAreDeterministic(t *testing.T) {
+	var waits [2]float64
+	var moves [2]int
+	for i := range waits {
+		s, w := small(1)
+		r := runCapacity(s, w, poolSizes, planned(s.weights()))
+		waits[i], moves[i] = r.wait(), r.moves
+	}
+	if waits[0] != waits[1] || moves[0] != moves[1] {
+		t.Errorf("two runs with one seed: waits %v, moves %v", waits, moves)
+	}
+}
+
+// Guards against jobs that get no outcome, which would flatter the quantiles.
+func TestEveryJobHasAnOutcome(t *testing.T) {
+	s, w := small(2)
+	for name, newPool := range map[string]func(int) dispatcher{
+		"learned": learnedPool, "first come first served": fcfsPool, "round robin": newRoundRobin,
+	} {
+		for _, o := range newSimulation(s, w, newPool).run() {
+			if !o.done && !o.failed && !o.cancelled && o.refused == 0 {
+				t.Fatalf("%s: %s has no outcome", name, o.job.id)
+			}
+		}
+	}
+}
+
+// Guards against a bound that real dispatchers beat, which would make the
+// targets meaningless.
+func TestClairvoyantIsABound(t *testing.T) {
+	s, w := small(3)
+	best := summarise(clairvoyant(w))
+	for name, newPool := range map[string]func(int) dispatcher{"learned": learnedPool, "first come first served": fcfsPool} {
+		got := summarise(newSimulation(s, w, newPool).run())
+		if quantile(got.short, 0.99) < quantile(best.short, 0.99) {
+			t.Errorf("%s has a lower p99 slowdown of short work than the bound", name)
+		}
+	}
+}
+
+// Guards against rows that lack the fields which readers of the JSON expect.
+func TestRowsHaveNulls(t *testing.T) {
+	var out bytes.Buffer
+	if err := writeJSON(&out, []Row{row("wait", "seconds", 1).baseline(2)}); err != nil {
+		t.Fatal(err)
+	}
+	var rows []map[string]any
+	if err := json.Unmarshal(out.Bytes(), &rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range []string{"measure", "unit", "value", "baseline", "bound", "target", "met"} {
+		if _, ok := rows[0][field]; !ok {
+			t.Errorf("field %q is missing", field)
+		}
+	}
+	if rows[0]["bound"] != nil || rows[0]["baseline"] != 2.0 {
+		t.Errorf("row %v", rows[0])
+	}
+}
