--- a/tools/measure/workload.go
+++ b/tools/measure/workload.go
@@ -135,9 +135,11 @@
 	lostRack   string
 }
 
-func newWorkload(s scenario) workload {
+func newWorkload(s scenario) workload { return newWorkloadOf(s, s.duration()) }
+
+func newWorkloadOf(s scenario, until time.Duration) workload {
 	random := rand.New(rand.NewPCG(s.Seed, 0x646f74746572656c))
-	w := workload{until: s.duration()}
+	w := workload{until: until}
 	w.bursts = bursts(random, w.until)
 	for service := range services {
 		w.jobs = append(w.jobs, serviceJobs(random, service, w.until, w.bursts[service])...)
