Add a forecast that follows the weekly drift of the peak

Four weeks are sampled each minute; the evening peak rises 5 minutes later each week. The forecast is last week's demand moved by the shift between the last two weeks.

The planner does not use the forecast yet.

--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -20,6 +20,7 @@
 	{"ejection", measureEjection},
 	{"capacity", measureCapacity},
 	{"scale", measureScale},
+	{"forecast", measureForecast},
 }
 
 func measureDecisions(s scenario) ([]Row, error) {
