--- a/tools/measure/ejection.go
+++ b/tools/measure/ejection.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -13,12 +14,14 @@
 // measureEjection measures workers that fail all they start from a quarter of
 // the run on, and common failures of a whole pool and of half a pool.
 func measureEjection(s scenario) ([]Row, []chart) {
-	var learned, learnedFailures, fcfs, fcfsFailures, whole, half float64
+	var learned, learnedFailures, fcfs, fcfsFailures, whole, half, refused, repeated float64
 	tasks := []func(){
 		func() { learned, learnedFailures = badWorkerShare(s, learnedPool) },
 		func() { fcfs, fcfsFailures = badWorkerShare(s, fcfsPool) },
 		func() { whole, _ = commonFailure(s, 1) },
 		func() { _, half = commonFailure(s, 0.5) },
+		func() { refused = neverStarts(s, learnedPool) },
+		func() { repeated = neverStarts(s, fcfsPool) },
 	}
 	parallel(len(tasks), func(i int) { tasks[i]() })
 	return []Row{
@@ -27,6 +30,7 @@
 		row("requests that end as failed with failing workers", "requests", learnedFailures).baseline(fcfsFailures),
 		row("workers ejected while a whole pool fails", "workers", whole).bound(0).atMost(0),
 		row("healthy workers ejected while half a pool fails", "workers", half).bound(0).atMost(0),
+		row("starts of a job that can never run, repeated four times", "starts", refused).baseline(repeated).bound(1),
 	}, nil
 }
 
@@ -61,6 +65,34 @@
 	return 100 * starts / fair, failures
 }
 
+// neverStarts returns the mean number of starts of a job that can never run
+// whose caller repeats it four times, 5 s apart.
+func neverStarts(s scenario, newPool func(int) dispatcher) float64 {
+	work := newWorkload(s)
+	repeated := map[string]bool{}
+	for _, j := range slices.Clone(work.jobs) {
+		if !j.never || j.arrive > work.until-time.Minute {
+			continue
+		}
+		repeated[j.fingerprint] = true
+		for i := 1; i <= 4; i++ {
+			repeat := j
+			repeat.id += fmt.Sprintf("#%d", i)
+			repeat.arrive += time.Duration(i) * 5 * time.Second
+			repeat.cancel = 0
+			work.jobs = append(work.jobs, repeat)
+		}
+	}
+	slices.SortStableFunc(work.jobs, func(a, b job) int { return int(a.arrive - b.arrive) })
+	starts := 0.0
+	for _, o := range newSimulation(s, work, newPool).run() {
+		if repeated[o.job.fingerprint] {
+			starts += float64(o.attempts)
+		}
+	}
+	return starts / float64(len(repeated))
+}
+
 func startsAfter(v *vm, from time.Duration) int {
 	i, _ := slices.BinarySearch(v.starts, from)
 	return len(v.starts) - i
--- a/tools/measure/workload.go
+++ b/tools/measure/workload.go
@@ -106,6 +106,8 @@
 	long      bool
 	// never marks a job that fails on every worker.
 	never bool
+	// fingerprint is the same for repeats of one job.
+	fingerprint string
 	// cancel is when the caller gives up if the job still waits; 0 for never.
 	cancel time.Duration
 }
@@ -191,6 +193,7 @@
 		id: fmt.Sprintf("s%d-%d", service, n), service: service, operation: o.name, arrive: arrive,
 		never: random.Float64() < neverShare,
 	}
+	j.fingerprint = j.id
 	run := float64(o.median) * math.Exp(0.5*random.NormFloat64())
 	if random.Float64() < longShare {
 		j.long = true
