--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -358,11 +358,13 @@
 			r.move(from, pool)
 		}
 	}
-	if spare := r.spare(); spare != nil {
-		for _, pool := range order {
-			for pool.canGive(pool.target) {
-				r.move(pool, spare)
+	for _, pool := range order {
+		for pool.canGive(pool.target) {
+			spare := r.spare(pool.movable[0].HomePool)
+			if spare == nil {
+				break
 			}
+			r.moveAt(pool, spare, 0)
 		}
 	}
 	return r.moves
@@ -386,20 +388,33 @@
 
 func (s *poolState) surplus() int { return s.serving - max(s.floor, s.MinimumVMs) }
 
-// spare is the spare pool that takes idle VMs.
-func (r *round) spare() *poolState {
+// spare is the spare pool that takes an idle VM: its home if that is one.
+func (r *round) spare(home string) *poolState {
+	var first *poolState
 	for i := range r.pools {
-		if r.pools[i].Spare {
-			return &r.pools[i]
+		pool := &r.pools[i]
+		if !pool.Spare {
+			continue
+		}
+		if pool.Name == home {
+			return pool
+		}
+		if first == nil {
+			first = pool
 		}
 	}
-	return nil
+	return first
 }
 
 func (r *round) move(from, to *poolState) {
 	// Of equally busy VMs one that goes home needs no move back later.
 	least := from.movable[0].Busy
 	i := max(slices.IndexFunc(from.movable, func(vm VM) bool { return vm.HomePool == to.Name && vm.Busy == least }), 0)
+	r.moveAt(from, to, i)
+}
+
+// moveAt moves a movable VM by its index.
+func (r *round) moveAt(from, to *poolState, i int) {
 	vm := from.movable[i]
 	from.movable = slices.Delete(from.movable, i, i+1)
 	from.serving--
--- a/scheduler/capacity/planner_test.go
+++ b/scheduler/capacity/planner_test.go
@@ -101,6 +101,26 @@
 	}
 }
 
+// Guards against idle VMs that end up in the spare pool of someone else.
+func TestIdleVMsReturnHome(t *testing.T) {
+	s := Snapshot{Pools: []Pool{
+		{Name: "ledger", Spare: true}, {Name: "tooling", Spare: true},
+		{Name: "a", MinimumVMs: 1, MaxUnavailable: 1, SlotsPerWorker: 8},
+	}}
+	for _, home := range []string{"a", "ledger", "tooling"} {
+		s.VMs = append(s.VMs, VM{ID: "of-" + home, Pool: "a", HomePool: home, Serving: true})
+	}
+	moves := NewPlanner(Options{}).Plan(time.Unix(1000, 0), s)
+	if len(moves) != 2 {
+		t.Errorf("moves %v, want both lent VMs", moves)
+	}
+	for _, m := range moves {
+		if m.VM != "of-"+m.To {
+			t.Errorf("%s goes to %s", m.VM, m.To)
+		}
+	}
+}
+
 // Guards against a hold that ignores regular gaps, or that pays for gaps that
 // are too long.
 func TestHoldFollowsGaps(t *testing.T) {
