--- a/tools/measure/workload.go
+++ b/tools/measure/workload.go
@@ -24,7 +24,7 @@
 		return errors.Errorf("unknown deployment %q: use etikettwerk or mas-trunk", s.Deployment)
 	}
 	for _, part := range s.Only {
-		if !slices.Contains([]string{"waiting", "ejection", "capacity", "scale"}, part) {
+		if !slices.Contains([]string{"waiting", "ejection", "capacity", "scale", "forecast"}, part) {
 			return errors.Errorf("unknown part %q", part)
 		}
 	}
@@ -106,6 +106,8 @@
 	long      bool
 	// never marks a job that fails on every worker.
 	never bool
+	// fingerprint is the same for repeats of one job.
+	fingerprint string
 	// cancel is when the caller gives up if the job still waits; 0 for never.
 	cancel time.Duration
 }
@@ -135,9 +137,11 @@
 	lostRack   string
 }
 
-func newWorkload(s scenario) workload {
+func newWorkload(s scenario) workload { return newWorkloadOf(s, s.duration()) }
+
+func newWorkloadOf(s scenario, until time.Duration) workload {
 	random := rand.New(rand.NewPCG(s.Seed, 0x646f74746572656c))
-	w := workload{until: s.duration()}
+	w := workload{until: until}
 	w.bursts = bursts(random, w.until)
 	for service := range services {
 		w.jobs = append(w.jobs, serviceJobs(random, service, w.until, w.bursts[service])...)
@@ -189,6 +193,7 @@
 		id: fmt.Sprintf("s%d-%d", service, n), service: service, operation: o.name, arrive: arrive,
 		never: random.Float64() < neverShare,
 	}
+	j.fingerprint = j.id
 	run := float64(o.median) * math.Exp(0.5*random.NormFloat64())
 	if random.Float64() < longShare {
 		j.long = true
