Send more work through the victim of the one-pool test

A trial with a permit that never expires passed: the victim's last watch told it of the move, and its few requests fell on other workers. With the wait for the watch and 12 callers the trial fails in the frozen case (a-1 saw a/1 after b/2).

--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -76,14 +76,22 @@
 			time.Sleep(6 * time.Second) // The control holder starts no transitions before T of contact.
 			l := c.startLoad(12, c.everyEntry(20*time.Millisecond))
 			victim := c.entries[3]
+			// Enough requests of the old pool that every one of its workers
+			// gets some from the victim.
+			old := c.startLoad(12, func(int, int) (*entry, call) {
+				return victim, call{service: "a", work: 20 * time.Millisecond}
+			})
 			fault.begin(c, victim)
+			// A watch that was waiting at the store lasts for up to 2 s and
+			// would still tell the victim of the move.
+			time.Sleep(2500 * time.Millisecond)
 			c.publish(moveNote)
 			c.awaitMoved(40 * time.Second)
 			// An entry VM that still sends for the old pool does so now.
 			time.Sleep(3 * time.Second)
 			fault.end(c, victim)
 			time.Sleep(3 * time.Second)
-			replies := l.stop()
+			replies := append(l.stop(), old.stop()...)
 			c.checkOnePool()
 			c.checkHonesty(replies)
 			t.Logf("%+v", summarise(replies))
