--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -77,8 +77,8 @@
 			l := c.startLoad(12, c.everyEntry(20*time.Millisecond))
 			victim := c.entries[3]
 			// Enough requests of the old pool that every one of its workers
-			// gets some from the victim.
-			old := c.startLoad(12, func(int, int) (*entry, call) {
+			// gets some from the victim, one that is suspected after the reboot too.
+			old := c.startLoad(24, func(int, int) (*entry, call) {
 				return victim, call{service: "a", work: 20 * time.Millisecond}
 			})
 			fault.begin(c, victim)
--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -338,12 +338,15 @@
 	var addresses []string
 	for len(addresses) < n {
 		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		// A process that is started meanwhile would hold the socket until its
+		// exec and keep the address in use.
+		syscall.ForkLock.RLock()
 		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if err == nil {
+			listener.Close()
+			addresses = append(addresses, address)
 		}
-		listener.Close()
-		addresses = append(addresses, address)
+		syscall.ForkLock.RUnlock()
 	}
 	return addresses
 }
