--- a/membership/node.go
+++ b/membership/node.go
@@ -89,7 +89,10 @@
 	registered int64
 	superseded bool
 	// withholdUntil is T after the registration: a former process under the
-	// same id may have owed debts that are not known here.
+	// same id may have owed debts that are not known here. That covers the
+	// permits that rested on it, not bytes that an unregistered entry VM,
+	// frozen between check and write, sends after every member it relied on
+	// was replaced.
 	withholdUntil time.Time
 	leaving       bool
 	contacts      map[string]*contact
