--- a/tools/measure/sizing/fit.go
+++ b/tools/measure/sizing/fit.go
@@ -69,6 +69,19 @@
 	return 2 * math.Abs(a-b) / (math.Abs(a) + math.Abs(b))
 }
 
+// changes is the largest part of a value by which a line through the points
+// changes it over their sizes.
+func (l line) changes(points []point) float64 {
+	low, high, largest := math.Inf(1), math.Inf(-1), 0.0
+	for _, p := range points {
+		low, high, largest = min(low, p.x), max(high, p.x), max(largest, math.Abs(p.y))
+	}
+	if largest == 0 {
+		return 0
+	}
+	return math.Abs(l.slope) * (high - low) / largest
+}
+
 func median(values []float64) float64 {
 	sorted := slices.Sorted(slices.Values(values))
 	middle := len(sorted) / 2
--- a/tools/measure/sizing/sizing.go
+++ b/tools/measure/sizing/sizing.go
@@ -100,6 +100,10 @@
 	rows  []Row
 }
 
+// flatBelow is the part of a value below which its change over all sizes
+// counts as none.
+const flatBelow = 0.01
+
 // series is a value measured twice at each of several sizes.
 type series struct{ first, second []point }
 
@@ -112,6 +116,10 @@
 func (m *measurement) slope(measure, unit, per string, s series) line {
 	l, again := fit(s.first), fit(s.second)
 	f := &Fit{Per: per, Intercept: l.intercept, R2: l.r2, Repeat: again.slope, Spread: spread(l.slope, again.slope)}
+	if flat := max(l.changes(s.first), again.changes(s.second)); flat < flatBelow {
+		// Two slopes that are both nothing have no meaningful ratio.
+		f.Spread = flat
+	}
 	for _, p := range s.first {
 		f.Sizes, f.Values = append(f.Sizes, p.x), append(f.Values, p.y)
 	}
--- a/tools/measure/sizing/sizing_test.go
+++ b/tools/measure/sizing/sizing_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// Guards against a value that does not grow but is reported as not repeatable,
+// and against a growing one that passes as flat.
+func TestFlatSeries(t *testing.T) {
+	m := &measurement{}
+	var flat, growing series
+	for _, x := range []float64{1, 2, 3, 4} {
+		flat.add(x, 6+x/1e4, 6-x/1e4)
+		growing.add(x, 6+x, 6-x)
+	}
+	m.slope("flat", "B", "x", flat)
+	m.slope("growing", "B", "x", growing)
+	if m.rows[0].Fit.Spread > flatBelow || !near(m.rows[1].Fit.Spread, 2) {
+		t.Fatalf("spreads %v and %v", m.rows[0].Fit.Spread, m.rows[1].Fit.Spread)
+	}
+}
+
 // Guards against a budget that is reported as met when it is not, and against
 // a configuration whose parts are counted twice.
 func TestBudgetArithmetic(t *testing.T) {
