Give the planner the load of each VM and the pools their limits in force

Queue bounds and team quotas now follow the configuration in force; before, a queue bound was read once when the pool was taken over. VMs that begin to leave while the store is down get no new work, from the platform's list.

--- a/control/capacity.go
+++ b/control/capacity.go
@@ -15,6 +15,7 @@
 func capacitySnapshot(s snapshot) capacity.Snapshot {
 	var out capacity.Snapshot
 	index := map[string]int{}
+	busy := map[string]int{}
 	for _, p := range s.config.Pools {
 		budget, limited := fleet.Budget(s.config, p.Name)
 		if !limited {
@@ -27,6 +28,9 @@
 		})
 	}
 	for _, d := range s.demand {
+		for worker, slots := range d.BusySlots {
+			busy[worker] += int(slots)
+		}
 		if i, ok := index[d.Pool]; ok {
 			out.Pools[i].SlotsWanted += d.SlotsWanted
 			out.Pools[i].Queued += int(d.Queued)
@@ -45,6 +49,7 @@
 			ID: vm.ID, Pool: vm.Pool, HomePool: vm.HomePool,
 			AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
 			Serving: vm.Phase == fleet.Serving, Target: vm.TargetPool, MovedAt: movedAt,
+			Busy: busy[vm.ID],
 		})
 	}
 	return out
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,13 @@
 )
 
 const (
+	// listInterval is how often the platform's list is read while the store
+	// is down.
+	listInterval = time.Second
+	// staleStore is the age of the store knowledge from which the store counts
+	// as down. Together with listInterval it stays below the 3 s in which a
+	// leaving VM must get no new work.
+	staleStore = 1500 * time.Millisecond
 	// handoverTimeout bounds what a leaving entry VM does after its last
 	// request: another entry VM takes over without it.
 	handoverTimeout = 5 * time.Second
@@ -74,13 +82,16 @@
 	runTimes  *runTimes
 	ingress   *ingress.Handler
 
-	security  security
-	metrics   *metrics
-	config    atomic.Pointer[note.Config]
-	hasFleet  atomic.Bool
-	leaving   atomic.Bool
-	changed   chan struct{}
-	listeners listeners
+	security security
+	metrics  *metrics
+	config   atomic.Pointer[note.Config]
+	// leavingVMs are those that the platform's list names while the store is
+	// down and the fleet document cannot follow.
+	leavingVMs atomic.Pointer[map[string]bool]
+	hasFleet   atomic.Bool
+	leaving    atomic.Bool
+	changed    chan struct{}
+	listeners  listeners
 }
 
 // New wires an entry VM that does nothing yet.
@@ -116,6 +127,7 @@
 		changed:  make(chan struct{}, 1),
 	}
 	e.config.Store(&note.Config{})
+	e.leavingVMs.Store(&map[string]bool{})
 	e.wireMembership()
 	e.wireRequests()
 	e.wireKeys()
@@ -147,6 +159,7 @@
 		Seeds:            e.settings.SeedPeers,
 		Dial:             e.clients.Dial,
 		Released:         e.released,
+		Confirmed:        func() { e.control.Trigger() },
 		Demand:           func() []*peer.PoolDemand { return e.server.Demand() },
 		Log:              e.log,
 	})
@@ -164,6 +177,7 @@
 		Peer:    e.peer,
 		Workers: e.workers,
 		NewPool: e.newPool,
+		Limits:  e.limits,
 		Held:    func(pool string) []*peer.GrantInUse { return e.client.Held(pool) },
 	})
 	e.client = dispatch.NewClient(dispatch.ClientOptions{
@@ -232,6 +246,7 @@
 	start(func(ctx context.Context) { e.node.Run(ctx) }, running)
 	start(func(ctx context.Context) { e.control.Run(ctx) }, controlling)
 	start(e.followDocuments, running)
+	start(e.followList, running)
 	start(e.metrics.run, running)
 	failed := e.listeners.serve(e.ingress, e.operatorHandler(), e.peerHandler(), e.settings.Limits.MaxHeaderBytes, e.log)
 	e.log.Info().Str("event", "listening").
@@ -347,6 +362,36 @@
 	}
 }
 
+// followList reads the platform's list while the store is down, so that leaving
+// VMs get no new work. Otherwise the fleet document names them.
+func (e *EntryVM) followList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		leaving := map[string]bool{}
+		if age, ok := e.node.StoreAge(time.Now()); ok && age > staleStore {
+			vms, err := e.platform.VMs(ctx)
+			if err != nil {
+				continue
+			}
+			for _, vm := range vms {
+				if vm.State == platform.VMLeaving {
+					leaving[vm.ID] = true
+				}
+			}
+		}
+		if !maps.Equal(leaving, *e.leavingVMs.Load()) {
+			e.leavingVMs.Store(&leaving)
+			e.server.WorkersChanged()
+		}
+	}
+}
+
 func (e *EntryVM) released() []*peer.ReleasedVM {
 	released := e.table.Released()
 	confirmed := make([]*peer.ReleasedVM, len(released))
@@ -396,7 +441,11 @@
 		return nil
 	}
 	var workers []dispatching.Worker
+	leaving := *e.leavingVMs.Load()
 	for _, vm := range e.table.Serving(pool) {
+		if leaving[vm.ID] {
+			continue
+		}
 		workers = append(workers, dispatching.Worker{
 			ID: vm.ID, Address: vm.Address, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
 			Slots: config.SlotsPerWorker, Generation: vm.Generation,
@@ -406,13 +455,22 @@
 }
 
 func (e *EntryVM) newPool(pool string) *dispatching.Pool {
-	maxQueue := 0
-	for _, service := range e.configInForce().Services {
+	return dispatching.NewPool(dispatching.Options{MaxQueue: e.limits(pool).MaxQueue})
+}
+
+// limits returns the bounds of a pool by the configuration in force.
+func (e *EntryVM) limits(pool string) dispatch.Limits {
+	config := e.configInForce()
+	limits := dispatch.Limits{TeamSlots: map[string]int{}}
+	for _, service := range config.Services {
 		if service.Pool == pool {
-			maxQueue += service.MaxQueue
+			limits.MaxQueue += service.MaxQueue
 		}
 	}
-	return dispatching.NewPool(dispatching.Options{MaxQueue: maxQueue})
+	for _, team := range config.Teams {
+		limits.TeamSlots[team.Name] = team.SlotQuota
+	}
+	return limits
 }
 
 // lockedBudget makes a retry budget safe for concurrent use.
--- a/dispatch/server.go
+++ b/dispatch/server.go
@@ -57,11 +57,21 @@
 	Workers func(pool string) []dispatching.Worker
 	// NewPool returns the decision state of a pool.
 	NewPool func(pool string) *dispatching.Pool
+	// Limits returns the bounds of a pool from the configuration in force;
+	// nil leaves those of NewPool.
+	Limits func(pool string) Limits
 	// Held returns the grants that this entry VM holds itself.
 	Held func(pool string) []*peer.GrantInUse
 	Now  func() time.Time
 }
 
+// Limits bound the queue of a pool and the slots of its teams.
+type Limits struct {
+	MaxQueue int
+	// TeamSlots maps teams with a quota to the slots that they may hold.
+	TeamSlots map[string]int
+}
+
 // Server is the dispatcher of the pools that this entry VM owns.
 type Server struct {
 	options ServerOptions
@@ -218,6 +228,16 @@
 	owned.adopt(now, held)
 	owned.ended = nil
 	owned.ready = true
+	s.configure(now, owned)
+}
+
+// configure passes the workers and the limits in force on to the decisions.
+func (s *Server) configure(now time.Time, owned *ownedPool) {
+	if s.options.Limits != nil {
+		limits := s.options.Limits(owned.name)
+		owned.state.SetMaxQueue(limits.MaxQueue)
+		owned.deliver(now, owned.state.SetQuotas(now, limits.TeamSlots))
+	}
 	owned.setWorkers(now, s.options.Workers(owned.name))
 }
 
@@ -478,11 +498,16 @@
 	var demand []*peer.PoolDemand
 	for _, owned := range s.all() {
 		owned.mu.Lock()
-		d, ejected := owned.state.Demand(s.options.Now()), owned.state.Ejected()
+		d := owned.state.Demand(s.options.Now())
+		entry := &peer.PoolDemand{
+			Pool: owned.name, SlotsWanted: d.SlotsWanted, Queued: int64(d.Queued), Busy: int64(d.Busy),
+			Ejected: owned.state.Ejected(), BusySlots: map[string]int32{},
+		}
+		for worker, busy := range owned.state.BusySlots() {
+			entry.BusySlots[worker] = int32(busy)
+		}
 		owned.mu.Unlock()
-		demand = append(demand, &peer.PoolDemand{
-			Pool: owned.name, SlotsWanted: d.SlotsWanted, Queued: int64(d.Queued), Busy: int64(d.Busy), Ejected: ejected,
-		})
+		demand = append(demand, entry)
 	}
 	return demand
 }
@@ -497,12 +522,13 @@
 	return all
 }
 
-// WorkersChanged passes a new set of serving workers on to the decisions.
+// WorkersChanged passes a new set of serving workers, or a changed
+// configuration, on to the decisions.
 func (s *Server) WorkersChanged() {
 	for _, owned := range s.all() {
 		owned.mu.Lock()
 		if now := s.options.Now(); owned.ready {
-			owned.setWorkers(now, s.options.Workers(owned.name))
+			s.configure(now, owned)
 		}
 		owned.mu.Unlock()
 	}
--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -210,6 +210,32 @@
 	}
 }
 
+// Guards against new work for a backend server that begins to leave while the
+// store is down, so that the fleet document cannot say it.
+func TestLeavingBackendServerDuringStoreOutage(t *testing.T) {
+	c := startCluster(t, clusterOptions{entries: 3, pools: twoPools})
+	l := c.startLoad(9, c.everyEntry(5*time.Millisecond))
+	c.platform.SetFaults(standin.PlatformFaults{Down: true, DownCalls: []string{"store"}})
+	time.Sleep(4 * time.Second)
+	vm := c.backends["a-2"].VM()
+	vm.State = platform.VMLeaving
+	c.platform.Register(vm)
+	listed := time.Now()
+	time.Sleep(8 * time.Second)
+	replies := l.stop()
+	c.checkHonesty(replies)
+	last := time.Time{}
+	for _, r := range c.backends["a-2"].Records(0) {
+		last = r.Start
+	}
+	if late := last.Sub(listed); late > 3*time.Second {
+		t.Errorf("new work %v after the VM was listed as leaving", late)
+	}
+	if s := summarise(replies); s.answered != s.total {
+		t.Errorf("%+v", s)
+	}
+}
+
 // Guards against a killed entry VM that takes requests of other entry VMs with
 // it, and against doubled executions when callers retry through another one.
 func TestEntryVMKilledUnderKeyedLoad(t *testing.T) {
--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -137,6 +137,10 @@
 	return p.dispatch(now)
 }
 
+// SetMaxQueue changes the bound of the waiting requests. Requests that wait
+// already stay.
+func (p *Pool) SetMaxQueue(n int) { p.options.MaxQueue = n }
+
 // Adopt records a grant made by a previous dispatcher of the pool. A repeat
 // has no effect.
 func (p *Pool) Adopt(now time.Time, id, worker string, r Request) {
@@ -207,6 +211,15 @@
 	return Demand{SlotsWanted: max(busyShare*float64(busy), p.offered.at(now)) + backlog, Queued: queued, Busy: busy}
 }
 
+// BusySlots returns the slots in use on each worker that has any.
+func (p *Pool) BusySlots() map[string]int {
+	busy := map[string]int{}
+	for _, g := range p.grants {
+		busy[g.worker]++
+	}
+	return busy
+}
+
 func operation(r Request) runtimes.Operation {
 	return runtimes.Operation{Service: r.Service, Name: r.Operation}
 }
