--- a/claims/keys.go
+++ b/claims/keys.go
@@ -10,8 +10,11 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"dotterelhead.example/dotterelhead/rendezvous"
 )
 
 // DefaultShards is the number of shards of a region. Every entry VM of a region
@@ -53,26 +56,7 @@
 	return int(xxhash.Sum64(keyHash) % uint64(shards))
 }
 
-// ShardOwner chooses the owner of a shard among members by rendezvous hashing,
-// so that a change of one member moves only the shards of that member. It
-// returns "" when there are no members.
+// ShardOwner returns the member that should own a shard, or "" without members.
 func ShardOwner(shard int, members []string) string {
-	var owner string
-	var highest uint64
-	for _, member := range members {
-		score := rendezvousScore(shard, member)
-		if owner == "" || score > highest || score == highest && member < owner {
-			owner, highest = member, score
-		}
-	}
-	return owner
-}
-
-func rendezvousScore(shard int, member string) uint64 {
-	var prefix [4]byte
-	binary.BigEndian.PutUint32(prefix[:], uint32(shard))
-	hash := xxhash.New()
-	hash.Write(prefix[:])
-	hash.WriteString(member)
-	return hash.Sum64()
+	return rendezvous.Owner("shard/"+strconv.Itoa(shard), members)
 }
--- a/membership/node.go
+++ b/membership/node.go
@@ -14,6 +14,7 @@
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
 	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/rendezvous"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
@@ -392,7 +393,7 @@
 }
 
 func (n *Node) readPlan(now time.Time) (registered, watching, stale bool) {
-	order := Rendezvous("watch", n.Live())
+	order := rendezvous.Order("watch", n.Live())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	age, ok := n.permit.StoreAge(now)
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"slices"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Key returns the store key of the registry of a region.
@@ -132,33 +130,6 @@
 	})
 }
 
-// Rendezvous orders ids by their rendezvous hash for a key, highest priority
-// first.
-func Rendezvous(key string, ids []string) []string {
-	type ranked struct {
-		id   string
-		hash uint64
-	}
-	order := make([]ranked, len(ids))
-	for i, id := range ids {
-		order[i] = ranked{id: id, hash: xxhash.Sum64String(key + "\x00" + id)}
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		switch {
-		case a.hash < b.hash:
-			return -1
-		case a.hash > b.hash:
-			return 1
-		}
-		return strings.Compare(a.id, b.id)
-	})
-	out := make([]string, len(order))
-	for i, o := range order {
-		out[i] = o.id
-	}
-	return out
-}
-
 // MarkListed sets Listed for the entry VMs in the platform's list and reports
 // whether anything changed.
 func (r Registry) MarkListed(listed func(id string) bool) (Registry, bool) {
