--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -472,6 +472,23 @@
 	}
 }
 
+// peakMemory returns the largest resident set of the process in bytes.
+func (c *cluster) peakMemory(e *entry) int64 {
+	c.t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.process.Process.Pid))
+	c.must(err)
+	for line := range strings.SplitSeq(string(status), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			var kilobytes int64
+			_, err := fmt.Sscan(rest, &kilobytes)
+			c.must(err)
+			return kilobytes << 10
+		}
+	}
+	c.t.Fatal("the process status has no VmHWM")
+	return 0
+}
+
 func (c *cluster) cutStore(e *entry) {
 	c.platform.SetFaults(standin.PlatformFaults{DownEntries: []string{e.id}})
 }
--- a/processtest/keys_test.go
+++ b/processtest/keys_test.go
@@ -59,5 +59,12 @@
 	if len(byKey) < keyCount*95/100 {
 		t.Errorf("only %d of %d keys ran: %+v", len(byKey), keyCount, s)
 	}
+	for _, e := range c.entries {
+		if peak := c.peakMemory(e); peak > 256<<20 {
+			t.Errorf("%s used %d MB at most, limit 256", e.id, peak>>20)
+		} else {
+			t.Logf("%s used %d MB at most", e.id, peak>>20)
+		}
+	}
 	t.Logf("%d keys in %v: %+v, store calls %v", len(byKey), time.Since(started), s, c.platform.Counts())
 }
