--- a/findings/findings.go
+++ b/findings/findings.go
@@ -17,12 +17,11 @@
 	Column int
 }
 
-// String formats the position as file:line:column.
+// String formats the position as file:line:column. What concerns the whole
+// file, such as a missing key, is placed at its beginning, so that tools that
+// read findings need no special case.
 func (p Position) String() string {
-	if p.Line == 0 {
-		return p.File
-	}
-	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+	return fmt.Sprintf("%s:%d:%d", p.File, max(p.Line, 1), max(p.Column, 1))
 }
 
 // Finding is one error with its place.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,10 +36,10 @@
 func TestFindings(t *testing.T) {
 	tests := []struct{ name, text, want string }{
 		{"empty", "", `
-s: availability_zone is missing
-s: id is missing
-s: platform_url is missing
-s: region is missing`},
+s:1:1: availability_zone is missing
+s:1:1: id is missing
+s:1:1: platform_url is missing
+s:1:1: region is missing`},
 		{"syntax", "id = \n", `s:1:6: unexpected character U+000A at start of value`},
 		{"unknown and wrong types", minimal + "colour = 1\nseed_peers = [1]\n[limits]\nmax_body_bytes = 1.5\n[tls.callers]\nx = 1", `
 s:5:1: unknown field colour
