--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -29,19 +28,11 @@
 	"dotterelhead.example/dotterelhead/replica"
 	"dotterelhead.example/dotterelhead/routing"
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
-	"dotterelhead.example/dotterelhead/scheduler/dispatching"
 	"dotterelhead.example/dotterelhead/scheduler/retry"
 	"dotterelhead.example/dotterelhead/settings"
 )
 
 const (
-	// listInterval is how often the platform's list is read while the store
-	// is down.
-	listInterval = time.Second
-	// staleStore is the age of the store knowledge from which the store counts
-	// as down. Together with listInterval it stays below the 3 s in which a
-	// leaving VM must get no new work.
-	staleStore = 1500 * time.Millisecond
 	// handoverTimeout bounds what a leaving entry VM does after its last
 	// request: another entry VM takes over without it.
 	handoverTimeout = 5 * time.Second
@@ -362,36 +353,6 @@
 	}
 }
 
-// followList reads the platform's list while the store is down, so that leaving
-// VMs get no new work. Otherwise the fleet document names them.
-func (e *EntryVM) followList(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		leaving := map[string]bool{}
-		if age, ok := e.node.StoreAge(time.Now()); ok && age > staleStore {
-			vms, err := e.platform.VMs(ctx)
-			if err != nil {
-				continue
-			}
-			for _, vm := range vms {
-				if vm.State == platform.VMLeaving {
-					leaving[vm.ID] = true
-				}
-			}
-		}
-		if !maps.Equal(leaving, *e.leavingVMs.Load()) {
-			e.leavingVMs.Store(&leaving)
-			e.server.WorkersChanged()
-		}
-	}
-}
-
 func (e *EntryVM) released() []*peer.ReleasedVM {
 	released := e.table.Released()
 	confirmed := make([]*peer.ReleasedVM, len(released))
@@ -401,18 +362,6 @@
 	return confirmed
 }
 
-// ejected returns the workers that the dispatchers of the region have ejected.
-// They count against the availability budgets.
-func (e *EntryVM) ejected() map[string]bool {
-	ejected := map[string]bool{}
-	for _, demand := range e.node.DemandOfMembers() {
-		for _, worker := range demand.Ejected {
-			ejected[worker] = true
-		}
-	}
-	return ejected
-}
-
 func (e *EntryVM) peer(id string) (peer.Peer, bool) {
 	address, ok := e.node.AddressOf(id)
 	if !ok {
@@ -420,75 +369,3 @@
 	}
 	return e.clients.Dial(address), true
 }
-
-// connectionLimit shares the connections that a worker takes among the
-// registered entry VMs.
-func (e *EntryVM) connectionLimit() int {
-	perWorker := defaultConnectionsPerWorker
-	for _, pool := range e.configInForce().Pools {
-		perWorker = min(perWorker, pool.ConnectionsPerWorker)
-	}
-	registry, _ := e.node.Registry()
-	return max(1, perWorker/max(1, registry.Size()))
-}
-
-// defaultConnectionsPerWorker is what one worker of today's deployments takes.
-const defaultConnectionsPerWorker = 64
-
-func (e *EntryVM) workers(pool string) []dispatching.Worker {
-	config, ok := e.configInForce().Pool(pool)
-	if !ok {
-		return nil
-	}
-	var workers []dispatching.Worker
-	leaving := *e.leavingVMs.Load()
-	for _, vm := range e.table.Serving(pool) {
-		if leaving[vm.ID] {
-			continue
-		}
-		workers = append(workers, dispatching.Worker{
-			ID: vm.ID, Address: vm.Address, AvailabilityZone: vm.AvailabilityZone, Rack: vm.Rack,
-			Slots: config.SlotsPerWorker, Generation: vm.Generation,
-		})
-	}
-	return workers
-}
-
-func (e *EntryVM) newPool(pool string) *dispatching.Pool {
-	return dispatching.NewPool(dispatching.Options{MaxQueue: e.limits(pool).MaxQueue})
-}
-
-// limits returns the bounds of a pool by the configuration in force.
-func (e *EntryVM) limits(pool string) dispatch.Limits {
-	config := e.configInForce()
-	limits := dispatch.Limits{TeamSlots: map[string]int{}}
-	for _, service := range config.Services {
-		if service.Pool == pool {
-			limits.MaxQueue += service.MaxQueue
-		}
-	}
-	for _, team := range config.Teams {
-		limits.TeamSlots[team.Name] = team.SlotQuota
-	}
-	return limits
-}
-
-// lockedBudget makes a retry budget safe for concurrent use.
-type lockedBudget struct {
-	mu     sync.Mutex
-	budget *retry.Budget
-}
-
-// Request counts one request.
-func (b *lockedBudget) Request(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.budget.Request(now)
-}
-
-// Allow reports whether a retry may be made now, and counts it.
-func (b *lockedBudget) Allow(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.budget.Allow(now)
-}
