--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -169,6 +170,21 @@
 	})
 	c.publish(waveNote)
 	time.Sleep(2 * time.Second)
+	// These outlast the wait for the load balancer.
+	var long sync.WaitGroup
+	for i := range 6 {
+		long.Go(func() {
+			request := call{service: twoPools[i%2].name, work: 3 * time.Second}
+			if i < 2 {
+				request.key = fmt.Sprintf("long-%d", i)
+			}
+			if got := send(c.ctx, leaving, request); got.outcome != "answered" || got.err != nil {
+				t.Errorf("long request across SIGTERM: %+v", got)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	defer long.Wait()
 	if !leaving.terminate(20 * time.Second) {
 		t.Error("the entry VM did not stop within 20 s of SIGTERM")
 	}
