Find peers through the platform's list when the store is down at the start

An entry VM without seeds in its settings that started in a store outage found no peer and could not serve until the store was back.

After a failed registration and while it holds no registry it now reads the platform's list and exchanges with the listed entry VMs: the listed host with the port of its own peer address, in addition to its seeds.

The list names no regions. An exchange therefore always names the key of the sender's registry, and a member of another region answers it without documents and owes no debt. Nothing would end such a debt before the list drops the sender, and until then the member would confirm no release.

--- /dev/null
+++ b/membership/discovery_test.go
@@ -0,0 +1,173 @@
+package membership
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/note"
+	"dotterelhead.example/dotterelhead/peer"
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/replica"
+)
+
+// memoryPlatform is a store and a list in memory. The list stays up when the
+// store is down.
+type memoryPlatform struct {
+	platform.Store
+	mu      sync.Mutex
+	down    bool
+	keys    map[string]platform.KeyValue
+	version int64
+	list    []platform.VM
+	nodes   map[string]*Node
+	// calls counts the exchanges by address.
+	calls map[string]int
+	// copies counts the documents that crossed between two nodes.
+	copies int
+}
+
+func (m *memoryPlatform) Get(_ context.Context, key string) (platform.KeyValue, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kv, ok := m.keys[key]
+	switch {
+	case m.down:
+		return kv, platform.ErrUnavailable
+	case !ok:
+		return kv, platform.ErrNotFound
+	}
+	return kv, nil
+}
+
+func (m *memoryPlatform) Put(_ context.Context, key string, value []byte, expected int64, _ string) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down:
+		return 0, platform.ErrUnavailable
+	case m.keys[key].Version != expected:
+		return 0, platform.ErrConflict
+	}
+	m.version++
+	m.keys[key] = platform.KeyValue{Key: key, Version: m.version, Value: value}
+	return m.version, nil
+}
+
+// Watch looks every 10 ms.
+func (m *memoryPlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (platform.WatchResult, error) {
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
+		kv, err := m.Get(ctx, key)
+		if err == nil && kv.Version > after {
+			return platform.WatchResult{Changed: []platform.KeyValue{kv}}, nil
+		}
+		if errors.Is(err, platform.ErrUnavailable) {
+			return platform.WatchResult{}, err
+		}
+	}
+	return platform.WatchResult{}, ctx.Err()
+}
+
+func (m *memoryPlatform) VMs(context.Context) ([]platform.VM, error) { return m.list, nil }
+
+// link is the connection to one address.
+type link struct {
+	peer.Peer
+	m       *memoryPlatform
+	address string
+}
+
+func (l link) Exchange(ctx context.Context, q *peer.ExchangeRequest) (*peer.ExchangeResponse, error) {
+	// A call takes as long as between two zones.
+	sleep(ctx, time.Millisecond)
+	l.m.mu.Lock()
+	n := l.m.nodes[l.address]
+	l.m.calls[l.address]++
+	l.m.mu.Unlock()
+	if n == nil {
+		return nil, errors.New("connection refused")
+	}
+	p, err := n.Exchange(ctx, q)
+	l.m.mu.Lock()
+	l.m.copies += len(q.Documents) + len(p.Documents)
+	l.m.mu.Unlock()
+	return p, err
+}
+
+// start runs an entry VM until the returned function is called.
+func (m *memoryPlatform) start(id, region, host string) (*Node, func()) {
+	address := host + ":7000"
+	n := NewNode(Options{
+		Store: m, Inventory: m, Replica: replica.New(), Region: region, ID: id, Incarnation: id + "1", PeerAddress: address,
+		Dial: func(address string) peer.Peer { return link{m: m, address: address} },
+	})
+	m.mu.Lock()
+	m.nodes[address] = n
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = n.Run(ctx) })
+	return n, func() { cancel(); running.Wait() }
+}
+
+func newMemoryPlatform(t *testing.T) *memoryPlatform {
+	m := &memoryPlatform{keys: map[string]platform.KeyValue{}, nodes: map[string]*Node{}, calls: map[string]int{}}
+	for _, key := range []string{note.ConfigKey, fleet.Key("r")} {
+		if _, err := m.Put(t.Context(), key, []byte("{}"), 0, ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return m
+}
+
+// Guards against an entry VM without seeds that serves nobody when it starts
+// in a store outage, against calls to listed VMs that are no entry VMs, and
+// against a debt of an entry VM of another region that nothing ends.
+func TestDiscoveryThroughTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryPlatform(t)
+		m.list = []platform.VM{
+			{ID: "a", Address: "10.0.0.1:8080", EntryVM: true}, {ID: "b", Address: "10.0.0.2", EntryVM: true},
+			{ID: "late", Address: "10.0.0.3:8080", EntryVM: true}, {ID: "worker", Address: "10.0.0.4:8080"},
+			{ID: "other", Address: "10.0.0.5:8080", EntryVM: true},
+		}
+		var members []*Node
+		for _, e := range [][]string{{"a", "r", "10.0.0.1"}, {"b", "r", "10.0.0.2"}, {"other", "s", "10.0.0.5"}} {
+			n, stop := m.start(e[0], e[1], e[2])
+			defer stop()
+			members = append(members, n)
+		}
+		time.Sleep(3 * time.Second)
+		m.mu.Lock()
+		m.down = true
+		m.mu.Unlock()
+		late, stop := m.start("late", "r", "10.0.0.3")
+		defer stop()
+		time.Sleep(2 * time.Second)
+		if r, _ := late.Registry(); late.Registered() || r.Size() != 2 || !late.Valid(time.Now()) {
+			t.Errorf("late entry VM: registered %v, registry %v, valid %v", late.Registered(), r, late.Valid(time.Now()))
+		}
+		if live := late.Live(); !slices.Equal(live, []string{"a", "b"}) {
+			t.Errorf("late entry VM: live %v", live)
+		}
+		for i, want := range []int{1, 1, 0} {
+			n := members[i]
+			n.mu.Lock()
+			if len(n.debts) != want {
+				t.Errorf("%s has debts %v, not %d", n.self.ID, n.debts, want)
+			}
+			n.mu.Unlock()
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.calls["10.0.0.4:7000"] != 0 || m.calls["10.0.0.5:7000"] == 0 {
+			t.Errorf("calls %v", m.calls)
+		}
+	})
+}
--- a/membership/node.go
+++ b/membership/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -107,10 +109,12 @@
 	origin        map[string]int64
 	confirmations map[Member]map[string]int64
 	debts         map[Member]*debt
-	clients       map[string]peer.Peer
-	busy          map[string]bool
-	again         map[string]bool
-	exchanges     sync.WaitGroup
+	// discovered are peer addresses from the platform's list.
+	discovered []string
+	clients    map[string]peer.Peer
+	busy       map[string]bool
+	again      map[string]bool
+	exchanges  sync.WaitGroup
 }
 
 // NewNode returns a node that is not registered yet.
@@ -250,11 +254,58 @@
 		}
 		if err := n.register(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
 			n.o.Log.Warn().Str("event", "register_failed").Err(err).Msg("")
+			n.discover(ctx)
 			sleep(ctx, storeRetry)
 		}
 	}
 }
 
+// discover looks for peers in the platform's list while no registry is known.
+func (n *Node) discover(ctx context.Context) {
+	n.mu.Lock()
+	unknown := n.version == 0
+	n.mu.Unlock()
+	if !unknown || n.o.Inventory == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	vms, err := n.o.Inventory.VMs(ctx)
+	if err != nil {
+		n.o.Log.Warn().Str("event", "discovery_failed").Err(err).Msg("")
+		return
+	}
+	found := peerAddresses(vms, n.o.ID, n.o.PeerAddress)
+	n.mu.Lock()
+	n.discovered = found
+	n.mu.Unlock()
+	if len(found) > 0 {
+		n.Trigger()
+	}
+}
+
+// peerAddresses returns where the other listed entry VMs serve peers if they
+// use the port of the own address. The list gives an address with or without
+// a port, and not that of the peer listener.
+func peerAddresses(vms []platform.VM, self, own string) []string {
+	_, port, err := net.SplitHostPort(own)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, vm := range vms {
+		if !vm.EntryVM || vm.ID == self || vm.Address == "" {
+			continue
+		}
+		host, _, err := net.SplitHostPort(vm.Address)
+		if err != nil {
+			host = strings.Trim(vm.Address, "[]")
+		}
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
+
 // register adds the own record. After a lost answer the next call reads the
 // registry and finds the record if the write took effect.
 func (n *Node) register(ctx context.Context) error {
@@ -470,8 +521,8 @@
 		}
 	}
 	if len(out) == 0 {
-		for _, address := range n.o.Seeds {
-			if address != n.o.PeerAddress {
+		for _, address := range slices.Concat(n.o.Seeds, n.discovered) {
+			if address != n.o.PeerAddress && !slices.Contains(out, address) {
 				out = append(out, address)
 			}
 		}
@@ -573,7 +624,10 @@
 		StoreAgeMillis: n.storeAgeMillis(now), Leaving: n.leaving,
 	}
 	n.mu.Unlock()
-	q.Digest = fromDigest(n.o.Replica.Digest())
+	held := n.o.Replica.Digest()
+	// The key names the region of the sender even before it holds a document.
+	held[Key(n.o.Region)] = max(held[Key(n.o.Region)], 0)
+	q.Digest = fromDigest(held)
 	if known != nil {
 		q.Documents = fromDocuments(n.pushed(known))
 	}
@@ -597,8 +651,11 @@
 }
 
 func (n *Node) serve(now time.Time, q *peer.ExchangeRequest) *peer.ExchangeResponse {
-	n.apply(q.Documents)
 	digest := toDigest(q.Digest)
+	if n.foreign(digest) {
+		return &peer.ExchangeResponse{Responder: n.self.ID, StoreAgeMillis: -1}
+	}
+	n.apply(q.Documents)
 	n.mu.Lock()
 	sender := Member{ID: q.Sender, Incarnation: q.Incarnation}
 	switch {
@@ -632,6 +689,22 @@
 	return p
 }
 
+// foreign reports whether a digest comes from another region. The platform's
+// list names no regions, so an entry VM that looks for peers may call here. It
+// never counts this process, which would owe it a debt that no registration
+// here ends.
+func (n *Node) foreign(digest map[string]int64) bool {
+	if _, same := digest[Key(n.o.Region)]; same {
+		return false
+	}
+	for key := range digest {
+		if strings.HasPrefix(key, keyPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) hear(sender Member, q *peer.ExchangeRequest, digest map[string]int64, now time.Time) {
 	if !n.registry.Contains(sender) {
 		return
--- a/membership/registry.go
+++ b/membership/registry.go
@@ -10,8 +10,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+const keyPrefix = "members/"
+
 // Key returns the store key of the registry of a region.
-func Key(region string) string { return "members/" + region }
+func Key(region string) string { return keyPrefix + region }
 
 // Member identifies one process of one entry VM.
 type Member struct {
