Let watchers push a change only when its writer has not

A document was already sent only to members whose last known digest lacks it, and only by members that had written it or read it from the store. But both watchers read each change at once, and pushed it beside its writer.

A document read from the store is now pushed only when no peer has sent it within 50 ms, 150 ms at the second watcher. The writer still pushes at once. When it dies before it has pushed to all, the exchange each second repairs it.

A change that its writer pushes to the watchers alone reaches the others 1.1 s later at the most (TestWriterDiesWhilePushing).

--- a/membership/node.go
+++ b/membership/node.go
@@ -33,6 +33,10 @@
 	watchers     = 2
 	storeTimeout = 2 * time.Second
 	storeRetry   = 500 * time.Millisecond
+	// pushDelay gives the writer of a document the time to push it to the
+	// watchers, and the first watcher the time to push it to the second. It
+	// covers a few round trips between availability zones of 1.5 ms.
+	pushDelay = 50 * time.Millisecond
 )
 
 // Options configure a Node.
@@ -101,11 +105,13 @@
 	withholdUntil time.Time
 	leaving       bool
 	contacts      map[string]*contact
-	// received and origin hold the versions that came from peers and those
-	// that came from the store or were written here. Only the latter are
-	// pushed: pushing what peers have sent would multiply each change by the
-	// square of the number of members.
+	// received and fromStore hold the versions that came from peers and from
+	// the store, and origin those that are pushed: what was written here at
+	// once, and what was read unless a peer sends it within a delay. Pushing
+	// what peers have sent would multiply each change by the square of the
+	// number of members.
 	received      map[string]int64
+	fromStore     map[string]int64
 	origin        map[string]int64
 	confirmations map[Member]map[string]int64
 	debts         map[Member]*debt
@@ -129,6 +135,7 @@
 		kick:          make(chan struct{}, 1),
 		permit:        NewPermit(o.ID),
 		contacts:      map[string]*contact{},
+		fromStore:     map[string]int64{},
 		received:      map[string]int64{},
 		origin:        map[string]int64{},
 		confirmations: map[Member]map[string]int64{},
@@ -159,7 +166,7 @@
 // onDocument runs under the lock of the replica.
 func (n *Node) onDocument(doc replica.Document) {
 	n.mu.Lock()
-	origin := n.received[doc.Key] != doc.Version
+	origin := n.received[doc.Key] != doc.Version && n.fromStore[doc.Key] != doc.Version
 	if origin {
 		n.origin[doc.Key] = doc.Version
 	}
@@ -459,12 +466,40 @@
 		return err
 	}
 	if err == nil {
-		n.o.Replica.Apply(replica.Document{Key: key, Version: kv.Version, Value: kv.Value})
+		n.applyRead(kv)
 	}
 	n.storeContact(key, start)
 	return nil
 }
 
+// applyRead takes in a document from the store and pushes it when no peer has
+// sent it within the delay. The first watcher waits the least.
+func (n *Node) applyRead(kv platform.KeyValue) {
+	rank := min(watchers, slices.Index(Rendezvous("watch", n.Live()), n.self.ID))
+	if rank < 0 {
+		rank = watchers
+	}
+	n.mu.Lock()
+	known := n.fromStore[kv.Key] >= kv.Version
+	n.fromStore[kv.Key] = max(n.fromStore[kv.Key], kv.Version)
+	n.mu.Unlock()
+	n.o.Replica.Apply(replica.Document{Key: kv.Key, Version: kv.Version, Value: kv.Value})
+	if known {
+		return
+	}
+	time.AfterFunc(pushDelay*time.Duration(1+2*rank), func() {
+		n.mu.Lock()
+		push := n.received[kv.Key] < kv.Version && n.origin[kv.Key] < kv.Version
+		if push {
+			n.origin[kv.Key] = kv.Version
+		}
+		n.mu.Unlock()
+		if push {
+			n.Trigger()
+		}
+	})
+}
+
 func (n *Node) watch(ctx context.Context, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
 	defer cancel()
@@ -477,7 +512,7 @@
 	for _, kv := range result.Changed {
 		// The prefix also matches longer keys.
 		if kv.Key == key {
-			n.o.Replica.Apply(replica.Document{Key: key, Version: kv.Version, Value: kv.Value})
+			n.applyRead(kv)
 		}
 	}
 	n.storeContact(key, start)
--- a/membership/discovery_test.go
+++ b/membership/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -60,9 +61,10 @@
 	return m.version, nil
 }
 
-// Watch looks every 10 ms.
+// Watch looks more often than an exchange takes, so that watchers learn of a
+// change before the push of its writer reaches them.
 func (m *memoryPlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (platform.WatchResult, error) {
-	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 10*time.Millisecond) {
+	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, time.Millisecond/2) {
 		kv, err := m.Get(ctx, key)
 		if err == nil && kv.Version > after {
 			return platform.WatchResult{Changed: []platform.KeyValue{kv}}, nil
@@ -171,3 +173,75 @@
 		}
 	})
 }
+
+// Guards against a change that both its writer and the watchers push, and
+// against one that reaches a member late, be its writer a member or outside of
+// the region.
+func TestCopiesOfAChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryPlatform(t)
+		const size, changes = 8, 20
+		var nodes []*Node
+		for i := range size {
+			n, stop := m.start(fmt.Sprint("e", i), "r", fmt.Sprint("10.0.0.", i))
+			defer stop()
+			nodes = append(nodes, n)
+		}
+		time.Sleep(5 * time.Second)
+		m.mu.Lock()
+		before := m.copies
+		m.mu.Unlock()
+		for i := range changes {
+			kv, _ := m.Get(t.Context(), fleet.Key("r"))
+			version, _ := m.Put(t.Context(), kv.Key, kv.Value, kv.Version, "")
+			if i%2 == 0 {
+				nodes[i%size].o.Replica.Apply(replica.Document{Key: kv.Key, Version: version, Value: kv.Value})
+			}
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range nodes {
+				if held, _ := n.o.Replica.Get(kv.Key); held.Version != version {
+					t.Errorf("%s holds version %d 100 ms after %d was written", n.self.ID, held.Version, version)
+				}
+				// Every member confirms at once.
+				n.Trigger()
+			}
+			time.Sleep(137 * time.Millisecond)
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if copies := float64(m.copies-before) / changes; copies > 12 {
+			t.Errorf("%.1f copies of a change among %d entry VMs", copies, size)
+		} else {
+			t.Logf("%.1f copies of a change among %d entry VMs", copies, size)
+		}
+	})
+}
+
+// Guards against a change that stays with the watchers when its writer dies
+// after it has pushed to them alone.
+func TestWriterDiesWhilePushing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryPlatform(t)
+		nodes := map[string]*Node{}
+		for _, id := range []string{"e0", "e1", "e2", "e3", "e4"} {
+			n, stop := m.start(id, "r", "10.0.0."+id)
+			defer stop()
+			nodes[id] = n
+		}
+		time.Sleep(5 * time.Second)
+		kv, _ := m.Get(t.Context(), fleet.Key("r"))
+		pushed := &peer.Document{Key: kv.Key, Version: m.version + 1, Value: kv.Value}
+		for _, id := range Rendezvous("watch", nodes["e0"].Live())[:watchers] {
+			nodes[id].apply([]*peer.Document{pushed})
+		}
+		if _, err := m.Put(t.Context(), kv.Key, kv.Value, kv.Version, ""); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(exchangeInterval + 100*time.Millisecond)
+		for id, n := range nodes {
+			if held, _ := n.o.Replica.Get(kv.Key); held.Version != pushed.Version {
+				t.Errorf("%s holds version %d, not %d", id, held.Version, pushed.Version)
+			}
+		}
+	})
+}
