--- a/control/control_test.go
+++ b/control/control_test.go
@@ -460,6 +460,22 @@
 	})
 }
 
+// Guards against a drain or reboot that rests on a copy of the fleet document
+// which another holder has replaced.
+func TestConfirmVersion(t *testing.T) {
+	f := newFakePlatform()
+	h := &holder{c: New(Options{Store: f, Replica: replica.New(), Region: "r"}), done: map[string]time.Time{}}
+	version, _ := f.Put(t.Context(), fleet.Key("r"), fleet.Document{Term: 1}.Encode(), 0, "")
+	reboot := fleet.Action{Kind: fleet.ActionReboot, Operation: platform.Operation{ID: "o"}}
+	if err := h.confirmVersion(t.Context(), version); err != nil || !h.due([]fleet.Action{reboot}) {
+		t.Errorf("current copy: %v, due %v", err, h.due([]fleet.Action{reboot}))
+	}
+	_, _ = f.Put(t.Context(), fleet.Key("r"), fleet.Document{Term: 2}.Encode(), version, "")
+	if err := h.confirmVersion(t.Context(), version); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("replaced copy: %v", err)
+	}
+}
+
 type casInput struct {
 	expected, written string
 }
