--- a/membership/node.go
+++ b/membership/node.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,6 +34,10 @@
 	watchers     = 2
 	storeTimeout = 2 * time.Second
 	storeRetry   = 500 * time.Millisecond
+	// pushDelay gives the writer of a document the time to push it to the
+	// watchers, and the first watcher the time to push it to the second. It
+	// covers a few round trips between availability zones of 1.5 ms.
+	pushDelay = 50 * time.Millisecond
 )
 
 // Options configure a Node.
@@ -100,18 +106,22 @@
 	withholdUntil time.Time
 	leaving       bool
 	contacts      map[string]*contact
-	// received and origin hold the versions that came from peers and those
-	// that came from the store or were written here. Only the latter are
-	// pushed: pushing what peers have sent would multiply each change by the
-	// square of the number of members.
+	// received and fromStore hold the versions that came from peers and from
+	// the store, and origin those that are pushed: what was written here at
+	// once, and what was read unless a peer sends it within a delay. Pushing
+	// what peers have sent would multiply each change by the square of the
+	// number of members.
 	received      map[string]int64
+	fromStore     map[string]int64
 	origin        map[string]int64
 	confirmations map[Member]map[string]int64
 	debts         map[Member]*debt
-	clients       map[string]peer.Peer
-	busy          map[string]bool
-	again         map[string]bool
-	exchanges     sync.WaitGroup
+	// discovered are peer addresses from the platform's list.
+	discovered []string
+	clients    map[string]peer.Peer
+	busy       map[string]bool
+	again      map[string]bool
+	exchanges  sync.WaitGroup
 }
 
 // NewNode returns a node that is not registered yet.
@@ -126,6 +136,7 @@
 		kick:          make(chan struct{}, 1),
 		permit:        NewPermit(o.ID),
 		contacts:      map[string]*contact{},
+		fromStore:     map[string]int64{},
 		received:      map[string]int64{},
 		origin:        map[string]int64{},
 		confirmations: map[Member]map[string]int64{},
@@ -156,7 +167,7 @@
 // onDocument runs under the lock of the replica.
 func (n *Node) onDocument(doc replica.Document) {
 	n.mu.Lock()
-	origin := n.received[doc.Key] != doc.Version
+	origin := n.received[doc.Key] != doc.Version && n.fromStore[doc.Key] != doc.Version
 	if origin {
 		n.origin[doc.Key] = doc.Version
 	}
@@ -251,11 +262,58 @@
 		}
 		if err := n.register(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
 			n.o.Log.Warn().Str("event", "register_failed").Err(err).Msg("")
+			n.discover(ctx)
 			sleep(ctx, storeRetry)
 		}
 	}
 }
 
+// discover looks for peers in the platform's list while no registry is known.
+func (n *Node) discover(ctx context.Context) {
+	n.mu.Lock()
+	unknown := n.version == 0
+	n.mu.Unlock()
+	if !unknown || n.o.Inventory == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	vms, err := n.o.Inventory.VMs(ctx)
+	if err != nil {
+		n.o.Log.Warn().Str("event", "discovery_failed").Err(err).Msg("")
+		return
+	}
+	found := peerAddresses(vms, n.o.ID, n.o.PeerAddress)
+	n.mu.Lock()
+	n.discovered = found
+	n.mu.Unlock()
+	if len(found) > 0 {
+		n.Trigger()
+	}
+}
+
+// peerAddresses returns where the other listed entry VMs serve peers if they
+// use the port of the own address. The list gives an address with or without
+// a port, and not that of the peer listener.
+func peerAddresses(vms []platform.VM, self, own string) []string {
+	_, port, err := net.SplitHostPort(own)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, vm := range vms {
+		if !vm.EntryVM || vm.ID == self || vm.Address == "" {
+			continue
+		}
+		host, _, err := net.SplitHostPort(vm.Address)
+		if err != nil {
+			host = strings.Trim(vm.Address, "[]")
+		}
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
+
 // register adds the own record. After a lost answer the next call reads the
 // registry and finds the record if the write took effect.
 func (n *Node) register(ctx context.Context) error {
@@ -409,12 +467,40 @@
 		return err
 	}
 	if err == nil {
-		n.o.Replica.Apply(replica.Document{Key: key, Version: kv.Version, Value: kv.Value})
+		n.applyRead(kv)
 	}
 	n.storeContact(key, start)
 	return nil
 }
 
+// applyRead takes in a document from the store and pushes it when no peer has
+// sent it within the delay. The first watcher waits the least.
+func (n *Node) applyRead(kv platform.KeyValue) {
+	rank := min(watchers, slices.Index(Rendezvous("watch", n.Live()), n.self.ID))
+	if rank < 0 {
+		rank = watchers
+	}
+	n.mu.Lock()
+	known := n.fromStore[kv.Key] >= kv.Version
+	n.fromStore[kv.Key] = max(n.fromStore[kv.Key], kv.Version)
+	n.mu.Unlock()
+	n.o.Replica.Apply(replica.Document{Key: kv.Key, Version: kv.Version, Value: kv.Value})
+	if known {
+		return
+	}
+	time.AfterFunc(pushDelay*time.Duration(1+2*rank), func() {
+		n.mu.Lock()
+		push := n.received[kv.Key] < kv.Version && n.origin[kv.Key] < kv.Version
+		if push {
+			n.origin[kv.Key] = kv.Version
+		}
+		n.mu.Unlock()
+		if push {
+			n.Trigger()
+		}
+	})
+}
+
 func (n *Node) watch(ctx context.Context, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
 	defer cancel()
@@ -427,7 +513,7 @@
 	for _, kv := range result.Changed {
 		// The prefix also matches longer keys.
 		if kv.Key == key {
-			n.o.Replica.Apply(replica.Document{Key: key, Version: kv.Version, Value: kv.Value})
+			n.applyRead(kv)
 		}
 	}
 	n.storeContact(key, start)
@@ -471,8 +557,8 @@
 		}
 	}
 	if len(out) == 0 {
-		for _, address := range n.o.Seeds {
-			if address != n.o.PeerAddress {
+		for _, address := range slices.Concat(n.o.Seeds, n.discovered) {
+			if address != n.o.PeerAddress && !slices.Contains(out, address) {
 				out = append(out, address)
 			}
 		}
@@ -574,7 +660,10 @@
 		StoreAgeMillis: n.storeAgeMillis(now), Leaving: n.leaving,
 	}
 	n.mu.Unlock()
-	q.Digest = fromDigest(n.o.Replica.Digest())
+	held := n.o.Replica.Digest()
+	// The key names the region of the sender even before it holds a document.
+	held[Key(n.o.Region)] = max(held[Key(n.o.Region)], 0)
+	q.Digest = fromDigest(held)
 	if known != nil {
 		q.Documents = fromDocuments(n.pushed(known))
 	}
@@ -598,8 +687,11 @@
 }
 
 func (n *Node) serve(now time.Time, q *peer.ExchangeRequest) *peer.ExchangeResponse {
-	n.apply(q.Documents)
 	digest := toDigest(q.Digest)
+	if n.foreign(digest) {
+		return &peer.ExchangeResponse{Responder: n.self.ID, StoreAgeMillis: -1}
+	}
+	n.apply(q.Documents)
 	n.mu.Lock()
 	sender := Member{ID: q.Sender, Incarnation: q.Incarnation}
 	switch {
@@ -633,6 +725,22 @@
 	return p
 }
 
+// foreign reports whether a digest comes from another region. The platform's
+// list names no regions, so an entry VM that looks for peers may call here. It
+// never counts this process, which would owe it a debt that no registration
+// here ends.
+func (n *Node) foreign(digest map[string]int64) bool {
+	if _, same := digest[Key(n.o.Region)]; same {
+		return false
+	}
+	for key := range digest {
+		if strings.HasPrefix(key, keyPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) hear(sender Member, q *peer.ExchangeRequest, digest map[string]int64, now time.Time) {
 	if !n.registry.Contains(sender) {
 		return
