--- a/membership/node.go
+++ b/membership/node.go
@@ -476,7 +476,7 @@
 // applyRead takes in a document from the store and pushes it when no peer has
 // sent it within the delay. The first watcher waits the least.
 func (n *Node) applyRead(kv platform.KeyValue) {
-	rank := min(watchers, slices.Index(Rendezvous("watch", n.Live()), n.self.ID))
+	rank := min(watchers, slices.Index(rendezvous.Order("watch", n.Live()), n.self.ID))
 	if rank < 0 {
 		rank = watchers
 	}
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -15,6 +15,7 @@
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
 	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/rendezvous"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
@@ -231,7 +232,7 @@
 		time.Sleep(5 * time.Second)
 		kv, _ := m.Get(t.Context(), fleet.Key("r"))
 		pushed := &peer.Document{Key: kv.Key, Version: m.version + 1, Value: kv.Value}
-		for _, id := range Rendezvous("watch", nodes["e0"].Live())[:watchers] {
+		for _, id := range rendezvous.Order("watch", nodes["e0"].Live())[:watchers] {
 			nodes[id].apply([]*peer.Document{pushed})
 		}
 		if _, err := m.Put(t.Context(), kv.Key, kv.Value, kv.Version, ""); err != nil {
--- a/tools/measure/sizing/sweeps.go
+++ b/tools/measure/sizing/sweeps.go
@@ -60,7 +60,8 @@
 		}
 		if h := w.holder(); h >= 0 {
 			t := w.store[h]
-			// A round makes each of these reads once.
+			// A round reads the list; it reads the fleet document only after
+			// the role was taken or a round has failed.
 			out.holderBytes[i] = t.answerBytes("GET fleet") + t.answerBytes("GET /v1/vms")
 		}
 		out.memory[i] = liveBytes()
