--- a/control/controller.go
+++ b/control/controller.go
@@ -28,6 +28,13 @@
 	// contactWindow is how recent the last exchange with a member must be to
 	// count as uninterrupted contact: one exchange a second and one lost.
 	contactWindow = 3 * time.Second
+	// resignAfter is how long a holder stays without a majority: longer than a
+	// member needs to come back into contact after one lost exchange.
+	resignAfter = membership.T + contactWindow
+	// resignedPause is how long a holder that resigned leaves the role to
+	// others. It then contends again, because with most entry VMs gone nobody
+	// else may be left to remove them from the registry.
+	resignedPause = 2 * leaseTTL
 	// triggerDelay collects confirmations that arrive together, so that they
 	// cost one round of store calls.
 	triggerDelay = 20 * time.Millisecond
@@ -151,8 +158,12 @@
 		if lease == "" {
 			continue
 		}
-		c.hold(ctx, lease)
+		resigned := c.hold(ctx, lease)
 		c.giveBack(lease)
+		if resigned {
+			// Another entry VM takes the role meanwhile, if one can.
+			sleep(ctx, resignedPause)
+		}
 	}
 	return ctx.Err()
 }
@@ -216,8 +227,11 @@
 	return c.o.Store.Get(ctx, key)
 }
 
-// hold keeps the lease alive and runs rounds until the lease is lost.
-func (c *Controller) hold(ctx context.Context, lease string) {
+// hold keeps the lease alive and runs rounds until the lease is lost. It
+// reports whether the role was given up because the holder is out of contact
+// with a majority: it may start no transition then, while its lease keeps the
+// role from an entry VM that could.
+func (c *Controller) hold(ctx context.Context, lease string) (resigned bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.o.Log.Info().Str("event", "control_taken").Str("id", c.o.ID).Msg("")
@@ -233,14 +247,18 @@
 	})
 	defer keeper.Wait()
 	defer cancel()
-	h := &holder{c: c, done: map[string]time.Time{}}
+	h := &holder{c: c, done: map[string]time.Time{}, majorityAt: time.Now()}
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		err := h.round(ctx)
 		if errors.Is(err, errDeposed) {
 			c.o.Log.Warn().Str("event", "control_deposed").Int64("term", h.term).Msg("")
-			return
+			return false
+		}
+		if err == nil && time.Since(h.majorityAt) > resignAfter {
+			c.o.Log.Warn().Str("event", "control_resigned").Int64("term", h.term).Msg("")
+			return true
 		}
 		message := ""
 		if err != nil && ctx.Err() == nil {
@@ -257,6 +275,7 @@
 			sleep(ctx, triggerDelay)
 		}
 	}
+	return false
 }
 
 // keepAlive returns when the lease has lapsed or may have.
@@ -300,6 +319,8 @@
 	heldVersion int64
 	// steadySince is zero while the store or a majority is out of contact.
 	steadySince time.Time
+	// majorityAt is when a majority was last in contact.
+	majorityAt time.Time
 	// done holds the operations whose call was answered, to spare repeats.
 	done  map[string]time.Time
 	waits []fleet.Wait
@@ -364,10 +385,12 @@
 			reached++
 		}
 	}
-	switch {
-	case 2*reached <= s.registry.Size():
+	if 2*reached <= s.registry.Size() {
 		h.steadySince = time.Time{}
-	case h.steadySince.IsZero():
+		return
+	}
+	h.majorityAt = s.now
+	if h.steadySince.IsZero() {
 		h.steadySince = s.now
 	}
 }
