Let the planner give VMs away only from pools it has watched

The control role changes hands after every store outage, and a new planner gave the VMs of idle pools to the spare within seconds although a burst may be seconds away. It now takes VMs from a pool that is not spare only after it has watched the pool for Options.WarmUp (60 s); a gap of more than 10 s in the plans starts the watch anew. VMs of the spare go to a pool in need at once.

The tests of the other rules and the scale rows run without warm-up, so that they see moves from the first second as before.

--- a/scheduler/capacity/planner.go
+++ b/scheduler/capacity/planner.go
@@ -36,6 +36,9 @@
 	usualWeight = 0.01
 	// pendingLimit is when a move that shows no effect is forgotten.
 	pendingLimit = time.Minute
+	// watchGap is the time without a plan after which the watch of a pool starts
+	// anew. A holder that regains the control role plans with old histories.
+	watchGap = 10 * time.Second
 )
 
 // Planner plans moves from the demand of the pools over time.
@@ -43,7 +46,8 @@
 // Invariants: no plan moves a VM within MinimumHold of its last move, takes a
 // pool below MinimumVMs serving VMs, or takes a VM from a pool whose
 // availability budget is used up: from one that is not spare and has
-// MaxUnavailable VMs out of service for other reasons than moves.
+// MaxUnavailable VMs out of service for other reasons than moves, or that the
+// planner has watched for less than WarmUp.
 type Planner struct {
 	options Options
 	pools   map[string]*history
@@ -58,6 +62,8 @@
 
 // history is what the planner remembers of a pool.
 type history struct {
+	// watchedSince and seenAt are the start and the last moment of the watch.
+	watchedSince, seenAt time.Time
 	// recent holds the needs of the last seconds.
 	recent []need
 	usual  float64
@@ -93,6 +99,7 @@
 		pool := &r.pools[i]
 		if !pool.Spare {
 			pool.target, pool.floor = p.target(now, pool.Pool)
+			pool.warm = now.Sub(p.pools[pool.Name].watchedSince) >= p.options.WarmUp
 		}
 	}
 	moves := r.plan()
@@ -133,6 +140,7 @@
 		h = &history{}
 		p.pools[pool.Name] = h
 	}
+	h.watch(now)
 	needed := max(p.need(pool), pool.MinimumVMs)
 	h.observe(now, needed)
 	target = h.largest(now, smoothing)
@@ -206,6 +214,15 @@
 	h.expected += levelWeight * (level - h.expected)
 }
 
+// watch starts the watch anew after a gap. Without demand seen over some time
+// an idle pool cannot be told from one between two bursts.
+func (h *history) watch(now time.Time) {
+	if now.Sub(h.seenAt) > watchGap {
+		h.watchedSince = now
+	}
+	h.seenAt = now
+}
+
 func (h *history) observe(now time.Time, vms int) {
 	h.recent = append(h.recent, need{now, vms})
 	for now.Sub(h.recent[0].at) > smoothing {
@@ -266,6 +283,8 @@
 	target int
 	// floor is the target when another pool lacks VMs.
 	floor int
+	// warm pools have been watched for long enough to give VMs away.
+	warm bool
 	// serving counts the VMs that serve and stay, arriving those on their way,
 	// unavailable those out of service for other reasons than moves.
 	serving, arriving, unavailable int
@@ -335,7 +354,7 @@
 	if len(s.movable) == 0 || s.serving <= s.MinimumVMs {
 		return false
 	}
-	return s.Spare || s.unavailable < s.MaxUnavailable && s.serving > keep
+	return s.Spare || s.warm && s.unavailable < s.MaxUnavailable && s.serving > keep
 }
 
 func (r *round) plan() []Move {
--- a/scheduler/capacity/planner_test.go
+++ b/scheduler/capacity/planner_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +16,9 @@
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
+// noWarmUp lets the tests of the other rules see moves from the first second.
+const noWarmUp = time.Duration(-1)
+
 // Guards against moves that take a pool below its minimum or budget, move a VM
 // twice within its hold time or while it moves, or name the wrong pool.
 func TestPlanInvariants(t *testing.T) {
@@ -21,6 +26,7 @@
 		options := Options{
 			WaitingWeight: rapid.SampledFrom([]float64{1, 20}).Draw(t, "weight"),
 			Hold:          rapid.SampledFrom([]HoldPolicy{HoldHistogram, HoldFixed, HoldAverage}).Draw(t, "hold"),
+			WarmUp:        noWarmUp,
 		}
 		planner := NewPlanner(options)
 		now := time.Unix(1000, 0)
@@ -110,7 +116,7 @@
 	for _, home := range []string{"a", "ledger", "tooling"} {
 		s.VMs = append(s.VMs, VM{ID: "of-" + home, Pool: "a", HomePool: home, Serving: true})
 	}
-	moves := NewPlanner(Options{}).Plan(time.Unix(1000, 0), s)
+	moves := NewPlanner(Options{WarmUp: noWarmUp}).Plan(time.Unix(1000, 0), s)
 	if len(moves) != 2 {
 		t.Errorf("moves %v, want both lent VMs", moves)
 	}
@@ -139,3 +145,38 @@
 		t.Errorf("a VM is worth 5 s: hold %s, want 0", hold)
 	}
 }
+
+// Guards against a new holder of the control role that gives the VMs of idle
+// pools away before it has seen their demand, also after a gap in its watch,
+// and against a warm-up that keeps the spare from a pool in need.
+func TestWarmUpKeepsIdleVMs(t *testing.T) {
+	s := Snapshot{Pools: []Pool{
+		{Name: "spare", Spare: true},
+		{Name: "idle", MinimumVMs: 1, MaxUnavailable: 1, SlotsPerWorker: 8},
+		{Name: "needy", MinimumVMs: 1, MaxUnavailable: 1, SlotsPerWorker: 8, SlotsWanted: 40},
+	}}
+	for _, id := range []string{"spare", "idle", "idle-2", "idle-3", "needy"} {
+		pool, _, _ := strings.Cut(id, "-")
+		s.VMs = append(s.VMs, VM{ID: id, Pool: pool, HomePool: pool, Serving: true})
+	}
+	planner, start := NewPlanner(Options{WarmUp: 20 * time.Second}), time.Unix(1000, 0)
+	check := func(second int, want ...string) {
+		t.Helper()
+		var from []string
+		for _, m := range planner.Plan(start.Add(time.Duration(second)*time.Second), s) {
+			from = append(from, m.From)
+		}
+		if !slices.Equal(from, want) {
+			t.Errorf("second %d: VMs taken from %v, want %v", second, from, want)
+		}
+	}
+	check(0, "spare")
+	s.VMs[0].Pool = "needy"
+	for second := 1; second < 20; second++ {
+		check(second)
+	}
+	for second := 40; second < 60; second++ {
+		check(second)
+	}
+	check(60, "idle", "idle")
+}
--- a/scheduler/capacity/trace_test.go
+++ b/scheduler/capacity/trace_test.go
@@ -24,7 +24,7 @@
 }
 
 func newWorld() *world {
-	w := &world{planner: NewPlanner(Options{}), now: time.Unix(1000, 0), under: map[string]arrival{}}
+	w := &world{planner: NewPlanner(Options{WarmUp: noWarmUp}), now: time.Unix(1000, 0), under: map[string]arrival{}}
 	w.s.Pools = []Pool{
 		{Name: "spare", Spare: true, SlotsPerWorker: 8},
 		{Name: "a", MinimumVMs: 4, MaxUnavailable: 1, SlotsPerWorker: 8},
--- a/scheduler/capacity/types.go
+++ b/scheduler/capacity/types.go
@@ -79,6 +79,9 @@
 	Hold        HoldPolicy
 	// FixedHold is the hold of HoldFixed; default 30 s.
 	FixedHold time.Duration
+	// WarmUp is how long the planner watches a pool that is not spare before it
+	// takes VMs from it; default 60 s, negative for none.
+	WarmUp time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -97,5 +100,8 @@
 	if o.FixedHold <= 0 {
 		o.FixedHold = 30 * time.Second
 	}
+	if o.WarmUp == 0 {
+		o.WarmUp = time.Minute
+	}
 	return o
 }
--- a/tools/measure/capacity.go
+++ b/tools/measure/capacity.go
@@ -145,6 +145,21 @@
 	return func(sim *simulation) []capacity.Move { return planner.Plan(sim.time(), sim.snapshot()) }
 }
 
+// takeOver is the interval of the runs in which the control role changes hands
+// regularly, as it does after outages of the store.
+const takeOver = 150 * time.Second
+
+// replanned is planned with a new planner after each takeOver.
+func replanned(options capacity.Options) plan {
+	next, since := planned(options), time.Duration(0)
+	return func(sim *simulation) []capacity.Move {
+		if sim.now-since >= takeOver {
+			next, since = planned(options), sim.now
+		}
+		return next(sim)
+	}
+}
+
 // weights are the settings of a deployment.
 func (s scenario) weights() capacity.Options {
 	if s.Deployment == "mas-trunk" {
@@ -269,9 +284,16 @@
 	static := make([]capacityRun, 7)
 	clairvoyants := make([]capacityRun, len(family))
 	held := make([]capacityRun, len(policies))
-	var none capacityRun
-	parallel(len(policies)+1+len(static)+len(family), func(i int) {
+	var none, warmed, cold capacityRun
+	n := len(policies) + 1 + len(static) + len(family)
+	parallel(n+2, func(i int) {
 		switch {
+		case i == n:
+			warmed = runCapacity(s, work, poolSizes, replanned(s.weights()))
+		case i == n+1:
+			options := s.weights()
+			options.WarmUp = -1
+			cold = runCapacity(s, work, poolSizes, replanned(options))
 		case i < len(policies):
 			options := s.weights()
 			options.Hold = policies[i]
@@ -323,6 +345,13 @@
 			row("hold by "+name+": moves", "moves", float64(held[i].moves)),
 			row("hold by "+name+": wait p99", "seconds", held[i].wait()))
 	}
+	const changing = "role changes hands each 150 s: "
+	rows = append(rows,
+		row(changing+"buffer (baseline: no warm-up)", "VMs", warmed.buffer).baseline(cold.buffer),
+		row(changing+"moves (baseline: no warm-up)", "moves", float64(warmed.moves)).baseline(float64(cold.moves)),
+		row(changing+"wait p99 (baseline: no warm-up)", "seconds", warmed.wait()).baseline(cold.wait()),
+		row(changing+"short work p99 slowdown (baseline: no warm-up)", "ratio", quantile(warmed.waits.short, 0.99)).
+			baseline(quantile(cold.waits.short, 0.99)))
 	frontier := chart{
 		file: "buffer-" + s.Deployment + ".svg", title: "Buffer and wait, " + s.Deployment,
 		x: "VMs held as buffer", y: "p99 wait in seconds", logY: true,
--- a/tools/measure/measure_test.go
+++ b/tools/measure/measure_test.go
@@ -19,7 +19,9 @@
 	var moves [2]int
 	for i := range waits {
 		s, w := small(1)
-		r := runCapacity(s, w, poolSizes, planned(s.weights()))
+		options := s.weights()
+		options.WarmUp = -1
+		r := runCapacity(s, w, poolSizes, planned(options))
 		waits[i], moves[i] = r.wait(), r.moves
 	}
 	if waits[0] != waits[1] || moves[0] != moves[1] {
--- a/tools/measure/scale.go
+++ b/tools/measure/scale.go
@@ -103,7 +103,10 @@
 	pools := max(workers*topPools/topWorkers, services)
 	teams := max(workers*topTeams/topWorkers, 1)
 	f := newScaleFleet(random, workers, pools, teams)
-	planner := capacity.NewPlanner(s.weights())
+	// Without a warm-up the rounds plan moves from the first on.
+	options := s.weights()
+	options.WarmUp = -1
+	planner := capacity.NewPlanner(options)
 	times := make([]float64, 0, 15)
 	for i := range cap(times) {
 		now := epoch.Add(time.Duration(i+1) * time.Second)
--- a/tools/measure/sizing/documents.go
+++ b/tools/measure/sizing/documents.go
@@ -190,7 +190,7 @@
 		waves := maintenanceOf(config, document)
 		add(&step, func() { fleet.Step(document, inputs) })
 		add(&wave, func() { maintenance.Next(waves) })
-		planner, snapshot, now := capacity.NewPlanner(capacity.Options{WaitingWeight: 1, BufferWeight: 1}), capacityOf(config, document), time.Now()
+		planner, snapshot, now := capacity.NewPlanner(capacity.Options{WaitingWeight: 1, BufferWeight: 1, WarmUp: -1}), capacityOf(config, document), time.Now()
 		add(&plan, func() {
 			now = now.Add(time.Second)
 			planner.Plan(now, snapshot)
