Refuse requests early that cannot start by StartBy

A request that could not start in time was refused only when StartBy passed. It is now refused when it is pushed if the work ahead of it, by learned run times and the slots its kind may use, takes more than three times the time it has left. At least 100 run times must be known, no slot may be free, and urgent work is never refused this way. Options.EarlyRefusal sets the factor. RetryAfter says when the queue should have room. Refused work still counts as offered load, so that the pool gets VMs for it.

--- a/scheduler/dispatching/pool.go
+++ b/scheduler/dispatching/pool.go
@@ -44,6 +44,8 @@
 	expected time.Duration
 	mean     time.Duration
 	long     bool
+	// counted requests are in the backlog of their queue.
+	counted  bool
 	order    *queueing.Entry[*waiting]
 	deadline *queueing.Entry[*waiting]
 	// queue is the heap that holds order.
@@ -57,6 +59,8 @@
 	started time.Time
 	// long grants count against the limit of long work.
 	long bool
+	// end is its expected end in seconds since the first grant.
+	end float64
 	// promise is when a grant that is still running counts as long.
 	promise time.Time
 	demote  *queueing.Entry[*grant]
@@ -92,7 +96,10 @@
 	// queuedWork is the sum of the expected run times in the queue.
 	queuedWork time.Duration
 	offered    offeredLoad
-	next       int64
+	// ahead is what new requests wait for; learned counts the run times.
+	ahead   work
+	learned int
+	next    int64
 }
 
 // byKey orders the requests of a queue.
@@ -111,8 +118,11 @@
 	if options.Ageing <= 0 {
 		options.Ageing = 5
 	}
+	if options.EarlyRefusal == 0 {
+		options.EarlyRefusal = 3
+	}
 	return &Pool{
-		options: options, workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
+		options: options, ahead: newWork(), workers: map[string]Worker{}, slots: placement.NewSet(), learner: runtimes.NewLearner(),
 		ejection: ejection.NewWorkers(ejection.Options{}), failing: ejection.NewJobs(),
 		teams: quota.NewTeams(), parked: map[parkedTeam]*queueing.Heap[*waiting]{},
 		requests: map[string]*waiting{}, grants: map[string]*grant{},
@@ -145,7 +155,9 @@
 // has no effect.
 func (p *Pool) Adopt(now time.Time, id, worker string, r Request) {
 	if p.grants[id] == nil {
-		p.start(now, id, worker, &waiting{request: r, long: p.isLong(r)})
+		w := &waiting{request: r}
+		p.estimate(w)
+		p.start(now, id, worker, w)
 	}
 }
 
@@ -160,7 +172,13 @@
 	if wait := p.refusedJob(now, r); wait > 0 {
 		return []Decision{{RequestID: r.ID, Reason: ReasonFailingJob, RetryAfter: wait}}
 	}
-	p.enqueue(now, r)
+	w := p.newWaiting(now, r)
+	// Refused work counts as offered, so that the pool is given VMs for it.
+	p.offered.add(now, w.mean)
+	if wait, late := p.cannotStart(now, w); late {
+		return append(p.dispatch(now), Decision{RequestID: r.ID, Reason: ReasonCannotStartInTime, RetryAfter: wait})
+	}
+	p.enqueue(w)
 	return p.dispatch(now)
 }
 
@@ -186,10 +204,12 @@
 	if g.long {
 		p.longBusy--
 	}
+	p.hold(g, -1)
 	p.slots.Give(g.worker)
 	p.teams.Give(g.request.Team, g.request.Urgent)
 	p.unpark(g.request)
 	if result == ResultOK {
+		p.learned++
 		p.learner.Observe(operation(g.request), g.request.Declared, ran)
 	}
 	p.judge(now, g, result)
@@ -224,19 +244,26 @@
 	return runtimes.Operation{Service: r.Service, Name: r.Operation}
 }
 
-func (p *Pool) enqueue(now time.Time, r Request) {
+func (p *Pool) newWaiting(now time.Time, r Request) *waiting {
 	p.next++
 	w := &waiting{request: r, sequence: p.next, key: now}
 	p.estimate(w)
 	if p.options.Policy == PolicyLearned {
 		w.key = now.Add(time.Duration(p.options.Ageing * float64(w.expected)))
 	}
+	w.counted = p.teams.Room(r.Team, r.Urgent) == math.MaxInt
+	return w
+}
+
+func (p *Pool) enqueue(w *waiting) {
 	w.queue = p.queueOf(w)
 	w.order = w.queue.Push(w)
 	w.deadline = p.deadlines.Push(w)
-	p.requests[r.ID] = w
+	p.requests[w.request.ID] = w
 	p.queuedWork += w.mean
-	p.offered.add(now, w.mean)
+	if b := p.backlogOf(w); b != nil {
+		b.add(w)
+	}
 }
 
 func (p *Pool) dequeue(w *waiting) {
@@ -244,6 +271,9 @@
 	p.deadlines.Remove(w.deadline)
 	delete(p.requests, w.request.ID)
 	p.queuedWork -= w.mean
+	if b := p.backlogOf(w); b != nil {
+		b.remove(w)
+	}
 	// Otherwise parked requests of the team could wait although the one that
 	// was to start before them is gone.
 	p.unpark(w.request)
@@ -391,6 +421,8 @@
 
 func (p *Pool) start(now time.Time, id, worker string, w *waiting) {
 	g := &grant{request: w.request, worker: worker, started: now, long: w.long}
+	g.end = p.secondsAt(now) + w.mean.Seconds()
+	p.hold(g, 1)
 	p.grants[id] = g
 	p.slots.Take(worker)
 	p.teams.Take(w.request.Team, w.request.Urgent)
@@ -418,7 +450,9 @@
 func (p *Pool) demote(now time.Time) {
 	for e := p.promises.Peek(); e != nil && !e.Value.promise.After(now); e = p.promises.Peek() {
 		p.promises.Remove(e)
+		p.hold(e.Value, -1)
 		e.Value.long = true
+		p.hold(e.Value, 1)
 		p.longBusy++
 	}
 }
--- a/scheduler/dispatching/pool_test.go
+++ b/scheduler/dispatching/pool_test.go
@@ -199,6 +199,7 @@
 		if len(m.waiting) > 0 {
 			t.Fatalf("no decision for %v", sortedKeys(m.waiting))
 		}
+		checkIdle(t, m.pool)
 	})
 }
 
--- a/scheduler/dispatching/types.go
+++ b/scheduler/dispatching/types.go
@@ -110,4 +110,8 @@
 	// Ageing is how many times its expected run time a request lets later
 	// requests go first; default 5.
 	Ageing float64
+	// EarlyRefusal is how many times the time left to its StartBy a request must
+	// be expected to wait to be refused when it is pushed; default 3, negative
+	// for refusal at StartBy only. Estimates of waits are far from the truth.
+	EarlyRefusal float64
 }
--- a/tools/measure/simulate.go
+++ b/tools/measure/simulate.go
@@ -230,7 +230,7 @@
 	s.waiting[j.id] = attempt{index: index, avoid: avoid}
 	s.apply(j.service, s.pools[j.service].Push(s.time(), dispatching.Request{
 		ID: j.id, Service: "service-" + strconv.Itoa(j.service), Operation: j.operation,
-		Fingerprint: j.fingerprint, Declared: j.declared, StartBy: epoch.Add(j.arrive + deadline), Avoid: avoid,
+		Fingerprint: j.fingerprint, Declared: j.declared, StartBy: epoch.Add(j.arrive + j.startIn), Avoid: avoid,
 	}))
 }
 
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -17,6 +17,7 @@
 
 var parts = []part{
 	{"waiting", measureWaiting},
+	{"overload", measureOverload},
 	{"ejection", measureEjection},
 	{"capacity", measureCapacity},
 	{"scale", measureScale},
--- a/tools/measure/workload.go
+++ b/tools/measure/workload.go
@@ -24,7 +24,7 @@
 		return errors.Errorf("unknown deployment %q: use etikettwerk or mas-trunk", s.Deployment)
 	}
 	for _, part := range s.Only {
-		if !slices.Contains([]string{"waiting", "ejection", "capacity", "scale", "forecast"}, part) {
+		if !slices.Contains([]string{"waiting", "overload", "ejection", "capacity", "scale", "forecast"}, part) {
 			return errors.Errorf("unknown part %q", part)
 		}
 	}
@@ -110,6 +110,8 @@
 	fingerprint string
 	// cancel is when the caller gives up if the job still waits; 0 for never.
 	cancel time.Duration
+	// startIn is the time from the arrival in which the job has to start.
+	startIn time.Duration
 }
 
 // burst is a time in which one service has five times its mean demand.
@@ -190,7 +192,7 @@
 func newJob(random *rand.Rand, service, n int, arrive time.Duration) job {
 	o := pick(random)
 	j := job{
-		id: fmt.Sprintf("s%d-%d", service, n), service: service, operation: o.name, arrive: arrive,
+		id: fmt.Sprintf("s%d-%d", service, n), service: service, operation: o.name, arrive: arrive, startIn: deadline,
 		never: random.Float64() < neverShare,
 	}
 	j.fingerprint = j.id
