Measure maintenance waves

Cause: no figure showed whether a wave stays within the availability budgets under faults, nor how its time compares with the shortest possible.

--- a/examples/examples.go
+++ b/examples/examples.go
@@ -7,3 +7,8 @@
 //
 //go:embed etikettwerk.toml
 var Etikettwerk []byte
+
+// MasTrunk is the first release note of Mas Trunk Costume Lending.
+//
+//go:embed mas-trunk.toml
+var MasTrunk []byte
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -21,6 +21,7 @@
 	{"capacity", measureCapacity},
 	{"scale", measureScale},
 	{"forecast", measureForecast},
+	{"maintenance", measureMaintenance},
 }
 
 func measureDecisions(s scenario) ([]Row, error) {
--- a/tools/measure/workload.go
+++ b/tools/measure/workload.go
@@ -24,7 +24,7 @@
 		return errors.Errorf("unknown deployment %q: use etikettwerk or mas-trunk", s.Deployment)
 	}
 	for _, part := range s.Only {
-		if !slices.Contains([]string{"waiting", "ejection", "capacity", "scale", "forecast"}, part) {
+		if !slices.Contains([]string{"waiting", "ejection", "capacity", "scale", "forecast", "maintenance"}, part) {
 			return errors.Errorf("unknown part %q", part)
 		}
 	}
