--- /dev/null
+++ b/tools/measure/maintenance_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// Guards against faults that do not strike, a bound that a real wave beats,
+// and waves that leave VMs out, break a budget or reboot a VM twice.
+func TestWaves(t *testing.T) {
+	for _, deployment := range []string{"etikettwerk", "mas-trunk"} {
+		for _, fault := range waveFaults {
+			for seed := range uint64(3) {
+				config, vms := exampleFleet(deployment)
+				if len(vms) != 50 {
+					t.Fatalf("%s has %d VMs", deployment, len(vms))
+				}
+				r := newWaveRun(rand.New(rand.NewPCG(1, seed)), fault, config, vms)
+				got := r.run()
+				if got.ratio < 1 || got.missed > 0 || got.breaches > 0 || got.twice > 0 {
+					t.Errorf("%s, %s, seed %d: %+v", deployment, fault, seed, got)
+				}
+				if strikes := fault == waveRackLost || fault == waveAbsent || fault == waveLostAnswers || fault == waveNewHolder; strikes != (r.struck > 0) {
+					t.Errorf("%s, %s, seed %d: %d VMs or calls struck", deployment, fault, seed, r.struck)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a check that sees no breach.
+func TestWaveBreachesAreSeen(t *testing.T) {
+	config, vms := exampleFleet("mas-trunk")
+	for _, v := range vms {
+		v.zone, v.rack = "a", "r01"
+	}
+	r := newWaveRun(rand.New(rand.NewPCG(1, 1)), waveNoFault, config, vms)
+	// The holder sees the budget of the note, the check a smaller one.
+	for pool := range r.budgets {
+		r.budgets[pool] = 1
+	}
+	if got := r.run(); got.breaches == 0 {
+		t.Error("planned work beyond the budget is not counted")
+	}
+}
