--- a/tools/measure/maintenance.go
+++ b/tools/measure/maintenance.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	waveName          = "measured"
 	waveMaxConcurrent = 4
 	waveEntries       = 6
 	waveListLag       = 2 * time.Second
@@ -136,11 +135,13 @@
 
 func measureMaintenance(s scenario) ([]Row, []chart) {
 	fleets := []waveFleet{
-		{"50 VMs", 50, 5, func() (note.Config, []*waveVM) { return exampleFleet(s.Deployment) }},
-		{"500 VMs", 500, 2, func() (note.Config, []*waveVM) { return largeFleet(500, 30) }},
+		{"50 VMs", 50, 5, false, func() (note.Config, []*waveVM) { return exampleFleet(s.Deployment) }},
+		{"50 VMs, a wave for each pool", 50, 5, true, func() (note.Config, []*waveVM) { return exampleFleet(s.Deployment) }},
+		{"500 VMs", 500, 2, false, func() (note.Config, []*waveVM) { return largeFleet(500, 30) }},
+		{"500 VMs, a wave for each pool", 500, 2, true, func() (note.Config, []*waveVM) { return largeFleet(500, 30) }},
 	}
 	if s.Quick {
-		fleets = fleets[:1]
+		fleets = fleets[:2]
 	}
 	var rows []Row
 	for _, f := range fleets {
@@ -148,7 +149,7 @@
 		parallel(len(results), func(i int) {
 			random := rand.New(rand.NewPCG(s.Seed, uint64(2000+i%f.runs)))
 			config, vms := f.make()
-			results[i] = newWaveRun(random, waveFaults[i/f.runs], config, vms).run()
+			results[i] = newWaveRun(random, waveFaults[i/f.runs], f.split, config, vms).run()
 		})
 		for i, fault := range waveFaults {
 			rows = append(rows, f.rows(fault, results[i*f.runs:(i+1)*f.runs])...)
@@ -161,7 +162,9 @@
 type waveFleet struct {
 	name       string
 	size, runs int
-	make       func() (note.Config, []*waveVM)
+	// split has a wave for each pool in place of one for all.
+	split bool
+	make  func() (note.Config, []*waveVM)
 }
 
 // rows returns the longest times and the sums of all that went wrong.
@@ -229,7 +232,7 @@
 	return config, vms
 }
 
-func newWaveRun(random *rand.Rand, fault waveFault, config note.Config, vms []*waveVM) *waveRun {
+func newWaveRun(random *rand.Rand, fault waveFault, split bool, config note.Config, vms []*waveVM) *waveRun {
 	r := &waveRun{random: random, fault: fault, config: config, vms: vms, byID: map[string]*waveVM{}, breaches: map[string]bool{}, budgets: map[string]int{}}
 	for _, p := range config.Pools {
 		if budget, limited := fleet.Budget(config, p.Name); limited {
@@ -260,11 +263,15 @@
 	in := r.inputs()
 	r.document, _ = fleet.Step(r.document, in)
 	r.config.Revision++
-	wave := note.Wave{Name: waveName, MaxConcurrent: waveMaxConcurrent, TouchedRevision: r.config.Revision}
 	for _, p := range r.config.Pools {
-		wave.Pools = append(wave.Pools, p.Name)
+		if len(r.config.Waves) == 0 || split {
+			r.config.Waves = append(r.config.Waves, note.Wave{
+				Name: "wave-" + p.Name, MaxConcurrent: waveMaxConcurrent, TouchedRevision: r.config.Revision,
+			})
+		}
+		w := &r.config.Waves[len(r.config.Waves)-1]
+		w.Pools = append(w.Pools, p.Name)
 	}
-	r.config.Waves = []note.Wave{wave}
 	r.news = true
 	return r
 }
@@ -292,13 +299,20 @@
 // the VMs of each pool over its budget, and all times over max_concurrent. VMs
 // of two racks are never out together, so the times of the racks add up.
 // Without the limits only the slowest VM and the budgets of the pools count.
+// The longest of several waves counts.
 func (r *waveRun) bounds() (limits, budgets time.Duration) {
-	racks := map[string][]*waveVM{}
-	for _, v := range r.vms {
-		racks[v.zone+"/"+v.rack] = append(racks[v.zone+"/"+v.rack], v)
-	}
-	for _, vms := range racks {
-		limits += max(r.budgetBound(vms), total(vms)/waveMaxConcurrent)
+	for _, w := range r.config.Waves {
+		racks := map[string][]*waveVM{}
+		for _, v := range r.vms {
+			if slices.Contains(w.Pools, v.pool) {
+				racks[v.zone+"/"+v.rack] = append(racks[v.zone+"/"+v.rack], v)
+			}
+		}
+		var sum time.Duration
+		for _, vms := range racks {
+			sum += max(r.budgetBound(vms), total(vms)/waveMaxConcurrent)
+		}
+		limits = max(limits, sum)
 	}
 	return limits, r.budgetBound(r.vms)
 }
@@ -350,7 +364,7 @@
 		if v.reboots > 1 {
 			result.twice++
 		}
-		if v.boot < 2 || !slices.Contains(r.document.Waves[0].Done, v.id) {
+		if v.boot < 2 || !slices.ContainsFunc(r.document.Waves, func(w fleet.WaveProgress) bool { return slices.Contains(w.Done, v.id) }) {
 			result.missed++
 		}
 	}
@@ -507,7 +521,7 @@
 			r.release(v, vm.Generation)
 		}
 	}
-	if len(next.Waves) > 0 && next.Waves[0].Finished {
+	if !slices.ContainsFunc(next.Waves, func(w fleet.WaveProgress) bool { return !w.Finished }) {
 		r.ended = r.now
 	}
 	return actions
--- a/tools/measure/maintenance_test.go
+++ b/tools/measure/maintenance_test.go
@@ -15,7 +15,7 @@
 				if len(vms) != 50 {
 					t.Fatalf("%s has %d VMs", deployment, len(vms))
 				}
-				r := newWaveRun(rand.New(rand.NewPCG(1, seed)), fault, config, vms)
+				r := newWaveRun(rand.New(rand.NewPCG(1, seed)), fault, seed == 2, config, vms)
 				got := r.run()
 				if got.ratio < 1 || got.missed > 0 || got.breaches > 0 || got.twice > 0 {
 					t.Errorf("%s, %s, seed %d: %+v", deployment, fault, seed, got)
@@ -34,7 +34,7 @@
 	for _, v := range vms {
 		v.zone, v.rack = "a", "r01"
 	}
-	r := newWaveRun(rand.New(rand.NewPCG(1, 1)), waveNoFault, config, vms)
+	r := newWaveRun(rand.New(rand.NewPCG(1, 1)), waveNoFault, false, config, vms)
 	// The holder sees the budget of the note, the check a smaller one.
 	for pool := range r.budgets {
 		r.budgets[pool] = 1
