--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -49,6 +50,6 @@
 	flags.BoolVar(&s.Quick, "quick", false, "shorter workload, ends within 30 s")
 	flags.StringVar(&output, "output", "text", "text or json")
 	flags.StringVar(&s.Plots, "plots", "", "directory for plots")
-	flags.StringSliceVar(&s.Only, "only", nil, "measure only these parts: waiting, overload, ejection, capacity, scale, forecast")
+	flags.StringSliceVar(&s.Only, "only", nil, "measure only these parts: "+strings.Join(parts, ", "))
 	return command
 }
