--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -50,6 +50,6 @@
 	flags.BoolVar(&s.Quick, "quick", false, "shorter workload, ends within 30 s")
 	flags.StringVar(&output, "output", "text", "text or json")
 	flags.StringVar(&s.Plots, "plots", "", "directory for plots")
-	flags.StringSliceVar(&s.Only, "only", nil, "measure only these parts: "+strings.Join(parts, ", "))
+	flags.StringSliceVar(&s.Only, "only", nil, "measure only these parts: "+strings.Join(partNames(), ", "))
 	return command
 }
--- a/tools/measure/waiting.go
+++ b/tools/measure/waiting.go
@@ -25,6 +25,14 @@
 	{"maintenance", measureMaintenance},
 }
 
+func partNames() []string {
+	var names []string
+	for _, p := range parts {
+		names = append(names, p.name)
+	}
+	return names
+}
+
 func measureDecisions(s scenario) ([]Row, error) {
 	var rows []Row
 	for _, p := range parts {
--- a/tools/measure/workload.go
+++ b/tools/measure/workload.go
@@ -19,15 +19,12 @@
 	Only       []string
 }
 
-// parts are the parts of the measurement, in their order.
-var parts = []string{"waiting", "overload", "ejection", "capacity", "scale", "forecast", "maintenance"}
-
 func (s scenario) validate() error {
 	if s.Deployment != "etikettwerk" && s.Deployment != "mas-trunk" {
 		return errors.Errorf("unknown deployment %q: use etikettwerk or mas-trunk", s.Deployment)
 	}
 	for _, part := range s.Only {
-		if !slices.Contains(parts, part) {
+		if !slices.Contains(partNames(), part) {
 			return errors.Errorf("unknown part %q", part)
 		}
 	}
