--- a/control/controller.go
+++ b/control/controller.go
@@ -98,14 +98,14 @@
 
 // Status describes the role for operators.
 type Status struct {
-	Holding bool
-	Term    int64
+	Holding bool  `json:"holding"`
+	Term    int64 `json:"term"`
 	// Steady is true when new transitions may start.
-	Steady bool
+	Steady bool `json:"steady"`
 	// LastError is the error of the last round.
-	LastError string
+	LastError string `json:"last_error,omitempty"`
 	// Waits explains the transitions under way.
-	Waits []fleet.Wait
+	Waits []fleet.Wait `json:"waits,omitempty"`
 }
 
 // New returns a controller.
