Call peers from the IP address of the peer listener

The process tests found out which entry VM had opened a connection by a search through /proc under a lock. The address also gives an entry VM one address towards its peers, for firewalls.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -111,7 +111,7 @@
 		replica:  replica.New(),
 		security: secured,
 		clients: peer.NewClients(peer.ClientsOptions{
-			Timeout: peerCallTimeout, TLS: secured.peer, TracerProvider: options.TracerProvider,
+			ListenAddress: s.PeerListen, Timeout: peerCallTimeout, TLS: secured.peer, TracerProvider: options.TracerProvider,
 		}),
 		budget:   &lockedBudget{budget: retry.NewBudget(retry.Options{Ratio: s.RetryBudgetRatio})},
 		runTimes: newRunTimes(),
--- a/peer/clients.go
+++ b/peer/clients.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"path"
 	"sync"
 	"time"
@@ -19,6 +20,10 @@
 type ClientsOptions struct {
 	// TLS is nil for plain connections.
 	TLS *tlsconfig.Source
+	// ListenAddress is the peer listener of this entry VM. Calls are made from
+	// its IP address, so that an entry VM has one address towards its peers;
+	// an unspecified address leaves the choice to the system.
+	ListenAddress string
 	// Timeout bounds one call. Acquire and Await wait in queues and have
 	// bounds of their own.
 	Timeout time.Duration
@@ -41,11 +46,15 @@
 
 // NewClients returns an empty set of clients.
 func NewClients(options ClientsOptions) *Clients {
+	dialer := &net.Dialer{
+		Timeout:         time.Second,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 5 * time.Second, Count: 2},
+	}
+	if listen, err := netip.ParseAddrPort(options.ListenAddress); err == nil && !listen.Addr().IsUnspecified() {
+		dialer.LocalAddr = &net.TCPAddr{IP: listen.Addr().AsSlice()}
+	}
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{
-			Timeout:         time.Second,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 5 * time.Second, Count: 2},
-		}).DialContext,
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     15 * time.Second,
 	}
--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -62,6 +62,7 @@
 	id       string
 	caller   string
 	operator string
+	peerIP   string
 	relay    *relay
 	config   string
 	log      *os.File
@@ -159,8 +160,9 @@
 func (c *cluster) startEntry(id string) *entry {
 	c.t.Helper()
 	addresses := freeAddresses(c.t, 3)
-	e := &entry{id: id, caller: addresses[0], operator: addresses[1]}
-	e.relay = newRelay(c.t, addresses[2])
+	e := &entry{id: id, caller: addresses[0], operator: addresses[1], peerIP: fmt.Sprintf("127.0.1.%d", len(c.entries)+1)}
+	peerListen := strings.Replace(addresses[2], "127.0.0.1", e.peerIP, 1)
+	e.relay = newRelay(c.t, peerListen)
 	var seeds []string
 	for _, other := range c.entries {
 		seeds = append(seeds, fmt.Sprintf("%q", other.relay.address()))
@@ -180,7 +182,7 @@
 platform_url = "http://%s"
 seed_peers = [%s]
 shutdown_load_balancer_wait_seconds = 0.5
-`, id, e.caller, e.operator, addresses[2], e.relay.address(), c.platform.Addr(), strings.Join(seeds, ", "))), 0o600))
+`, id, e.caller, e.operator, peerListen, e.relay.address(), c.platform.Addr(), strings.Join(seeds, ", "))), 0o600))
 	e.log, err = os.Create(filepath.Join(dir, "log"))
 	c.must(err)
 	c.platform.Register(platform.VM{ID: id, Address: e.caller, AvailabilityZone: "a", State: platform.VMLive, EntryVM: true})
@@ -358,19 +360,12 @@
 	target   string
 
 	mu    sync.Mutex
-	cut   func(*relayed) bool
+	cut   func(client net.Addr) bool
 	conns map[net.Conn]bool
 }
 
-// relayed is one connection that an entry VM opened to another one.
-type relayed struct {
-	client net.Conn
-	// owner caches, by process id, whether the process opened it.
-	owner map[int]bool
-}
-
-func nothing(*relayed) bool    { return false }
-func everything(*relayed) bool { return true }
+func nothing(net.Addr) bool    { return false }
+func everything(net.Addr) bool { return true }
 
 func newRelay(t *testing.T, target string) *relay {
 	t.Helper()
@@ -393,7 +388,7 @@
 			if err != nil {
 				return
 			}
-			go r.pass(&relayed{client: conn, owner: map[int]bool{}})
+			go r.pass(conn)
 		}
 	}()
 	return r
@@ -402,31 +397,31 @@
 func (r *relay) address() string { return r.listener.Addr().String() }
 
 // setCut cuts the connections for which the function returns true.
-func (r *relay) setCut(cut func(*relayed) bool) {
+func (r *relay) setCut(cut func(client net.Addr) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cut = cut
 }
 
-func (r *relay) pass(c *relayed) {
+func (r *relay) pass(client net.Conn) {
 	server, err := net.Dial("tcp", r.target)
 	if err != nil {
-		c.client.Close()
+		client.Close()
 		return
 	}
 	r.mu.Lock()
-	r.conns[c.client], r.conns[server] = true, true
+	r.conns[client], r.conns[server] = true, true
 	r.mu.Unlock()
-	go r.copy(server, c.client, c)
-	r.copy(c.client, server, c)
+	go r.copy(server, client, client.RemoteAddr())
+	r.copy(client, server, client.RemoteAddr())
 }
 
-func (r *relay) copy(to, from net.Conn, c *relayed) {
+func (r *relay) copy(to, from net.Conn, client net.Addr) {
 	defer to.Close()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !r.isCut(c) {
+		if n > 0 && !r.isCut(client) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -437,31 +432,19 @@
 	}
 }
 
-func (r *relay) isCut(c *relayed) bool {
+func (r *relay) isCut(client net.Addr) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut(c)
-}
-
-// openedBy reports whether a process opened the connection. It is called under
-// the relay's lock.
-func (c *relayed) openedBy(pid int) bool {
-	owned, known := c.owner[pid]
-	if !known {
-		owned = ownsSocket(pid, c.client.RemoteAddr().(*net.TCPAddr).Port)
-		c.owner[pid] = owned
-	}
-	return owned
+	return r.cut(client)
 }
 
-// cutPeers cuts an entry VM off from its peers in both directions. Connections
-// that the entry VM opens are recognised by the sockets of its process.
+// cutPeers cuts an entry VM off from its peers in both directions. Entry VMs
+// call their peers from the IP address of their own peer listener.
 func (c *cluster) cutPeers(e *entry) {
 	e.relay.setCut(everything)
-	pid := e.process.Process.Pid
 	for _, other := range c.entries {
 		if other != e {
-			other.relay.setCut(func(opened *relayed) bool { return opened.openedBy(pid) })
+			other.relay.setCut(func(client net.Addr) bool { return client.(*net.TCPAddr).IP.String() == e.peerIP })
 		}
 	}
 }
@@ -494,28 +477,3 @@
 }
 
 func (c *cluster) healStore() { c.platform.SetFaults(standin.PlatformFaults{}) }
-
-// ownsSocket reports whether the process has a TCP socket with the local port.
-func ownsSocket(pid, port int) bool {
-	table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
-	if err != nil {
-		return false
-	}
-	inode := ""
-	for line := range strings.SplitSeq(string(table), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) > 9 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
-			inode = fields[9]
-		}
-	}
-	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-	if err != nil || inode == "" {
-		return false
-	}
-	for _, file := range files {
-		if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
