--- a/claims/shard.go
+++ b/claims/shard.go
@@ -300,13 +300,22 @@
 	return now.Unix() > int64(r.claimed)+int64(s.limits.keep/time.Second)
 }
 
-func (s *shard) reserve(now time.Time, in reserveInput) {
+// refused answers an attempt that this shard does not serve, or that has ended
+// already, and reports whether it did.
+func (s *shard) refused(id replyID, attempt string) bool {
 	if s.phase != phaseOwner {
-		s.reply(in.reply, s.absent(), nil)
-		return
+		s.reply(id, s.absent(), nil)
+		return true
+	}
+	_, ended := s.ended[attempt]
+	if ended {
+		s.reply(id, peer.KeyState_NOT_RUN, nil)
 	}
-	if _, ok := s.ended[in.attempt]; ok {
-		s.reply(in.reply, peer.KeyState_NOT_RUN, nil)
+	return ended
+}
+
+func (s *shard) reserve(now time.Time, in reserveInput) {
+	if s.refused(in.reply, in.attempt) {
 		return
 	}
 	if first := s.running[in.key]; first != nil {
@@ -351,12 +360,7 @@
 }
 
 func (s *shard) claim(now time.Time, in claimInput) {
-	if s.phase != phaseOwner {
-		s.reply(in.reply, s.absent(), nil)
-		return
-	}
-	if _, ok := s.ended[in.attempt]; ok {
-		s.reply(in.reply, peer.KeyState_NOT_RUN, nil)
+	if s.refused(in.reply, in.attempt) {
 		return
 	}
 	first := s.running[in.key]
@@ -476,12 +480,7 @@
 }
 
 func (s *shard) await(now time.Time, in awaitInput) {
-	if s.phase != phaseOwner {
-		s.reply(in.reply, s.absent(), nil)
-		return
-	}
-	if _, ok := s.ended[in.attempt]; ok {
-		s.reply(in.reply, peer.KeyState_NOT_RUN, nil)
+	if s.refused(in.reply, in.attempt) {
 		return
 	}
 	if first := s.running[in.key]; first != nil {
