--- a/claims/messages.go
+++ b/claims/messages.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // replyID names a caller that waits for a reply.
@@ -50,8 +50,8 @@
 	resultInput struct {
 		err     error
 		version int64
-		value   platform.KeyValue
-		list    []platform.KeyValue
+		value   infrastructure.KeyValue
+		list    []infrastructure.KeyValue
 	}
 )
 
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -16,8 +16,8 @@
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/time/rate"
 
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // maxSpanLinks bounds the callers that the span of a store call names.
@@ -25,7 +25,7 @@
 
 // OwnerOptions configures an Owner.
 type OwnerOptions struct {
-	Store   platform.Store
+	Store   infrastructure.Store
 	Region  string
 	EntryID string
 	// Shards defaults to DefaultShards.
@@ -312,7 +312,7 @@
 		return finishInput{reply: id, key: in.key, attempt: in.attempt, state: request.GetState(), answer: request.GetAnswer()}
 	})
 	if err == nil && got.state == peer.KeyState_STORE_UNAVAILABLE {
-		return nil, errors.Wrap(platform.ErrUnavailable, "finish")
+		return nil, errors.Wrap(infrastructure.ErrUnavailable, "finish")
 	}
 	return &peer.FinishResponse{NotOwner: got.state == peer.KeyState_NOT_OWNER}, err
 }
@@ -498,7 +498,7 @@
 		timer.Reset(wake)
 		select {
 		case result := <-done:
-			if call.kind == callPut && result.err != nil && !errors.Is(result.err, platform.ErrConflict) {
+			if call.kind == callPut && result.err != nil && !errors.Is(result.err, infrastructure.ErrConflict) {
 				d.owner.mu.Lock()
 				d.owner.writeFailures++
 				d.owner.mu.Unlock()
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/claims/chunk"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // limits are the bounds of a shard's behaviour.
@@ -683,4 +683,4 @@
 }
 
 // errFenced is the reason of a step down.
-var errFenced = errors.Wrap(platform.ErrConflict, "another owner has written")
+var errFenced = errors.Wrap(infrastructure.ErrConflict, "another owner has written")
--- a/claims/store_test.go
+++ b/claims/store_test.go
@@ -9,18 +9,18 @@
 	"sync"
 	"time"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // memoryStore is a store with compare-and-swap in memory. Its faults: answers
 // that are lost before or after the call took effect, an outage, and calls
 // that hang.
 type memoryStore struct {
-	platform.Store
+	infrastructure.Store
 
 	mu      sync.Mutex
 	version int64
-	values  map[string]platform.KeyValue
+	values  map[string]infrastructure.KeyValue
 	random  *rand.Rand
 	// lost is the share of calls whose answer is lost.
 	lost   float64
@@ -32,7 +32,7 @@
 }
 
 func newMemoryStore(seed uint64) *memoryStore {
-	return &memoryStore{values: map[string]platform.KeyValue{}, random: rand.New(rand.NewPCG(seed, seed))}
+	return &memoryStore{values: map[string]infrastructure.KeyValue{}, random: rand.New(rand.NewPCG(seed, seed))}
 }
 
 func (m *memoryStore) set(change func(*memoryStore)) {
@@ -48,7 +48,7 @@
 	m.mu.Unlock()
 	if hang {
 		<-ctx.Done()
-		return platform.ErrUnknown
+		return infrastructure.ErrUnknown
 	}
 	if delay > 0 {
 		time.Sleep(delay)
@@ -56,38 +56,38 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.ErrUnavailable
+		return infrastructure.ErrUnavailable
 	}
 	if m.lost > 0 && m.random.Float64() < m.lost {
 		if m.random.IntN(2) == 0 {
 			_ = fn()
 		}
-		return platform.ErrUnknown
+		return infrastructure.ErrUnknown
 	}
 	return fn()
 }
 
-func (m *memoryStore) Get(ctx context.Context, key string) (kv platform.KeyValue, err error) {
+func (m *memoryStore) Get(ctx context.Context, key string) (kv infrastructure.KeyValue, err error) {
 	err = m.call(ctx, func() error {
 		m.reads++
 		kv, err = m.get(key)
 		return err
 	})
 	if err != nil {
-		return platform.KeyValue{}, err
+		return infrastructure.KeyValue{}, err
 	}
 	return kv, nil
 }
 
-func (m *memoryStore) get(key string) (platform.KeyValue, error) {
+func (m *memoryStore) get(key string) (infrastructure.KeyValue, error) {
 	kv, ok := m.values[key]
 	if !ok {
-		return platform.KeyValue{}, platform.ErrNotFound
+		return infrastructure.KeyValue{}, infrastructure.ErrNotFound
 	}
 	return kv, nil
 }
 
-func (m *memoryStore) List(ctx context.Context, prefix, after string, limit int) (list []platform.KeyValue, err error) {
+func (m *memoryStore) List(ctx context.Context, prefix, after string, limit int) (list []infrastructure.KeyValue, err error) {
 	err = m.call(ctx, func() error {
 		m.reads++
 		list = m.list(prefix, after, limit)
@@ -99,8 +99,8 @@
 	return list, nil
 }
 
-func (m *memoryStore) list(prefix, after string, limit int) []platform.KeyValue {
-	var list []platform.KeyValue
+func (m *memoryStore) list(prefix, after string, limit int) []infrastructure.KeyValue {
+	var list []infrastructure.KeyValue
 	for _, key := range slices.Sorted(maps.Keys(m.values)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(list) < limit {
 			list = append(list, m.values[key])
@@ -123,10 +123,10 @@
 
 func (m *memoryStore) put(key string, value []byte, expected int64) (int64, error) {
 	if m.values[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, infrastructure.ErrConflict
 	}
 	m.version++
-	m.values[key] = platform.KeyValue{Key: key, Version: m.version, Value: slices.Clone(value)}
+	m.values[key] = infrastructure.KeyValue{Key: key, Version: m.version, Value: slices.Clone(value)}
 	return m.version, nil
 }
 
@@ -141,9 +141,9 @@
 	held, ok := m.values[key]
 	switch {
 	case !ok:
-		return platform.ErrNotFound
+		return infrastructure.ErrNotFound
 	case held.Version != expected:
-		return platform.ErrConflict
+		return infrastructure.ErrConflict
 	}
 	delete(m.values, key)
 	return nil
--- a/claims/world_test.go
+++ b/claims/world_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/claims/chunk"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // world runs the state machines of one shard at several entry VMs over one
@@ -92,10 +92,10 @@
 		w.step(n, w.perform(call))
 		return
 	}
-	result := resultInput{err: platform.ErrUnknown}
+	result := resultInput{err: infrastructure.ErrUnknown}
 	switch {
 	case how == answerUnavailable:
-		result.err = platform.ErrUnavailable
+		result.err = infrastructure.ErrUnavailable
 	case how == answerLostEffect:
 		w.perform(call)
 	case how == answerLostLate && call.kind == callPut:
--- a/claims/write.go
+++ b/claims/write.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/claims/chunk"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // errSlow is the reason for refusing keys while a store call hangs.
@@ -365,12 +365,12 @@
 
 func (s *shard) deleted(now time.Time, in resultInput) {
 	switch {
-	case errors.Is(in.err, platform.ErrUnavailable):
+	case errors.Is(in.err, infrastructure.ErrUnavailable):
 		s.failed(now, in.err)
 		return
-	case errors.Is(in.err, platform.ErrUnknown):
+	case errors.Is(in.err, infrastructure.ErrUnknown):
 		return
-	case in.err != nil && !errors.Is(in.err, platform.ErrNotFound):
+	case in.err != nil && !errors.Is(in.err, infrastructure.ErrNotFound):
 		s.event("delete_failed", in.err)
 	}
 	s.sealed = slices.Delete(s.sealed, 0, 1)
@@ -378,7 +378,7 @@
 
 // probed takes the result of a read that tests whether the store is back.
 func (s *shard) probed(now time.Time, in resultInput) {
-	missing := errors.Is(in.err, platform.ErrNotFound)
+	missing := errors.Is(in.err, infrastructure.ErrNotFound)
 	switch {
 	case in.err != nil && !missing:
 		s.failed(now, in.err)
@@ -395,13 +395,13 @@
 	switch {
 	case in.err == nil:
 		s.tookEffect(now, in.version)
-	case errors.Is(in.err, platform.ErrConflict), errors.Is(in.err, platform.ErrNotFound):
+	case errors.Is(in.err, infrastructure.ErrConflict), errors.Is(in.err, infrastructure.ErrNotFound):
 		// The conflict may be with an earlier try of this very write.
 		w.stage = stageRead
-	case errors.Is(in.err, platform.ErrUnavailable) && !w.unsettled:
+	case errors.Is(in.err, infrastructure.ErrUnavailable) && !w.unsettled:
 		s.failed(now, in.err)
 		s.withdraw(now, w)
-	case errors.Is(in.err, platform.ErrUnavailable):
+	case errors.Is(in.err, infrastructure.ErrUnavailable):
 		w.stage = stageRead
 		s.failed(now, in.err)
 	default:
@@ -421,7 +421,7 @@
 // readBack settles a write whose answer was lost.
 func (s *shard) readBack(now time.Time, in resultInput) {
 	w := s.write
-	missing := errors.Is(in.err, platform.ErrNotFound)
+	missing := errors.Is(in.err, infrastructure.ErrNotFound)
 	if in.err != nil && !missing {
 		s.readFailed(now, w, in.err)
 		return
@@ -449,7 +449,7 @@
 // readFailed repeats a read whose answer was lost before it counts as a sign
 // that the store is down: single losses are ordinary.
 func (s *shard) readFailed(now time.Time, w *write, err error) {
-	if errors.Is(err, platform.ErrUnknown) && w.lostReads < s.limits.lostReads {
+	if errors.Is(err, infrastructure.ErrUnknown) && w.lostReads < s.limits.lostReads {
 		w.lostReads++
 		return
 	}
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -16,24 +16,24 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/operator"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
 // memoryStore holds keys without faults.
 type memoryStore struct {
-	platform.Store
+	infrastructure.Store
 	mu   sync.Mutex
-	keys map[string]platform.KeyValue
+	keys map[string]infrastructure.KeyValue
 }
 
-func (s *memoryStore) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (s *memoryStore) Get(_ context.Context, key string) (infrastructure.KeyValue, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	kv, ok := s.keys[key]
 	if !ok {
-		return kv, platform.ErrNotFound
+		return kv, infrastructure.ErrNotFound
 	}
 	return kv, nil
 }
@@ -42,22 +42,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.keys[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, infrastructure.ErrConflict
 	}
-	s.keys[key] = platform.KeyValue{Key: key, Version: expected + 1, Value: value}
+	s.keys[key] = infrastructure.KeyValue{Key: key, Version: expected + 1, Value: value}
 	return expected + 1, nil
 }
 
 // downStore refuses all calls.
-type downStore struct{ platform.Store }
+type downStore struct{ infrastructure.Store }
 
-func (downStore) Get(context.Context, string) (platform.KeyValue, error) {
-	return platform.KeyValue{}, platform.ErrUnavailable
+func (downStore) Get(context.Context, string) (infrastructure.KeyValue, error) {
+	return infrastructure.KeyValue{}, infrastructure.ErrUnavailable
 }
 
 func newHandler(authorize func(*http.Request) bool) http.Handler {
 	return operator.NewHandler(operator.Options{
-		Store: &memoryStore{keys: map[string]platform.KeyValue{}}, Replica: replica.New(), Region: "r", Authorize: authorize,
+		Store: &memoryStore{keys: map[string]infrastructure.KeyValue{}}, Replica: replica.New(), Region: "r", Authorize: authorize,
 	})
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -14,10 +14,10 @@
 	"go.uber.org/goleak"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/membership"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
 )
@@ -30,11 +30,11 @@
 	down    bool
 	lose    int
 	version int64
-	keys    map[string]platform.KeyValue
+	keys    map[string]infrastructure.KeyValue
 	leases  map[string]time.Time
 	leased  map[string]string
 	changed chan struct{}
-	vms     map[string]*platform.VM
+	vms     map[string]*infrastructure.VM
 	reboots int
 	// late is an entry VM that is started by the test itself.
 	late *entryVM
@@ -42,8 +42,8 @@
 
 func newFakePlatform() *fakePlatform {
 	return &fakePlatform{
-		keys: map[string]platform.KeyValue{}, leases: map[string]time.Time{}, leased: map[string]string{},
-		changed: make(chan struct{}), vms: map[string]*platform.VM{},
+		keys: map[string]infrastructure.KeyValue{}, leases: map[string]time.Time{}, leased: map[string]string{},
+		changed: make(chan struct{}), vms: map[string]*infrastructure.VM{},
 	}
 }
 
@@ -51,7 +51,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.ErrUnavailable
+		return infrastructure.ErrUnavailable
 	}
 	for key, lease := range f.leased {
 		if time.Now().After(f.leases[lease]) {
@@ -62,11 +62,11 @@
 	return fn()
 }
 
-func (f *fakePlatform) Get(_ context.Context, key string) (kv platform.KeyValue, err error) {
+func (f *fakePlatform) Get(_ context.Context, key string) (kv infrastructure.KeyValue, err error) {
 	err = f.locked(func() error {
 		var ok bool
 		if kv, ok = f.keys[key]; !ok {
-			return platform.ErrNotFound
+			return infrastructure.ErrNotFound
 		}
 		return nil
 	})
@@ -76,25 +76,25 @@
 func (f *fakePlatform) Put(_ context.Context, key string, value []byte, expected int64, lease string) (version int64, err error) {
 	err = f.locked(func() error {
 		if f.keys[key].Version != expected {
-			return platform.ErrConflict
+			return infrastructure.ErrConflict
 		}
 		f.version++
 		version = f.version
-		f.keys[key] = platform.KeyValue{Key: key, Version: version, Value: value}
+		f.keys[key] = infrastructure.KeyValue{Key: key, Version: version, Value: value}
 		if lease != "" {
 			f.leased[key] = lease
 		}
 		close(f.changed)
 		f.changed = make(chan struct{})
 		if f.lose > 0 && f.version%int64(f.lose) == 0 {
-			return platform.ErrUnknown
+			return infrastructure.ErrUnknown
 		}
 		return nil
 	})
 	return version, err
 }
 
-func (f *fakePlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (platform.WatchResult, error) {
+func (f *fakePlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (infrastructure.WatchResult, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -104,21 +104,21 @@
 		f.mu.Unlock()
 		switch {
 		case err == nil && kv.Version > after:
-			return platform.WatchResult{Changed: []platform.KeyValue{kv}}, nil
-		case errors.Is(err, platform.ErrUnavailable):
-			return platform.WatchResult{}, err
+			return infrastructure.WatchResult{Changed: []infrastructure.KeyValue{kv}}, nil
+		case errors.Is(err, infrastructure.ErrUnavailable):
+			return infrastructure.WatchResult{}, err
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return platform.WatchResult{}, nil
+			return infrastructure.WatchResult{}, nil
 		case <-ctx.Done():
-			return platform.WatchResult{}, ctx.Err()
+			return infrastructure.WatchResult{}, ctx.Err()
 		}
 	}
 }
 
-func (f *fakePlatform) List(context.Context, string, string, int) ([]platform.KeyValue, error) {
+func (f *fakePlatform) List(context.Context, string, string, int) ([]infrastructure.KeyValue, error) {
 	return nil, nil
 }
 func (f *fakePlatform) Delete(context.Context, string, int64) error { return nil }
@@ -135,7 +135,7 @@
 func (f *fakePlatform) KeepAlive(_ context.Context, id string) error {
 	return f.locked(func() error {
 		if time.Now().After(f.leases[id]) {
-			return platform.ErrNotFound
+			return infrastructure.ErrNotFound
 		}
 		f.leases[id] = time.Now().Add(leaseTTL)
 		return nil
@@ -146,7 +146,7 @@
 	return f.locked(func() error { f.leases[id] = time.Time{}; return nil })
 }
 
-func (f *fakePlatform) VMs(context.Context) (out []platform.VM, err error) {
+func (f *fakePlatform) VMs(context.Context) (out []infrastructure.VM, err error) {
 	err = f.locked(func() error {
 		for _, vm := range f.vms {
 			out = append(out, *vm)
@@ -156,10 +156,10 @@
 	return out, err
 }
 
-func (f *fakePlatform) VM(_ context.Context, id string) (vm platform.VM, err error) {
+func (f *fakePlatform) VM(_ context.Context, id string) (vm infrastructure.VM, err error) {
 	err = f.locked(func() error {
 		if f.vms[id] == nil {
-			return platform.ErrNotFound
+			return infrastructure.ErrNotFound
 		}
 		vm = *f.vms[id]
 		return nil
@@ -167,16 +167,16 @@
 	return vm, err
 }
 
-func (f *fakePlatform) Drain(context.Context, string, platform.Operation) error { return nil }
+func (f *fakePlatform) Drain(context.Context, string, infrastructure.Operation) error { return nil }
 
 // Reboot loses every answer.
-func (f *fakePlatform) Reboot(_ context.Context, id string, op platform.Operation) error {
+func (f *fakePlatform) Reboot(_ context.Context, id string, op infrastructure.Operation) error {
 	return f.locked(func() error {
 		if vm := f.vms[id]; vm.BootCount == op.ExpectedBoot {
 			vm.BootCount++
 			f.reboots++
 		}
-		return platform.ErrUnknown
+		return infrastructure.ErrUnknown
 	})
 }
 
@@ -204,13 +204,13 @@
 // RevokeLease fails for a killed process, which gives nothing back.
 func (e *entryVM) RevokeLease(ctx context.Context, id string) error {
 	if e.dead.Load() {
-		return platform.ErrUnavailable
+		return infrastructure.ErrUnavailable
 	}
 	return e.fakePlatform.RevokeLease(ctx, id)
 }
 
 // Get counts the reads of the controller; the node has the platform itself.
-func (e *entryVM) Get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (e *entryVM) Get(ctx context.Context, key string) (infrastructure.KeyValue, error) {
 	e.mu.Lock()
 	if e.reads == nil {
 		e.reads = map[string]int{}
@@ -284,14 +284,14 @@
 	for _, p := range config.Pools {
 		config.Services = append(config.Services, note.Service{Name: p.Name, Pool: p.Name, MaxUnavailable: 1})
 		for i, id := range p.VMs {
-			f.vms[id] = &platform.VM{ID: id, State: platform.VMLive, BootCount: 1, AvailabilityZone: "z", Rack: fmt.Sprint(i)}
+			f.vms[id] = &infrastructure.VM{ID: id, State: infrastructure.VMLive, BootCount: 1, AvailabilityZone: "z", Rack: fmt.Sprint(i)}
 		}
 	}
 	config.Waves = []note.Wave{{Name: "w", Pools: []string{"p", "q"}, MaxConcurrent: 2, TouchedRevision: 1}}
 	_, _ = f.Put(context.Background(), note.ConfigKey, config.Encode(), 0, "")
 	entries := map[string]*entryVM{}
 	for _, id := range []string{"a", "b", "c"} {
-		f.vms[id] = &platform.VM{ID: id, State: platform.VMLive, EntryVM: true}
+		f.vms[id] = &infrastructure.VM{ID: id, State: infrastructure.VMLive, EntryVM: true}
 		entries[id] = &entryVM{fakePlatform: f, replica: replica.New()}
 	}
 	f.late = &entryVM{fakePlatform: f, replica: replica.New()}
@@ -374,7 +374,7 @@
 			t.Fatalf("holders %v after %v died", now, held)
 		}
 		f.mu.Lock()
-		f.vms["v4"].State = platform.VMLeaving
+		f.vms["v4"].State = infrastructure.VMLeaving
 		f.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		alive := entries[holders(entries)[0]]
@@ -466,12 +466,12 @@
 	f := newFakePlatform()
 	h := &holder{c: New(Options{Store: f, Replica: replica.New(), Region: "r"}), done: map[string]time.Time{}}
 	version, _ := f.Put(t.Context(), fleet.Key("r"), fleet.Document{Term: 1}.Encode(), 0, "")
-	reboot := fleet.Action{Kind: fleet.ActionReboot, Operation: platform.Operation{ID: "o"}}
+	reboot := fleet.Action{Kind: fleet.ActionReboot, Operation: infrastructure.Operation{ID: "o"}}
 	if err := h.confirmVersion(t.Context(), version); err != nil || !h.due([]fleet.Action{reboot}) {
 		t.Errorf("current copy: %v, due %v", err, h.due([]fleet.Action{reboot}))
 	}
 	_, _ = f.Put(t.Context(), fleet.Key("r"), fleet.Document{Term: 2}.Encode(), version, "")
-	if err := h.confirmVersion(t.Context(), version); !errors.Is(err, platform.ErrConflict) {
+	if err := h.confirmVersion(t.Context(), version); !errors.Is(err, infrastructure.ErrConflict) {
 		t.Errorf("replaced copy: %v", err)
 	}
 }
--- a/control/controller.go
+++ b/control/controller.go
@@ -13,9 +13,9 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/membership"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
@@ -64,9 +64,9 @@
 
 // Options configure a Controller.
 type Options struct {
-	Store     platform.Store
-	Inventory platform.Inventory
-	Machines  platform.Machines
+	Store     infrastructure.Store
+	Inventory infrastructure.Inventory
+	Machines  infrastructure.Machines
 	Replica   *replica.Replica
 	Members   Members
 	Region    string
@@ -188,7 +188,7 @@
 		_, err = c.o.Store.Watch(watchCtx, key, held.Version, interval)
 		return "", err
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, infrastructure.ErrNotFound) {
 		return "", err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -199,10 +199,10 @@
 	}
 	value := []byte(c.o.ID + " " + c.o.Incarnation + " " + lease)
 	_, err = c.o.Store.Put(callCtx, key, value, 0, lease)
-	if errors.Is(err, platform.ErrUnknown) {
-		var kv platform.KeyValue
+	if errors.Is(err, infrastructure.ErrUnknown) {
+		var kv infrastructure.KeyValue
 		if kv, err = c.get(ctx, key); err == nil && !bytes.Equal(kv.Value, value) {
-			err = platform.ErrConflict
+			err = infrastructure.ErrConflict
 		}
 	}
 	if err != nil {
@@ -216,12 +216,12 @@
 func (c *Controller) giveBack(lease string) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if err := c.o.Store.RevokeLease(ctx, lease); err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err := c.o.Store.RevokeLease(ctx, lease); err != nil && !errors.Is(err, infrastructure.ErrNotFound) {
 		c.o.Log.Warn().Str("event", "lease_not_given_back").Err(err).Msg("")
 	}
 }
 
-func (c *Controller) get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (c *Controller) get(ctx context.Context, key string) (infrastructure.KeyValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return c.o.Store.Get(ctx, key)
@@ -293,7 +293,7 @@
 		if err == nil {
 			last = start
 		}
-		if errors.Is(err, platform.ErrNotFound) || time.Since(last) >= leaseTTL {
+		if errors.Is(err, infrastructure.ErrNotFound) || time.Since(last) >= leaseTTL {
 			return
 		}
 	}
@@ -342,7 +342,7 @@
 	}
 	// A conflict is an answer of the store, and so is the read after a write
 	// whose answer was lost.
-	if err != nil && !errors.Is(err, platform.ErrConflict) && !errors.Is(err, errLost) {
+	if err != nil && !errors.Is(err, infrastructure.ErrConflict) && !errors.Is(err, errLost) {
 		h.steadySince = time.Time{}
 	}
 	return err
@@ -430,7 +430,7 @@
 			switch {
 			case err == nil:
 				boots[a.VM] = fleet.Boot{Count: vm.BootCount}
-			case errors.Is(err, platform.ErrNotFound):
+			case errors.Is(err, infrastructure.ErrNotFound):
 				boots[a.VM] = fleet.Boot{Gone: true}
 			}
 		})
@@ -445,8 +445,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	version, err := h.c.o.Store.Put(callCtx, key, value, expected, "")
 	cancel()
-	if errors.Is(err, platform.ErrUnknown) {
-		var kv platform.KeyValue
+	if errors.Is(err, infrastructure.ErrUnknown) {
+		var kv infrastructure.KeyValue
 		if kv, err = h.c.get(ctx, key); err == nil && !bytes.Equal(kv.Value, value) {
 			err = errLost
 		}
@@ -475,7 +475,7 @@
 func (h *holder) confirmVersion(ctx context.Context, version int64) error {
 	_, found, err := h.read(ctx, fleet.Key(h.c.o.Region))
 	if err == nil && found != version {
-		err = platform.ErrConflict
+		err = infrastructure.ErrConflict
 	}
 	return errors.Wrap(err, "read fleet document")
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -8,10 +8,10 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/membership"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 	"dotterelhead.example/dotterelhead/scheduler/maintenance"
 )
@@ -37,7 +37,7 @@
 	registryVersion int64
 	config          note.Config
 	configVersion   int64
-	list            []platform.VM
+	list            []infrastructure.VM
 	unhealthy       map[string]bool
 }
 
@@ -114,7 +114,7 @@
 // read returns version 0 for a key that does not exist.
 func (h *holder) read(ctx context.Context, key string) ([]byte, int64, error) {
 	kv, err := h.c.get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infrastructure.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err == nil {
@@ -229,7 +229,7 @@
 		return s.registryVersions[m] >= s.registryVersion
 	})
 	next, marked := next.MarkListed(func(id string) bool {
-		return slices.ContainsFunc(s.list, func(vm platform.VM) bool { return vm.ID == id })
+		return slices.ContainsFunc(s.list, func(vm infrastructure.VM) bool { return vm.ID == id })
 	})
 	if !raised && !marked && next.Size() == s.registry.Size() {
 		return nil
@@ -261,5 +261,5 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := h.c.o.Machines.VM(callCtx, rec.ID)
-	return errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, infrastructure.ErrNotFound)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,12 +24,12 @@
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/operator"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 	"dotterelhead.example/dotterelhead/routing"
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
 	"dotterelhead.example/dotterelhead/scheduler/retry"
 	"dotterelhead.example/dotterelhead/settings"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 const (
@@ -56,7 +56,7 @@
 	settings settings.Settings
 	log      *log.Logger
 
-	platform  *platform.Client
+	platform  *httpclient.Client
 	replica   *replica.Replica
 	clients   *peer.Clients
 	node      *membership.Node
@@ -105,7 +105,7 @@
 		options:  options,
 		settings: s,
 		log:      options.Log,
-		platform: platform.NewClient(platform.ClientOptions{
+		platform: httpclient.NewClient(httpclient.ClientOptions{
 			BaseURL: s.PlatformURL, Entry: s.ID, TracerProvider: options.TracerProvider, Scope: options.Scope,
 		}),
 		replica:  replica.New(),
--- a/daemon/pools.go
+++ b/daemon/pools.go
@@ -9,7 +9,7 @@
 
 	"dotterelhead.example/dotterelhead/control"
 	"dotterelhead.example/dotterelhead/dispatch"
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/scheduler/dispatching"
 )
 
@@ -43,7 +43,7 @@
 				continue
 			}
 			for _, vm := range vms {
-				if vm.State == platform.VMLeaving {
+				if vm.State == infrastructure.VMLeaving {
 					leaving[vm.ID] = true
 				}
 			}
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeProbeTimeout)
 	defer cancel()
 	_, err := e.platform.Get(ctx, control.LeaseKey(e.settings.Region))
-	return err != nil && !errors.Is(err, platform.ErrNotFound)
+	return err != nil && !errors.Is(err, infrastructure.ErrNotFound)
 }
 
 // ejected returns the workers that the dispatchers of the region have ejected.
--- a/development/development.go
+++ b/development/development.go
@@ -15,8 +15,8 @@
 
 	"dotterelhead.example/dotterelhead/daemon"
 	"dotterelhead.example/dotterelhead/examples"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/settings"
 	"dotterelhead.example/dotterelhead/standin"
 	"dotterelhead.example/dotterelhead/telemetry"
@@ -177,7 +177,7 @@
 		if err == nil {
 			break
 		}
-		if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, infrastructure.ErrUnavailable) && !errors.Is(err, infrastructure.ErrUnknown) {
 			return errors.Wrap(err, "publish the example note")
 		}
 		if sleep(ctx) != nil {
--- a/fleet/step.go
+++ b/fleet/step.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // Entry is a registered entry VM as the control holder sees it.
@@ -63,7 +63,7 @@
 	Term   int64
 	Config note.Config
 	// List is the platform's list. Nothing is concluded from an empty one.
-	List []platform.VM
+	List []infrastructure.VM
 	// Entries are the registered entry VMs, read when the document was already
 	// in the store. Their confirmations are older than that read.
 	Entries []Entry
@@ -98,7 +98,7 @@
 type Action struct {
 	Kind      ActionKind
 	VM        string
-	Operation platform.Operation
+	Operation infrastructure.Operation
 }
 
 // Step returns the next document and the calls that belong to it. It is pure.
@@ -215,7 +215,7 @@
 	in      Inputs
 	d       Document
 	vms     map[string]*VM
-	list    map[string]platform.VM
+	list    map[string]infrastructure.VM
 	home    map[string]string
 	pools   map[string]note.Pool
 	usage   map[string]*usage
@@ -235,7 +235,7 @@
 	s := &stepper{
 		in: in, d: d,
 		vms:   make(map[string]*VM, len(in.List)),
-		list:  make(map[string]platform.VM, len(in.List)),
+		list:  make(map[string]infrastructure.VM, len(in.List)),
 		home:  make(map[string]string, len(in.List)),
 		pools: map[string]note.Pool{},
 	}
@@ -294,7 +294,7 @@
 	}
 	if s.configured() {
 		for _, l := range s.in.List {
-			if s.vms[l.ID] == nil && !l.EntryVM && l.State == platform.VMLive && s.home[l.ID] != "" {
+			if s.vms[l.ID] == nil && !l.EntryVM && l.State == infrastructure.VMLive && s.home[l.ID] != "" {
 				s.vms[l.ID] = &VM{
 					ID: l.ID, Pool: s.home[l.ID], HomePool: s.home[l.ID],
 					Phase: Serving, Generation: s.d.LastGeneration + 1,
@@ -315,7 +315,7 @@
 		case l.BootCount < vm.BootCount:
 			// The entry is older than a reboot that was seen, and the drain
 			// before it may be why it says leaving.
-		case l.State == platform.VMLeaving:
+		case l.State == infrastructure.VMLeaving:
 			s.leaving(vm)
 		case vm.Phase == Down:
 			s.returned(vm)
@@ -622,12 +622,12 @@
 		case vm.Phase == Rebooting:
 			s.actions = append(s.actions, Action{
 				Kind: ActionReboot, VM: id,
-				Operation: platform.Operation{ID: vm.Operation, ExpectedBoot: vm.ExpectedBoot},
+				Operation: infrastructure.Operation{ID: vm.Operation, ExpectedBoot: vm.ExpectedBoot},
 			})
 		case vm.Phase == Releasing && vm.Purpose == PurposeMaintenance:
 			s.actions = append(s.actions, Action{
 				Kind: ActionDrain, VM: id,
-				Operation: platform.Operation{ID: vm.Operation + "/drain", ExpectedBoot: vm.BootCount},
+				Operation: infrastructure.Operation{ID: vm.Operation + "/drain", ExpectedBoot: vm.BootCount},
 			})
 		}
 	}
--- a/fleet/trace_test.go
+++ b/fleet/trace_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 )
 
 // trace is the world of one trace file: the stored document, two or more
@@ -88,7 +88,7 @@
 func (w *trace) list(t *testing.T, d *datadriven.TestData) string {
 	w.in.List = nil
 	for _, arg := range d.CmdArgs {
-		vm := platform.VM{ID: arg.Key, State: platform.VMState(arg.Vals[0])}
+		vm := infrastructure.VM{ID: arg.Key, State: infrastructure.VMState(arg.Vals[0])}
 		arg.Scan(t, 1, &vm.BootCount)
 		w.in.List = append(w.in.List, vm)
 	}
--- a/platform/platform.go
+++ b/infrastructure/infrastructure.go
@@ -1,7 +1,7 @@
-// Package platform describes what the platform offers to an entry VM: a
+// Package infrastructure describes what the platform offers to an entry VM: a
 // key-value store with compare-and-swap, leases and watches, a lagging list of
 // VMs, and drain and reboot of a VM.
-package platform
+package infrastructure
 
 import (
 	"context"
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -14,19 +14,19 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/claims"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/request"
 )
 
 // memoryStore is a store in memory that loses some answers.
 type memoryStore struct {
-	platform.Store
+	infrastructure.Store
 	mu      sync.Mutex
 	random  *rand.Rand
 	percent int
 	version int64
-	values  map[string]platform.KeyValue
+	values  map[string]infrastructure.KeyValue
 }
 
 func (m *memoryStore) call(effect func() error) error {
@@ -36,23 +36,23 @@
 		if m.random.IntN(2) == 0 {
 			_ = effect()
 		}
-		return platform.ErrUnknown
+		return infrastructure.ErrUnknown
 	}
 	return effect()
 }
 
-func (m *memoryStore) Get(_ context.Context, key string) (value platform.KeyValue, err error) {
+func (m *memoryStore) Get(_ context.Context, key string) (value infrastructure.KeyValue, err error) {
 	err = m.call(func() error {
 		var ok bool
 		if value, ok = m.values[key]; !ok {
-			return platform.ErrNotFound
+			return infrastructure.ErrNotFound
 		}
 		return nil
 	})
 	return value, err
 }
 
-func (m *memoryStore) List(_ context.Context, prefix, after string, limit int) (values []platform.KeyValue, err error) {
+func (m *memoryStore) List(_ context.Context, prefix, after string, limit int) (values []infrastructure.KeyValue, err error) {
 	err = m.call(func() error {
 		for _, key := range slices.Sorted(maps.Keys(m.values)) {
 			if strings.HasPrefix(key, prefix) && key > after && len(values) < limit {
@@ -67,11 +67,11 @@
 func (m *memoryStore) Put(_ context.Context, key string, value []byte, expected int64, _ string) (version int64, err error) {
 	err = m.call(func() error {
 		if m.values[key].Version != expected {
-			return platform.ErrConflict
+			return infrastructure.ErrConflict
 		}
 		m.version++
 		version = m.version
-		m.values[key] = platform.KeyValue{Key: key, Version: version, Value: bytes.Clone(value)}
+		m.values[key] = infrastructure.KeyValue{Key: key, Version: version, Value: bytes.Clone(value)}
 		return nil
 	})
 	return version, err
@@ -153,7 +153,7 @@
 	steps := []string{stepOK, stepOK, step500, stepLost, stepHalf, stepLong, stepNoDial, stepStale, stepRefused}
 	w.reset(func() string { return steps[random.IntN(len(steps))] }, 100)
 	owner := claims.NewOwner(claims.OwnerOptions{
-		Store:  &memoryStore{random: rand.New(rand.NewPCG(1, 3)), percent: percent, values: map[string]platform.KeyValue{}},
+		Store:  &memoryStore{random: rand.New(rand.NewPCG(1, 3)), percent: percent, values: map[string]infrastructure.KeyValue{}},
 		Region: "north", EntryID: "owner", Owned: func(int) bool { return true }, BatchesPerSecond: 200,
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/membership/model_test.go
+++ b/membership/model_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 	"dotterelhead.example/dotterelhead/scheduler/maintenance"
 )
@@ -97,7 +97,7 @@
 	frozen    *entry
 	version   int64
 	store     map[string]value
-	vms       map[string]*platform.VM
+	vms       map[string]*infrastructure.VM
 	gone      map[string]bool
 	operation map[string]bool
 	reboots   map[string]int
@@ -111,7 +111,7 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
-		t: t, now: time.Unix(1_000_000, 0), store: map[string]value{}, vms: map[string]*platform.VM{},
+		t: t, now: time.Unix(1_000_000, 0), store: map[string]value{}, vms: map[string]*infrastructure.VM{},
 		gone: map[string]bool{}, operation: map[string]bool{}, reboots: map[string]int{},
 	}
 	names := [][]string{{"v1", "v2", "v3"}, {"v4", "v5"}}
@@ -120,7 +120,7 @@
 		w.config.Pools = append(w.config.Pools, note.Pool{Name: name, VMs: ids})
 		w.config.Services = append(w.config.Services, note.Service{Name: "s" + name, Pool: name, MaxUnavailable: 2})
 		for i, id := range ids {
-			w.vms[id] = &platform.VM{ID: id, State: platform.VMLive, BootCount: 1, AvailabilityZone: "z", Rack: fmt.Sprint(i % 2)}
+			w.vms[id] = &infrastructure.VM{ID: id, State: infrastructure.VMLive, BootCount: 1, AvailabilityZone: "z", Rack: fmt.Sprint(i % 2)}
 		}
 	}
 	w.config.Revision = 1
@@ -311,8 +311,8 @@
 	}
 }
 
-func (w *world) list() []platform.VM {
-	var out []platform.VM
+func (w *world) list() []infrastructure.VM {
+	var out []infrastructure.VM
 	for _, id := range []string{"v1", "v2", "v3", "v4", "v5"} {
 		if !w.gone[id] {
 			out = append(out, *w.vms[id])
@@ -509,7 +509,7 @@
 			w.vms[vm].BootCount++
 		}
 	case 11:
-		w.vms[vm].State = rapid.SampledFrom([]platform.VMState{platform.VMLive, platform.VMLeaving}).Draw(w.t, "state")
+		w.vms[vm].State = rapid.SampledFrom([]infrastructure.VMState{infrastructure.VMLive, infrastructure.VMLeaving}).Draw(w.t, "state")
 	case 12:
 		w.vms[vm].BootCount++
 	case 13, 14:
@@ -550,10 +550,10 @@
 		w.frozen.frozen = !w.frozen.deadSince.IsZero()
 	}
 	w.now = w.now.Add(time.Duration(rapid.IntRange(200, 1500).Draw(w.t, "ms")) * time.Millisecond)
-	var listed []platform.VM
+	var listed []infrastructure.VM
 	for _, e := range w.entries {
 		if e.deadSince.IsZero() {
-			listed = append(listed, platform.VM{ID: e.id})
+			listed = append(listed, infrastructure.VM{ID: e.id})
 		}
 	}
 	for _, e := range w.entries {
@@ -606,7 +606,7 @@
 	}
 	clear(w.gone)
 	for _, vm := range w.vms {
-		vm.State = platform.VMLive
+		vm.State = infrastructure.VMLive
 	}
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -13,9 +13,9 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/rendezvous"
 	"dotterelhead.example/dotterelhead/replica"
 )
@@ -42,8 +42,8 @@
 
 // Options configure a Node.
 type Options struct {
-	Store            platform.Store
-	Inventory        platform.Inventory
+	Store            infrastructure.Store
+	Inventory        infrastructure.Inventory
 	Replica          *replica.Replica
 	Region           string
 	ID               string
@@ -260,7 +260,7 @@
 			}
 			continue
 		}
-		if err := n.register(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err := n.register(ctx); err != nil && !errors.Is(err, infrastructure.ErrConflict) {
 			n.o.Log.Warn().Str("event", "register_failed").Err(err).Msg("")
 			n.discover(ctx)
 			sleep(ctx, storeRetry)
@@ -295,7 +295,7 @@
 // peerAddresses returns where the other listed entry VMs serve peers if they
 // use the port of the own address. The list gives an address with or without
 // a port, and not that of the peer listener.
-func peerAddresses(vms []platform.VM, self, own string) []string {
+func peerAddresses(vms []infrastructure.VM, self, own string) []string {
 	_, port, err := net.SplitHostPort(own)
 	if err != nil {
 		return nil
@@ -353,7 +353,7 @@
 	defer cancel()
 	key := Key(n.o.Region)
 	kv, err := n.o.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infrastructure.ErrNotFound) {
 		return Registry{}, replica.Document{Key: key}, nil
 	}
 	if err != nil {
@@ -409,7 +409,7 @@
 		if ctx.Err() != nil {
 			return errors.Wrap(err, "leave registry")
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, infrastructure.ErrConflict) {
 			sleep(ctx, storeRetry)
 		}
 	}
@@ -463,7 +463,7 @@
 	defer cancel()
 	start := time.Now()
 	kv, err := n.o.Store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infrastructure.ErrNotFound) {
 		return err
 	}
 	if err == nil {
@@ -475,7 +475,7 @@
 
 // applyRead takes in a document from the store and pushes it when no peer has
 // sent it within the delay. The first watcher waits the least.
-func (n *Node) applyRead(kv platform.KeyValue) {
+func (n *Node) applyRead(kv infrastructure.KeyValue) {
 	rank := min(watchers, slices.Index(rendezvous.Order("watch", n.Live()), n.self.ID))
 	if rank < 0 {
 		rank = watchers
@@ -835,11 +835,11 @@
 // settleDebts takes a list that was read after now. T after the last exchange
 // the permit that rested on it is over; absence from the list says that the
 // requests in flight are over too.
-func (n *Node) settleDebts(now time.Time, vms []platform.VM) {
+func (n *Node) settleDebts(now time.Time, vms []infrastructure.VM) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	maps.DeleteFunc(n.debts, func(m Member, d *debt) bool {
-		listed := slices.ContainsFunc(vms, func(vm platform.VM) bool { return vm.ID == m.ID })
+		listed := slices.ContainsFunc(vms, func(vm infrastructure.VM) bool { return vm.ID == m.ID })
 		return !listed && now.Sub(d.last) >= T
 	})
 }
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -12,9 +12,9 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/rendezvous"
 	"dotterelhead.example/dotterelhead/replica"
 )
@@ -22,12 +22,12 @@
 // memoryPlatform is a store and a list in memory. The list stays up when the
 // store is down.
 type memoryPlatform struct {
-	platform.Store
+	infrastructure.Store
 	mu      sync.Mutex
 	down    bool
-	keys    map[string]platform.KeyValue
+	keys    map[string]infrastructure.KeyValue
 	version int64
-	list    []platform.VM
+	list    []infrastructure.VM
 	nodes   map[string]*Node
 	// calls counts the exchanges by address.
 	calls map[string]int
@@ -35,15 +35,15 @@
 	copies int
 }
 
-func (m *memoryPlatform) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (m *memoryPlatform) Get(_ context.Context, key string) (infrastructure.KeyValue, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	kv, ok := m.keys[key]
 	switch {
 	case m.down:
-		return kv, platform.ErrUnavailable
+		return kv, infrastructure.ErrUnavailable
 	case !ok:
-		return kv, platform.ErrNotFound
+		return kv, infrastructure.ErrNotFound
 	}
 	return kv, nil
 }
@@ -53,31 +53,31 @@
 	defer m.mu.Unlock()
 	switch {
 	case m.down:
-		return 0, platform.ErrUnavailable
+		return 0, infrastructure.ErrUnavailable
 	case m.keys[key].Version != expected:
-		return 0, platform.ErrConflict
+		return 0, infrastructure.ErrConflict
 	}
 	m.version++
-	m.keys[key] = platform.KeyValue{Key: key, Version: m.version, Value: value}
+	m.keys[key] = infrastructure.KeyValue{Key: key, Version: m.version, Value: value}
 	return m.version, nil
 }
 
 // Watch looks more often than an exchange takes, so that watchers learn of a
 // change before the push of its writer reaches them.
-func (m *memoryPlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (platform.WatchResult, error) {
+func (m *memoryPlatform) Watch(ctx context.Context, key string, after int64, wait time.Duration) (infrastructure.WatchResult, error) {
 	for end := time.Now().Add(wait); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, time.Millisecond/2) {
 		kv, err := m.Get(ctx, key)
 		if err == nil && kv.Version > after {
-			return platform.WatchResult{Changed: []platform.KeyValue{kv}}, nil
+			return infrastructure.WatchResult{Changed: []infrastructure.KeyValue{kv}}, nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) {
-			return platform.WatchResult{}, err
+		if errors.Is(err, infrastructure.ErrUnavailable) {
+			return infrastructure.WatchResult{}, err
 		}
 	}
-	return platform.WatchResult{}, ctx.Err()
+	return infrastructure.WatchResult{}, ctx.Err()
 }
 
-func (m *memoryPlatform) VMs(context.Context) ([]platform.VM, error) { return m.list, nil }
+func (m *memoryPlatform) VMs(context.Context) ([]infrastructure.VM, error) { return m.list, nil }
 
 // link is the connection to one address.
 type link struct {
@@ -120,7 +120,7 @@
 }
 
 func newMemoryPlatform(t *testing.T) *memoryPlatform {
-	m := &memoryPlatform{keys: map[string]platform.KeyValue{}, nodes: map[string]*Node{}, calls: map[string]int{}}
+	m := &memoryPlatform{keys: map[string]infrastructure.KeyValue{}, nodes: map[string]*Node{}, calls: map[string]int{}}
 	for _, key := range []string{note.ConfigKey, fleet.Key("r")} {
 		if _, err := m.Put(t.Context(), key, []byte("{}"), 0, ""); err != nil {
 			t.Fatal(err)
@@ -135,7 +135,7 @@
 func TestDiscoveryThroughTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemoryPlatform(t)
-		m.list = []platform.VM{
+		m.list = []infrastructure.VM{
 			{ID: "a", Address: "10.0.0.1:8080", EntryVM: true}, {ID: "b", Address: "10.0.0.2", EntryVM: true},
 			{ID: "late", Address: "10.0.0.3:8080", EntryVM: true}, {ID: "worker", Address: "10.0.0.4:8080"},
 			{ID: "other", Address: "10.0.0.5:8080", EntryVM: true},
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -11,14 +11,14 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
 // Options configures the operator listener's handler.
 type Options struct {
-	Store   platform.Store
+	Store   infrastructure.Store
 	Replica *replica.Replica
 	Region  string
 	// Publisher is created from Store and Replica when it is nil.
@@ -258,7 +258,7 @@
 
 // storeProblem maps an error of the store.
 func storeProblem(err error) Problem {
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, infrastructure.ErrUnknown) {
 		return Problem{Type: problemUnknown, Title: "the outcome is not known; repeat the publish", Status: http.StatusServiceUnavailable, Detail: err.Error()}
 	}
 	return Problem{Type: problemUnavailable, Title: "the store could not be reached; nothing was changed", Status: http.StatusServiceUnavailable, Detail: err.Error()}
--- a/operator/publisher.go
+++ b/operator/publisher.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
@@ -45,7 +45,7 @@
 
 // PublisherOptions configures a Publisher.
 type PublisherOptions struct {
-	Store   platform.Store
+	Store   infrastructure.Store
 	Replica *replica.Replica
 	// Now is the clock for the time in the history; time.Now by default.
 	Now func() time.Time
@@ -92,8 +92,8 @@
 }
 
 // Publish applies a note to the configuration in force. A note that was
-// accepted already returns its revision. The error is platform.ErrUnavailable
-// when the note was certainly not written and platform.ErrUnknown when it may
+// accepted already returns its revision. The error is infrastructure.ErrUnavailable
+// when the note was certainly not written and infrastructure.ErrUnknown when it may
 // have been; repeating the publish, on any entry VM, is safe in both cases.
 func (p *Publisher) Publish(ctx context.Context, text []byte) (Outcome, error) {
 	n, found := note.Parse("note.toml", text)
@@ -109,11 +109,11 @@
 		if err == nil {
 			return outcome, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !wait(ctx, pause) || ctx.Err() != nil {
+		if !errors.Is(err, infrastructure.ErrConflict) && !wait(ctx, pause) || ctx.Err() != nil {
 			if lost.pending {
-				return Outcome{}, errors.Wrapf(platform.ErrUnknown, "publishing the note: %v", err)
+				return Outcome{}, errors.Wrapf(infrastructure.ErrUnknown, "publishing the note: %v", err)
 			}
-			return Outcome{}, errors.Wrapf(platform.ErrUnavailable, "publishing the note: %v", err)
+			return Outcome{}, errors.Wrapf(infrastructure.ErrUnavailable, "publishing the note: %v", err)
 		}
 	}
 }
@@ -161,7 +161,7 @@
 	value := next.Encode()
 	version, err := p.put(ctx, note.ConfigKey, value, doc.Version)
 	switch {
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infrastructure.ErrConflict), errors.Is(err, infrastructure.ErrUnavailable):
 		return Outcome{}, err
 	case err != nil:
 		*lost = lostWrite{pending: true, expected: doc.Version}
@@ -183,7 +183,7 @@
 	return config, err
 }
 
-func (p *Publisher) get(ctx context.Context, key string) (platform.KeyValue, error) {
+func (p *Publisher) get(ctx context.Context, key string) (infrastructure.KeyValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.CallTimeout)
 	defer cancel()
 	return p.opts.Store.Get(ctx, key)
@@ -199,7 +199,7 @@
 // empty, with version 0.
 func (p *Publisher) read(ctx context.Context) (note.Config, replica.Document, error) {
 	kv, err := p.get(ctx, note.ConfigKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infrastructure.ErrNotFound) {
 		return note.Config{}, replica.Document{Key: note.ConfigKey}, nil
 	}
 	if err != nil {
@@ -235,7 +235,7 @@
 		return errors.Wrap(err, "encoding the history record")
 	}
 	_, err = p.put(ctx, historyKey(config.Revision), value, 0)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, infrastructure.ErrConflict) {
 		return errors.Wrapf(err, "writing the history record of revision %d", config.Revision)
 	}
 	p.mu.Lock()
@@ -265,7 +265,7 @@
 	// would not fit into a bounded answer.
 	for revision := before - 1; revision > 0 && revision >= before-int64(limit); revision-- {
 		kv, err := p.get(ctx, historyKey(revision))
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, infrastructure.ErrNotFound) {
 			// The record of the note in force may not be written yet.
 			continue
 		}
--- a/operator/publisher_test.go
+++ b/operator/publisher_test.go
@@ -15,8 +15,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/pkg/errors"
 
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/replica"
 )
 
@@ -76,7 +76,7 @@
 		return same
 	case c.read:
 		return nil
-	case errors.Is(a.err, platform.ErrUnknown) && !repeated && !conflicts:
+	case errors.Is(a.err, infrastructure.ErrUnknown) && !repeated && !conflicts:
 		return []state{s, s.accept(c)}
 	case a.err != nil:
 		return same
@@ -169,7 +169,7 @@
 	checkHistoryRecords(t, newPublisher(store))
 	for i := range history {
 		history[i].ClientId = i
-		if a := history[i].Output.(answer); errors.Is(a.err, platform.ErrUnknown) {
+		if a := history[i].Output.(answer); errors.Is(a.err, infrastructure.ErrUnknown) {
 			// The write may take effect at any time after the call.
 			history[i].Return = clock.Load() + 1
 		}
@@ -177,7 +177,7 @@
 	return history
 }
 
-func newPublisher(store platform.Store) *Publisher {
+func newPublisher(store infrastructure.Store) *Publisher {
 	return NewPublisher(PublisherOptions{Store: store, Replica: replica.New()})
 }
 
@@ -215,7 +215,7 @@
 
 func outcomeName(c call, a answer) string {
 	switch {
-	case errors.Is(a.err, platform.ErrUnknown):
+	case errors.Is(a.err, infrastructure.ErrUnknown):
 		return "unknown"
 	case a.err != nil:
 		return "unavailable"
--- a/operator/store_test.go
+++ b/operator/store_test.go
@@ -6,18 +6,18 @@
 	"sync"
 	"time"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // fakeStore is an in-memory store. With a random source it refuses calls,
 // loses answers, carries out writes after it lost their answers, and has
 // outages.
 type fakeStore struct {
-	platform.Store
+	infrastructure.Store
 
 	mu      sync.Mutex
 	version int64
-	keys    map[string]platform.KeyValue
+	keys    map[string]infrastructure.KeyValue
 	faults  *rand.Rand
 	// down is the end of an outage.
 	down time.Time
@@ -27,7 +27,7 @@
 }
 
 func newFakeStore(faults *rand.Rand) *fakeStore {
-	return &fakeStore{keys: map[string]platform.KeyValue{}, faults: faults}
+	return &fakeStore{keys: map[string]infrastructure.KeyValue{}, faults: faults}
 }
 
 // chance returns true in one of n calls.
@@ -43,7 +43,7 @@
 		s.fail()
 	}
 	if time.Now().Before(s.down) || s.chance(10) {
-		return platform.ErrUnavailable
+		return infrastructure.ErrUnavailable
 	}
 	return nil
 }
@@ -60,15 +60,15 @@
 	s.late = nil
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.KeyValue, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (infrastructure.KeyValue, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.enter(); err != nil {
-		return platform.KeyValue{}, err
+		return infrastructure.KeyValue{}, err
 	}
 	kv, ok := s.keys[key]
 	if !ok {
-		return kv, platform.ErrNotFound
+		return kv, infrastructure.ErrNotFound
 	}
 	return kv, nil
 }
@@ -85,20 +85,20 @@
 		if s.chance(2) {
 			s.fail()
 		}
-		return 0, platform.ErrUnknown
+		return 0, infrastructure.ErrUnknown
 	}
 	version, err := s.write(key, value, expected)
 	if s.chance(8) {
-		return 0, platform.ErrUnknown
+		return 0, infrastructure.ErrUnknown
 	}
 	return version, err
 }
 
 func (s *fakeStore) write(key string, value []byte, expected int64) (int64, error) {
 	if s.keys[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, infrastructure.ErrConflict
 	}
 	s.version++
-	s.keys[key] = platform.KeyValue{Key: key, Version: s.version, Value: value}
+	s.keys[key] = infrastructure.KeyValue{Key: key, Version: s.version, Value: value}
 	return s.version, nil
 }
--- a/processtest/failure_test.go
+++ b/processtest/failure_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/fleet"
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/standin"
 )
 
@@ -215,7 +215,7 @@
 			c.platform.SetFaults(faults)
 			time.Sleep(4 * time.Second)
 			vm := c.backends["a-2"].VM()
-			vm.State = platform.VMLeaving
+			vm.State = infrastructure.VMLeaving
 			c.platform.Register(vm)
 			listed := time.Now()
 			time.Sleep(8 * time.Second)
--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -19,8 +19,9 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/fleet"
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/standin"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // programs is the folder of the built programs.
@@ -185,7 +186,7 @@
 `, id, e.caller, e.operator, peerListen, e.relay.address(), c.platform.Addr(), strings.Join(seeds, ", "))), 0o600))
 	e.log, err = os.Create(filepath.Join(dir, "log"))
 	c.must(err)
-	c.platform.Register(platform.VM{ID: id, Address: e.caller, AvailabilityZone: "a", State: platform.VMLive, EntryVM: true})
+	c.platform.Register(infrastructure.VM{ID: id, Address: e.caller, AvailabilityZone: "a", State: infrastructure.VMLive, EntryVM: true})
 	c.must(e.start())
 	c.entries = append(c.entries, e)
 	return e
@@ -298,7 +299,7 @@
 }
 
 func (c *cluster) fleet() (fleet.Document, error) {
-	client := platform.NewClient(platform.ClientOptions{BaseURL: c.platform.Addr(), Entry: "test"})
+	client := httpclient.NewClient(httpclient.ClientOptions{BaseURL: c.platform.Addr(), Entry: "test"})
 	defer client.CloseIdleConnections()
 	kv, err := client.Get(c.ctx, fleet.Key("test"))
 	if err != nil {
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -7,7 +7,8 @@
 
 	"github.com/gorilla/mux"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // adminRoutes adds the admin API. No fault applies to it.
@@ -36,10 +37,10 @@
 		return nil, nil
 	})
 	handle("GET", "/standin/vms", func(*http.Request) (any, error) {
-		return platform.VMsAnswer{VMs: p.machines.list(time.Now())}, nil
+		return httpclient.VMsAnswer{VMs: p.machines.list(time.Now())}, nil
 	})
 	handle("POST", "/standin/vms", func(r *http.Request) (any, error) {
-		var vm platform.VM
+		var vm infrastructure.VM
 		if err := decodeStrict(r, &vm); err != nil {
 			return nil, err
 		}
@@ -54,7 +55,7 @@
 			return nil, err
 		}
 		if !p.Remove(id) {
-			return nil, platform.ErrNotFound
+			return nil, infrastructure.ErrNotFound
 		}
 		return nil, nil
 	})
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -18,7 +18,7 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 const (
@@ -289,10 +289,10 @@
 }
 
 // VM returns the record of the backend server in the platform's list.
-func (b *Backend) VM() platform.VM {
-	return platform.VM{
+func (b *Backend) VM() infrastructure.VM {
+	return infrastructure.VM{
 		ID: b.options.ID, Address: b.Addr(), AvailabilityZone: b.options.AvailabilityZone, Rack: b.options.Rack,
-		State: platform.VMLive, BootCount: b.BootCount(),
+		State: infrastructure.VMLive, BootCount: b.BootCount(),
 	}
 }
 
@@ -587,7 +587,7 @@
 // duration and listens again with a new boot count. It returns at once and
 // reports whether a reboot began: a repeat of the operation, or an expected
 // boot count that has passed, does nothing.
-func (b *Backend) Reboot(op platform.Operation) bool {
+func (b *Backend) Reboot(op infrastructure.Operation) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, repeated := b.done[op.ID]
--- a/standin/backend_admin.go
+++ b/standin/backend_admin.go
@@ -12,7 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // adminRoutes adds the admin API. No fault but silence applies to it.
@@ -49,7 +49,7 @@
 }
 
 func (b *Backend) serveReboot(w http.ResponseWriter, r *http.Request) {
-	var op platform.Operation
+	var op infrastructure.Operation
 	if err := decodeStrict(r, &op); err != nil {
 		writeError(w, err)
 		return
--- a/standin/backend_test.go
+++ b/standin/backend_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 func startBackend(t *testing.T, o BackendOptions) *Backend {
@@ -170,7 +170,7 @@
 	if n := b.Stats().Requests; n != 2 {
 		t.Errorf("%d requests ran, want 2: a request on a silent connection must not arrive", n)
 	}
-	b.Reboot(platform.Operation{ID: "op", ExpectedBoot: 1})
+	b.Reboot(infrastructure.Operation{ID: "op", ExpectedBoot: 1})
 	if _, _, err := idle.receive(5 * time.Second); err == nil || strings.Contains(err.Error(), "timeout") {
 		t.Errorf("silent connection outlived the reboot: %v", err)
 	}
@@ -186,10 +186,10 @@
 	conn.send(t, "/?work=1m", "r")
 	waitFor(t, "running request", func() bool { return b.Stats().Running == 1 })
 
-	op := platform.Operation{ID: "wave-1", ExpectedBoot: 1}
+	op := infrastructure.Operation{ID: "wave-1", ExpectedBoot: 1}
 	wantErr(t, c.Drain(ctx, "w1", op), nil)
 	p.SetFaults(PlatformFaults{LoseNext: 1})
-	wantErr(t, c.Reboot(ctx, "w1", op), platform.ErrUnknown)
+	wantErr(t, c.Reboot(ctx, "w1", op), infrastructure.ErrUnknown)
 	wantErr(t, c.Reboot(ctx, "w1", op), nil)
 	boot := func() int64 {
 		vm, err := c.VM(ctx, "w1")
@@ -203,26 +203,26 @@
 	if _, _, err := conn.receive(5 * time.Second); err == nil || strings.Contains(err.Error(), "timeout") {
 		t.Fatalf("connection of the earlier boot is open: %v", err)
 	}
-	for _, repeat := range []platform.Operation{op, {ID: "late", ExpectedBoot: 1}, {ID: op.ID, ExpectedBoot: 2}} {
+	for _, repeat := range []infrastructure.Operation{op, {ID: "late", ExpectedBoot: 1}, {ID: op.ID, ExpectedBoot: 2}} {
 		wantErr(t, c.Reboot(ctx, "w1", repeat), nil)
 		wantErr(t, c.Drain(ctx, "w1", repeat), nil)
-		if vm, err := c.VM(ctx, "w1"); err != nil || vm.State != platform.VMLive {
+		if vm, err := c.VM(ctx, "w1"); err != nil || vm.State != infrastructure.VMLive {
 			t.Fatalf("platform repeats %+v: %+v error %v", repeat, vm, err)
 		}
 		if b.Reboot(repeat) {
 			t.Fatalf("backend server repeats %+v", repeat)
 		}
 	}
-	wantErr(t, c.Reboot(ctx, "w1", platform.Operation{ID: "early", ExpectedBoot: 9}), platform.ErrConflict)
-	wantErr(t, c.Reboot(ctx, "unknown", op), platform.ErrNotFound)
+	wantErr(t, c.Reboot(ctx, "w1", infrastructure.Operation{ID: "early", ExpectedBoot: 9}), infrastructure.ErrConflict)
+	wantErr(t, c.Reboot(ctx, "unknown", op), infrastructure.ErrNotFound)
 	// A reboot that began would have reached the backend server by now.
 	time.Sleep(50 * time.Millisecond)
 	vm, err := c.VM(ctx, "w1")
 	wantErr(t, err, nil)
-	if vm.BootCount != 2 || b.BootCount() != 2 || vm.State != platform.VMLive {
+	if vm.BootCount != 2 || b.BootCount() != 2 || vm.State != infrastructure.VMLive {
 		t.Fatalf("after repeats: %+v, backend server at boot %d", vm, b.BootCount())
 	}
-	wantErr(t, c.Reboot(ctx, "w1", platform.Operation{ID: "wave-2", ExpectedBoot: 2}), nil)
+	wantErr(t, c.Reboot(ctx, "w1", infrastructure.Operation{ID: "wave-2", ExpectedBoot: 2}), nil)
 	waitFor(t, "third boot", func() bool { return boot() == 3 && b.BootCount() == 3 })
 }
 
@@ -238,16 +238,16 @@
 		t.Fatal(err)
 	}
 	_, err := c.VM(t.Context(), "w1")
-	wantErr(t, err, platform.ErrNotFound)
+	wantErr(t, err, infrastructure.ErrNotFound)
 	second := startBackend(t, BackendOptions{Platform: p.Addr(), Listen: addr})
 	if second.BootCount() != 2 {
 		t.Fatalf("boot count %d after a restart, want 2", second.BootCount())
 	}
-	p.Register(platform.VM{ID: "dead", Address: first.Addr()})
+	p.Register(infrastructure.VM{ID: "dead", Address: first.Addr()})
 	if err := second.Close(); err != nil {
 		t.Fatal(err)
 	}
-	wantErr(t, c.Reboot(t.Context(), "dead", platform.Operation{ID: "op", ExpectedBoot: 1}), nil)
+	wantErr(t, c.Reboot(t.Context(), "dead", infrastructure.Operation{ID: "op", ExpectedBoot: 1}), nil)
 	waitFor(t, "boot of the dead server", func() bool {
 		vm, err := c.VM(t.Context(), "dead")
 		return err == nil && vm.BootCount == 2
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // DownMode is the way in which a platform that is down treats a call. No mode
@@ -149,7 +149,7 @@
 		return true
 	}
 	host, _, _ := net.SplitHostPort(r.RemoteAddr)
-	return slices.Contains(p.DownEntries, r.Header.Get(platform.EntryHeader)) ||
+	return slices.Contains(p.DownEntries, r.Header.Get(httpclient.EntryHeader)) ||
 		slices.Contains(p.DownEntries, host)
 }
 
--- a/standin/history_test.go
+++ b/standin/history_test.go
@@ -10,7 +10,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/pkg/errors"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 type storeInput struct {
@@ -44,12 +45,12 @@
 	}
 	matches := s.version == in.expected
 	switch {
-	case in.op == "get" && errors.Is(out.err, platform.ErrNotFound):
+	case in.op == "get" && errors.Is(out.err, infrastructure.ErrNotFound):
 		return allow(s.version == 0, s)
 	case in.op == "get":
 		known := s.version == out.version || s.version == -1
 		return allow(known && s.value == out.value, storeState{out.version, out.value})
-	case errors.Is(out.err, platform.ErrUnknown):
+	case errors.Is(out.err, infrastructure.ErrUnknown):
 		next := []interface{}{s}
 		if matches && in.op == "put" {
 			next = append(next, storeState{-1, in.value})
@@ -58,9 +59,9 @@
 			next = append(next, storeState{})
 		}
 		return next
-	case errors.Is(out.err, platform.ErrConflict):
+	case errors.Is(out.err, infrastructure.ErrConflict):
 		return allow(!matches && (in.op == "put" || s.version != 0), s)
-	case errors.Is(out.err, platform.ErrNotFound):
+	case errors.Is(out.err, infrastructure.ErrNotFound):
 		return allow(s.version == 0, s)
 	case in.op == "put":
 		return allow(matches, storeState{out.version, in.value})
@@ -96,7 +97,7 @@
 	var history []porcupine.Operation
 	var clients sync.WaitGroup
 	for id := range 6 {
-		c := platform.NewClient(platform.ClientOptions{BaseURL: p.Addr(), Timeout: 5 * time.Second})
+		c := httpclient.NewClient(httpclient.ClientOptions{BaseURL: p.Addr(), Timeout: 5 * time.Second})
 		defer c.CloseIdleConnections()
 		random := rand.New(rand.NewPCG(1, uint64(id)))
 		clients.Go(func() {
@@ -113,7 +114,7 @@
 				op := porcupine.Operation{ClientId: id, Input: in, Call: time.Now().UnixNano()}
 				out := invoke(t, c, in)
 				op.Return, op.Output = time.Now().UnixNano(), out
-				if out.err == nil || errors.Is(out.err, platform.ErrNotFound) {
+				if out.err == nil || errors.Is(out.err, infrastructure.ErrNotFound) {
 					versions[in.key] = out.version
 				}
 				mu.Lock()
@@ -132,7 +133,7 @@
 	// The check itself must see a write that is lost without a trace.
 	for i, op := range history {
 		if in := op.Input.(storeInput); in.op == "put" && op.Output.(storeOutput).err == nil {
-			history[i].Output = storeOutput{err: platform.ErrConflict}
+			history[i].Output = storeOutput{err: infrastructure.ErrConflict}
 			if result := check(history); result != porcupine.Illegal {
 				t.Fatalf("forged history is %s", result)
 			}
@@ -142,7 +143,7 @@
 	t.Fatal("no write succeeded")
 }
 
-func invoke(t *testing.T, c *platform.Client, in storeInput) storeOutput {
+func invoke(t *testing.T, c *httpclient.Client, in storeInput) storeOutput {
 	var out storeOutput
 	switch in.op {
 	case "get":
--- a/platform/client.go
+++ b/standin/httpclient/client.go
@@ -1,4 +1,5 @@
-package platform
+// Package httpclient calls the stand-in of a platform over its HTTP protocol.
+package httpclient
 
 import (
 	"bytes"
@@ -18,6 +19,8 @@
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // EntryHeader names the entry VM that makes a call of the platform.
@@ -64,7 +67,7 @@
 	transport http.RoundTripper
 }
 
-var _ Platform = (*Client)(nil)
+var _ infrastructure.Platform = (*Client)(nil)
 
 // NewClient returns a client of the platform at BaseURL.
 func NewClient(o ClientOptions) *Client {
@@ -164,9 +167,9 @@
 // lost classifies a call without a complete answer.
 func (k *call) lost(sent bool, cause error) error {
 	if k.write && sent {
-		return k.fail(ErrUnknown, "", cause)
+		return k.fail(infrastructure.ErrUnknown, "", cause)
 	}
-	return k.fail(ErrUnavailable, "", cause)
+	return k.fail(infrastructure.ErrUnavailable, "", cause)
 }
 
 // do makes a call and counts it.
@@ -189,13 +192,13 @@
 		return "ok"
 	case errors.Is(ctx.Err(), context.Canceled):
 		return "cancelled"
-	case errors.Is(err, ErrConflict):
+	case errors.Is(err, infrastructure.ErrConflict):
 		return "conflict"
-	case errors.Is(err, ErrNotFound):
+	case errors.Is(err, infrastructure.ErrNotFound):
 		return "not_found"
-	case errors.Is(err, ErrUnavailable):
+	case errors.Is(err, infrastructure.ErrUnavailable):
 		return "unavailable"
-	case errors.Is(err, ErrUnknown):
+	case errors.Is(err, infrastructure.ErrUnknown):
 		return "unknown"
 	}
 	return "refused"
@@ -284,11 +287,11 @@
 	}
 	switch {
 	case code == http.StatusNotFound:
-		return k.fail(ErrNotFound, reason, nil)
+		return k.fail(infrastructure.ErrNotFound, reason, nil)
 	case code == http.StatusConflict:
-		return k.fail(ErrConflict, reason, nil)
+		return k.fail(infrastructure.ErrConflict, reason, nil)
 	case code == http.StatusServiceUnavailable, code == http.StatusTooManyRequests:
-		return k.fail(ErrUnavailable, reason, nil)
+		return k.fail(infrastructure.ErrUnavailable, reason, nil)
 	case code >= 500:
 		return k.lost(true, errors.New(reason))
 	}
@@ -302,17 +305,17 @@
 func keyPath(key string) string { return "/v1/kv/" + url.PathEscape(key) }
 
 // Get implements Store.
-func (c *Client) Get(ctx context.Context, key string) (KeyValue, error) {
+func (c *Client) Get(ctx context.Context, key string) (infrastructure.KeyValue, error) {
 	if key == "" {
-		return KeyValue{}, errors.New("platform get: empty key")
+		return infrastructure.KeyValue{}, errors.New("platform get: empty key")
 	}
-	var kv KeyValue
+	var kv infrastructure.KeyValue
 	err := c.do(ctx, &call{name: "get", method: http.MethodGet, path: keyPath(key), answer: &kv})
 	return kv, err
 }
 
 // List implements Store.
-func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]KeyValue, error) {
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]infrastructure.KeyValue, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var answer ListAnswer
 	err := c.do(ctx, &call{name: "list", method: http.MethodGet, path: "/v1/kv", query: q, answer: &answer})
@@ -347,13 +350,13 @@
 }
 
 // Watch implements Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (WatchResult, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (infrastructure.WatchResult, error) {
 	q := url.Values{
 		"prefix":       {prefix},
 		"after":        {strconv.FormatInt(after, 10)},
 		"wait_seconds": {strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)},
 	}
-	var result WatchResult
+	var result infrastructure.WatchResult
 	err := c.do(ctx, &call{
 		name: "watch", method: http.MethodGet, path: "/v1/watch", query: q, answer: &result, wait: wait,
 	})
@@ -387,30 +390,30 @@
 }
 
 // VMs implements Inventory.
-func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+func (c *Client) VMs(ctx context.Context) ([]infrastructure.VM, error) {
 	var answer VMsAnswer
 	err := c.do(ctx, &call{name: "vms", method: http.MethodGet, path: "/v1/vms", answer: &answer})
 	return answer.VMs, err
 }
 
 // VM implements Machines.
-func (c *Client) VM(ctx context.Context, vm string) (VM, error) {
-	var answer VM
+func (c *Client) VM(ctx context.Context, vm string) (infrastructure.VM, error) {
+	var answer infrastructure.VM
 	err := c.do(ctx, &call{name: "vm", method: http.MethodGet, path: "/v1/vms/" + url.PathEscape(vm), answer: &answer})
 	return answer, err
 }
 
 // Drain implements Machines.
-func (c *Client) Drain(ctx context.Context, vm string, op Operation) error {
+func (c *Client) Drain(ctx context.Context, vm string, op infrastructure.Operation) error {
 	return c.machine(ctx, "drain", vm, op)
 }
 
 // Reboot implements Machines.
-func (c *Client) Reboot(ctx context.Context, vm string, op Operation) error {
+func (c *Client) Reboot(ctx context.Context, vm string, op infrastructure.Operation) error {
 	return c.machine(ctx, "reboot", vm, op)
 }
 
-func (c *Client) machine(ctx context.Context, name, vm string, op Operation) error {
+func (c *Client) machine(ctx context.Context, name, vm string, op infrastructure.Operation) error {
 	return c.do(ctx, &call{
 		name: name, method: http.MethodPost, path: "/v1/vms/" + url.PathEscape(vm) + "/" + name,
 		body: op, write: true,
--- a/platform/client_test.go
+++ b/standin/httpclient/client_test.go
@@ -1,4 +1,4 @@
-package platform
+package httpclient
 
 import (
 	"bufio"
@@ -14,6 +14,8 @@
 	"go.opentelemetry.io/otel/codes"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // script starts a server that reads one request on each connection, sends the
@@ -63,20 +65,20 @@
 // Guards against a write that may have taken effect but is reported as
 // without effect, and against the opposite.
 func TestErrorMapping(t *testing.T) {
-	all := []error{ErrConflict, ErrNotFound, ErrUnavailable, ErrUnknown}
+	all := []error{infrastructure.ErrConflict, infrastructure.ErrNotFound, infrastructure.ErrUnavailable, infrastructure.ErrUnknown}
 	for name, c := range map[string]struct {
 		addr        string
 		write, read error
 	}{
-		"refused":        {refused(t), ErrUnavailable, ErrUnavailable},
-		"closed":         {script(t, "", false), ErrUnknown, ErrUnavailable},
-		"silent":         {script(t, "", true), ErrUnknown, ErrUnavailable},
-		"half an answer": {script(t, answer(200, `{"version":1}`)[:45], false), ErrUnknown, ErrUnavailable},
-		"not JSON":       {script(t, answer(200, "<html>"), false), ErrUnknown, ErrUnavailable},
-		"503":            {script(t, answer(503, `{"error":"down"}`), false), ErrUnavailable, ErrUnavailable},
-		"500":            {script(t, answer(500, ""), false), ErrUnknown, ErrUnavailable},
-		"409":            {script(t, answer(409, ""), false), ErrConflict, ErrConflict},
-		"404":            {script(t, answer(404, ""), false), ErrNotFound, ErrNotFound},
+		"refused":        {refused(t), infrastructure.ErrUnavailable, infrastructure.ErrUnavailable},
+		"closed":         {script(t, "", false), infrastructure.ErrUnknown, infrastructure.ErrUnavailable},
+		"silent":         {script(t, "", true), infrastructure.ErrUnknown, infrastructure.ErrUnavailable},
+		"half an answer": {script(t, answer(200, `{"version":1}`)[:45], false), infrastructure.ErrUnknown, infrastructure.ErrUnavailable},
+		"not JSON":       {script(t, answer(200, "<html>"), false), infrastructure.ErrUnknown, infrastructure.ErrUnavailable},
+		"503":            {script(t, answer(503, `{"error":"down"}`), false), infrastructure.ErrUnavailable, infrastructure.ErrUnavailable},
+		"500":            {script(t, answer(500, ""), false), infrastructure.ErrUnknown, infrastructure.ErrUnavailable},
+		"409":            {script(t, answer(409, ""), false), infrastructure.ErrConflict, infrastructure.ErrConflict},
+		"404":            {script(t, answer(404, ""), false), infrastructure.ErrNotFound, infrastructure.ErrNotFound},
 		"400":            {script(t, answer(400, `{"error":"key"}`), false), nil, nil},
 		"redirect":       {script(t, "HTTP/1.1 307 x\r\nLocation: /v1/kv/b\r\nContent-Length: 0\r\n\r\n", false), nil, nil},
 	} {
@@ -107,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err := client.Put(ctx, "a", nil, 0, "")
-	if !errors.Is(err, ErrUnknown) || !errors.Is(err, context.DeadlineExceeded) {
+	if !errors.Is(err, infrastructure.ErrUnknown) || !errors.Is(err, context.DeadlineExceeded) {
 		t.Fatalf("error %v", err)
 	}
 }
@@ -119,7 +121,7 @@
 	provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans))
 	client := NewClient(ClientOptions{BaseURL: refused(t), TracerProvider: provider})
 	_, _ = client.VMs(t.Context())
-	_ = client.Reboot(t.Context(), "vm", Operation{ID: "op"})
+	_ = client.Reboot(t.Context(), "vm", infrastructure.Operation{ID: "op"})
 	ended := spans.Ended()
 	if len(ended) != 2 || ended[0].Name() != "platform.vms" || ended[1].Name() != "platform.reboot" {
 		t.Fatalf("spans %v", ended)
--- a/platform/wire.go
+++ b/standin/httpclient/wire.go
@@ -1,4 +1,6 @@
-package platform
+package httpclient
+
+import "dotterelhead.example/dotterelhead/infrastructure"
 
 // The types of this file are the JSON bodies of the platform's HTTP API. Values
 // are base64 strings, as encoding/json renders []byte.
@@ -15,7 +17,7 @@
 
 // ListAnswer is the answer of GET /v1/kv.
 type ListAnswer struct {
-	Items []KeyValue `json:"items"`
+	Items []infrastructure.KeyValue `json:"items"`
 }
 
 // LeaseRequest is the body of POST /v1/leases.
@@ -30,7 +32,7 @@
 
 // VMsAnswer is the answer of GET /v1/vms.
 type VMsAnswer struct {
-	VMs []VM `json:"vms"`
+	VMs []infrastructure.VM `json:"vms"`
 }
 
 // ErrorAnswer is the body of every answer that reports a failure.
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // historyKeep is how long past states of a VM are kept; the lag of the list
@@ -21,7 +21,7 @@
 // machine is one VM. An operation in done has been accepted; a repeat does
 // nothing. A drain and a reboot may share an operation id.
 type machine struct {
-	vm        platform.VM
+	vm        infrastructure.VM
 	gone      bool
 	rebooting bool
 	done      map[string]struct{}
@@ -30,11 +30,11 @@
 
 type pastState struct {
 	since time.Time
-	vm    platform.VM
+	vm    infrastructure.VM
 	gone  bool
 }
 
-func newMachines(vms []platform.VM) *machines {
+func newMachines(vms []infrastructure.VM) *machines {
 	m := &machines{vms: map[string]*machine{}}
 	for _, vm := range vms {
 		m.register(vm, time.Time{})
@@ -44,7 +44,7 @@
 
 // register adds or replaces a VM as of the given time. Without a boot count,
 // a VM that is already known counts as booted again.
-func (m *machines) register(vm platform.VM, now time.Time) platform.VM {
+func (m *machines) register(vm infrastructure.VM, now time.Time) infrastructure.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x := m.vms[vm.ID]
@@ -53,7 +53,7 @@
 		m.vms[vm.ID] = x
 	}
 	if vm.State == "" {
-		vm.State = platform.VMLive
+		vm.State = infrastructure.VMLive
 		// A VM that announces its present boot again may be draining by now.
 		if vm.BootCount != 0 && vm.BootCount == x.vm.BootCount && !x.gone {
 			vm.State = x.vm.State
@@ -90,21 +90,21 @@
 	x.history = x.history[old:]
 }
 
-func (m *machines) get(id string) (platform.VM, error) {
+func (m *machines) get(id string) (infrastructure.VM, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x := m.vms[id]
 	if x == nil || x.gone {
-		return platform.VM{}, platform.ErrNotFound
+		return infrastructure.VM{}, infrastructure.ErrNotFound
 	}
 	return x.vm, nil
 }
 
 // list returns the VMs as they were at a time.
-func (m *machines) list(at time.Time) []platform.VM {
+func (m *machines) list(at time.Time) []infrastructure.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	vms := []platform.VM{}
+	vms := []infrastructure.VM{}
 	for _, x := range m.vms {
 		for i := len(x.history) - 1; i >= 0; i-- {
 			if past := x.history[i]; !past.since.After(at) {
@@ -120,13 +120,13 @@
 }
 
 // begin records an operation and reports whether it is to be carried out.
-func (m *machines) begin(call, id string, op platform.Operation) (*machine, bool, error) {
+func (m *machines) begin(call, id string, op infrastructure.Operation) (*machine, bool, error) {
 	x := m.vms[id]
 	if x == nil || x.gone {
-		return nil, false, platform.ErrNotFound
+		return nil, false, infrastructure.ErrNotFound
 	}
 	if op.ExpectedBoot > x.vm.BootCount {
-		return nil, false, platform.ErrConflict
+		return nil, false, infrastructure.ErrConflict
 	}
 	name := call + " " + op.ID
 	if _, repeated := x.done[name]; repeated || op.ExpectedBoot < x.vm.BootCount {
@@ -136,28 +136,28 @@
 	return x, true, nil
 }
 
-func (m *machines) drain(id string, op platform.Operation, now time.Time) error {
+func (m *machines) drain(id string, op infrastructure.Operation, now time.Time) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x, effective, err := m.begin("drain", id, op)
 	if err != nil || !effective {
 		return err
 	}
-	x.vm.State = platform.VMLeaving
+	x.vm.State = infrastructure.VMLeaving
 	x.note(now)
 	return nil
 }
 
 // reboot reports whether the caller has to carry out the reboot.
-func (m *machines) reboot(id string, op platform.Operation, now time.Time) (vm platform.VM, start bool, err error) {
+func (m *machines) reboot(id string, op infrastructure.Operation, now time.Time) (vm infrastructure.VM, start bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	x, effective, err := m.begin("reboot", id, op)
 	if err != nil || !effective || x.rebooting {
-		return platform.VM{}, false, err
+		return infrastructure.VM{}, false, err
 	}
 	x.rebooting = true
-	x.vm.State = platform.VMLeaving
+	x.vm.State = infrastructure.VMLeaving
 	x.note(now)
 	return x.vm, true, nil
 }
@@ -168,7 +168,7 @@
 	defer m.mu.Unlock()
 	x := m.vms[id]
 	x.rebooting = false
-	x.vm.State = platform.VMLive
+	x.vm.State = infrastructure.VMLive
 	x.vm.BootCount = max(x.vm.BootCount, boot)
 	x.note(now)
 }
--- a/standin/model_test.go
+++ b/standin/model_test.go
@@ -12,7 +12,8 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // modelKey is one key of the model store.
@@ -25,7 +26,7 @@
 // storeMachine runs the same operations on the stand-in and on a map.
 type storeMachine struct {
 	platform *Platform
-	client   *platform.Client
+	client   *httpclient.Client
 	keys     map[string]modelKey
 	leases   []string
 	last     int64
@@ -42,10 +43,10 @@
 	switch rapid.SampledFrom([]string{"none", "none", "lose", "drop"}).Draw(t, "fault") {
 	case "lose":
 		m.platform.SetFaults(PlatformFaults{LoseNext: 1})
-		return true, platform.ErrUnknown
+		return true, infrastructure.ErrUnknown
 	case "drop":
 		m.platform.SetFaults(PlatformFaults{DropNext: 1})
-		return false, platform.ErrUnknown
+		return false, infrastructure.ErrUnknown
 	}
 	m.platform.SetFaults(PlatformFaults{})
 	return true, nil
@@ -78,14 +79,14 @@
 	var judged error
 	switch rapid.IntRange(0, 5).Draw(t, "lease") {
 	case 0:
-		lease, judged = "unknown", platform.ErrNotFound
+		lease, judged = "unknown", infrastructure.ErrNotFound
 	case 1:
 		if len(m.leases) > 0 {
 			lease = m.leases[0]
 		}
 	}
 	if expected != m.keys[key].version {
-		judged = platform.ErrConflict
+		judged = infrastructure.ErrConflict
 	}
 	effect, fault := m.faulty(t)
 	version, err := m.client.Put(t.Context(), key, []byte(value), expected, lease)
@@ -110,9 +111,9 @@
 	expected := m.version(t, key)
 	var judged error
 	if current, ok := m.keys[key]; !ok {
-		judged = platform.ErrNotFound
+		judged = infrastructure.ErrNotFound
 	} else if current.version != expected {
-		judged = platform.ErrConflict
+		judged = infrastructure.ErrConflict
 	}
 	effect, fault := m.faulty(t)
 	sameError(t, m.client.Delete(t.Context(), key, expected), expect(judged, effect, fault))
@@ -139,7 +140,7 @@
 		return
 	}
 	m.leases = m.leases[1:]
-	sameError(t, m.client.KeepAlive(t.Context(), id), platform.ErrNotFound)
+	sameError(t, m.client.KeepAlive(t.Context(), id), infrastructure.ErrNotFound)
 	maps.DeleteFunc(m.keys, func(_ string, k modelKey) bool { return k.lease == id })
 }
 
@@ -191,7 +192,7 @@
 	kv, err := m.client.Get(t.Context(), key)
 	want, ok := m.keys[key]
 	if !ok {
-		sameError(t, err, platform.ErrNotFound)
+		sameError(t, err, infrastructure.ErrNotFound)
 		return
 	}
 	sameError(t, err, nil)
@@ -222,7 +223,7 @@
 			t.Fatal(err)
 		}
 		m := &storeMachine{
-			platform: p, client: platform.NewClient(platform.ClientOptions{BaseURL: p.Addr()}),
+			platform: p, client: httpclient.NewClient(httpclient.ClientOptions{BaseURL: p.Addr()}),
 			keys: map[string]modelKey{}, watched: map[string]int64{},
 		}
 		defer func() {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -19,7 +19,8 @@
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 const (
@@ -42,7 +43,7 @@
 	// Listen is the address of Start; the default is a free port on loopback.
 	Listen string
 	// VMs are listed from the start, without lag.
-	VMs []platform.VM
+	VMs []infrastructure.VM
 	// Faults are in force from the start.
 	Faults PlatformFaults
 	// RebootDuration is how long a VM without a stand-in backend server is away.
@@ -162,7 +163,7 @@
 }
 
 // Register adds or replaces a VM and returns it with its state and boot count.
-func (p *Platform) Register(vm platform.VM) platform.VM {
+func (p *Platform) Register(vm infrastructure.VM) infrastructure.VM {
 	return p.machines.register(vm, time.Now())
 }
 
@@ -282,7 +283,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		default:
-			writeError(w, platform.ErrUnavailable)
+			writeError(w, infrastructure.ErrUnavailable)
 			return false
 		}
 	}
@@ -319,16 +320,16 @@
 	status := http.StatusInternalServerError
 	var bad badRequest
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infrastructure.ErrConflict):
 		status = http.StatusConflict
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infrastructure.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, infrastructure.ErrUnavailable):
 		status = http.StatusServiceUnavailable
 	case errors.As(err, &bad):
 		status = http.StatusBadRequest
 	}
-	writeJSON(w, status, platform.ErrorAnswer{Error: err.Error()})
+	writeJSON(w, status, httpclient.ErrorAnswer{Error: err.Error()})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
@@ -383,7 +384,7 @@
 		return nil, err
 	}
 	q := r.URL.Query()
-	return platform.ListAnswer{Items: p.store.list(q.Get("prefix"), q.Get("after"), int(limit))}, nil
+	return httpclient.ListAnswer{Items: p.store.list(q.Get("prefix"), q.Get("after"), int(limit))}, nil
 }
 
 func (p *Platform) putKey(r *http.Request) (any, error) {
@@ -391,7 +392,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var body platform.PutRequest
+	var body httpclient.PutRequest
 	if err := decode(r, &body); err != nil {
 		return nil, err
 	}
@@ -399,7 +400,7 @@
 		return nil, badRequest{"value exceeds " + strconv.Itoa(maxValueBytes) + " bytes"}
 	}
 	written, err := p.store.put(key, body.Value, version, r.URL.Query().Get("lease"))
-	return platform.PutAnswer{Version: written}, err
+	return httpclient.PutAnswer{Version: written}, err
 }
 
 func (p *Platform) deleteKey(r *http.Request) (any, error) {
@@ -458,14 +459,14 @@
 }
 
 func (p *Platform) grantLease(r *http.Request) (any, error) {
-	var body platform.LeaseRequest
+	var body httpclient.LeaseRequest
 	if err := decode(r, &body); err != nil {
 		return nil, err
 	}
 	if body.TTLSeconds <= 0 {
 		return nil, badRequest{"ttl_seconds must be positive"}
 	}
-	return platform.LeaseAnswer{Lease: p.store.grant(seconds(body.TTLSeconds))}, nil
+	return httpclient.LeaseAnswer{Lease: p.store.grant(seconds(body.TTLSeconds))}, nil
 }
 
 func (p *Platform) keepAlive(r *http.Request) (any, error) {
@@ -486,7 +487,7 @@
 
 func (p *Platform) listVMs(*http.Request) (any, error) {
 	f, _ := p.faults.get()
-	return platform.VMsAnswer{VMs: p.machines.list(time.Now().Add(-seconds(f.ListLagSeconds)))}, nil
+	return httpclient.VMsAnswer{VMs: p.machines.list(time.Now().Add(-seconds(f.ListLagSeconds)))}, nil
 }
 
 func (p *Platform) getVM(r *http.Request) (any, error) {
@@ -497,8 +498,8 @@
 	return p.machines.get(id)
 }
 
-func operation(r *http.Request) (string, platform.Operation, error) {
-	var op platform.Operation
+func operation(r *http.Request) (string, infrastructure.Operation, error) {
+	var op infrastructure.Operation
 	id, err := pathVar(r, "id")
 	if err != nil {
 		return "", op, err
@@ -540,7 +541,7 @@
 
 // runReboot reboots a VM and records its new boot count once the VM is back.
 // Connections opened before are closed by then.
-func (p *Platform) runReboot(vm platform.VM, op platform.Operation) {
+func (p *Platform) runReboot(vm infrastructure.VM, op infrastructure.Operation) {
 	next := op.ExpectedBoot + 1
 	if vm.Address == "" || vm.EntryVM {
 		p.sleep(p.options.RebootDuration)
@@ -556,7 +557,7 @@
 
 // rebootBackend has the stand-in backend server reboot. A server that does not
 // answer is asked again, because its old connections may still be open.
-func (p *Platform) rebootBackend(vm platform.VM, op platform.Operation) int64 {
+func (p *Platform) rebootBackend(vm infrastructure.VM, op infrastructure.Operation) int64 {
 	for asked := false; p.ctx.Err() == nil; {
 		if !asked {
 			err := p.askReboot(vm, op)
@@ -575,7 +576,7 @@
 	return op.ExpectedBoot
 }
 
-func (p *Platform) askReboot(vm platform.VM, op platform.Operation) error {
+func (p *Platform) askReboot(vm infrastructure.VM, op infrastructure.Operation) error {
 	body, err := json.Marshal(op)
 	if err != nil {
 		return err
@@ -601,7 +602,7 @@
 	BootCount int64  `json:"boot_count"`
 }
 
-func (p *Platform) askBoot(vm platform.VM) (int64, error) {
+func (p *Platform) askBoot(vm infrastructure.VM) (int64, error) {
 	req, err := http.NewRequestWithContext(p.ctx, http.MethodGet, "http://"+vm.Address+"/healthz", nil)
 	if err != nil {
 		return 0, err
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -10,16 +10,17 @@
 	"testing/synctest"
 	"time"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
-func startPlatform(t *testing.T, o PlatformOptions) (*Platform, *platform.Client) {
+func startPlatform(t *testing.T, o PlatformOptions) (*Platform, *httpclient.Client) {
 	t.Helper()
 	p := NewPlatform(o)
 	if err := p.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
-	c := platform.NewClient(platform.ClientOptions{BaseURL: p.Addr(), Entry: "entry-1", Timeout: 5 * time.Second})
+	c := httpclient.NewClient(httpclient.ClientOptions{BaseURL: p.Addr(), Entry: "entry-1", Timeout: 5 * time.Second})
 	t.Cleanup(func() {
 		c.CloseIdleConnections()
 		if err := p.Close(); err != nil {
@@ -43,11 +44,11 @@
 	ctx := t.Context()
 	for _, key := range []string{"notes/current", "claims/eu/03/0000000001", "a//b", ".", "odd key %2F?&ü"} {
 		_, err := c.Get(ctx, key)
-		wantErr(t, err, platform.ErrNotFound)
+		wantErr(t, err, infrastructure.ErrNotFound)
 		v1, err := c.Put(ctx, key, []byte("one"), 0, "")
 		wantErr(t, err, nil)
 		_, err = c.Put(ctx, key, []byte("two"), 0, "")
-		wantErr(t, err, platform.ErrConflict)
+		wantErr(t, err, infrastructure.ErrConflict)
 		v2, err := c.Put(ctx, key, []byte("two"), v1, "")
 		wantErr(t, err, nil)
 		kv, err := c.Get(ctx, key)
@@ -55,9 +56,9 @@
 		if kv.Key != key || kv.Version != v2 || v2 <= v1 || string(kv.Value) != "two" {
 			t.Fatalf("got %+v after versions %d and %d", kv, v1, v2)
 		}
-		wantErr(t, c.Delete(ctx, key, v1), platform.ErrConflict)
+		wantErr(t, c.Delete(ctx, key, v1), infrastructure.ErrConflict)
 		wantErr(t, c.Delete(ctx, key, v2), nil)
-		wantErr(t, c.Delete(ctx, key, v2), platform.ErrNotFound)
+		wantErr(t, c.Delete(ctx, key, v2), infrastructure.ErrNotFound)
 	}
 }
 
@@ -67,7 +68,7 @@
 	p, c := startPlatform(t, PlatformOptions{Faults: PlatformFaults{LoseNext: 1}})
 	ctx := t.Context()
 	_, err := c.Put(ctx, "k", []byte("one"), 0, "")
-	wantErr(t, err, platform.ErrUnknown)
+	wantErr(t, err, infrastructure.ErrUnknown)
 	kv, err := c.Get(ctx, "k")
 	wantErr(t, err, nil)
 	if string(kv.Value) != "one" {
@@ -75,14 +76,14 @@
 	}
 	p.SetFaults(PlatformFaults{DropNext: 1})
 	_, err = c.Put(ctx, "k", []byte("two"), kv.Version, "")
-	wantErr(t, err, platform.ErrUnknown)
+	wantErr(t, err, infrastructure.ErrUnknown)
 	p.SetFaults(PlatformFaults{LoseNext: 1})
 	// An answer that reports no effect is not lost.
 	_, err = c.Put(ctx, "k", []byte("two"), kv.Version+7, "")
-	wantErr(t, err, platform.ErrConflict)
-	wantErr(t, c.Delete(ctx, "k", kv.Version), platform.ErrUnknown)
+	wantErr(t, err, infrastructure.ErrConflict)
+	wantErr(t, c.Delete(ctx, "k", kv.Version), infrastructure.ErrUnknown)
 	_, err = c.Get(ctx, "k")
-	wantErr(t, err, platform.ErrNotFound)
+	wantErr(t, err, infrastructure.ErrNotFound)
 	if n := p.Counts()["put"]; n != 3 {
 		t.Fatalf("%d puts counted, want 3", n)
 	}
@@ -92,26 +93,26 @@
 // callers than those it names.
 func TestOutage(t *testing.T) {
 	p, c := startPlatform(t, PlatformOptions{})
-	other := platform.NewClient(platform.ClientOptions{BaseURL: p.Addr(), Entry: "entry-2", Timeout: 300 * time.Millisecond})
+	other := httpclient.NewClient(httpclient.ClientOptions{BaseURL: p.Addr(), Entry: "entry-2", Timeout: 300 * time.Millisecond})
 	defer other.CloseIdleConnections()
 	ctx := t.Context()
-	put := func(c *platform.Client) error { _, err := c.Put(ctx, "k", nil, 0, ""); return err }
+	put := func(c *httpclient.Client) error { _, err := c.Put(ctx, "k", nil, 0, ""); return err }
 
 	p.SetFaults(PlatformFaults{Down: true})
-	wantErr(t, put(c), platform.ErrUnavailable)
+	wantErr(t, put(c), infrastructure.ErrUnavailable)
 	_, err := c.VMs(ctx)
-	wantErr(t, err, platform.ErrUnavailable)
+	wantErr(t, err, infrastructure.ErrUnavailable)
 	p.SetFaults(PlatformFaults{Down: true, DownCalls: []string{"store"}})
-	wantErr(t, put(c), platform.ErrUnavailable)
+	wantErr(t, put(c), infrastructure.ErrUnavailable)
 	_, err = c.VMs(ctx)
 	wantErr(t, err, nil)
 	for _, mode := range []DownMode{DownClose, DownSilent} {
 		p.SetFaults(PlatformFaults{DownEntries: []string{"entry-2"}, DownMode: mode})
-		wantErr(t, put(other), platform.ErrUnknown)
+		wantErr(t, put(other), infrastructure.ErrUnknown)
 		_, err = other.Get(ctx, "k")
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, infrastructure.ErrUnavailable)
 		_, err = c.Get(ctx, "k")
-		wantErr(t, err, platform.ErrNotFound)
+		wantErr(t, err, infrastructure.ErrNotFound)
 	}
 	p.SetFaults(PlatformFaults{DownEntries: []string{"entry-2"}})
 	wantErr(t, put(c), nil)
@@ -121,7 +122,7 @@
 // all of them have gone silent together.
 func TestSilentStoreConnections(t *testing.T) {
 	p, _ := startPlatform(t, PlatformOptions{Faults: PlatformFaults{DelaySeconds: 0.05}})
-	c := platform.NewClient(platform.ClientOptions{BaseURL: p.Addr(), Timeout: time.Second})
+	c := httpclient.NewClient(httpclient.ClientOptions{BaseURL: p.Addr(), Timeout: time.Second})
 	defer c.CloseIdleConnections()
 	var calls sync.WaitGroup
 	for range 4 {
@@ -133,7 +134,7 @@
 		t.Fatalf("%d connections silenced, want several", n)
 	}
 	_, err := c.Put(t.Context(), "k", nil, 0, "")
-	wantErr(t, err, platform.ErrUnknown)
+	wantErr(t, err, infrastructure.ErrUnknown)
 	_, err = c.Put(t.Context(), "k", nil, 0, "")
 	wantErr(t, err, nil)
 }
@@ -151,7 +152,7 @@
 		t.Fatalf("first watch %+v", first)
 	}
 	type outcome struct {
-		r   platform.WatchResult
+		r   infrastructure.WatchResult
 		err error
 	}
 	watch := func(after int64) chan outcome {
@@ -177,7 +178,7 @@
 	}
 	waiting = watch(got.r.Next)
 	p.SetFaults(PlatformFaults{Down: true})
-	wantErr(t, (<-waiting).err, platform.ErrUnavailable)
+	wantErr(t, (<-waiting).err, infrastructure.ErrUnavailable)
 	p.SetFaults(PlatformFaults{})
 	empty, err := c.Watch(ctx, "a/", got.r.Next, 10*time.Millisecond)
 	wantErr(t, err, nil)
@@ -209,9 +210,9 @@
 		if len(result.Deleted) != 1 {
 			t.Fatalf("watch %+v, want the removal of the key of the lease", result)
 		}
-		wantErr(t, s.keepAlive(id), platform.ErrNotFound)
+		wantErr(t, s.keepAlive(id), infrastructure.ErrNotFound)
 		_, err = s.put("role", nil, 0, id)
-		wantErr(t, err, platform.ErrNotFound)
+		wantErr(t, err, infrastructure.ErrNotFound)
 		_, err = s.get("kept")
 		wantErr(t, err, nil)
 	})
@@ -231,13 +232,13 @@
 		wantErr(t, err, nil)
 		wantErr(t, c.KeepAlive(ctx, id), nil)
 		wantErr(t, end(id), nil)
-		wantErr(t, c.KeepAlive(ctx, id), platform.ErrNotFound)
+		wantErr(t, c.KeepAlive(ctx, id), infrastructure.ErrNotFound)
 		_, err = c.Get(ctx, "role")
-		wantErr(t, err, platform.ErrNotFound)
+		wantErr(t, err, infrastructure.ErrNotFound)
 	}
 }
 
-func ids(vms []platform.VM) string {
+func ids(vms []infrastructure.VM) string {
 	var out []string
 	for _, vm := range vms {
 		out = append(out, vm.ID+":"+string(vm.State))
@@ -247,7 +248,7 @@
 
 // Guards against a list without lag, and against a lag of the single record.
 func TestLaggingList(t *testing.T) {
-	p, c := startPlatform(t, PlatformOptions{VMs: []platform.VM{{ID: "a"}, {ID: "b"}}})
+	p, c := startPlatform(t, PlatformOptions{VMs: []infrastructure.VM{{ID: "a"}, {ID: "b"}}})
 	ctx := t.Context()
 	list := func(lag float64) string {
 		p.SetFaults(PlatformFaults{ListLagSeconds: lag})
@@ -255,9 +256,9 @@
 		wantErr(t, err, nil)
 		return ids(vms)
 	}
-	wantErr(t, c.Drain(ctx, "a", platform.Operation{ID: "op", ExpectedBoot: 1}), nil)
+	wantErr(t, c.Drain(ctx, "a", infrastructure.Operation{ID: "op", ExpectedBoot: 1}), nil)
 	p.Remove("b")
-	p.Register(platform.VM{ID: "c"})
+	p.Register(infrastructure.VM{ID: "c"})
 	if got, want := list(60), "a:live b:live"; got != want {
 		t.Fatalf("lagging list %q, want %q", got, want)
 	}
@@ -265,11 +266,11 @@
 		t.Fatalf("list %q, want %q", got, want)
 	}
 	vm, err := c.VM(ctx, "a")
-	if err != nil || vm.State != platform.VMLeaving {
+	if err != nil || vm.State != infrastructure.VMLeaving {
 		t.Fatalf("record %+v error %v", vm, err)
 	}
 	_, err = c.VM(ctx, "b")
-	wantErr(t, err, platform.ErrNotFound)
+	wantErr(t, err, infrastructure.ErrNotFound)
 }
 
 // Guards against a fault name that is misspelt and then silently has no effect.
--- a/standin/store.go
+++ b/standin/store.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 )
 
 // defaultListLimit applies to a list call without a limit.
@@ -54,27 +54,27 @@
 	}
 }
 
-func (s *store) get(key string) (platform.KeyValue, error) {
+func (s *store) get(key string) (infrastructure.KeyValue, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.records[key]
 	if !ok {
-		return platform.KeyValue{}, platform.ErrNotFound
+		return infrastructure.KeyValue{}, infrastructure.ErrNotFound
 	}
 	return r.keyValue(key), nil
 }
 
-func (r *record) keyValue(key string) platform.KeyValue {
-	return platform.KeyValue{Key: key, Version: r.version, Value: r.value}
+func (r *record) keyValue(key string) infrastructure.KeyValue {
+	return infrastructure.KeyValue{Key: key, Version: r.version, Value: r.value}
 }
 
-func (s *store) list(prefix, after string, limit int) []platform.KeyValue {
+func (s *store) list(prefix, after string, limit int) []infrastructure.KeyValue {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if limit <= 0 {
 		limit = defaultListLimit
 	}
-	items := []platform.KeyValue{}
+	items := []infrastructure.KeyValue{}
 	s.scan(prefix, after, func(key string, r *record) bool {
 		items = append(items, r.keyValue(key))
 		return len(items) < limit
@@ -101,12 +101,12 @@
 	defer s.mu.Unlock()
 	r, ok := s.records[key]
 	if current := versionOf(r); current != expected {
-		return 0, platform.ErrConflict
+		return 0, infrastructure.ErrConflict
 	}
 	var l *lease
 	if leaseID != "" {
 		if l = s.live(leaseID); l == nil {
-			return 0, platform.ErrNotFound
+			return 0, infrastructure.ErrNotFound
 		}
 	}
 	if !ok {
@@ -137,10 +137,10 @@
 	defer s.mu.Unlock()
 	r, ok := s.records[key]
 	if !ok {
-		return platform.ErrNotFound
+		return infrastructure.ErrNotFound
 	}
 	if r.version != expected {
-		return platform.ErrConflict
+		return infrastructure.ErrConflict
 	}
 	s.remove(key)
 	return nil
@@ -170,7 +170,7 @@
 
 // watch waits until a key under prefix changed after a version, the wait ends,
 // the context ends or stop is closed.
-func (s *store) watch(ctx context.Context, prefix string, after int64, wait time.Duration, stop <-chan struct{}) platform.WatchResult {
+func (s *store) watch(ctx context.Context, prefix string, after int64, wait time.Duration, stop <-chan struct{}) infrastructure.WatchResult {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -190,10 +190,10 @@
 	}
 }
 
-func (s *store) changes(prefix string, after int64) (platform.WatchResult, <-chan struct{}) {
+func (s *store) changes(prefix string, after int64) (infrastructure.WatchResult, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := platform.WatchResult{Next: s.revision}
+	result := infrastructure.WatchResult{Next: s.revision}
 	s.scan(prefix, "", func(key string, r *record) bool {
 		if r.version > after {
 			result.Changed = append(result.Changed, r.keyValue(key))
@@ -244,7 +244,7 @@
 	defer s.mu.Unlock()
 	l := s.live(id)
 	if l == nil {
-		return platform.ErrNotFound
+		return infrastructure.ErrNotFound
 	}
 	l.expires = time.Now().Add(l.ttl)
 	l.timer.Reset(l.ttl)
@@ -255,7 +255,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.live(id) == nil {
-		return platform.ErrNotFound
+		return infrastructure.ErrNotFound
 	}
 	s.drop(id)
 	return nil
--- a/tools/measure/maintenance.go
+++ b/tools/measure/maintenance.go
@@ -11,9 +11,9 @@
 	"dotterelhead.example/dotterelhead/control"
 	"dotterelhead.example/dotterelhead/examples"
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/membership"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/scheduler/maintenance"
 )
 
@@ -75,7 +75,7 @@
 type waveListed struct {
 	at     time.Duration
 	listed bool
-	vm     platform.VM
+	vm     infrastructure.VM
 }
 
 // time is the least time that the VM is out of service for the wave.
@@ -411,17 +411,17 @@
 	// The list shows the change after its lag.
 	r.dirty, r.news = true, true
 	r.after(waveListLag, func() { r.news = true })
-	state := platform.VMLive
+	state := infrastructure.VMLive
 	if v.drained {
-		state = platform.VMLeaving
+		state = infrastructure.VMLeaving
 	}
-	v.history = append(v.history, waveListed{at: r.now, listed: v.up(), vm: platform.VM{
+	v.history = append(v.history, waveListed{at: r.now, listed: v.up(), vm: infrastructure.VM{
 		ID: v.id, Address: v.id, AvailabilityZone: v.zone, Rack: v.rack, State: state, BootCount: v.boot,
 	}})
 }
 
-func (r *waveRun) list() []platform.VM {
-	var out []platform.VM
+func (r *waveRun) list() []infrastructure.VM {
+	var out []infrastructure.VM
 	for _, v := range r.vms {
 		i := len(v.history) - 1
 		for i > 0 && v.history[i].at > r.now-waveListLag {
--- a/tools/measure/sizing/callers.go
+++ b/tools/measure/sizing/callers.go
@@ -13,8 +13,8 @@
 
 	"dotterelhead.example/dotterelhead/claims"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/standin"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // callerLines are the costs of requests.
@@ -149,7 +149,7 @@
 		return 0, err
 	}
 	defer store.Close()
-	client := platform.NewClient(platform.ClientOptions{BaseURL: store.Addr()})
+	client := httpclient.NewClient(httpclient.ClientOptions{BaseURL: store.Addr()})
 	defer client.CloseIdleConnections()
 	running, stop := context.WithCancel(ctx)
 	defer stop()
--- a/tools/measure/sizing/documents.go
+++ b/tools/measure/sizing/documents.go
@@ -14,11 +14,11 @@
 	"dotterelhead.example/dotterelhead/membership"
 	"dotterelhead.example/dotterelhead/note"
 	"dotterelhead.example/dotterelhead/peer"
-	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/routing"
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
 	"dotterelhead.example/dotterelhead/scheduler/dispatching"
 	"dotterelhead.example/dotterelhead/scheduler/maintenance"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // documentLines are the sizes of the documents.
@@ -44,7 +44,7 @@
 		return float64(len(fleetOf(configOf(size{workers: n, pools: 6, teams: 1}), vms(n)).Encode()))
 	}))
 	l.listByWorker = m.slope("platform's list", "B", "worker", exact(workers, func(n int) float64 {
-		value, err := json.Marshal(platform.VMsAnswer{VMs: vms(n)})
+		value, err := json.Marshal(httpclient.VMsAnswer{VMs: vms(n)})
 		if err != nil {
 			panic(err)
 		}
@@ -202,7 +202,7 @@
 			now = now.Add(time.Second)
 			planner.Plan(now, snapshot)
 		})
-		listAnswer, err := json.Marshal(platform.VMsAnswer{VMs: list})
+		listAnswer, err := json.Marshal(httpclient.VMsAnswer{VMs: list})
 		if err != nil {
 			panic(err)
 		}
@@ -232,7 +232,7 @@
 // nothing changes. The fleet document is not decoded, because the holder keeps
 // the one that it last read or wrote.
 func roundOf(now time.Time, planner *capacity.Planner, document fleet.Document, listAnswer, configValue []byte, inputs fleet.Inputs) {
-	var listed platform.VMsAnswer
+	var listed httpclient.VMsAnswer
 	if err := json.Unmarshal(listAnswer, &listed); err != nil {
 		panic(err)
 	}
--- a/tools/measure/sizing/region.go
+++ b/tools/measure/sizing/region.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 
 	"dotterelhead.example/dotterelhead/daemon"
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/settings"
 	"dotterelhead.example/dotterelhead/standin"
 )
@@ -56,14 +56,14 @@
 	return fmt.Sprintf("vm-%s-r%03d-%d", zone, i/zones/4, i/zones%4)
 }
 
-func vms(n int) []platform.VM {
-	list := make([]platform.VM, n)
+func vms(n int) []infrastructure.VM {
+	list := make([]infrastructure.VM, n)
 	for i := range list {
 		id := workerID(i)
-		list[i] = platform.VM{
+		list[i] = infrastructure.VM{
 			ID: id, Address: fmt.Sprintf("10.%d.%d.%d:8080", i%zones, i/200, i%200+10),
 			AvailabilityZone: regionName + "-" + string(rune('a'+i%zones)), Rack: id[:9],
-			State: platform.VMLive, BootCount: 1,
+			State: infrastructure.VMLive, BootCount: 1,
 		}
 	}
 	return list
@@ -172,7 +172,7 @@
 	s.PeerListen, s.PeerAddress = listen, peerSide.address()
 	s.PlatformURL = "http://" + storeSide.address()
 	s.ShutdownLoadBalancerWaitSeconds = 0
-	r.platform.Register(platform.VM{ID: s.ID, AvailabilityZone: s.AvailabilityZone, EntryVM: true})
+	r.platform.Register(infrastructure.VM{ID: s.ID, AvailabilityZone: s.AvailabilityZone, EntryVM: true})
 	entry, err := daemon.New(daemon.Options{Settings: s, Log: &log.Logger{Level: log.PanicLevel}})
 	if err != nil {
 		return err
--- a/tools/measure/sizing/sweeps.go
+++ b/tools/measure/sizing/sweeps.go
@@ -9,8 +9,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"dotterelhead.example/dotterelhead/fleet"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/note"
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/standin/httpclient"
 )
 
 // sample is what was measured of one region; each field holds two repeats.
@@ -101,7 +102,7 @@
 }
 
 func (r *region) documentSizes(ctx context.Context) (config, document float64, err error) {
-	client := platform.NewClient(platform.ClientOptions{BaseURL: r.platform.Addr()})
+	client := httpclient.NewClient(httpclient.ClientOptions{BaseURL: r.platform.Addr()})
 	defer client.CloseIdleConnections()
 	configValue, err := client.Get(ctx, note.ConfigKey)
 	if err != nil {
@@ -323,7 +324,7 @@
 }
 
 // fleetOf returns the fleet document that the step makes of a new fleet.
-func fleetOf(config note.Config, list []platform.VM) fleet.Document {
+func fleetOf(config note.Config, list []infrastructure.VM) fleet.Document {
 	document, _ := fleet.Step(fleet.Document{}, fleet.Inputs{Now: time.Now(), Term: 1, Config: config, List: list})
 	return document
 }
--- a/tools/standin/main_test.go
+++ b/tools/standin/main_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/standin"
 )
 
@@ -41,9 +41,9 @@
 	if err := os.WriteFile(file, []byte(`[{"id":"a","address":"127.0.0.1:1","rack":"r1"}]`), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for text, want := range map[string]platform.VM{
+	for text, want := range map[string]infrastructure.VM{
 		"id=e1,address=127.0.0.1:2,zone=z1,rack=r2,entry=true": {
-			ID: "e1", Address: "127.0.0.1:2", AvailabilityZone: "z1", Rack: "r2", State: platform.VMLive, EntryVM: true,
+			ID: "e1", Address: "127.0.0.1:2", AvailabilityZone: "z1", Rack: "r2", State: infrastructure.VMLive, EntryVM: true,
 		},
 		file: {ID: "a", Address: "127.0.0.1:1", Rack: "r1"},
 	} {
--- a/tools/standin/platform.go
+++ b/tools/standin/platform.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/infrastructure"
 	"dotterelhead.example/dotterelhead/standin"
 )
 
@@ -96,16 +96,16 @@
 }
 
 // parseVMs reads a file of VMs, or one VM in the form key=value,...
-func parseVMs(text string) ([]platform.VM, error) {
+func parseVMs(text string) ([]infrastructure.VM, error) {
 	if !strings.Contains(text, "=") {
 		data, err := os.ReadFile(text)
 		if err != nil {
 			return nil, errors.Wrap(err, "--vms")
 		}
-		var vms []platform.VM
+		var vms []infrastructure.VM
 		return vms, errors.Wrapf(json.Unmarshal(data, &vms), "--vms %s", text)
 	}
-	vm := platform.VM{State: platform.VMLive}
+	vm := infrastructure.VM{State: infrastructure.VMLive}
 	for field := range strings.SplitSeq(text, ",") {
 		key, value, _ := strings.Cut(field, "=")
 		var err error
@@ -130,5 +130,5 @@
 	if vm.ID == "" {
 		return nil, errors.Errorf("--vms %s: id is missing", text)
 	}
-	return []platform.VM{vm}, nil
+	return []infrastructure.VM{vm}, nil
 }
