--- a/cmd/dotterelheadd/main.go
+++ b/cmd/dotterelheadd/main.go
@@ -14,6 +14,7 @@
 
 	"dotterelhead.example/dotterelhead/daemon"
 	"dotterelhead.example/dotterelhead/development"
+	"dotterelhead.example/dotterelhead/jobserver"
 	"dotterelhead.example/dotterelhead/settings"
 	"dotterelhead.example/dotterelhead/telemetry"
 )
@@ -51,7 +52,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkConfigCommand(), devCommand())
+	root.AddCommand(serveCommand(), jobsCommand(), checkConfigCommand(), devCommand())
 	return root
 }
 
@@ -106,6 +107,30 @@
 	return entry.Run(ctx)
 }
 
+func jobsCommand() *cobra.Command {
+	var file string
+	return configFlag(&cobra.Command{
+		Use:   "jobs --config FILE",
+		Short: "Run one entry VM of the job service until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, found := jobserver.LoadSettings(file)
+			if err := found.Err(); err != nil {
+				return failure{err}
+			}
+			tel, err := telemetry.New(telemetry.Options{InstanceID: s.Node, LogLevel: s.LogLevel, LogWriter: os.Stdout})
+			if err != nil {
+				return failure{err}
+			}
+			server := jobserver.New(jobserver.Options{Settings: *s, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler})
+			if err := server.Run(c.Context()); err != nil {
+				return failure{err}
+			}
+			return nil
+		},
+	}, &file)
+}
+
 func checkConfigCommand() *cobra.Command {
 	var file string
 	return configFlag(&cobra.Command{
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,198 @@
+// Package job is the model of jobs: steps of work items, their durable
+// records, and the manifest that says where queues run.
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/findings"
+)
+
+// Limits of an accepted job.
+const (
+	MaxSpecBytes = 4000
+	MaxSteps     = 64
+	// MaxItemsPerStep bounds the memory that one job takes at its owner.
+	MaxItemsPerStep = 2000
+	// idDigits is the length of a job's ID in hexadecimal digits.
+	idDigits = 16
+)
+
+// Resources are what a work item requests and what a worker has.
+type Resources struct {
+	// MilliCPU is in thousandths of a core.
+	MilliCPU int64 `json:"c,omitempty"`
+	MemoryMB int64 `json:"m,omitempty"`
+	GPU      int64 `json:"g,omitempty"`
+}
+
+// Fits reports whether r fits into free.
+func (r Resources) Fits(free Resources) bool {
+	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
+}
+
+// Add returns the sum of r and n times o.
+func (r Resources) Add(o Resources, n int64) Resources {
+	return Resources{r.MilliCPU + n*o.MilliCPU, r.MemoryMB + n*o.MemoryMB, r.GPU + n*o.GPU}
+}
+
+// Step is a set of alike work items.
+type Step struct {
+	Count int       `json:"n"`
+	Needs Resources `json:"r"`
+	// Estimate is the requester's rough estimate of a work item's run time.
+	Estimate time.Duration `json:"e,omitempty"`
+	// After lists the earlier steps that must be done first.
+	After []int `json:"a,omitempty"`
+	// Gang items work only together and end together.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack items are slower when they run on more than one rack.
+	SameRack bool `json:"rack,omitempty"`
+	// Label is one that the worker must have.
+	Label string `json:"label,omitempty"`
+	// DataRack is the rack on which the step's data is near.
+	DataRack string `json:"near,omitempty"`
+	// MaxPerWorker bounds the items of one occurrence on one worker; 0 means
+	// no bound.
+	MaxPerWorker int `json:"max,omitempty"`
+	// SavesProgress items can resume from a checkpoint.
+	SavesProgress bool `json:"saves,omitempty"`
+	// Speculative items may run in copies; the first to finish counts.
+	Speculative bool `json:"spec,omitempty"`
+	// LongRunning items are restarted however they end, until the job is
+	// cancelled.
+	LongRunning bool `json:"long,omitempty"`
+	// Image names what the items run; items of one image behave alike.
+	Image string `json:"image,omitempty"`
+	// TailTarget is the response time that a long-running item's users accept.
+	TailTarget time.Duration `json:"target,omitempty"`
+	// Filler items use the CPU that other items leave unused; their CPU does
+	// not count against a worker's capacity.
+	Filler bool `json:"fill,omitempty"`
+	// MaxUnavailable is how many long-running items planned work may keep from
+	// working at once; 0 means that the step has no such limit.
+	MaxUnavailable int `json:"down,omitempty"`
+}
+
+// Charge is what an item of the step takes from a worker's capacity.
+func (s *Step) Charge() Resources {
+	r := s.Needs
+	if s.Filler {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+// Job is an accepted job. It never changes.
+type Job struct {
+	ID string `json:"-"`
+	// Queue is the name of the route through which the job came.
+	Queue string `json:"q"`
+	// Service is the pool of that queue at acceptance; it counts once the
+	// queue is withdrawn.
+	Service string `json:"s"`
+	Spec    string `json:"spec"`
+	Steps   []Step `json:"steps"`
+	// Occurrences is how often the steps run; 0 stands for a single run
+	// without a due time.
+	Occurrences int           `json:"times,omitempty"`
+	FirstDue    time.Time     `json:"first,omitzero"`
+	Interval    time.Duration `json:"every,omitempty"`
+}
+
+// Runs returns the number of occurrences, at least one.
+func (j *Job) Runs() int { return max(j.Occurrences, 1) }
+
+// Due returns when an occurrence is due; the zero time for a job without.
+func (j *Job) Due(occurrence int) time.Time {
+	if j.Occurrences == 0 {
+		return time.Time{}
+	}
+	return j.FirstDue.Add(time.Duration(occurrence) * j.Interval)
+}
+
+// ItemsPerRun returns the number of work items of one occurrence.
+func (j *Job) ItemsPerRun() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// ValidID reports whether id is a job ID.
+func ValidID(id string) bool {
+	return len(id) == idDigits && !strings.ContainsFunc(id, func(r rune) bool {
+		return (r < '0' || r > '9') && (r < 'a' || r > 'f') && (r < 'A' || r > 'F')
+	})
+}
+
+// Check returns everything that is wrong with a job.
+func (j *Job) Check() findings.List {
+	var found findings.List
+	add := func(format string, args ...any) { found.Add(findings.Position{File: "job " + j.ID}, format, args...) }
+	if !ValidID(j.ID) {
+		add("ID is not %d hexadecimal digits", idDigits)
+	}
+	if len(j.Spec) > MaxSpecBytes {
+		add("spec has %d bytes, more than %d", len(j.Spec), MaxSpecBytes)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		add("%d steps, not 1 to %d", len(j.Steps), MaxSteps)
+	}
+	if j.Occurrences < 0 || j.Interval < 0 {
+		add("negative number of occurrences or interval")
+	}
+	for i := range j.Steps {
+		j.Steps[i].check(i, add)
+	}
+	return found
+}
+
+func (s *Step) check(number int, add func(string, ...any)) {
+	if s.Count < 1 || s.Count > MaxItemsPerStep {
+		add("step %d: %d work items, not 1 to %d", number, s.Count, MaxItemsPerStep)
+	}
+	if s.Needs.MilliCPU < 0 || s.Needs.MemoryMB < 0 || s.Needs.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+		add("step %d: negative size", number)
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= number {
+			add("step %d: comes after step %d, which is not an earlier step", number, before)
+		}
+	}
+}
+
+// ItemID names a work item.
+type ItemID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+func (i ItemID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", i.Job, i.Occurrence, i.Step, i.Index)
+}
+
+// ParseItemID reads what ItemID.String writes.
+func ParseItemID(s string) (ItemID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 || !ValidID(parts[0]) {
+		return ItemID{}, errors.Errorf("work item name %q is not ID.occurrence.step.index", s)
+	}
+	id := ItemID{Job: parts[0]}
+	for i, into := range []*int{&id.Occurrence, &id.Step, &id.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return ItemID{}, errors.Errorf("work item name %q has a bad number %q", s, parts[i+1])
+		}
+		*into = n
+	}
+	return id, nil
+}
--- /dev/null
+++ b/job/manifest.go
@@ -0,0 +1,74 @@
+package job
+
+import (
+	"strings"
+	"time"
+)
+
+// Queue is a route of the manifest: jobs that come through it run on the
+// workers of its service.
+type Queue struct {
+	Name    string
+	Host    string
+	Prefix  string
+	Service string
+	// Priority 0 comes first.
+	Priority int
+	// Attempts is how often a work item may fail.
+	Attempts      int
+	Stretch       float64
+	TargetLatency time.Duration
+	// Timeout is how long a requester's call may take.
+	Timeout time.Duration
+	Advice  *Advice
+}
+
+// Advice describes the service that says which workers may run a step.
+type Advice struct {
+	Decide   time.Duration
+	PerItem  time.Duration
+	Validity time.Duration
+}
+
+// Service is a pool of VMs.
+type Service struct {
+	Name string
+	// Spare VMs are off and cost nothing.
+	Spare bool
+	// ChecksAdmission is set where workers reject what does not fit.
+	ChecksAdmission bool
+}
+
+// Manifest is the configuration in force.
+type Manifest struct {
+	Version  int64
+	Queues   []Queue
+	Services []Service
+	// MaxBodyBytes bounds a requester's body.
+	MaxBodyBytes int64
+}
+
+// Find returns the queue for a host and path and the rest of the path after
+// the longest prefix that matches.
+func (m *Manifest) Find(host, path string) (queue *Queue, rest string, ok bool) {
+	for i := range m.Queues {
+		q := &m.Queues[i]
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (queue == nil || len(q.Prefix) > len(queue.Prefix)) {
+			queue = q
+		}
+	}
+	if queue == nil {
+		return nil, "", false
+	}
+	return queue, path[len(queue.Prefix):], true
+}
+
+// Queue returns the queue of a name, or nil.
+func (m *Manifest) Queue(name string) *Queue {
+	for i := range m.Queues {
+		if m.Queues[i].Name == name {
+			return &m.Queues[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/jobserver/settings.go
@@ -0,0 +1,116 @@
+// Package jobserver wires one entry VM of the job service: requesters' calls,
+// the owner of the jobs, and the connections to the platform.
+package jobserver
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/tomlfile"
+)
+
+// Settings are the settings of one entry VM of the job service.
+type Settings struct {
+	// Node names the entry VM; it is the holder of its orders.
+	Node             string `toml:"node"`
+	AvailabilityZone string `toml:"availability_zone"`
+	// CallerListen serves requesters, ReadyListen the load balancer's check,
+	// and MetricsListen metrics; each is IP:port. MetricsListen may be empty.
+	CallerListen  string `toml:"caller_listen"`
+	ReadyListen   string `toml:"ready_listen"`
+	MetricsListen string `toml:"metrics_listen"`
+	// StoreAddress, MachinesAddress and AdviceAddress are IP:port of the
+	// platform's services. The last two may be empty.
+	StoreAddress    string `toml:"store_address"`
+	MachinesAddress string `toml:"machines_address"`
+	AdviceAddress   string `toml:"advice_address"`
+	MemoryLimitMB   int64  `toml:"memory_limit_mb"`
+	LogLevel        string `toml:"log_level"`
+	Bounds          Bounds `toml:"bounds"`
+}
+
+// Bounds are the times that the platform promises and asks for.
+type Bounds struct {
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64 `toml:"grace_seconds"`
+	// StopTimeoutMs is how long a worker takes to stop a run.
+	StopTimeoutMs int64 `toml:"stop_timeout_ms"`
+	// MaxLeaseMs is the longest time that a worker may run what it holds
+	// without hearing from the owner.
+	MaxLeaseMs int64 `toml:"max_lease_ms"`
+	// HandOverMs is the least time between orders of successive owners for one
+	// VM.
+	HandOverMs int64 `toml:"hand_over_ms"`
+	// EarlyMs is how much before its due time an occurrence may start.
+	EarlyMs int64 `toml:"early_ms"`
+	// StatusSeconds is how long a finished job can be asked for.
+	StatusSeconds float64 `toml:"status_seconds"`
+	// FarFactor is how much slower an item runs away from its data.
+	FarFactor float64 `toml:"far_factor"`
+}
+
+// defaults are the bounds of a platform that names none.
+func defaults() Settings {
+	return Settings{
+		LogLevel: "info",
+		Bounds: Bounds{
+			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, HandOverMs: 3000, EarlyMs: 250, StatusSeconds: 120, FarFactor: 2,
+		},
+	}
+}
+
+// LoadSettings reads a settings file and returns everything that is wrong with
+// it.
+func LoadSettings(file string) (*Settings, findings.List) {
+	s := defaults()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		var found findings.List
+		found.Add(findings.Position{File: file}, "%v", err)
+		return nil, found
+	}
+	index, found, ok := tomlfile.Decode(file, text, &s)
+	if !ok {
+		return nil, found
+	}
+	s.check(index, &found)
+	found.Sort()
+	return &s, found
+}
+
+func (s *Settings) check(index *tomlfile.Index, found *findings.List) {
+	if s.Node == "" {
+		found.Add(index.At("node"), "node is empty")
+	}
+	for _, a := range []struct {
+		path, value string
+		optional    bool
+	}{
+		{"caller_listen", s.CallerListen, false}, {"ready_listen", s.ReadyListen, false}, {"metrics_listen", s.MetricsListen, true},
+		{"store_address", s.StoreAddress, false}, {"machines_address", s.MachinesAddress, true}, {"advice_address", s.AdviceAddress, true},
+	} {
+		if a.value == "" && a.optional {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			found.Add(index.At(a.path), "%s is not IP:port: %v", a.path, err)
+		}
+	}
+	for path, value := range map[string]float64{
+		"bounds.grace_seconds": s.Bounds.GraceSeconds, "bounds.max_lease_ms": float64(s.Bounds.MaxLeaseMs),
+		"bounds.stop_timeout_ms": float64(s.Bounds.StopTimeoutMs), "bounds.status_seconds": s.Bounds.StatusSeconds,
+	} {
+		if value <= 0 {
+			found.Add(index.At(path), "%s is not above 0", path)
+		}
+	}
+	if s.MemoryLimitMB < 0 {
+		found.Add(index.At("memory_limit_mb"), "memory_limit_mb is negative")
+	}
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/jobstore/writer.go
@@ -0,0 +1,119 @@
+package jobstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/store"
+)
+
+// ErrDeposed reports that the owner's key has changed: another process owns
+// the jobs.
+var ErrDeposed = errors.New("another process owns the jobs")
+
+// recordsPerTransaction is how many records fit into a transaction beside the
+// condition on the owner's key: each takes a condition and a write.
+const recordsPerTransaction = (store.MaxTransactionEntries - 1) / 2
+
+// Record is a value to be written, or a key to be deleted if Value is nil.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Writer writes the records of one owner. Each write requires that the owner's
+// key is unchanged and that the record is as this writer last knew it, so that
+// a write without an answer cannot take effect after a later one.
+type Writer struct {
+	store store.Store
+	// Fence is the revision of the owner's key.
+	fence     int64
+	revisions map[string]int64
+}
+
+// NewWriter returns the writer of the owner whose key has the revision fence.
+// known are the records read after that key was written.
+func NewWriter(s store.Store, fence int64, known []store.Item) *Writer {
+	w := &Writer{store: s, fence: fence, revisions: map[string]int64{}}
+	for _, i := range known {
+		w.revisions[i.Key] = i.Revision
+	}
+	return w
+}
+
+// MaxRecords is how many records one Write takes.
+func (w *Writer) MaxRecords() int { return recordsPerTransaction }
+
+// Write writes records with different keys. It repeats a write whose answer
+// was lost until ctx ends.
+func (w *Writer) Write(ctx context.Context, records []Record) error {
+	for {
+		tx := store.Transaction{Conditions: []store.Condition{{Key: OwnerKey, Revision: w.fence}}}
+		for _, r := range records {
+			tx.Conditions = append(tx.Conditions, store.Condition{Key: r.Key, Revision: w.revisions[r.Key]})
+			if r.Value == nil {
+				tx.Deletes = append(tx.Deletes, r.Key)
+			} else {
+				tx.Writes = append(tx.Writes, store.Write{Key: r.Key, Value: r.Value})
+			}
+		}
+		revision, err := w.store.Commit(ctx, tx)
+		if err == nil {
+			for _, r := range records {
+				if r.Value == nil {
+					delete(w.revisions, r.Key)
+				} else {
+					w.revisions[r.Key] = revision
+				}
+			}
+			return nil
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			if err := w.learn(records, conflict.Items); err != nil {
+				return err
+			}
+			continue
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !errors.Is(err, store.ErrUnknown) && !errors.Is(err, store.ErrUnavailable) {
+			return err
+		}
+		if !sleep(ctx, writeRetry) {
+			return ctx.Err()
+		}
+	}
+}
+
+// writeRetry is the pause before a write is repeated. A store that is down
+// gets about 20 calls a second.
+const writeRetry = 50 * time.Millisecond
+
+// learn takes the revisions of records that an earlier write without an answer
+// has changed.
+func (w *Writer) learn(records []Record, items []store.Item) error {
+	present := map[string]int64{}
+	for _, i := range items {
+		present[i.Key] = i.Revision
+	}
+	if present[OwnerKey] != w.fence {
+		return errors.WithStack(ErrDeposed)
+	}
+	for _, r := range records {
+		w.revisions[r.Key] = present[r.Key]
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/owner/metrics.go
@@ -0,0 +1,30 @@
+package owner
+
+import "github.com/uber-go/tally/v4"
+
+type metrics struct {
+	scope      tally.Scope
+	round      tally.Timer
+	takeover   tally.Timer
+	commit     tally.Timer
+	startCall  tally.Timer
+	queueWait  tally.Timer
+	jobs       tally.Gauge
+	ownerGauge tally.Gauge
+}
+
+func newMetrics(s tally.Scope) metrics {
+	if s == nil {
+		s = tally.NoopScope
+	}
+	return metrics{
+		scope:      s,
+		round:      s.Timer("round_seconds"),
+		takeover:   s.Timer("takeover_seconds"),
+		commit:     s.Timer("progress_write_seconds"),
+		startCall:  s.Timer("start_call_seconds"),
+		queueWait:  s.Timer("job_seconds"),
+		jobs:       s.Gauge("jobs_waiting"),
+		ownerGauge: s.Gauge("owner"),
+	}
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,138 @@
+// Package owner runs the process that owns all jobs: it holds the owner's
+// lease in the store, keeps the state machine of package execution fed, and
+// carries out its orders.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/scheduler/execution"
+	"dotterelhead.example/dotterelhead/store"
+	"dotterelhead.example/dotterelhead/telemetry"
+)
+
+// ErrFenced reports that a worker or the platform has seen a higher fence
+// number: another process is the owner.
+var ErrFenced = errors.New("fenced off")
+
+// ErrNotSent reports an order that certainly was not carried out.
+var ErrNotSent = errors.New("not carried out")
+
+// Workers carries out orders. Each call names the lifetime that it means and
+// carries the fence number.
+type Workers interface {
+	// Start returns ErrFenced, or the result.
+	Start(ctx context.Context, s execution.Start, fence int64) (execution.StartResult, error)
+	Stop(ctx context.Context, s execution.Stop, fence int64) error
+	Hold(ctx context.Context, h execution.Hold, fence int64) (execution.Report, error)
+	Pace(ctx context.Context, p execution.Pace, fence int64) error
+}
+
+// RegistryHandler receives the registry of workers.
+type RegistryHandler struct {
+	Reset   func([]execution.Worker)
+	Changed func(seen []execution.Worker, gone []string)
+}
+
+// Registry follows the platform's registry of workers until ctx ends.
+type Registry interface {
+	Follow(ctx context.Context, h RegistryHandler)
+}
+
+// Advisor says which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, q execution.Question) (tickets map[string]string, validity time.Duration, err error)
+}
+
+// Options configure an Owner.
+type Options struct {
+	Node     string
+	Store    store.Store
+	Workers  Workers
+	Registry Registry
+	Advisor  Advisor
+	Machines Machines
+	// Manifest returns the manifest in force, or nil.
+	Manifest func() *job.Manifest
+	// Waves returns the waves that operators asked for.
+	Waves func() []Wave
+	Log   *telemetry.Logger
+	Scope tally.Scope
+	// Lease is the time after which another process may become the owner.
+	Lease time.Duration
+	// HandOver is the least time between cloud orders of successive owners for
+	// one machine.
+	HandOver time.Duration
+	// KeepFinished is how long finished jobs can be asked for.
+	KeepFinished time.Duration
+	Execution    execution.Options
+}
+
+const (
+	// renewEvery is the pause between renewals; several fit into a lease.
+	renewEvery = 500 * time.Millisecond
+	// authorityMargin is kept of a lease for the time between the check of the
+	// authority and the arrival of an order.
+	authorityMargin = 400 * time.Millisecond
+	// contendEvery is how often a process that is not the owner looks for one.
+	contendEvery = 400 * time.Millisecond
+)
+
+// Owner contends for the ownership of the jobs and exercises it.
+type Owner struct {
+	options Options
+	process string
+	metrics metrics
+}
+
+// New returns an owner; Run makes it work.
+func New(o Options) *Owner {
+	return &Owner{options: o, process: uuid.NewString(), metrics: newMetrics(o.Scope)}
+}
+
+// Run contends for the ownership until ctx ends, and then hands it back.
+func (o *Owner) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if o.options.Manifest() != nil {
+			if held := o.contend(ctx); held != nil {
+				o.exercise(ctx, held)
+				continue
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(contendEvery):
+		}
+	}
+}
+
+// contend tries to become the owner. The lease counts from before it was
+// granted.
+func (o *Owner) contend(ctx context.Context) *term {
+	asked := boottime.Now()
+	held, err := jobstore.Acquire(ctx, o.options.Store, o.options.Node, o.process, o.options.Lease)
+	if err != nil {
+		if ctx.Err() == nil {
+			o.options.Log.Warn().Str("event", "ownership_not_acquired").Err(err).Msg("")
+		}
+		return nil
+	}
+	if held == nil {
+		return nil
+	}
+	return newTerm(o, held, asked)
+}
+
+func (o *Owner) exercise(ctx context.Context, t *term) {
+	o.options.Log.Info().Str("event", "ownership_acquired").Int64("term", t.held.Term).Int64("fence", t.held.Fence).Msg("")
+	reason := t.run(ctx)
+	o.options.Log.Info().Str("event", "ownership_ended").Int64("term", t.held.Term).Int64("fence", t.held.Fence).Str("reason", reason.Error()).Msg("")
+}
--- /dev/null
+++ b/owner/rounds.go
@@ -0,0 +1,265 @@
+package owner
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/scheduler/execution"
+)
+
+const (
+	// ackWait is how long a loop waits for ends to be committed before it asks
+	// the worker again.
+	ackWait = 100 * time.Millisecond
+	// retryWait is the pause after a call that a worker did not answer.
+	retryWait = 200 * time.Millisecond
+)
+
+// rounds decides whenever something has changed, and every tick.
+func (t *term) rounds(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wake:
+		case <-ticker.C:
+		}
+		t.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(roundGap):
+		}
+	}
+}
+
+func (t *term) round(ctx context.Context) {
+	started := time.Now()
+	t.mu.Lock()
+	if !t.authorizedLocked() {
+		t.mu.Unlock()
+		return
+	}
+	t.setManifestLocked()
+	now := boottime.Now()
+	orders := t.core.Round(started, now)
+	questions := t.core.Questions(now)
+	loops := t.ensureLoopsLocked(ctx)
+	dirty := t.core.Dirty()
+	holders, changed := t.core.UnrecordedHolders()
+	if changed {
+		t.recordHoldersLocked(holders)
+	}
+	t.mu.Unlock()
+	for _, s := range orders.Starts {
+		t.order(func() { t.sendStart(ctx, s) })
+	}
+	for _, s := range orders.Stops {
+		t.order(func() { t.sendStop(ctx, s) })
+	}
+	for _, p := range orders.Paces {
+		t.order(func() { t.sendPace(ctx, p) })
+	}
+	for _, q := range questions {
+		t.order(func() { t.ask(ctx, q) })
+	}
+	for _, wake := range loops {
+		poke(wake)
+	}
+	if dirty || changed {
+		t.kickWriter()
+	}
+	t.metrics.round.Record(time.Since(started))
+}
+
+// order carries out an order beside others.
+func (t *term) order(f func()) {
+	t.orders.Add(1)
+	go func() {
+		defer t.orders.Done()
+		f()
+	}()
+}
+
+func poke(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// ensureLoopsLocked starts a hold loop for each worker that needs one, and
+// returns the loops that have something to do.
+func (t *term) ensureLoopsLocked(ctx context.Context) []chan struct{} {
+	var due []chan struct{}
+	for _, id := range t.core.WorkersToHold() {
+		wake, ok := t.loops[id]
+		if !ok {
+			wake = make(chan struct{}, 1)
+			t.loops[id] = wake
+			go t.holdLoop(ctx, id, wake)
+		}
+		due = append(due, wake)
+	}
+	return due
+}
+
+// holdLoop extends the leases on one worker and reads its lists, one call
+// after the other, until the worker is gone.
+func (t *term) holdLoop(ctx context.Context, id string, wake chan struct{}) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		if !t.core.Knows(id) {
+			delete(t.loops, id)
+			t.mu.Unlock()
+			return
+		}
+		var hold execution.Hold
+		due := false
+		if t.authorizedLocked() {
+			hold, due = t.core.HoldFor(id, boottime.Now())
+		}
+		t.mu.Unlock()
+		if !due {
+			wait(ctx, wake, time.Second)
+			continue
+		}
+		t.hold(ctx, hold, wake)
+	}
+}
+
+func (t *term) hold(ctx context.Context, hold execution.Hold, wake chan struct{}) {
+	sent := boottime.Now()
+	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+callTimeout)
+	report, err := t.options.Workers.Hold(callCtx, hold, t.held.Fence)
+	cancel()
+	if err != nil {
+		t.fenced(err)
+		if ctx.Err() == nil {
+			t.metrics.scope.Counter("hold_failures_total").Inc(1)
+			t.options.Log.Debug().Str("event", "hold_failed").Str("worker", hold.Worker.ID).Err(err).Msg("")
+		}
+		wait(ctx, nil, retryWait)
+		return
+	}
+	t.mu.Lock()
+	t.core.HoldDone(hold, report, sent, boottime.Now())
+	unsettled := t.core.Unsettled(hold.Worker.ID)
+	t.mu.Unlock()
+	t.kick()
+	if unsettled {
+		wait(ctx, wake, ackWait)
+	}
+}
+
+// wait returns when wake is signalled, after d, or when ctx ends.
+func wait(ctx context.Context, wake chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
+// fenced ends the ownership if an answer shows a later owner.
+func (t *term) fenced(err error) {
+	if errors.Is(err, ErrFenced) {
+		t.end(errors.WithStack(ErrFenced))
+	}
+}
+
+func (t *term) sendStart(ctx context.Context, s execution.Start) {
+	result := execution.NotStarted
+	if t.authorized() {
+		started := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		var err error
+		result, err = t.options.Workers.Start(callCtx, s, t.held.Fence)
+		cancel()
+		t.metrics.startCall.Record(time.Since(started))
+		t.fenced(err)
+	}
+	t.metrics.scope.Tagged(map[string]string{"result": result.String()}).Counter("starts_total").Inc(1)
+	t.mu.Lock()
+	t.core.StartDone(s, result, boottime.Now())
+	wake := t.loops[s.Worker.ID]
+	t.mu.Unlock()
+	if wake != nil {
+		poke(wake)
+	}
+	if result != execution.Started {
+		t.kick()
+	}
+}
+
+func (t *term) sendStop(ctx context.Context, s execution.Stop) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	err := t.options.Workers.Stop(callCtx, s, t.held.Fence)
+	cancel()
+	t.fenced(err)
+	t.options.Log.Info().Str("event", "run_stopped").Str("item", s.Item.String()).Int64("run", s.Run.Run).Str("worker", s.Worker.ID).
+		AnErr("error", err).Msg("")
+	t.mu.Lock()
+	t.core.StopDone(s, err == nil, boottime.Now())
+	wake := t.loops[s.Worker.ID]
+	t.mu.Unlock()
+	if wake != nil {
+		poke(wake)
+	}
+}
+
+func (t *term) sendPace(ctx context.Context, p execution.Pace) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := t.options.Workers.Pace(callCtx, p, t.held.Fence)
+	t.fenced(err)
+	t.options.Log.Info().Str("event", "run_paced").Str("item", p.Item.String()).Int64("run", p.Run.Run).Str("worker", p.Worker.ID).
+		Int("percent", p.Percent).AnErr("error", err).Msg("")
+}
+
+func (t *term) ask(ctx context.Context, q execution.Question) {
+	callCtx, cancel := context.WithTimeout(ctx, 10*callTimeout)
+	defer cancel()
+	tickets, validity, err := t.options.Advisor.Advise(callCtx, q)
+	if err != nil {
+		t.options.Log.Warn().Str("event", "advice_failed").Str("step", q.Step.String()).Err(err).Msg("")
+		tickets = nil
+	}
+	t.mu.Lock()
+	t.core.Answered(q, tickets, validity, boottime.Now())
+	t.mu.Unlock()
+	t.kick()
+}
+
+// trace writes one line for each decision.
+func (t *term) trace(e execution.Event) {
+	entry := t.options.Log.Info().Str("event", e.Name)
+	if e.Job != "" {
+		entry = entry.Str("job", e.Job)
+	}
+	if e.Item != "" {
+		entry = entry.Str("item", e.Item).Int64("run", e.Run)
+	}
+	if e.Worker != "" {
+		entry = entry.Str("worker", e.Worker)
+	}
+	if e.Service != "" {
+		entry = entry.Str("service", e.Service)
+	}
+	if e.Reason != "" {
+		entry = entry.Str("reason", e.Reason)
+	}
+	if e.Took > 0 {
+		entry = entry.Str("took_ms", strconv.FormatInt(e.Took.Milliseconds(), 10))
+	}
+	entry.Msg("")
+	t.metrics.scope.Tagged(map[string]string{"event": e.Name, "reason": e.Reason}).Counter("decisions_total").Inc(1)
+}
--- /dev/null
+++ b/owner/write.go
@@ -0,0 +1,128 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/scheduler/execution"
+)
+
+const (
+	// writeGap is the shortest pause between transactions: what ends meanwhile
+	// is written together.
+	writeGap = 8 * time.Millisecond
+	// summaryEvery is how often the counts of waiting jobs are written.
+	summaryEvery = 700 * time.Millisecond
+	// forgetAtOnce bounds the finished jobs that are deleted together.
+	forgetAtOnce = 5
+)
+
+// writeLoop writes what has changed to the store.
+func (t *term) writeLoop(ctx context.Context) {
+	ticker := time.NewTicker(summaryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.wakeWrite:
+		case <-ticker.C:
+			t.summarize()
+		}
+		for t.writeBatch(ctx) {
+		}
+		wait(ctx, nil, writeGap)
+	}
+}
+
+// summarize queues the counts of waiting jobs and the deletion of old ones.
+func (t *term) summarize() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
+	for _, id := range t.core.Forget(t.options.KeepFinished, forgetAtOnce, boottime.Now()) {
+		for _, key := range []string{jobstore.JobKey(id), jobstore.CancelKey(id), jobstore.ProgressKey(id)} {
+			t.records[key] = nil
+		}
+	}
+}
+
+// recordJSONLocked queues a record unless the store has it already.
+func (t *term) recordJSONLocked(key string, v any) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		t.options.Log.Error().Str("event", "record_not_encoded").Str("key", key).Err(err).Msg("")
+		return
+	}
+	if t.written[key] != string(value) {
+		t.records[key] = value
+	}
+}
+
+func (t *term) recordHoldersLocked(ids []string) {
+	t.recordJSONLocked(jobstore.HoldersKey, ids)
+	if _, queued := t.records[jobstore.HoldersKey]; !queued {
+		// The store names them already.
+		t.core.HoldersRecorded(ids)
+	}
+}
+
+// writeBatch writes one transaction and reports whether there was something to
+// write.
+func (t *term) writeBatch(ctx context.Context) bool {
+	t.mu.Lock()
+	progress := t.core.TakeWrites(t.writer.MaxRecords())
+	records := make([]jobstore.Record, 0, t.writer.MaxRecords())
+	for _, p := range progress {
+		value, err := json.Marshal(p.Progress)
+		if err != nil {
+			t.options.Log.Error().Str("event", "record_not_encoded").Str("job", p.JobID).Err(err).Msg("")
+			continue
+		}
+		records = append(records, jobstore.Record{Key: jobstore.ProgressKey(p.JobID), Value: value})
+	}
+	for key, value := range t.records {
+		if len(records) == t.writer.MaxRecords() {
+			break
+		}
+		records = append(records, jobstore.Record{Key: key, Value: value})
+		delete(t.records, key)
+	}
+	t.mu.Unlock()
+	if len(records) == 0 {
+		return false
+	}
+	started := time.Now()
+	err := t.writer.Write(ctx, records)
+	t.metrics.commit.Record(time.Since(started))
+	if err != nil {
+		if ctx.Err() == nil {
+			t.options.Log.Error().Str("event", "progress_not_written").Err(err).Msg("")
+			t.end(errors.Wrap(err, "write progress"))
+		}
+		return false
+	}
+	t.committed(progress, records)
+	return true
+}
+
+func (t *term) committed(progress []execution.ProgressWrite, records []jobstore.Record) {
+	t.mu.Lock()
+	t.core.Committed(progress)
+	for _, r := range records[len(progress):] {
+		t.written[r.Key] = string(r.Value)
+		if r.Key == jobstore.HoldersKey {
+			var ids []string
+			if json.Unmarshal(r.Value, &ids) == nil {
+				t.core.HoldersRecorded(ids)
+			}
+		}
+	}
+	t.mu.Unlock()
+	t.kick()
+}
--- /dev/null
+++ b/scheduler/execution/round.go
@@ -0,0 +1,391 @@
+package execution
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+const (
+	// stopRepeat is the pause before an unanswered order to stop is repeated.
+	stopRepeat = 300 * time.Millisecond
+	// stallTime is how long a run may show no progress before it is started
+	// elsewhere. A run that takes 20 s shows a percent each 0.2 s.
+	stallTime = 2500 * time.Millisecond
+)
+
+// Round decides what to start and to stop. wall is the time of day.
+func (c *Core) Round(wall time.Time, now Time) Orders {
+	var o Orders
+	c.Due(wall, now)
+	c.sweep(now)
+	c.watchRuns(now)
+	c.stops(&o, now)
+	c.pace(&o, now)
+	c.place(&o, now)
+	return o
+}
+
+// watchRuns wants runs stopped that make no progress.
+func (c *Core) watchRuns(now Time) {
+	for _, w := range c.workers {
+		for _, cp := range w.copies {
+			if cp.stopWanted || cp.phase != running || cp.pace < 100 || cp.item.step.spec.Filler {
+				continue
+			}
+			if cp.item.step.spec.LongRunning && cp.percent >= 100 {
+				continue
+			}
+			if now-cp.progressedAt > stallTime && w.clockAt > cp.progressedAt+stallTime/2 {
+				cp.stopWanted = true
+				cp.item.avoid = w.ID
+				c.trace(Event{Name: "run_stalled", Item: cp.item.id().String(), Run: cp.run, Worker: w.ID, Took: now - cp.startedAt})
+				c.suspect(w, now)
+			}
+		}
+	}
+}
+
+// stops orders the end of every run that is not wanted.
+func (c *Core) stops(o *Orders, now Time) {
+	for _, w := range c.workers {
+		if !w.contacted {
+			continue
+		}
+		for r, cp := range w.copies {
+			if !cp.stopWanted || cp.stopInFlight || cp.phase == starting || cp.stopConfirmedAt > 0 && now-cp.stopConfirmedAt < c.options.StopTimeout+stopRepeat {
+				continue
+			}
+			if cp.stopAskedAt > 0 && now-cp.stopAskedAt < stopRepeat {
+				continue
+			}
+			cp.stopAskedAt, cp.stopInFlight = now, true
+			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker})
+		}
+		for r, orphan := range w.orphans {
+			if orphan.inFlight || orphan.stopAskedAt > 0 && now-orphan.stopAskedAt < c.options.StopTimeout+stopRepeat {
+				continue
+			}
+			orphan.stopAskedAt, orphan.inFlight = now, true
+			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker})
+		}
+	}
+}
+
+// StopDone notes the answer to an order to stop; answered is false when none
+// came.
+func (c *Core) StopDone(s Stop, answered bool, now Time) {
+	w := c.workers[s.Worker.ID]
+	if w == nil {
+		return
+	}
+	if orphan := w.orphans[s.Run]; orphan != nil {
+		orphan.inFlight = false
+	}
+	if cp := w.copies[s.Run]; cp != nil {
+		cp.stopInFlight = false
+		if answered && w.Born == s.Worker.Born {
+			cp.stopConfirmedAt = now
+		}
+	}
+}
+
+// StartDone notes the answer to a start.
+func (c *Core) StartDone(s Start, result StartResult, now Time) {
+	w := c.workers[s.Worker.ID]
+	if w == nil {
+		return
+	}
+	cp := w.copies[s.Run]
+	if cp == nil || cp.phase == running {
+		return
+	}
+	switch result {
+	case Started:
+		cp.phase, cp.confirmedAt, cp.progressedAt = running, now, now
+		return
+	case StartUnknown:
+		cp.phase, cp.confirmedAt = unresolved, now
+		c.trace(Event{Name: "start_unanswered", Item: s.Item.String(), Run: s.Run.Run, Worker: w.ID})
+		return
+	case NotStarted:
+		w.avoidUntil = max(w.avoidUntil, now+refusedPause)
+	case RejectedRoom:
+		w.avoidUntil = max(w.avoidUntil, now+refusedPause)
+	case RejectedTicket:
+		delete(c.tickets, ticketKey{s.Item.Job, s.Item.Occurrence, s.Item.Step})
+	case RejectedOld:
+	}
+	if cp.phase == unresolved {
+		// The worker has started again since; the order may yet reach it.
+		return
+	}
+	i := cp.item
+	c.dropCopy(cp)
+	c.trace(Event{Name: "start_rejected", Item: s.Item.String(), Run: s.Run.Run, Worker: w.ID, Reason: result.String()})
+	if i.step.spec.Gang {
+		c.stopGang(i.step)
+	}
+}
+
+// refusedPause keeps work from a worker that refused a start.
+const refusedPause = 300 * time.Millisecond
+
+func (r StartResult) String() string {
+	return [...]string{"started", "not_started", "old", "room", "ticket", "unknown"}[r]
+}
+
+// stopGang ends the members of a gang of which one could not start: they would
+// wait in vain.
+func (c *Core) stopGang(s *step) {
+	for n := range s.items {
+		for _, cp := range s.items[n].copies {
+			cp.stopWanted = true
+		}
+	}
+}
+
+// place starts waiting work items in the order of rank.
+func (c *Core) place(o *Orders, now Time) {
+	if len(c.listed) == 0 {
+		return
+	}
+	steps := c.listed[:0]
+	for _, s := range c.listed {
+		if s.job.final() || s.done() {
+			s.listed = false
+			continue
+		}
+		steps = append(steps, s)
+	}
+	c.listed = steps
+	pools := c.pools(now)
+	candidates := make([]candidate, 0, len(steps))
+	for _, s := range steps {
+		q := c.queueOf(s.job)
+		if len(pools[q.Service]) > 0 {
+			candidates = append(candidates, candidate{step: s, queue: q, rank: rankOf(s, q, now)})
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	for _, cand := range candidates {
+		if cand.step.job.inherited && !c.settled {
+			continue
+		}
+		c.placeStep(o, cand, pools[cand.queue.Service], now)
+	}
+	c.listed = slices.DeleteFunc(c.listed, func(s *step) bool {
+		if s.hasWaiting() {
+			return false
+		}
+		s.listed = false
+		return true
+	})
+}
+
+func (s *step) hasWaiting() bool {
+	for n := range s.items {
+		if s.items[n].waiting() {
+			return true
+		}
+	}
+	return false
+}
+
+type candidate struct {
+	step  *step
+	queue job.Queue
+	rank  rank
+}
+
+// rank orders steps; smaller comes first.
+type rank struct {
+	class    int
+	priority int
+	order    time.Duration
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), cmp.Compare(r.order, o.order))
+}
+
+// Classes of steps in the order in which they get room. Long-running work
+// comes first because it serves users all the time.
+const (
+	classLongRunning = iota
+	classNormal
+	classFiller
+)
+
+func rankOf(s *step, q job.Queue, _ Time) rank {
+	r := rank{class: classNormal, priority: q.Priority, order: s.job.acceptedAt}
+	switch {
+	case s.spec.Filler:
+		r.class = classFiller
+	case s.spec.LongRunning:
+		r.class = classLongRunning
+	}
+	return r
+}
+
+// pools returns the workers that may get work, by service.
+func (c *Core) pools(now Time) map[string][]*worker {
+	pools := map[string][]*worker{}
+	for _, w := range c.workers {
+		if w.present && w.contacted && w.grantRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < clockFresh {
+			pools[w.Service] = append(pools[w.Service], w)
+		}
+	}
+	for _, ws := range pools {
+		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return pools
+}
+
+// clockFresh is how long a worker's clock may be derived from one report.
+const clockFresh = 30 * time.Second
+
+func (c *Core) placeStep(o *Orders, cand candidate, pool []*worker, now Time) {
+	s := cand.step
+	tickets, ok := c.ticketsFor(s, cand.queue, now)
+	if !ok {
+		return
+	}
+	if s.spec.Gang {
+		c.placeGang(o, s, pool, tickets, now)
+		return
+	}
+	for n := range s.items {
+		i := &s.items[n]
+		if !i.waiting() || now < i.notBefore {
+			continue
+		}
+		w := c.choose(i, pool, tickets)
+		if w == nil {
+			return
+		}
+		run := max(i.lastRun+1, c.firstRun)
+		o.Starts = append(o.Starts, c.start(i, w, run, i.saved, tickets, now))
+	}
+}
+
+// start makes the order for an item and notes the copy.
+func (c *Core) start(i *item, w *worker, run int64, saved string, tickets map[string]string, now Time) Start {
+	c.addCopy(i, w, run, starting, now)
+	deadline := w.clockNow(now) + c.options.Hold
+	w.grant(deadline)
+	return Start{
+		Run: Run{i.id(), run}, Worker: w.Worker, Spec: i.step.job.Spec, Saved: saved,
+		Ticket: tickets[w.ID], Deadline: deadline,
+	}
+}
+
+// choose returns the worker for an item, or nil when none has room. Work goes
+// to the data's rack if there is room, and else to the least loaded worker, so
+// that a lost worker takes little with it.
+func (c *Core) choose(i *item, pool []*worker, tickets map[string]string) *worker {
+	s := i.step
+	charge := s.spec.Charge()
+	var best *worker
+	var bestScore float64
+	for _, w := range pool {
+		if !w.suits(s, charge, tickets) {
+			continue
+		}
+		score := w.load(s.spec.Filler)
+		if w.ID == i.avoid {
+			score += avoidPenalty
+		}
+		if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
+			score += farPenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// Penalties are in units of a whole worker's load.
+const (
+	farPenalty   = 2
+	avoidPenalty = 1
+)
+
+func (w *worker) suits(s *step, charge job.Resources, tickets map[string]string) bool {
+	if !charge.Fits(w.free()) {
+		return false
+	}
+	if s.spec.MaxPerWorker > 0 && s.copies[w] >= s.spec.MaxPerWorker {
+		return false
+	}
+	if s.spec.Label != "" && !slices.Contains(w.Labels, s.spec.Label) {
+		return false
+	}
+	if tickets != nil && tickets[w.ID] == "" {
+		return false
+	}
+	return true
+}
+
+// load is the share of the CPU in use. Fillers count only for other fillers:
+// they give way to all else.
+func (w *worker) load(filler bool) float64 {
+	used := w.used.MilliCPU
+	if filler {
+		used += w.fillerCPU
+	}
+	return float64(used) / float64(max(w.Capacity.MilliCPU, 1))
+}
+
+// placeGang starts all items of a gang together, or none.
+func (c *Core) placeGang(o *Orders, s *step, pool []*worker, tickets map[string]string, now Time) {
+	run, saved := c.firstRun, ""
+	for n := range s.items {
+		i := &s.items[n]
+		if !i.waiting() || now < i.notBefore {
+			return
+		}
+		run = max(run, i.lastRun+1)
+		if i.saved != "" {
+			saved = i.saved
+		}
+	}
+	racks := [][]*worker{pool}
+	if s.spec.SameRack {
+		racks = append(byRack(pool), pool)
+	}
+	for _, workers := range racks {
+		var placed []Start
+		for n := range s.items {
+			w := c.choose(&s.items[n], workers, tickets)
+			if w == nil {
+				break
+			}
+			placed = append(placed, c.start(&s.items[n], w, run, saved, tickets, now))
+		}
+		if len(placed) == len(s.items) {
+			o.Starts = append(o.Starts, placed...)
+			return
+		}
+		for _, p := range placed {
+			w := c.workers[p.Worker.ID]
+			c.dropCopy(w.copies[p.Run])
+		}
+	}
+}
+
+func byRack(pool []*worker) [][]*worker {
+	racks := map[string][]*worker{}
+	for _, w := range pool {
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	var out [][]*worker
+	for _, ws := range racks {
+		out = append(out, ws)
+	}
+	slices.SortFunc(out, func(a, b []*worker) int { return cmp.Compare(a[0].Rack, b[0].Rack) })
+	return out
+}
--- /dev/null
+++ b/scheduler/execution/state.go
@@ -0,0 +1,224 @@
+package execution
+
+import (
+	"slices"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// copyPhase is what the owner knows of a copy.
+type copyPhase int
+
+const (
+	// starting: the order is under way.
+	starting copyPhase = iota
+	// running: the worker has confirmed the start or listed the run.
+	running
+	// unresolved: the start got no answer.
+	unresolved
+)
+
+// itemCopy is one run of an item on a worker.
+type itemCopy struct {
+	item   *item
+	run    int64
+	worker *worker
+	phase  copyPhase
+	// startedAt is when the order was given, confirmedAt when the start was
+	// known to have been carried out.
+	startedAt, confirmedAt Time
+	// stopWanted is set once the run has to end. stopAskedAt is when the last
+	// order to stop was given; stopConfirmedAt is zero until it was answered.
+	stopWanted      bool
+	stopAskedAt     Time
+	stopInFlight    bool
+	stopConfirmedAt Time
+	percent         int
+	progressedAt    Time
+	load            int64
+	overSince       Time
+	pace            int
+}
+
+type item struct {
+	step     *step
+	index    int
+	done     bool
+	failures int
+	saved    string
+	lastRun  int64
+	copies   []*itemCopy
+	// notBefore delays the next start after a failure.
+	notBefore Time
+	avoid     string
+}
+
+func (i *item) id() job.ItemID {
+	return job.ItemID{Job: i.step.job.ID, Occurrence: i.step.occurrence, Step: i.step.number, Index: i.index}
+}
+
+func (i *item) waiting() bool { return !i.done && len(i.copies) == 0 }
+
+// number is the item's place in the durable record.
+func (i *item) number() int {
+	return i.step.occurrence*i.step.job.perRun + i.step.offset + i.index
+}
+
+type step struct {
+	job        *jobState
+	spec       *job.Step
+	occurrence int
+	number     int
+	// offset is the number of items in earlier steps.
+	offset int
+	items  []item
+	left   int
+	ready  bool
+	// readyAt is when the steps before it were done.
+	readyAt Time
+	copies  map[*worker]int
+	listed  bool
+}
+
+func (s *step) done() bool { return s.left == 0 }
+
+type jobState struct {
+	*job.Job
+	perRun      int
+	occurrences [][]*step
+	runsLeft    int
+	phase       job.Phase
+	begun       bool
+	acceptedAt  Time
+	finishedAt  Time
+	// inherited is set for jobs that a former owner may have started.
+	inherited bool
+	dueSince  []Time
+	// version counts the changes of the durable record, committed is the last
+	// one that the store has.
+	version, committed uint64
+	dirty              bool
+}
+
+func (j *jobState) final() bool { return j.phase.Final() }
+
+type worker struct {
+	Worker
+	present   bool
+	missingAt Time
+	// contacted is set once the worker has seen this owner's fence number.
+	contacted bool
+	used      job.Resources
+	fillerCPU int64
+	copies    map[Run]*itemCopy
+	// orphans are runs on the worker that no item has: their ends are awaited.
+	orphans map[Run]*orphan
+	// clock is the worker's clock as read at clockAt.
+	clock   time.Duration
+	clockAt Time
+	// lapseAt is when the longest lease that this owner granted has certainly
+	// lapsed.
+	lapseAt Time
+	// notedEnd is the last end that was processed, ackedEnd the last one whose
+	// consequences are committed, toldEnd the last one that the worker was told
+	// to forget.
+	notedEnd, ackedEnd, toldEnd int64
+	pendingEnds                 []pendingEnd
+	failures                    int
+	avoidUntil                  Time
+	// closed keeps new work away, before an upkeep or a move.
+	closed bool
+	// grantRecorded is set once the store names the worker among those that
+	// may hold leases.
+	grantRecorded bool
+}
+
+type orphan struct {
+	charge      job.Resources
+	filler      int64
+	stopAskedAt Time
+	inFlight    bool
+}
+
+type pendingEnd struct {
+	number  int64
+	job     *jobState
+	version uint64
+}
+
+func (w *worker) free() job.Resources { return w.Capacity.Add(w.used, -1) }
+
+func (w *worker) charge(s *job.Step, n int64) {
+	w.used = w.used.Add(s.Charge(), n)
+	if s.Filler {
+		w.fillerCPU += n * s.Needs.MilliCPU
+	}
+}
+
+// clockNow returns a lower bound of the worker's clock, which may run
+// workerClockError slow.
+func (w *worker) clockNow(now Time) time.Duration {
+	return w.clock + time.Duration(float64(now-w.clockAt)*(1-workerClockError))
+}
+
+// grant notes that the worker may hold a lease until deadline on its clock.
+func (w *worker) grant(deadline time.Duration) {
+	left := time.Duration(float64(deadline-w.clock) / (1 - workerClockError))
+	w.lapseAt = max(w.lapseAt, w.clockAt+left+lapseMargin)
+}
+
+// lapsed reports whether nothing that this owner started on the worker can
+// still run there.
+func (w *worker) lapsed(now Time) bool { return now > w.lapseAt }
+
+const (
+	// workerClockError is how slow a worker's clock may run.
+	workerClockError = 0.02
+	// lapseMargin covers the time that a worker takes to end runs whose lease
+	// has lapsed.
+	lapseMargin = 200 * time.Millisecond
+)
+
+func (c *Core) addCopy(i *item, w *worker, run int64, phase copyPhase, now Time) *itemCopy {
+	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100}
+	i.copies = append(i.copies, cp)
+	i.lastRun = max(i.lastRun, run)
+	i.step.copies[w]++
+	w.copies[Run{i.id(), run}] = cp
+	w.charge(i.step.spec, 1)
+	if !i.step.job.begun {
+		i.step.job.begun = true
+		c.markDirty(i.step.job)
+	}
+	return cp
+}
+
+// dropCopy forgets a copy that certainly does not run any more.
+func (c *Core) dropCopy(cp *itemCopy) {
+	i := cp.item
+	i.copies = slices.DeleteFunc(i.copies, func(o *itemCopy) bool { return o == cp })
+	if i.step.copies[cp.worker]--; i.step.copies[cp.worker] <= 0 {
+		delete(i.step.copies, cp.worker)
+	}
+	delete(cp.worker.copies, Run{i.id(), cp.run})
+	cp.worker.charge(i.step.spec, -1)
+	c.list(i.step)
+}
+
+// list puts a step among those that may have work to place.
+func (c *Core) list(s *step) {
+	if s.listed || !s.ready || s.job.final() || s.done() {
+		return
+	}
+	s.listed = true
+	c.listed = append(c.listed, s)
+}
+
+func (c *Core) markDirty(j *jobState) {
+	j.version++
+	if !j.dirty {
+		j.dirty = true
+		c.dirty = append(c.dirty, j)
+	}
+}
--- /dev/null
+++ b/scheduler/execution/workers.go
@@ -0,0 +1,466 @@
+package execution
+
+import (
+	"slices"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+const (
+	// holdWait is how long a worker may wait for an end before it answers. A
+	// quarter of the shortest lease leaves time for two more calls.
+	holdWait = time.Second
+	// endsPerReport is how many ends a worker lists at once.
+	endsPerReport = 500
+	// contactFresh is how old the last report may be for the owner to extend a
+	// lease. A worker that does not answer gets no longer lease, so that its
+	// work can be started elsewhere once the lease has lapsed.
+	contactFresh = 2 * time.Second
+)
+
+// FormerHolders names workers that may hold leases of a former owner. Work
+// that a former owner may have started waits until each of them was contacted
+// or its lease has lapsed.
+func (c *Core) FormerHolders(ids []string) {
+	for _, id := range ids {
+		if w := c.workers[id]; w == nil || !w.contacted {
+			c.formerHolders[id] = struct{}{}
+		}
+	}
+}
+
+// WorkerSeen notes the registry entry of a worker.
+func (c *Core) WorkerSeen(info Worker, now Time) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}}
+		c.workers[info.ID] = w
+	} else if info.Born < w.Born {
+		return
+	} else if info.Born > w.Born {
+		c.reborn(w, now)
+	}
+	w.Worker, w.present = info, true
+	c.relist(info.Service)
+}
+
+// relist makes the waiting steps of a service candidates again.
+func (c *Core) relist(service string) {
+	for _, j := range c.jobs {
+		if !j.final() && c.queueOf(j).Service == service {
+			c.listJob(j)
+		}
+	}
+}
+
+// reborn notes that a worker runs nothing of its former lifetime. A start that
+// is still under way may reach the new one.
+func (c *Core) reborn(w *worker, now Time) {
+	for _, cp := range copiesOf(w) {
+		if cp.phase == running {
+			c.lose(cp, "worker_restarted", now)
+			continue
+		}
+		cp.phase, cp.stopConfirmedAt = unresolved, 0
+	}
+	for r := range w.orphans {
+		c.dropOrphan(w, r)
+	}
+	w.contacted, w.clock, w.clockAt = false, 0, 0
+	w.notedEnd, w.ackedEnd, w.toldEnd, w.pendingEnds = 0, 0, 0, nil
+	w.failures, w.avoidUntil = 0, 0
+	c.trace(Event{Name: "worker_restarted", Worker: w.ID, Service: w.Service})
+}
+
+func copiesOf(w *worker) []*itemCopy {
+	copies := make([]*itemCopy, 0, len(w.copies))
+	for _, cp := range w.copies {
+		copies = append(copies, cp)
+	}
+	return copies
+}
+
+// WorkerGone notes that the registry has no entry of a worker any more. What
+// runs there counts until its lease has lapsed, because a worker that lost the
+// store runs on.
+func (c *Core) WorkerGone(id string, now Time) {
+	if w := c.workers[id]; w != nil && w.present {
+		w.present, w.missingAt = false, now
+	}
+}
+
+// SetWorkers replaces the registry.
+func (c *Core) SetWorkers(infos []Worker, now Time) {
+	seen := map[string]bool{}
+	for _, info := range infos {
+		seen[info.ID] = true
+		c.WorkerSeen(info, now)
+	}
+	for id := range c.workers {
+		if !seen[id] {
+			c.WorkerGone(id, now)
+		}
+	}
+}
+
+// lose requeues the item of a copy that certainly does not run any more.
+func (c *Core) lose(cp *itemCopy, reason string, now Time) {
+	c.dropCopy(cp)
+	c.trace(Event{Name: "run_lost", Item: cp.item.id().String(), Run: cp.run, Worker: cp.worker.ID, Reason: reason, Took: now - cp.startedAt})
+}
+
+// sweep forgets what ran on workers whose leases have lapsed.
+func (c *Core) sweep(now Time) {
+	for id, w := range c.workers {
+		if !w.lapsed(now) {
+			continue
+		}
+		for _, cp := range copiesOf(w) {
+			c.lose(cp, "lease_lapsed", now)
+		}
+		for r := range w.orphans {
+			c.dropOrphan(w, r)
+		}
+		if !w.present {
+			delete(c.workers, id)
+			c.trace(Event{Name: "worker_gone", Worker: id, Service: w.Service})
+		}
+	}
+	if !c.settled {
+		c.settle(now)
+	}
+}
+
+func (c *Core) settle(now Time) {
+	if len(c.formerHolders) > 0 && now < c.inheritedUntil {
+		return
+	}
+	c.settled = true
+	reason := "all_workers_contacted"
+	if len(c.formerHolders) > 0 {
+		reason = "leases_lapsed"
+	}
+	c.trace(Event{Name: "takeover_settled", Reason: reason})
+	for _, j := range c.jobs {
+		c.listJob(j)
+	}
+}
+
+// Settled reports whether work that a former owner may have started can be
+// started again.
+func (c *Core) Settled() bool { return c.settled }
+
+// UnrecordedHolders returns all workers that may hold leases when the store
+// has to learn of a new one before it gets work.
+func (c *Core) UnrecordedHolders() (ids []string, changed bool) {
+	for id, w := range c.workers {
+		ids = append(ids, id)
+		changed = changed || !w.grantRecorded
+	}
+	slices.Sort(ids)
+	return ids, changed
+}
+
+// HoldersRecorded notes that the store names the workers as possible holders
+// of leases.
+func (c *Core) HoldersRecorded(ids []string) {
+	for _, id := range ids {
+		if w := c.workers[id]; w != nil {
+			w.grantRecorded = true
+		}
+	}
+}
+
+// HoldFor returns the next call that extends the leases on a worker. It
+// reports false when none is due: the worker runs nothing and has listed no
+// end that it could be told to forget.
+func (c *Core) HoldFor(id string, now Time) (Hold, bool) {
+	w := c.workers[id]
+	if w == nil || !w.needsHold() {
+		return Hold{}, false
+	}
+	h := Hold{Worker: w.Worker, LastSeen: w.ackedEnd}
+	if w.contacted && len(w.copies) > 0 && now-w.clockAt < contactFresh {
+		h.Deadline = w.clockNow(now) + c.options.Hold
+		w.grant(h.Deadline)
+	}
+	if w.contacted && !w.unsettled() {
+		h.Wait = holdWait
+	}
+	return h, true
+}
+
+// Unsettled reports whether a worker would answer the next hold at once: ends
+// wait to be committed, or runs there are in doubt.
+func (c *Core) Unsettled(id string) bool {
+	w := c.workers[id]
+	return w != nil && w.unsettled()
+}
+
+func (w *worker) unsettled() bool {
+	return w.ackedEnd != w.notedEnd || len(w.orphans) > 0 || w.hasUnresolved()
+}
+
+func (w *worker) hasUnresolved() bool {
+	for _, cp := range w.copies {
+		if cp.phase == unresolved {
+			return true
+		}
+	}
+	return false
+}
+
+// HoldDone takes in a worker's report on a hold that was sent at the time sent.
+func (c *Core) HoldDone(h Hold, r Report, sent, now Time) {
+	w := c.workers[h.Worker.ID]
+	if w == nil {
+		return
+	}
+	if r.Born != 0 && r.Born < w.Born {
+		return
+	}
+	if r.Born > w.Born {
+		c.reborn(w, now)
+		w.Born = r.Born
+	}
+	if !w.contacted {
+		w.contacted = true
+		delete(c.formerHolders, w.ID)
+		c.relist(w.Service)
+	}
+	if r.Clock >= w.clock {
+		w.clock, w.clockAt = r.Clock, now
+	}
+	listed := make(map[Run]bool, len(r.Running))
+	for _, row := range r.Running {
+		listed[row.Run] = true
+		c.noteRunning(w, row, now)
+	}
+	for _, end := range r.Ended {
+		if end.Number > w.notedEnd {
+			c.noteEnd(w, end, now)
+		}
+	}
+	w.advanceAcked()
+	w.toldEnd = max(w.toldEnd, h.LastSeen)
+	c.reconcile(w, listed, len(r.Ended) < endsPerReport, sent, now)
+}
+
+func (c *Core) noteRunning(w *worker, row RunningItem, now Time) {
+	if cp := w.copies[row.Run]; cp != nil {
+		if cp.phase != running {
+			cp.phase, cp.confirmedAt = running, now
+		}
+		if row.Percent != cp.percent {
+			cp.percent, cp.progressedAt = row.Percent, now
+		}
+		if row.Saved != "" {
+			cp.item.saved = row.Saved
+		}
+		cp.load = row.Load
+		return
+	}
+	if _, known := w.orphans[row.Run]; known {
+		return
+	}
+	c.adopt(w, row, now)
+}
+
+// adopt takes over a run that another owner started, or wants it stopped.
+func (c *Core) adopt(w *worker, row RunningItem, now Time) {
+	j := c.jobs[row.Item.Job]
+	var i *item
+	if j != nil {
+		i = j.item(row.Item, now)
+	}
+	if i != nil {
+		i.lastRun = max(i.lastRun, row.Run.Run)
+	}
+	if i != nil && !i.done && !j.final() && len(i.copies) == 0 {
+		cp := c.addCopy(i, w, row.Run.Run, running, now)
+		cp.confirmedAt, cp.percent, cp.load = now, row.Percent, row.Load
+		if row.Saved != "" {
+			i.saved = row.Saved
+		}
+		c.trace(Event{Name: "run_adopted", Item: row.Item.String(), Run: row.Run.Run, Worker: w.ID})
+		return
+	}
+	o := &orphan{}
+	if i != nil {
+		o.charge = i.step.spec.Charge()
+		if i.step.spec.Filler {
+			o.filler = i.step.spec.Needs.MilliCPU
+		}
+	}
+	w.orphans[row.Run] = o
+	w.used = w.used.Add(o.charge, 1)
+	w.fillerCPU += o.filler
+	c.trace(Event{Name: "run_unwanted", Item: row.Item.String(), Run: row.Run.Run, Worker: w.ID})
+}
+
+func (c *Core) dropOrphan(w *worker, r Run) {
+	if o := w.orphans[r]; o != nil {
+		w.used = w.used.Add(o.charge, -1)
+		w.fillerCPU -= o.filler
+		delete(w.orphans, r)
+	}
+}
+
+// noteEnd takes in one end that a worker lists.
+func (c *Core) noteEnd(w *worker, end EndedItem, now Time) {
+	w.notedEnd = end.Number
+	c.dropOrphan(w, end.Run)
+	j := c.jobs[end.Item.Job]
+	defer func() {
+		pending := pendingEnd{number: end.Number, job: j}
+		if j != nil {
+			pending.version = j.version
+		}
+		w.pendingEnds = append(w.pendingEnds, pending)
+	}()
+	cp := w.copies[end.Run]
+	if j == nil {
+		return
+	}
+	i := j.item(end.Item, now)
+	if i == nil {
+		return
+	}
+	i.lastRun = max(i.lastRun, end.Run.Run)
+	var took time.Duration
+	if cp != nil {
+		took = now - cp.startedAt
+		c.dropCopy(cp)
+	}
+	c.trace(Event{Name: "run_ended", Item: end.Item.String(), Run: end.Run.Run, Worker: w.ID, Reason: string(end.How), Took: took})
+	if j.final() || i.done {
+		return
+	}
+	if end.Saved != "" && i.step.spec.SavesProgress {
+		i.saved = end.Saved
+		c.markDirty(j)
+	}
+	switch end.How {
+	case EndDone:
+		// A run that was given up and started again elsewhere is done there.
+		if cp != nil || len(i.copies) == 0 {
+			w.failures = 0
+			c.endedDone(i, cp, now)
+		}
+	case EndFailed:
+		c.endedFailed(w, i, now)
+	case EndLapsed, EndAlone, EndBroken, EndStopped:
+	}
+	if i.step.spec.LongRunning && !i.done {
+		i.notBefore = now
+	}
+	c.list(i.step)
+}
+
+func (c *Core) endedDone(i *item, cp *itemCopy, now Time) {
+	j := i.step.job
+	if i.step.spec.LongRunning {
+		return
+	}
+	if i.step.spec.Gang {
+		for n := range i.step.items {
+			if other := &i.step.items[n]; !other.done {
+				c.itemDone(other, now)
+			}
+		}
+	} else {
+		c.itemDone(i, now)
+		for _, other := range i.copies {
+			other.stopWanted = true
+		}
+	}
+	if j.finishIfDone(now) {
+		c.trace(Event{Name: "job_completed", Job: j.ID, Took: now - j.acceptedAt})
+	}
+	c.markDirty(j)
+}
+
+const (
+	// failureBackoff delays the next start of an item that failed.
+	failureBackoff = 50 * time.Millisecond
+	// failuresToAvoid is how many failed ends in a row make a worker suspect.
+	failuresToAvoid = 3
+	// avoidTime is how long a suspect worker gets no work. It doubles with
+	// each further failure, up to avoidTimeMax.
+	avoidTime    = time.Second
+	avoidTimeMax = 8 * time.Second
+)
+
+func (c *Core) endedFailed(w *worker, i *item, now Time) {
+	j := i.step.job
+	i.failures++
+	i.avoid = w.ID
+	i.notBefore = now + failureBackoff
+	c.markDirty(j)
+	c.suspect(w, now)
+	if i.step.spec.LongRunning {
+		return
+	}
+	if attempts := max(c.queueOf(j).Attempts, 1); i.failures >= attempts {
+		c.finish(j, job.Failed, "attempts_used_up", now)
+	}
+}
+
+// suspect notes a failure that may be the worker's own.
+func (c *Core) suspect(w *worker, now Time) {
+	w.failures++
+	if w.failures >= failuresToAvoid {
+		d := min(avoidTime<<min(w.failures-failuresToAvoid, 3), avoidTimeMax)
+		w.avoidUntil = now + d
+		c.trace(Event{Name: "worker_avoided", Worker: w.ID, Service: w.Service, Reason: "failures", Took: d})
+	}
+}
+
+// reconcile compares the copies on a worker with a report on a hold sent at
+// the time sent.
+func (c *Core) reconcile(w *worker, listed map[Run]bool, complete bool, sent, now Time) {
+	for _, cp := range copiesOf(w) {
+		r := Run{cp.item.id(), cp.run}
+		if listed[r] || !complete {
+			continue
+		}
+		switch cp.phase {
+		case running:
+			if cp.confirmedAt < sent {
+				c.lose(cp, "not_listed", now)
+			}
+		case unresolved:
+			if cp.stopConfirmedAt > 0 && cp.stopConfirmedAt < sent {
+				c.lose(cp, "never_started", now)
+			} else if cp.confirmedAt < sent {
+				cp.stopWanted = true
+			}
+		case starting:
+		}
+	}
+	for r, o := range w.orphans {
+		if !listed[r] && complete && o.stopAskedAt < sent {
+			c.dropOrphan(w, r)
+		}
+	}
+}
+
+// Knows reports whether the owner still has to do with a worker.
+func (c *Core) Knows(id string) bool { return c.workers[id] != nil }
+
+// WorkersToHold returns the workers that have to be contacted or whose leases
+// have to be extended.
+func (c *Core) WorkersToHold() []string {
+	var ids []string
+	for id, w := range c.workers {
+		if w.needsHold() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (w *worker) needsHold() bool {
+	return !w.contacted || len(w.copies) > 0 || len(w.orphans) > 0 || w.toldEnd != w.notedEnd
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,120 @@
+// Package store describes the platform's metadata store as the job subsystem
+// uses it: transactions under conditions, leases, and watches.
+package store
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of store calls. Callers compare with errors.Is.
+var (
+	// ErrUnavailable reports that the call had no effect.
+	ErrUnavailable = errors.New("store unavailable")
+	// ErrUnknown reports that no answer came: the call may have taken effect,
+	// or may still do so while its conditions hold.
+	ErrUnknown = errors.New("store outcome unknown")
+	// ErrNotFound reports that a key or lease does not exist.
+	ErrNotFound = errors.New("not found in store")
+	// ErrConflict reports that a condition of a transaction did not hold.
+	ErrConflict = errors.New("store conflict")
+	// ErrCompacted reports that the history after a revision is gone.
+	ErrCompacted = errors.New("store history compacted")
+)
+
+// MaxTransactionEntries is how many conditions, writes and deletes one
+// transaction may hold together.
+const MaxTransactionEntries = 32
+
+// Item is one key of the store.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision is that of the last change of the key.
+	Revision int64
+}
+
+// Event is a change of one key. Value is nil for a deleted key.
+type Event struct {
+	Item
+	Deleted bool
+}
+
+// Page is a part of a range, in the order of the keys.
+type Page struct {
+	Items     []Item
+	Truncated bool
+	// Revision is that of the store when the page was read.
+	Revision int64
+}
+
+// Condition requires a key to have a revision; 0 means that the key must not
+// exist.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// Write sets a key. A key with a lease is removed when the lease ends.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease int64
+}
+
+// Transaction is applied as a whole or not at all.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Write
+	Deletes    []string
+}
+
+// ConflictError carries the present state of the keys in the conditions of a
+// transaction that was not applied.
+type ConflictError struct{ Items []Item }
+
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Unwrap lets errors.Is find ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
+// Store is the metadata store. Reads are linearizable.
+type Store interface {
+	// Get returns ErrNotFound for a key that does not exist.
+	Get(ctx context.Context, key string) (Item, error)
+	// Range returns the items whose keys start with prefix and sort after after.
+	Range(ctx context.Context, prefix, after string) (Page, error)
+	// Watch waits up to wait for changes under prefix after a revision. It
+	// returns the revision from which the next watch continues.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+	// Commit applies a transaction and returns its revision. A condition that
+	// does not hold gives a *ConflictError.
+	Commit(ctx context.Context, tx Transaction) (int64, error)
+	GrantLease(ctx context.Context, ttl time.Duration) (int64, error)
+	RenewLease(ctx context.Context, lease int64) error
+	EndLease(ctx context.Context, lease int64) error
+}
+
+// ReadAll reads a whole range. The revision is that of the first page, so that
+// a watch from there misses nothing.
+func ReadAll(ctx context.Context, s Store, prefix string) ([]Item, int64, error) {
+	var items []Item
+	var revision int64
+	after := ""
+	for {
+		page, err := s.Range(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if revision == 0 {
+			revision = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.Truncated || len(page.Items) == 0 {
+			return items, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
