--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -81,13 +81,14 @@
 		Node: s.Node, Store: st, Workers: platform.NewWorkers(), Registry: &platform.Registry{Store: st, Log: o.Log},
 		Manifest: operator.Manifest, Waves: operator.Waves, Log: o.Log, Scope: o.Scope, Lease: ownerLease,
 		HandOver: milliseconds(s.Bounds.HandOverMs), KeepFinished: seconds(s.Bounds.StatusSeconds),
+		UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
 		Execution: execution.Options{
 			Hold: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
 			EarlyMargin: milliseconds(s.Bounds.EarlyMs), FarFactor: s.Bounds.FarFactor,
 		},
 	}
 	if s.MachinesAddress != "" {
-		options.Machines = platform.NewMachines(s.MachinesAddress, s.Node)
+		options.Machines, options.StatusPrefix = platform.NewMachines(s.MachinesAddress, s.Node), platform.StatusPrefix
 	}
 	if s.AdviceAddress != "" {
 		options.Advisor = platform.NewAdvisor(s.AdviceAddress)
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -19,11 +19,12 @@
 	jobPrefix      = InboxPrefix + "job/"
 	cancelPrefix   = InboxPrefix + "cancel/"
 	ProgressPrefix = "progress/"
-	OwnerKey       = "owner/lease"
-	TermKey        = "owner/term"
-	HoldersKey     = "owner/holders"
-	WaitingKey     = "owner/waiting"
-	WavePrefix     = "owner/wave/"
+	OwnerPrefix    = "owner/"
+	OwnerKey       = OwnerPrefix + "lease"
+	TermKey        = OwnerPrefix + "term"
+	HoldersKey     = OwnerPrefix + "holders"
+	WaitingKey     = OwnerPrefix + "waiting"
+	WavePrefix     = OwnerPrefix + "wave/"
 )
 
 // JobKey is where an accepted job is stored.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/google/uuid"
@@ -60,6 +61,8 @@
 	Registry Registry
 	Advisor  Advisor
 	Machines Machines
+	// StatusPrefix is where the records of Machines.WaveStatus lie.
+	StatusPrefix string
 	// Manifest returns the manifest in force, or nil.
 	Manifest func() *job.Manifest
 	// Waves returns the waves that operators asked for.
@@ -71,6 +74,9 @@
 	// HandOver is the least time between cloud orders of successive owners for
 	// one machine.
 	HandOver time.Duration
+	// UpkeepTime and MoveTime are how long a VM is away for its upkeep or for a
+	// move.
+	UpkeepTime, MoveTime time.Duration
 	// KeepFinished is how long finished jobs can be asked for.
 	KeepFinished time.Duration
 	Execution    execution.Options
@@ -82,8 +88,10 @@
 	// authorityMargin is kept of a lease for the time between the check of the
 	// authority and the arrival of an order.
 	authorityMargin = 400 * time.Millisecond
-	// contendEvery is how often a process that is not the owner looks for one.
-	contendEvery = 400 * time.Millisecond
+	// contendEvery is the pause after an attempt to become the owner.
+	contendEvery = 100 * time.Millisecond
+	// ownerWait is how long a watch of the owner's key waits.
+	ownerWait = 5 * time.Second
 )
 
 // Owner contends for the ownership of the jobs and exercises it.
@@ -100,18 +108,56 @@
 
 // Run contends for the ownership until ctx ends, and then hands it back.
 func (o *Owner) Run(ctx context.Context) {
+	vacant := make(chan struct{}, 1)
+	go o.watchOwner(ctx, vacant)
 	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-vacant:
+		}
 		if o.options.Manifest() != nil {
-			if held := o.contend(ctx); held != nil {
-				o.exercise(ctx, held)
-				continue
+			if t := o.contend(ctx); t != nil {
+				o.exercise(ctx, t)
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(contendEvery):
+		wait(ctx, nil, contendEvery)
+	}
+}
+
+// watchOwner signals while there is no owner, or while the owner is a former
+// process of this entry VM.
+func (o *Owner) watchOwner(ctx context.Context, vacant chan struct{}) {
+	note := func(claims []store.Item) {
+		for _, item := range claims {
+			var c jobstore.Claim
+			if json.Unmarshal(item.Value, &c) == nil && (c.Node != o.options.Node || c.Process == o.process) {
+				return
+			}
 		}
+		poke(vacant)
 	}
+	free := false
+	store.Follow(ctx, o.options.Store, jobstore.OwnerKey, ownerWait, store.Follower{
+		Reset: func(items []store.Item, _ int64) {
+			free = len(items) == 0
+			note(items)
+		},
+		Changed: func(events []store.Event) {
+			last := events[len(events)-1]
+			free = last.Deleted
+			if last.Deleted {
+				note(nil)
+			} else {
+				note([]store.Item{last.Item})
+			}
+		},
+		Current: func(time.Time) {
+			if free {
+				poke(vacant)
+			}
+		},
+	})
 }
 
 // contend tries to become the owner. The lease counts from before it was
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -50,7 +50,7 @@
 	now := boottime.Now()
 	orders := t.core.Round(started, now)
 	questions := t.core.Questions(now)
-	loops := t.ensureLoopsLocked(ctx)
+	t.ensureLoopsLocked(ctx)
 	dirty := t.core.Dirty()
 	holders, changed := t.core.UnrecordedHolders()
 	if changed {
@@ -69,9 +69,6 @@
 	for _, q := range questions {
 		t.order(func() { t.ask(ctx, q) })
 	}
-	for _, wake := range loops {
-		poke(wake)
-	}
 	if dirty || changed {
 		t.kickWriter()
 	}
@@ -94,25 +91,45 @@
 	}
 }
 
+// holdLoop is the goroutine that holds one worker. Its fields are guarded by
+// the term's mutex.
+type holdLoop struct {
+	wake chan struct{}
+	// idle is set while there is no reason to call the worker, acknowledging
+	// while ends wait to be committed.
+	idle, acknowledging bool
+}
+
 // ensureLoopsLocked starts a hold loop for each worker that needs one, and
-// returns the loops that have something to do.
-func (t *term) ensureLoopsLocked(ctx context.Context) []chan struct{} {
-	var due []chan struct{}
+// wakes the idle ones that have something to do.
+func (t *term) ensureLoopsLocked(ctx context.Context) {
 	for _, id := range t.core.WorkersToHold() {
-		wake, ok := t.loops[id]
+		l, ok := t.loops[id]
 		if !ok {
-			wake = make(chan struct{}, 1)
-			t.loops[id] = wake
-			go t.holdLoop(ctx, id, wake)
+			l = &holdLoop{wake: make(chan struct{}, 1)}
+			t.loops[id] = l
+			go t.holdWorker(ctx, id, l)
+		}
+		if l.idle {
+			l.idle = false
+			poke(l.wake)
 		}
-		due = append(due, wake)
 	}
-	return due
 }
 
-// holdLoop extends the leases on one worker and reads its lists, one call
+// wakeAcknowledgedLocked wakes the loops whose ends are all committed.
+func (t *term) wakeAcknowledgedLocked() {
+	for id, l := range t.loops {
+		if l.acknowledging && !t.core.Unsettled(id) {
+			l.acknowledging = false
+			poke(l.wake)
+		}
+	}
+}
+
+// holdWorker extends the leases on one worker and reads its lists, one call
 // after the other, until the worker is gone.
-func (t *term) holdLoop(ctx context.Context, id string, wake chan struct{}) {
+func (t *term) holdWorker(ctx context.Context, id string, l *holdLoop) {
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		if !t.core.Knows(id) {
@@ -122,19 +139,27 @@
 		}
 		var hold execution.Hold
 		due := false
-		if t.authorizedLocked() {
+		authorized := t.authorizedLocked()
+		if authorized {
 			hold, due = t.core.HoldFor(id, boottime.Now())
 		}
+		l.idle = authorized && !due
 		t.mu.Unlock()
-		if !due {
-			wait(ctx, wake, time.Second)
-			continue
+		switch {
+		case due:
+			t.hold(ctx, hold, l)
+		case authorized:
+			wait(ctx, l.wake, idleWait)
+		default:
+			wait(ctx, l.wake, tick)
 		}
-		t.hold(ctx, hold, wake)
 	}
 }
 
-func (t *term) hold(ctx context.Context, hold execution.Hold, wake chan struct{}) {
+// idleWait is how long the loop of an idle worker sleeps when nothing wakes it.
+const idleWait = 2 * time.Second
+
+func (t *term) hold(ctx context.Context, hold execution.Hold, l *holdLoop) {
 	sent := boottime.Now()
 	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+callTimeout)
 	report, err := t.options.Workers.Hold(callCtx, hold, t.held.Fence)
@@ -150,11 +175,12 @@
 	}
 	t.mu.Lock()
 	t.core.HoldDone(hold, report, sent, boottime.Now())
-	unsettled := t.core.Unsettled(hold.Worker.ID)
+	l.acknowledging = t.core.Unsettled(hold.Worker.ID)
+	pause := l.acknowledging
 	t.mu.Unlock()
 	t.kick()
-	if unsettled {
-		wait(ctx, wake, ackWait)
+	if pause {
+		wait(ctx, l.wake, ackWait)
 	}
 }
 
@@ -190,11 +216,7 @@
 	t.metrics.scope.Tagged(map[string]string{"result": result.String()}).Counter("starts_total").Inc(1)
 	t.mu.Lock()
 	t.core.StartDone(s, result, boottime.Now())
-	wake := t.loops[s.Worker.ID]
 	t.mu.Unlock()
-	if wake != nil {
-		poke(wake)
-	}
 	if result != execution.Started {
 		t.kick()
 	}
@@ -209,11 +231,7 @@
 		AnErr("error", err).Msg("")
 	t.mu.Lock()
 	t.core.StopDone(s, err == nil, boottime.Now())
-	wake := t.loops[s.Worker.ID]
 	t.mu.Unlock()
-	if wake != nil {
-		poke(wake)
-	}
 }
 
 func (t *term) sendPace(ctx context.Context, p execution.Pace) {
--- a/owner/term.go
+++ b/owner/term.go
@@ -51,9 +51,12 @@
 	// margin.
 	authorityUntil time.Duration
 	manifest       *job.Manifest
-	loops          map[string]chan struct{}
+	loops          map[string]*holdLoop
 	records        map[string][]byte
 	written        map[string]string
+	// waveDone are the VMs of each wave that had their upkeep under former
+	// owners.
+	waveDone map[int64][]string
 
 	wake      chan struct{}
 	wakeWrite chan struct{}
@@ -63,8 +66,9 @@
 
 func newTerm(o *Owner, held *jobstore.Held, asked time.Duration) *term {
 	t := &term{
-		Owner: o, held: held, loops: map[string]chan struct{}{}, records: map[string][]byte{}, written: map[string]string{},
-		wake: make(chan struct{}, 1), wakeWrite: make(chan struct{}, 1),
+		Owner: o, held: held, loops: map[string]*holdLoop{}, records: map[string][]byte{}, written: map[string]string{},
+		waveDone: map[int64][]string{},
+		wake:     make(chan struct{}, 1), wakeWrite: make(chan struct{}, 1),
 		authorityUntil: asked + o.options.Lease - authorityMargin,
 	}
 	options := o.options.Execution
@@ -192,7 +196,7 @@
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	var known []store.Item
-	for _, prefix := range []string{jobstore.ProgressPrefix, "owner/"} {
+	for _, prefix := range []string{jobstore.ProgressPrefix, jobstore.OwnerPrefix, t.options.StatusPrefix} {
 		items, _, err := readAll(ctx, t.options.Store, prefix)
 		if err != nil {
 			return 0, 0, err
@@ -215,6 +219,11 @@
 			}
 			progress[id] = p
 		}
+		if strings.HasPrefix(item.Key, jobstore.WavePrefix) {
+			if err := t.takeWaveRecord(item); err != nil {
+				return 0, 0, err
+			}
+		}
 		if item.Key == jobstore.HoldersKey {
 			var ids []string
 			if err := json.Unmarshal(item.Value, &ids); err != nil {
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -2,9 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
+	"math"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/scheduler/maintenance"
+	"dotterelhead.example/dotterelhead/store"
 )
 
 // Machine is a VM in the platform's list.
@@ -23,6 +32,8 @@
 	// done already.
 	Upkeep(ctx context.Context, machine string, wave int64, fence int64) error
 	Move(ctx context.Context, machine, pool string, fence int64) error
+	// WaveStatus is the record that tells the operator the state of a wave.
+	WaveStatus(wave int64, completed bool) jobstore.Record
 }
 
 // Errors of Machines.
@@ -40,6 +51,327 @@
 	Duration time.Duration
 	// AtOnce is how many may be down for it together.
 	AtOnce int
+	// SeenAt is when this process learned of it.
+	SeenAt time.Time
 }
 
-func (t *term) upkeep(ctx context.Context) { <-ctx.Done() }
+const (
+	// upkeepEvery is the pause between looks at the waves and the VMs.
+	upkeepEvery = 300 * time.Millisecond
+	// listLag is how old the platform's list may be.
+	listLag = 2 * time.Second
+	// machineTime is how long a VM takes from its choice until it is back: the
+	// rest of its work, the upkeep itself, and the lag of the list.
+	machineTime = 6 * time.Second
+	// paceMargin makes a wave end before its time.
+	paceMargin = 1.5
+	// evacuateTime is how long work that would be lost may go on on a VM that
+	// is due for upkeep.
+	evacuateTime = 2500 * time.Millisecond
+	// handOverMargin is added to the pause between the orders of successive
+	// owners, for the clocks' differences.
+	handOverMargin = 300 * time.Millisecond
+)
+
+// machineState is where a VM stands in a wave.
+type machineState int
+
+const (
+	machinePending machineState = iota
+	machineDraining
+	machineDown
+	machineDone
+)
+
+// wavePart is one VM of a wave.
+type wavePart struct {
+	state  machineState
+	since  time.Duration
+	worker string
+	born   int64
+}
+
+// waveRun is the progress of a wave in this term.
+type waveRun struct {
+	Wave
+	parts    map[string]*wavePart
+	reported bool
+}
+
+// upkeep carries out the waves until ctx ends.
+func (t *term) upkeep(ctx context.Context) {
+	pause := time.Duration(0)
+	if t.held.Inherited {
+		pause = t.options.HandOver + handOverMargin
+	}
+	if !sleepFor(ctx, pause) {
+		return
+	}
+	runs := map[int64]*waveRun{}
+	for ctx.Err() == nil {
+		for _, w := range t.options.Waves() {
+			if runs[w.Number] == nil {
+				runs[w.Number] = t.newWaveRun(w)
+			}
+		}
+		if open := openRuns(runs); len(open) > 0 && t.authorized() {
+			if list, err := t.options.Machines.List(ctx); err == nil {
+				t.advance(ctx, open, list)
+			} else if ctx.Err() == nil {
+				t.options.Log.Warn().Str("event", "vm_list_failed").Err(err).Msg("")
+			}
+		}
+		sleepFor(ctx, upkeepEvery)
+	}
+}
+
+func sleepFor(ctx context.Context, d time.Duration) bool {
+	wait(ctx, nil, d)
+	return ctx.Err() == nil
+}
+
+func openRuns(runs map[int64]*waveRun) []*waveRun {
+	var open []*waveRun
+	for _, r := range runs {
+		if !r.reported {
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, func(a, b *waveRun) int { return int(a.Number - b.Number) })
+	return open
+}
+
+// newWaveRun continues a wave where the store says that it stands.
+func (t *term) newWaveRun(w Wave) *waveRun {
+	r := &waveRun{Wave: w, parts: map[string]*wavePart{}}
+	for _, id := range w.Machines {
+		r.parts[id] = &wavePart{}
+	}
+	for _, id := range t.waveDone[w.Number] {
+		if p := r.parts[id]; p != nil {
+			p.state = machineDone
+		}
+	}
+	t.report(r, false)
+	return r
+}
+
+// takeWaveRecord reads the progress of a wave that a former owner left.
+func (t *term) takeWaveRecord(item store.Item) error {
+	n, err := strconv.ParseInt(item.Key[len(jobstore.WavePrefix):], 10, 64)
+	if err != nil {
+		return errors.Wrapf(err, "key %s", item.Key)
+	}
+	var done []string
+	if err := json.Unmarshal(item.Value, &done); err != nil {
+		return errors.Wrapf(err, "decode %s", item.Key)
+	}
+	t.waveDone[n] = done
+	return nil
+}
+
+// advance takes every open wave a step further.
+func (t *term) advance(ctx context.Context, open []*waveRun, list []Machine) {
+	byID := map[string]Machine{}
+	for _, m := range list {
+		byID[m.ID] = m
+	}
+	t.expectStops(open, byID)
+	for _, r := range open {
+		t.noteReturned(r, byID)
+		t.choose(r, byID)
+		t.drain(ctx, r, byID)
+		t.finish(r, byID)
+	}
+}
+
+// expectStops tells the placement which workers the waves will stop.
+func (t *term) expectStops(open []*waveRun, byID map[string]Machine) {
+	ids := map[string]bool{}
+	for _, r := range open {
+		for id, p := range r.parts {
+			if m, ok := byID[id]; ok && (p.state == machinePending || p.state == machineDraining) {
+				ids[m.Worker] = true
+			}
+		}
+	}
+	t.mu.Lock()
+	t.core.ExpectStop(ids)
+	t.mu.Unlock()
+}
+
+// noteReturned notes the VMs that are back with a new worker.
+func (t *term) noteReturned(r *waveRun, byID map[string]Machine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := false
+	for id, p := range r.parts {
+		m, listed := byID[id]
+		switch {
+		case p.state == machineDown && !listed:
+			p.state = machineDone
+		case p.state == machineDown && m.Up && p.worker == "":
+			// A VM of a spare pool is off and has no worker to wait for. The
+			// list lags, so that it may still show the time before the upkeep.
+			if boottime.Now()-p.since > t.options.UpkeepTime+listLag {
+				p.state = machineDone
+			}
+		case p.state == machineDown && m.Up:
+			born, registered := t.core.Lifetime(m.Worker)
+			if registered && (m.Worker != p.worker || born != p.born) {
+				p.state = machineDone
+			}
+		case p.state == machinePending && !listed:
+			// The VM is gone; if it comes back, its upkeep is due again.
+			continue
+		}
+		changed = changed || p.state == machineDone
+	}
+	if changed {
+		t.recordJSONLocked(jobstore.WavePrefix+strconv.FormatInt(r.Number, 10), r.done())
+	}
+}
+
+func (r *waveRun) done() []string {
+	var ids []string
+	for id, p := range r.parts {
+		if p.state == machineDone {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// choose closes the workers of the VMs whose turn it is.
+func (t *term) choose(r *waveRun, byID map[string]Machine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := strconv.FormatInt(r.Number, 10)
+	s := maintenance.Snapshot{
+		Pools: []maintenance.Pool{{Name: name, MaxUnavailable: maintenance.Unlimited}},
+		Waves: []maintenance.Wave{{Name: name, Pools: []string{name}, MaxConcurrent: r.concurrency(), AnyRack: true, Done: r.done()}},
+	}
+	for id, p := range r.parts {
+		m, listed := byID[id]
+		vm := maintenance.VM{ID: id, Pool: name, HomePool: name, Busy: t.core.Load(m.Worker)}
+		switch {
+		case p.state == machineDraining || p.state == machineDown:
+			vm.State, vm.Wave = maintenance.Planned, name
+		case !listed:
+			vm.State = maintenance.Removed
+		case !m.Up:
+			vm.State = maintenance.Failed
+		}
+		s.VMs = append(s.VMs, vm)
+	}
+	for _, start := range maintenance.Next(s).Starts {
+		p := r.parts[start.VM]
+		p.state, p.since, p.worker = machineDraining, boottime.Now(), byID[start.VM].Worker
+		t.core.Close(p.worker, true)
+		t.options.Log.Info().Str("event", "upkeep_draining").Int64("wave", r.Number).Str("vm", start.VM).Str("worker", p.worker).Msg("")
+	}
+}
+
+// concurrency is how many VMs have to be out together for the wave to end in
+// time.
+func (r *waveRun) concurrency() int {
+	open := 0
+	for _, p := range r.parts {
+		if p.state != machineDone {
+			open++
+		}
+	}
+	left := r.Duration - time.Since(r.SeenAt)
+	if left < machineTime {
+		return r.AtOnce
+	}
+	need := int(math.Ceil(paceMargin * float64(open) * float64(machineTime) / float64(left)))
+	return min(r.AtOnce, max(need, 1))
+}
+
+// drain empties the chosen VMs and orders the upkeep of the empty ones.
+func (t *term) drain(ctx context.Context, r *waveRun, byID map[string]Machine) {
+	down := 0
+	for _, p := range r.parts {
+		if p.state == machineDown {
+			down++
+		}
+	}
+	for id, p := range r.parts {
+		if p.state != machineDraining {
+			continue
+		}
+		if m, listed := byID[id]; !listed || m.Worker != p.worker {
+			// The worker was replaced on the way: the VM's turn comes anew.
+			t.reopen(p)
+			continue
+		}
+		now := boottime.Now()
+		t.mu.Lock()
+		left := t.core.Evacuate(p.worker, now-p.since > evacuateTime, now)
+		p.born, _ = t.core.Lifetime(p.worker)
+		t.mu.Unlock()
+		t.kick()
+		if left > 0 || down >= r.AtOnce || !t.authorized() {
+			continue
+		}
+		if t.orderUpkeep(ctx, r, id, p) {
+			down++
+		}
+	}
+}
+
+func (t *term) reopen(p *wavePart) {
+	t.mu.Lock()
+	t.core.Close(p.worker, false)
+	t.mu.Unlock()
+	p.state = machinePending
+}
+
+// orderUpkeep reports whether the VM is, or may be, down.
+func (t *term) orderUpkeep(ctx context.Context, r *waveRun, id string, p *wavePart) bool {
+	err := t.options.Machines.Upkeep(ctx, id, r.Number, t.held.Fence)
+	t.options.Log.Info().Str("event", "upkeep_ordered").Int64("wave", r.Number).Str("vm", id).Str("worker", p.worker).
+		Int64("fence", t.held.Fence).AnErr("error", err).Msg("")
+	switch {
+	case err == nil:
+		p.state, p.since = machineDown, boottime.Now()
+		return true
+	case errors.Is(err, ErrFenced):
+		t.fenced(err)
+	case errors.Is(err, ErrNotInWave):
+		t.reopen(p)
+		p.state = machineDone
+	case errors.Is(err, ErrBusy):
+		t.reopen(p)
+	default:
+		// The order may have been carried out; it is repeated, which the
+		// platform answers without a second upkeep.
+		return true
+	}
+	return false
+}
+
+// finish reports a wave whose VMs are all done or gone.
+func (t *term) finish(r *waveRun, byID map[string]Machine) {
+	for id, p := range r.parts {
+		if _, listed := byID[id]; p.state != machineDone && (listed || p.state != machinePending) {
+			return
+		}
+	}
+	t.report(r, true)
+	r.reported = true
+	t.options.Log.Info().Str("event", "wave_completed").Int64("wave", r.Number).Int("vms", len(r.parts)).
+		Dur("took", time.Since(r.SeenAt)).Msg("")
+}
+
+func (t *term) report(r *waveRun, completed bool) {
+	record := t.options.Machines.WaveStatus(r.Number, completed)
+	t.mu.Lock()
+	if t.written[record.Key] != string(record.Value) {
+		t.records[record.Key] = record.Value
+	}
+	t.mu.Unlock()
+	t.kickWriter()
+}
--- a/owner/write.go
+++ b/owner/write.go
@@ -114,6 +114,7 @@
 func (t *term) committed(progress []execution.ProgressWrite, records []jobstore.Record) {
 	t.mu.Lock()
 	t.core.Committed(progress)
+	t.wakeAcknowledgedLocked()
 	for _, r := range records[len(progress):] {
 		t.written[r.Key] = string(r.Value)
 		if r.Key == jobstore.HoldersKey {
--- /dev/null
+++ b/scheduler/execution/evacuate.go
@@ -0,0 +1,101 @@
+package execution
+
+// Close keeps new work away from a worker, before a planned stop of its VM, or
+// opens it again.
+func (c *Core) Close(id string, closed bool) {
+	w := c.workers[id]
+	if w == nil || w.closed == closed {
+		return
+	}
+	w.closed = closed
+	if !closed {
+		c.relist(w.Service)
+	}
+}
+
+// ExpectStop tells which workers planned work will stop before long. Work that
+// lasts is placed elsewhere if there is room.
+func (c *Core) ExpectStop(ids map[string]bool) {
+	for id, w := range c.workers {
+		w.stopExpected = ids[id]
+	}
+}
+
+// Lifetime returns the start of a worker's lifetime; ok is false for one that
+// has no entry in the registry.
+func (c *Core) Lifetime(id string) (born int64, ok bool) {
+	w := c.workers[id]
+	if w == nil || !w.present {
+		return 0, false
+	}
+	return w.Born, true
+}
+
+// Load returns the number of runs on a worker.
+func (c *Core) Load(id string) int {
+	w := c.workers[id]
+	if w == nil {
+		return 0
+	}
+	return len(w.copies) + len(w.orphans)
+}
+
+// Evacuate wants the runs on a closed worker ended that can go on elsewhere
+// without loss, and with force all that availability allows. It returns the
+// number of runs that are left.
+func (c *Core) Evacuate(id string, force bool, now Time) int {
+	w := c.workers[id]
+	if w == nil {
+		return 0
+	}
+	for _, cp := range w.copies {
+		if !cp.stopWanted && cp.phase == running && (force || cp.item.step.spec.LongRunning || cp.item.step.spec.SavesProgress) {
+			cp.stopWanted = c.mayStop(cp, now)
+		}
+	}
+	return c.Load(id)
+}
+
+// evacuateDraining moves long-running items off workers that will leave.
+func (c *Core) evacuateDraining(now Time) {
+	for _, w := range c.workers {
+		if !w.Draining || !w.present {
+			continue
+		}
+		for _, cp := range w.copies {
+			if !cp.stopWanted && cp.phase == running && cp.item.step.spec.LongRunning {
+				cp.stopWanted = c.mayStop(cp, now)
+			}
+		}
+	}
+}
+
+// mayStop reports whether planned work may end a run without taking more items
+// of its step from work than the step allows.
+func (c *Core) mayStop(cp *itemCopy, now Time) bool {
+	s := cp.item.step
+	if s.spec.MaxUnavailable == 0 || !cp.atWork(now) {
+		return true
+	}
+	away := 0
+	for n := range s.items {
+		other := &s.items[n]
+		if other == cp.item {
+			continue
+		}
+		working := false
+		for _, oc := range other.copies {
+			working = working || oc.atWork(now)
+		}
+		if !working {
+			away++
+		}
+	}
+	return away < s.spec.MaxUnavailable
+}
+
+// atWork reports whether a long-running item serves its users, as of a recent
+// report of its worker.
+func (cp *itemCopy) atWork(now Time) bool {
+	return cp.phase == running && !cp.stopWanted && cp.percent >= 100 && now-cp.worker.clockAt < contactFresh
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -22,6 +22,7 @@
 	c.Due(wall, now)
 	c.sweep(now)
 	c.watchRuns(now)
+	c.evacuateDraining(now)
 	c.stops(&o, now)
 	c.pace(&o, now)
 	c.place(&o, now)
@@ -298,6 +299,9 @@
 		if w.ID == i.avoid {
 			score += avoidPenalty
 		}
+		if w.stopExpected && s.spec.LongRunning {
+			score += stopPenalty
+		}
 		if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
 			score += farPenalty
 		}
@@ -312,6 +316,7 @@
 const (
 	farPenalty   = 2
 	avoidPenalty = 1
+	stopPenalty  = 1
 )
 
 func (w *worker) suits(s *step, charge job.Resources, tickets map[string]string) bool {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -129,6 +129,8 @@
 	avoidUntil                  Time
 	// closed keeps new work away, before an upkeep or a move.
 	closed bool
+	// stopExpected is set while planned work is going to stop the worker.
+	stopExpected bool
 	// grantRecorded is set once the store names the worker among those that
 	// may hold leases.
 	grantRecorded bool
--- a/scheduler/maintenance/plan.go
+++ b/scheduler/maintenance/plan.go
@@ -49,6 +49,8 @@
 	State            State
 	// Wave is the wave that has the VM under maintenance.
 	Wave string
+	// Busy is the amount of work on the VM; idle VMs start first.
+	Busy int
 }
 
 // Wave is a wave with its progress.
@@ -56,8 +58,10 @@
 	Name          string
 	Pools         []string
 	MaxConcurrent int
-	Done          []string
-	Finished      bool
+	// AnyRack lets VMs of several racks be out of service together.
+	AnyRack  bool
+	Done     []string
+	Finished bool
 }
 
 // Snapshot is the input of a plan.
@@ -112,15 +116,15 @@
 }
 
 // Next returns the VMs to take out of service now. All waves share the budgets
-// of the pools. Each wave works in one rack at a time, and therefore in one
-// availability zone.
+// of the pools. A wave works in one rack at a time, and therefore in one
+// availability zone, unless it allows any rack.
 func Next(s Snapshot) Plan {
 	p := &planner{budgets: map[string]int{}, usage: map[string]usage{}, started: map[string]bool{}}
 	for _, pool := range s.Pools {
 		p.budgets[pool.Name] = pool.MaxUnavailable
 	}
 	vms := slices.Clone(s.VMs)
-	slices.SortFunc(vms, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(vms, func(a, b VM) int { return cmp.Or(cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.ID, b.ID)) })
 	for _, vm := range vms {
 		u := p.usage[vm.Pool]
 		switch vm.State {
@@ -154,7 +158,10 @@
 	if free <= 0 {
 		return nil, state
 	}
-	chosen := p.choose(pending, inFlight, free)
+	chosen := p.startable(pending, free)
+	if !w.AnyRack {
+		chosen = p.choose(pending, inFlight, free)
+	}
 	var starts []Start
 	for _, vm := range chosen {
 		p.take(vm)
