Count adopted runs until the former owner's leases have lapsed

Cause: a run that a new owner adopted was on a worker without a lease of its own, so the next round took the lease as lapsed and gave its room away. Ruled out: late starts of the former owner, which its fence number rejects. Change: an adopted run extends the bound of its worker's lease.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -38,15 +38,16 @@
 // owners before it. Leases that former owners granted lapse within
 // Options.Hold of the takeover.
 func New(options Options, term int64, now Time) *Core {
-	return &Core{
+	c := &Core{
 		options: options, manifest: &job.Manifest{},
 		jobs: map[string]*jobState{}, workers: map[string]*worker{},
-		scheduled:      map[*jobState]struct{}{},
-		firstRun:       term*runsPerTerm + 1,
-		inheritedUntil: now + time.Duration(float64(options.Hold)/(1-workerClockError)) + 2*lapseMargin,
-		formerHolders:  map[string]struct{}{},
-		tickets:        map[ticketKey]*advice{},
+		scheduled:     map[*jobState]struct{}{},
+		firstRun:      term*runsPerTerm + 1,
+		formerHolders: map[string]struct{}{},
+		tickets:       map[ticketKey]*advice{},
 	}
+	c.inheritedUntil = now + c.leaseBound() + lapseMargin
+	return c
 }
 
 func (c *Core) trace(e Event) {
--- /dev/null
+++ b/scheduler/execution/core_test.go
@@ -0,0 +1,108 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+const (
+	testHold  = 4 * time.Second
+	jobA      = "00000000000000aa"
+	jobB      = "00000000000000bb"
+	testQueue = "previews"
+	testPool  = "artwork"
+)
+
+// wall is the time of day at the start of each test.
+var wall = time.Unix(1_700_000_000, 0)
+
+// bench feeds a Core as its owner does, with workers that the test plays.
+type bench struct {
+	*testing.T
+	core *Core
+	now  Time
+}
+
+func newBench(t *testing.T, term int64) *bench {
+	b := &bench{T: t, now: time.Second}
+	b.core = New(Options{Hold: testHold, StopTimeout: 400 * time.Millisecond}, term, b.now)
+	b.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testPool, Attempts: 2}}})
+	return b
+}
+
+func testWorker(id string, milliCPU int64) Worker {
+	return Worker{
+		ID: id, Service: testPool, Address: "127.0.0.1:1", Born: 1,
+		Capacity: job.Resources{MilliCPU: milliCPU, MemoryMB: 1000},
+	}
+}
+
+// worker registers a worker, lets it be contacted, and records it as a holder.
+func (b *bench) worker(w Worker, report Report) {
+	b.Helper()
+	b.core.WorkerSeen(w, b.now)
+	ids, _ := b.core.UnrecordedHolders()
+	b.core.HoldersRecorded(ids)
+	b.report(w.ID, report)
+}
+
+// report answers the hold that is due on a worker.
+func (b *bench) report(id string, r Report) {
+	b.Helper()
+	h, ok := b.core.HoldFor(id, b.now)
+	if !ok {
+		b.Fatalf("no hold is due on %s", id)
+	}
+	sent := b.now
+	b.now += time.Millisecond
+	if r.Clock == 0 {
+		r.Clock = b.now
+	}
+	if r.Born == 0 {
+		r.Born = h.Worker.Born
+	}
+	b.core.HoldDone(h, r, sent, b.now)
+}
+
+func (b *bench) round() Orders {
+	b.now += time.Millisecond
+	return b.core.Round(wall.Add(b.now), b.now)
+}
+
+func (b *bench) after(d time.Duration) Orders {
+	b.now += d
+	return b.round()
+}
+
+func (b *bench) commit() {
+	b.core.Committed(b.core.TakeWrites(100))
+}
+
+// oneStep is a job of one step.
+func oneStep(id string, s job.Step) *job.Job {
+	if s.Count == 0 {
+		s.Count = 1
+	}
+	if s.Needs.MilliCPU == 0 {
+		s.Needs = job.Resources{MilliCPU: 1000, MemoryMB: 10}
+	}
+	return &job.Job{ID: id, Queue: testQueue, Service: testPool, Spec: "spec", Steps: []job.Step{s}}
+}
+
+func testRun(id string, index int, run int64) Run {
+	return Run{Item: job.ItemID{Job: id, Index: index}, Run: run}
+}
+
+// An adopted run was forgotten in the next round, because the new owner had
+// granted no lease on its worker, and its room was given away.
+func TestAdoptedRunKeepsItsRoom(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running}, true, b.now)
+	b.worker(testWorker("w1", 1500), Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 10}}})
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, b.now)
+	if o := b.round(); len(o.Starts) > 0 {
+		t.Fatalf("started %v on a worker whose room is taken by an adopted run", o.Starts)
+	}
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -279,6 +279,7 @@
 	}
 	if i != nil && !i.done && !j.final() && len(i.copies) == 0 {
 		cp := c.addCopy(i, w, row.Run.Run, running, now)
+		w.lapseAt = max(w.lapseAt, now+c.leaseBound())
 		cp.confirmedAt, cp.percent, cp.load = now, row.Percent, row.Load
 		if row.Saved != "" {
 			i.saved = row.Saved
@@ -294,11 +295,17 @@
 		}
 	}
 	w.orphans[row.Run] = o
+	w.lapseAt = max(w.lapseAt, now+c.leaseBound())
 	w.used = w.used.Add(o.charge, 1)
 	w.fillerCPU += o.filler
 	c.trace(Event{Name: "run_unwanted", Item: row.Item.String(), Run: row.Run.Run, Worker: w.ID})
 }
 
+// leaseBound is the longest time that a lease which was granted by now lasts.
+func (c *Core) leaseBound() time.Duration {
+	return time.Duration(float64(c.options.Hold)/(1-workerClockError)) + lapseMargin
+}
+
 func (c *Core) dropOrphan(w *worker, r Run) {
 	if o := w.orphans[r]; o != nil {
 		w.used = w.used.Add(o.charge, -1)
