--- a/cmd/dotterelheadd/main.go
+++ b/cmd/dotterelheadd/main.go
@@ -122,7 +122,11 @@
 			if err != nil {
 				return failure{err}
 			}
-			server := jobserver.New(jobserver.Options{Settings: *s, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler})
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			server := jobserver.New(jobserver.Options{
+				Settings: *s, File: file, Reload: reload, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler,
+			})
 			if err := server.Run(c.Context()); err != nil {
 				return failure{err}
 			}
--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"sync/atomic"
@@ -45,9 +46,13 @@
 // Options configure a Server.
 type Options struct {
 	Settings Settings
-	Log      *telemetry.Logger
-	Scope    tally.Scope
-	Metrics  http.Handler
+	// File is where the settings were read from; it is read again on each
+	// signal of Reload.
+	File    string
+	Reload  <-chan os.Signal
+	Log     *telemetry.Logger
+	Scope   tally.Scope
+	Metrics http.Handler
 }
 
 // Server is one entry VM of the job service.
@@ -127,6 +132,7 @@
 	group.Go(func() error { s.operator.Run(background); return nil })
 	group.Go(func() error { s.intake.Run(background); return nil })
 	group.Go(func() error { s.owner.Run(ctx); return nil })
+	group.Go(func() error { s.reload(background); return nil })
 	select {
 	case <-ctx.Done():
 	case <-background.Done():
@@ -137,6 +143,28 @@
 	return nil
 }
 
+// reload checks the settings file whenever it is asked to. Only the log level
+// can change in a running process; all else takes effect at the next start.
+func (s *Server) reload(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.options.Reload:
+		}
+		next, found := LoadSettings(s.options.File)
+		if err := found.Err(); err != nil {
+			s.options.Log.Error().Str("event", "settings_not_reloaded").Err(err).Msg("")
+			continue
+		}
+		restart := *next
+		restart.LogLevel = s.options.Settings.LogLevel
+		s.options.Log.Info().Str("event", "settings_reloaded").Str("log_level", next.LogLevel).
+			Bool("restart_needed", restart != s.options.Settings).Msg("")
+		s.options.Log.SetLevel(telemetry.ParseLevel(next.LogLevel))
+	}
+}
+
 // drain reports unready, waits until the load balancer has noticed, and ends
 // the open requests within the grace.
 func (s *Server) drain(front *http.Server) {
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/findings"
+	"dotterelhead.example/dotterelhead/telemetry"
 	"dotterelhead.example/dotterelhead/tomlfile"
 )
 
@@ -111,6 +112,9 @@
 			found.Add(index.At(path), "%s is not above 0", path)
 		}
 	}
+	if !telemetry.KnownLevel(s.LogLevel) {
+		found.Add(index.At("log_level"), "log_level %q is not known", s.LogLevel)
+	}
 	if s.MemoryLimitMB < 0 {
 		found.Add(index.At("memory_limit_mb"), "memory_limit_mb is negative")
 	}
--- /dev/null
+++ b/jobserver/settings_test.go
@@ -0,0 +1,58 @@
+package jobserver
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const validSettings = `
+node = "edge-1"
+caller_listen = "127.0.0.1:1"
+ready_listen = "127.0.0.1:2"
+store_address = "127.0.0.1:3"
+`
+
+func loadText(t *testing.T, text string) (*Settings, string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "entry.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, found := LoadSettings(file)
+	if err := found.Err(); err != nil {
+		return s, err.Error()
+	}
+	return s, ""
+}
+
+func TestDefaultsFillWhatAFileLeavesOut(t *testing.T) {
+	s, found := loadText(t, validSettings)
+	if found != "" {
+		t.Fatal(found)
+	}
+	if s.Bounds.MaxLeaseMs != 6000 || s.LogLevel != "info" {
+		t.Fatalf("defaults are missing: %+v", s)
+	}
+}
+
+// A wrong settings file must name every finding with its line, so that an
+// operator mends it in one go.
+func TestEveryFindingIsReported(t *testing.T) {
+	_, found := loadText(t, `
+node = ""
+caller_listen = "nowhere"
+ready_listen = "127.0.0.1:2"
+store_address = "127.0.0.1:3"
+log_level = "loud"
+colour = "blue"
+[bounds]
+grace_seconds = 0
+`)
+	for _, want := range []string{":2:", "caller_listen", "log_level", "colour", "grace_seconds"} {
+		if !strings.Contains(found, want) {
+			t.Errorf("findings do not mention %q:\n%s", want, found)
+		}
+	}
+}
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -106,3 +106,42 @@
 		t.Fatalf("started %v on a worker whose room is taken by an adopted run", o.Starts)
 	}
 }
+
+// lastingPair starts two long-running items on two workers, of which one may
+// be unavailable, and lets both be at work.
+func lastingPair(b *bench) {
+	b.Helper()
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, b.now)
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+		b.now += time.Millisecond
+		b.report(s.Worker.ID, Report{Running: []RunningItem{{Run: s.Run, Percent: 100}}})
+	}
+}
+
+// An item whose worker did not answer for a while was taken to be away already
+// and was stopped although another one of its step was away.
+func TestSilentWorkerKeepsItsPlaceInTheBudget(t *testing.T) {
+	b := newBench(t, 0)
+	lastingPair(b)
+	b.after(3 * time.Second)
+	b.core.Close("w2", true)
+	b.core.Evacuate("w2", true, b.now)
+	if o := b.round(); len(o.Stops) > 0 {
+		t.Fatalf("stopped %v while nothing is known of the other item", o.Stops)
+	}
+}
+
+func TestEvacuationTakesOneItemAtATime(t *testing.T) {
+	b := newBench(t, 0)
+	lastingPair(b)
+	b.core.Close("w1", true)
+	b.core.Close("w2", true)
+	b.core.Evacuate("w1", true, b.now)
+	b.core.Evacuate("w2", true, b.now)
+	if o := b.round(); len(o.Stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(o.Stops))
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -74,7 +74,7 @@
 // of its step from work than the step allows.
 func (c *Core) mayStop(cp *itemCopy, now Time) bool {
 	s := cp.item.step
-	if s.spec.MaxUnavailable == 0 || !cp.atWork(now) {
+	if s.spec.MaxUnavailable == 0 || cp.knownIdle(now) {
 		return true
 	}
 	away := 0
@@ -99,3 +99,9 @@
 func (cp *itemCopy) atWork(now Time) bool {
 	return cp.phase == running && !cp.stopWanted && cp.percent >= 100 && now-cp.worker.clockAt < contactFresh
 }
+
+// knownIdle reports whether a long-running item has not begun to serve its
+// users, as of a recent report. Without one it may have.
+func (cp *itemCopy) knownIdle(now Time) bool {
+	return cp.phase == running && cp.percent < 100 && now-cp.worker.clockAt < contactFresh
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -275,6 +275,7 @@
 // start makes the order for an item and notes the copy.
 func (c *Core) start(i *item, w *worker, run int64, saved string, tickets map[string]string, now Time) Start {
 	c.addCopy(i, w, run, starting, now)
+	c.trace(Event{Name: "run_placed", Item: i.id().String(), Run: run, Worker: w.ID, Service: w.Service, Took: now - i.step.readyAt})
 	deadline := w.clockNow(now) + c.options.Hold
 	w.grant(deadline)
 	return Start{
--- a/telemetry/logger.go
+++ b/telemetry/logger.go
@@ -29,11 +29,27 @@
 	Fields []string
 }
 
+var levels = map[string]log.Level{
+	"": log.InfoLevel, "trace": log.TraceLevel, "debug": log.DebugLevel, "info": log.InfoLevel, "warn": log.WarnLevel, "error": log.ErrorLevel,
+}
+
+// ParseLevel returns the level of a name, and the info level for an unknown
+// one.
+func ParseLevel(name string) log.Level {
+	if level, ok := levels[name]; ok {
+		return level
+	}
+	return log.InfoLevel
+}
+
+// KnownLevel reports whether name is the name of a level.
+func KnownLevel(name string) bool {
+	_, ok := levels[name]
+	return ok
+}
+
 // NewLogger returns a logger that writes logfmt.
 func NewLogger(o LoggerOptions) (*Logger, error) {
-	levels := map[string]log.Level{
-		"": log.InfoLevel, "trace": log.TraceLevel, "debug": log.DebugLevel, "info": log.InfoLevel, "warn": log.WarnLevel, "error": log.ErrorLevel,
-	}
 	level, ok := levels[o.Level]
 	if !ok {
 		return nil, errors.Errorf("unknown log level %q", o.Level)
