Rank steps by what their job can still reach

Change: jobs within reach of their objective go by worth per core-second, late ones by when they become worthless, the rest last; run times come from the step's own items, then from items that declared about as much.

--- a/job/job.go
+++ b/job/job.go
@@ -96,8 +96,10 @@
 	// Service is the pool of that queue at acceptance; it counts once the
 	// queue is withdrawn.
 	Service string `json:"s"`
-	Spec    string `json:"spec"`
-	Steps   []Step `json:"steps"`
+	// Accepted is the time of day at the entry VM that took the job.
+	Accepted time.Time `json:"at,omitzero"`
+	Spec     string    `json:"spec"`
+	Steps    []Step    `json:"steps"`
 	// Occurrences is how often the steps run; 0 stands for a single run
 	// without a due time.
 	Occurrences int           `json:"times,omitempty"`
--- a/owner/term.go
+++ b/owner/term.go
@@ -253,7 +253,7 @@
 
 // takeInbox adds accepted jobs, and then applies what was cancelled.
 func (t *term) takeInbox(items []store.Item, progress map[string]job.Progress, inherited bool) {
-	now := boottime.Now()
+	wall, now := time.Now(), boottime.Now()
 	var cancelled []string
 	for _, item := range items {
 		id, cancel, ok := jobstore.ParseInboxKey(item.Key)
@@ -269,7 +269,7 @@
 			t.options.Log.Error().Str("event", "job_unreadable").Str("job", id).Err(err).Msg("")
 			continue
 		}
-		t.core.AddJob(j, progress[id], inherited, now)
+		t.core.AddJob(j, progress[id], inherited, wall, now)
 	}
 	for _, id := range cancelled {
 		t.core.Cancel(id, now)
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/scheduler/runtimes"
 )
 
 // Core is the state of the jobs and workers of one owner. It is not safe for
@@ -28,6 +29,9 @@
 	formerHolders map[string]struct{}
 	settled       bool
 	tickets       map[ticketKey]*advice
+	learner       *runtimes.Learner
+	// queueWork is the mean work of the jobs of each queue in core-seconds.
+	queueWork map[string]float64
 }
 
 // runsPerTerm separates the run numbers of successive owners: an owner starts
@@ -45,6 +49,8 @@
 		firstRun:      term*runsPerTerm + 1,
 		formerHolders: map[string]struct{}{},
 		tickets:       map[ticketKey]*advice{},
+		learner:       runtimes.NewLearner(),
+		queueWork:     map[string]float64{},
 	}
 	c.inheritedUntil = now + c.leaseBound() + lapseMargin
 	return c
@@ -80,13 +86,13 @@
 
 // AddJob adds an accepted job with its durable progress. Inherited jobs are
 // those that a former owner may have started.
-func (c *Core) AddJob(spec *job.Job, p job.Progress, inherited bool, now Time) {
+func (c *Core) AddJob(spec *job.Job, p job.Progress, inherited bool, wall time.Time, now Time) {
 	if _, known := c.jobs[spec.ID]; known {
 		return
 	}
 	j := &jobState{
 		Job: spec, perRun: spec.ItemsPerRun(), occurrences: make([][]*step, spec.Runs()), runsLeft: spec.Runs(),
-		phase: job.Queued, acceptedAt: now, inherited: inherited,
+		phase: job.Queued, acceptedAt: now - age(spec, wall), inherited: inherited, dueAt: make([]Time, spec.Runs()),
 	}
 	if p.Phase != "" {
 		j.phase = p.Phase
@@ -98,12 +104,25 @@
 		return
 	}
 	c.restore(j, p, now)
+	j.occurrence(0, now)
+	c.learnWork(j, now)
 	c.scheduled[j] = struct{}{}
 	if j.finishIfDone(now) {
 		c.markDirty(j)
 	}
 }
 
+// mostAge bounds the age of a job, in case the time of day has jumped.
+const mostAge = time.Hour
+
+// age is how long ago a job was accepted.
+func age(j *job.Job, wall time.Time) time.Duration {
+	if j.Accepted.IsZero() {
+		return 0
+	}
+	return min(max(wall.Sub(j.Accepted), 0), mostAge)
+}
+
 func (c *Core) restore(j *jobState, p job.Progress, now Time) {
 	for _, n := range p.Done {
 		if i := j.byNumber(n, now); i != nil && !i.done {
@@ -184,6 +203,9 @@
 				left = true
 				break
 			}
+			if !due.IsZero() && j.dueAt[k] == 0 {
+				j.dueAt[k] = now
+			}
 			c.readySteps(j.occurrence(k, now), now)
 		}
 		if !left {
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -76,10 +76,6 @@
 	return b.round()
 }
 
-func (b *bench) commit() {
-	b.core.Committed(b.core.TakeWrites(100))
-}
-
 // oneStep is a job of one step.
 func oneStep(id string, s job.Step) *job.Job {
 	if s.Count == 0 {
@@ -99,9 +95,9 @@
 // granted no lease on its worker, and its room was given away.
 func TestAdoptedRunKeepsItsRoom(t *testing.T) {
 	b := newBench(t, 1)
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running}, true, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running}, true, wall, b.now)
 	b.worker(testWorker("w1", 1500), Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 10}}})
-	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, b.now)
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, wall, b.now)
 	if o := b.round(); len(o.Starts) > 0 {
 		t.Fatalf("started %v on a worker whose room is taken by an adopted run", o.Starts)
 	}
@@ -113,7 +109,7 @@
 	b.Helper()
 	b.worker(testWorker("w1", 1000), Report{})
 	b.worker(testWorker("w2", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, wall, b.now)
 	for _, s := range b.round().Starts {
 		b.core.StartDone(s, Started, b.now)
 		b.now += time.Millisecond
--- /dev/null
+++ b/scheduler/execution/rank_test.go
@@ -0,0 +1,62 @@
+package execution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// Load pattern: a queue asks for several times what its pool holds for some
+// seconds. First come first served makes every job late; the jobs that can
+// still meet their objective have to go first, and the late ones after them.
+func TestBurstServesJobsThatCanStillBeInTime(t *testing.T) {
+	b := newBench(t, 0)
+	b.core.SetManifest(&job.Manifest{Version: 2, Queues: []job.Queue{{
+		Name: testQueue, Service: testPool, Attempts: 2, Stretch: 1.6, TargetLatency: 600 * time.Millisecond,
+	}}})
+	b.worker(testWorker("w1", 2000), Report{})
+	const (
+		jobs    = 60
+		runTime = 500 * time.Millisecond
+		arrival = 50 * time.Millisecond
+	)
+	for n := range jobs {
+		id := fmt.Sprintf("%016x", n)
+		b.core.AddJob(oneStep(id, job.Step{Estimate: runTime}), job.Progress{}, false, wall, b.now+time.Duration(n)*arrival)
+	}
+	// The pool runs 4 items a second, 20 arrive: a fifth of the burst fits.
+	running := map[Run]Time{}
+	inTime, ends := 0, int64(0)
+	for step := 0; step < 400; step++ {
+		for _, s := range b.after(10 * time.Millisecond).Starts {
+			b.core.StartDone(s, Started, b.now)
+			running[s.Run] = b.now
+		}
+		for r, started := range running {
+			if b.now-started < runTime {
+				continue
+			}
+			delete(running, r)
+			ends++
+			b.report("w1", Report{Ended: []EndedItem{{Number: ends, Run: r, How: EndDone}}, Running: rows(running)})
+			b.core.Committed(b.core.TakeWrites(10))
+			if j := b.core.jobs[r.Item.Job]; j.phase == job.Completed && j.finishedAt-j.acceptedAt < 1400*time.Millisecond {
+				inTime++
+			}
+		}
+	}
+	// First come first served gets 5 or 6 of the first jobs done in time.
+	if inTime < 12 {
+		t.Fatalf("%d of %d jobs in time, want at least 12 of the 16 that fit", inTime, jobs)
+	}
+}
+
+func rows(running map[Run]Time) []RunningItem {
+	var out []RunningItem
+	for r := range running {
+		out = append(out, RunningItem{Run: r, Percent: 1})
+	}
+	return out
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -167,7 +167,7 @@
 	for _, s := range steps {
 		q := c.queueOf(s.job)
 		if len(pools[q.Service]) > 0 {
-			candidates = append(candidates, candidate{step: s, queue: q, rank: rankOf(s, q, now)})
+			candidates = append(candidates, candidate{step: s, queue: q, rank: c.rankOf(s, q, now)})
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.rank.compare(b.rank) })
@@ -201,36 +201,6 @@
 	rank  rank
 }
 
-// rank orders steps; smaller comes first.
-type rank struct {
-	class    int
-	priority int
-	order    time.Duration
-}
-
-func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), cmp.Compare(r.order, o.order))
-}
-
-// Classes of steps in the order in which they get room. Long-running work
-// comes first because it serves users all the time.
-const (
-	classLongRunning = iota
-	classNormal
-	classFiller
-)
-
-func rankOf(s *step, q job.Queue, _ Time) rank {
-	r := rank{class: classNormal, priority: q.Priority, order: s.job.acceptedAt}
-	switch {
-	case s.spec.Filler:
-		r.class = classFiller
-	case s.spec.LongRunning:
-		r.class = classLongRunning
-	}
-	return r
-}
-
 // pools returns the workers that may get work, by service.
 func (c *Core) pools(now Time) map[string][]*worker {
 	pools := map[string][]*worker{}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -79,6 +79,11 @@
 	readyAt Time
 	copies  map[*worker]int
 	listed  bool
+	// firstStart is when the first item was started; observed is the mean run
+	// time of the ran items that are done.
+	firstStart Time
+	observed   time.Duration
+	ran        int
 }
 
 func (s *step) done() bool { return s.left == 0 }
@@ -94,7 +99,9 @@
 	finishedAt  Time
 	// inherited is set for jobs that a former owner may have started.
 	inherited bool
-	dueSince  []Time
+	// dueAt is when each occurrence became due; 0 stands for jobs without due
+	// times.
+	dueAt []Time
 	// version counts the changes of the durable record, committed is the last
 	// one that the store has.
 	version, committed uint64
@@ -189,6 +196,9 @@
 	i.step.copies[w]++
 	w.copies[Run{i.id(), run}] = cp
 	w.charge(i.step.spec, 1)
+	if i.step.firstStart == 0 {
+		i.step.firstStart = now
+	}
 	if !i.step.job.begun {
 		i.step.job.begun = true
 		c.markDirty(i.step.job)
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -353,6 +353,9 @@
 		// A run that was given up and started again elsewhere is done there.
 		if cp != nil || len(i.copies) == 0 {
 			w.failures = 0
+			if cp != nil {
+				c.learnRun(i.step, took)
+			}
 			c.endedDone(i, cp, now)
 		}
 	case EndFailed:
