--- /dev/null
+++ b/owner/lend.go
@@ -0,0 +1,124 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
+)
+
+// ErrWrongPool reports a pool that cannot take the VM.
+var ErrWrongPool = errors.New("VM cannot be in that pool")
+
+// movesAtOnce bounds the orders to move VMs of one round; the platform takes
+// some dozens a second.
+const movesAtOnce = 24
+
+// moving is a VM that was ordered into another pool.
+type moving struct {
+	to     string
+	worker string
+	since  time.Duration
+}
+
+// lending is the state of the moves of one term. Only the machines' loop uses
+// it.
+type lending struct {
+	lender *capacity.Lender
+	moves  map[string]*moving
+	// refused are pairs of a VM and a pool that the platform does not allow.
+	refused map[[2]string]bool
+}
+
+func newLending(moveTime time.Duration) *lending {
+	return &lending{
+		lender: capacity.NewLender(capacity.LendingOptions{MoveTime: moveTime}),
+		moves:  map[string]*moving{}, refused: map[[2]string]bool{},
+	}
+}
+
+// lend moves VMs between the pools. inUpkeep are VMs that a wave works on.
+func (t *term) lend(ctx context.Context, l *lending, list []Machine, inUpkeep map[string]bool) {
+	t.settleMoves(l, list)
+	var group sync.WaitGroup
+	for _, m := range t.planMoves(l, list, inUpkeep) {
+		group.Go(func() { t.move(ctx, l, m) })
+	}
+	group.Wait()
+}
+
+// settleMoves forgets the moves that the list shows as done, and those of
+// which nothing came.
+func (t *term) settleMoves(l *lending, list []Machine) {
+	now := boottime.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range list {
+		mv := l.moves[m.ID]
+		if mv == nil || now-mv.since < t.options.MoveTime {
+			continue
+		}
+		arrived := m.Pool == mv.to && m.Up
+		if arrived || now-mv.since > t.options.MoveTime+listLag {
+			t.core.Close(mv.worker, false)
+			delete(l.moves, m.ID)
+		}
+	}
+}
+
+// planMoves decides the moves and closes the workers that they end.
+func (t *term) planMoves(l *lending, list []Machine, inUpkeep map[string]bool) []capacity.Move {
+	now := boottime.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var vms []capacity.LentVM
+	workers := map[string]string{}
+	for _, m := range list {
+		workers[m.ID] = m.Worker
+		vm := capacity.LentVM{ID: m.ID, Pool: m.Pool, Runs: t.core.Load(m.Worker), Pinned: inUpkeep[m.ID], Arriving: !m.Up}
+		if mv := l.moves[m.ID]; mv != nil {
+			vm.Pool, vm.Arriving = mv.to, true
+		}
+		if m.Worker != "" && !t.core.Usable(m.Worker) {
+			vm.Pinned = true
+		}
+		vms = append(vms, vm)
+	}
+	var moves []capacity.Move
+	for _, m := range l.lender.Plan(now, t.core.Demands(now), vms) {
+		if len(moves) == movesAtOnce || l.refused[[2]string{m.VM, m.To}] {
+			continue
+		}
+		l.moves[m.VM] = &moving{to: m.To, worker: workers[m.VM], since: now}
+		t.core.Close(workers[m.VM], true)
+		moves = append(moves, m)
+	}
+	return moves
+}
+
+// move orders one move. An order without an answer may have been carried out;
+// the list tells.
+func (t *term) move(ctx context.Context, l *lending, m capacity.Move) {
+	if !t.authorized() {
+		return
+	}
+	err := t.options.Machines.Move(ctx, m.VM, m.To, t.held.Fence)
+	t.options.Log.Info().Str("event", "vm_moved").Str("vm", m.VM).Str("from", m.From).Str("to", m.To).
+		Int64("fence", t.held.Fence).AnErr("error", err).Msg("")
+	t.fenced(err)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mv := l.moves[m.VM]
+	if mv == nil {
+		return
+	}
+	if errors.Is(err, ErrBusy) || errors.Is(err, ErrWrongPool) {
+		t.core.Close(mv.worker, false)
+		delete(l.moves, m.VM)
+		l.refused[[2]string{m.VM, m.To}] = errors.Is(err, ErrWrongPool)
+	}
+}
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -57,7 +57,7 @@
 
 const (
 	// upkeepEvery is the pause between looks at the waves and the VMs.
-	upkeepEvery = 300 * time.Millisecond
+	upkeepEvery = 150 * time.Millisecond
 	// listLag is how old the platform's list may be.
 	listLag = 2 * time.Second
 	// machineTime is how long a VM takes from its choice until it is back: the
@@ -108,15 +108,18 @@
 		return
 	}
 	runs := map[int64]*waveRun{}
+	lent := newLending(t.options.MoveTime)
 	for ctx.Err() == nil {
 		for _, w := range t.options.Waves() {
 			if runs[w.Number] == nil {
 				runs[w.Number] = t.newWaveRun(w)
 			}
 		}
-		if open := openRuns(runs); len(open) > 0 && t.authorized() {
+		if t.authorized() {
 			if list, err := t.options.Machines.List(ctx); err == nil {
-				t.advance(ctx, open, list)
+				open := openRuns(runs)
+				t.advance(ctx, open, list, lent)
+				t.lend(ctx, lent, list, inUpkeep(open))
 			} else if ctx.Err() == nil {
 				t.options.Log.Warn().Str("event", "vm_list_failed").Err(err).Msg("")
 			}
@@ -125,6 +128,19 @@
 	}
 }
 
+// inUpkeep returns the VMs that the waves have taken out of service.
+func inUpkeep(open []*waveRun) map[string]bool {
+	ids := map[string]bool{}
+	for _, r := range open {
+		for id, p := range r.parts {
+			if p.state == machineDraining || p.state == machineDown {
+				ids[id] = true
+			}
+		}
+	}
+	return ids
+}
+
 func sleepFor(ctx context.Context, d time.Duration) bool {
 	wait(ctx, nil, d)
 	return ctx.Err() == nil
@@ -171,9 +187,12 @@
 }
 
 // advance takes every open wave a step further.
-func (t *term) advance(ctx context.Context, open []*waveRun, list []Machine) {
+func (t *term) advance(ctx context.Context, open []*waveRun, list []Machine, lent *lending) {
 	byID := map[string]Machine{}
 	for _, m := range list {
+		if lent.moves[m.ID] != nil {
+			m.Up = false
+		}
 		byID[m.ID] = m
 	}
 	t.expectStops(open, byID)
--- /dev/null
+++ b/scheduler/capacity/lending.go
@@ -0,0 +1,263 @@
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Demand is what a pool of workers asks for at the moment, in cores.
+type Demand struct {
+	Pool string
+	// Spare VMs are off and cost nothing.
+	Spare bool
+	// CoresPerVM is the size of a VM of the pool.
+	CoresPerVM float64
+	// Used is what runs, Waiting what could start at once, and Lasting the part
+	// of Used that runs until it is cancelled.
+	Used, Waiting, Lasting float64
+	// Backlog is the work that waits, in core-seconds.
+	Backlog float64
+}
+
+// LentVM is a VM as the lender sees it.
+type LentVM struct {
+	ID   string
+	Pool string
+	// Runs is the number of work items on the VM; only a VM without any moves.
+	Runs int
+	// Arriving VMs are on their way into their pool. Pinned VMs stay.
+	Arriving, Pinned bool
+}
+
+// LendingOptions configure a Lender. Zero values stand for the defaults.
+type LendingOptions struct {
+	// MoveTime is how long a VM is away on a move; default 1.5 s.
+	MoveTime time.Duration
+	// Keep is how long a VM without use stays before it is switched off. A VM
+	// that is switched off and on again costs two moves and their time.
+	Keep time.Duration
+}
+
+const (
+	defaultMoveTime = 1500 * time.Millisecond
+	// defaultKeep is the time after which a VM in a pool has cost as much as
+	// the two moves that would have spared it.
+	defaultKeep = 1200 * time.Millisecond
+	// clearTime is the time in which a backlog should be worked off. It is
+	// within the objectives of short jobs, which are about 2 s.
+	clearTime = 800 * time.Millisecond
+	// headroomVMs are kept idle in each pool, so that a job between bursts does
+	// not wait for a move.
+	headroomVMs = 1.0
+	// burstFactor times the lasting work and the headroom is a burst.
+	burstVMs = 3
+	// forecastLead is how long before an expected burst VMs are moved, beyond
+	// the time of the move.
+	forecastLead = 400 * time.Millisecond
+	// forecastWait is how long after its expected start a burst is waited for.
+	forecastWait = 1200 * time.Millisecond
+	// regularShare is how much the times between bursts may differ for the next
+	// one to be forecast.
+	regularShare = 0.15
+)
+
+// Lender moves VMs to the pools that ask for more than they hold, and switches
+// off what no pool uses. Answers the load of queues that burst by turns: each
+// asks for about five times its mean for some seconds and for almost nothing
+// in between.
+type Lender struct {
+	options LendingOptions
+	pools   map[string]*lendingHistory
+}
+
+// lendingHistory is what the lender remembers of a pool.
+type lendingHistory struct {
+	// peaks are the recent wants, the largest of which counts.
+	peaks []want
+	// starts are the starts of the last bursts, burstVMs the largest want of
+	// the last one.
+	inBurst  bool
+	starts   []time.Duration
+	burstVMs int
+	peak     int
+}
+
+type want struct {
+	at  time.Duration
+	vms int
+}
+
+// NewLender returns a lender without history.
+func NewLender(options LendingOptions) *Lender {
+	if options.MoveTime <= 0 {
+		options.MoveTime = defaultMoveTime
+	}
+	if options.Keep <= 0 {
+		options.Keep = defaultKeep
+	}
+	return &Lender{options: options, pools: map[string]*lendingHistory{}}
+}
+
+// lendingPool is a pool during one plan.
+type lendingPool struct {
+	Demand
+	// wanted is what the pool needs now, kept what it must not fall below.
+	wanted, kept int
+	vms          int
+	idle         []LentVM
+}
+
+// Plan returns the moves to order now. now is on a clock that only grows.
+func (l *Lender) Plan(now time.Duration, demands []Demand, vms []LentVM) []Move {
+	pools := map[string]*lendingPool{}
+	var order []*lendingPool
+	for _, d := range demands {
+		p := &lendingPool{Demand: d}
+		if !d.Spare {
+			p.wanted, p.kept = l.target(now, d)
+		}
+		pools[d.Pool] = p
+		order = append(order, p)
+	}
+	for _, vm := range vms {
+		p := pools[vm.Pool]
+		if p == nil {
+			continue
+		}
+		p.vms++
+		if vm.Runs == 0 && !vm.Arriving && !vm.Pinned {
+			p.idle = append(p.idle, vm)
+		}
+	}
+	slices.SortFunc(order, func(a, b *lendingPool) int {
+		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.Pool, b.Pool))
+	})
+	return append(l.fill(order), l.switchOff(order)...)
+}
+
+func (p *lendingPool) missing() int { return p.wanted - p.vms }
+
+// surplus is how many idle VMs the pool can give away.
+func (p *lendingPool) surplus() int {
+	if p.Spare {
+		return len(p.idle)
+	}
+	return min(p.vms-max(p.wanted, p.kept), len(p.idle))
+}
+
+// target returns how many VMs a pool needs now and must keep.
+func (l *Lender) target(now time.Duration, d Demand) (wanted, kept int) {
+	h := l.pools[d.Pool]
+	if h == nil {
+		h = &lendingHistory{}
+		l.pools[d.Pool] = h
+	}
+	size := max(d.CoresPerVM, 1)
+	cores := d.Used + min(d.Waiting, d.Backlog/clearTime.Seconds())
+	wanted = max(int(math.Ceil(cores/size+headroomVMs/2)), 1)
+	base := int(math.Ceil(d.Lasting/size + headroomVMs))
+	h.observe(now, wanted, base, l.options.Keep)
+	if h.expects(now, l.options.MoveTime+forecastLead) {
+		wanted = max(wanted, h.burstVMs)
+	}
+	return wanted, max(base, h.largest())
+}
+
+func (h *lendingHistory) observe(now time.Duration, wanted, base int, keep time.Duration) {
+	h.peaks = append(h.peaks, want{now, wanted})
+	h.peaks = slices.DeleteFunc(h.peaks, func(w want) bool { return now-w.at > keep })
+	switch {
+	case !h.inBurst && wanted >= base+burstVMs:
+		h.inBurst, h.peak = true, wanted
+		h.starts = append(h.starts, now)
+		if len(h.starts) > 3 {
+			h.starts = h.starts[1:]
+		}
+	case h.inBurst && h.largest() < base+burstVMs:
+		h.inBurst, h.burstVMs = false, h.peak
+	}
+	if h.inBurst {
+		h.peak = max(h.peak, wanted)
+	}
+}
+
+func (h *lendingHistory) largest() int {
+	most := 0
+	for _, w := range h.peaks {
+		most = max(most, w.vms)
+	}
+	return most
+}
+
+// expects reports whether a burst is due within lead, by the time between the
+// last bursts.
+func (h *lendingHistory) expects(now, lead time.Duration) bool {
+	n := len(h.starts)
+	if h.inBurst || n < 2 {
+		return false
+	}
+	gap := h.starts[n-1] - h.starts[n-2]
+	if n > 2 {
+		before := h.starts[n-2] - h.starts[n-3]
+		if math.Abs(float64(gap-before)) > regularShare*float64(gap) {
+			return false
+		}
+	}
+	next := h.starts[n-1] + gap
+	return now >= next-lead && now <= next+forecastWait
+}
+
+// fill moves idle VMs to the pools that need more, spare ones first.
+func (l *Lender) fill(order []*lendingPool) []Move {
+	var moves []Move
+	for _, to := range order {
+		for to.missing() > 0 && !to.Spare {
+			from := donor(order, to)
+			if from == nil {
+				return moves
+			}
+			moves = append(moves, from.give(to))
+		}
+	}
+	return moves
+}
+
+// donor returns the pool that can best give a VM.
+func donor(order []*lendingPool, to *lendingPool) *lendingPool {
+	var best *lendingPool
+	for _, p := range order {
+		if p == to || p.surplus() <= 0 {
+			continue
+		}
+		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && p.surplus() > best.surplus() {
+			best = p
+		}
+	}
+	return best
+}
+
+func (p *lendingPool) give(to *lendingPool) Move {
+	vm := p.idle[0]
+	p.idle = p.idle[1:]
+	p.vms--
+	to.vms++
+	return Move{VM: vm.ID, From: p.Pool, To: to.Pool}
+}
+
+// switchOff moves VMs that no pool uses to a spare pool.
+func (l *Lender) switchOff(order []*lendingPool) []Move {
+	i := slices.IndexFunc(order, func(p *lendingPool) bool { return p.Spare })
+	if i < 0 {
+		return nil
+	}
+	spare := order[i]
+	var moves []Move
+	for _, p := range order {
+		for !p.Spare && p.surplus() > 0 {
+			moves = append(moves, p.give(spare))
+		}
+	}
+	return moves
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -105,3 +105,9 @@
 func (cp *itemCopy) knownIdle(now Time) bool {
 	return cp.phase == running && cp.percent < 100 && now-cp.worker.clockAt < contactFresh
 }
+
+// Usable reports whether a worker takes new work.
+func (c *Core) Usable(id string) bool {
+	w := c.workers[id]
+	return w != nil && w.present && w.contacted && !w.Draining && !w.closed
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -255,8 +255,8 @@
 }
 
 // choose returns the worker for an item, or nil when none has room. Work goes
-// to the data's rack if there is room, and else to the least loaded worker, so
-// that a lost worker takes little with it.
+// to the data's rack if there is room, and else to the most loaded worker, so
+// that idle VMs can be lent to other pools.
 func (c *Core) choose(i *item, pool []*worker, tickets map[string]string) *worker {
 	s := i.step
 	charge := s.spec.Charge()
@@ -266,7 +266,10 @@
 		if !w.suits(s, charge, tickets) {
 			continue
 		}
-		score := w.load(s.spec.Filler)
+		score := -w.load()
+		if s.spec.Filler {
+			score = w.fillerLoad()
+		}
 		if w.ID == i.avoid {
 			score += avoidPenalty
 		}
@@ -306,14 +309,14 @@
 	return true
 }
 
-// load is the share of the CPU in use. Fillers count only for other fillers:
-// they give way to all else.
-func (w *worker) load(filler bool) float64 {
-	used := w.used.MilliCPU
-	if filler {
-		used += w.fillerCPU
-	}
-	return float64(used) / float64(max(w.Capacity.MilliCPU, 1))
+// load is the share of the CPU that is promised to work items.
+func (w *worker) load() float64 {
+	return float64(w.used.MilliCPU) / float64(max(w.Capacity.MilliCPU, 1))
+}
+
+// fillerLoad counts fillers too; they take what the others leave unused.
+func (w *worker) fillerLoad() float64 {
+	return float64(w.used.MilliCPU+w.fillerCPU) / float64(max(w.Capacity.MilliCPU, 1))
 }
 
 // placeGang starts all items of a gang together, or none.
