Keep only living lease holders on record; keep distance by VM after a takeover

Cause: the record of lease holders kept workers whose VMs had been moved, so every takeover waited 4.9 s for their leases; and no VM moved for 3.3 s after a takeover, while pools were switched off. Change: a VM that was taken ends its worker at once; the record is rewritten when a worker goes; owners announce which VMs they order, and a new owner waits for these alone.

--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -7,6 +7,7 @@
 //	owner/lease       the owner; attached to the owner's lease
 //	owner/term        how many owners there have been
 //	owner/holders     workers that may hold leases; written by the owner
+//	owner/orders      VMs that were ordered to move or to upkeep lately
 //	owner/waiting     jobs of each queue of which nothing has started
 //	owner/wave/N      machines of a wave that had their upkeep
 package jobstore
@@ -24,6 +25,7 @@
 	TermKey        = OwnerPrefix + "term"
 	HoldersKey     = OwnerPrefix + "holders"
 	WaitingKey     = OwnerPrefix + "waiting"
+	OrdersKey      = OwnerPrefix + "orders"
 	WavePrefix     = OwnerPrefix + "wave/"
 )
 
--- a/owner/lend.go
+++ b/owner/lend.go
@@ -22,6 +22,7 @@
 type moving struct {
 	to     string
 	worker string
+	born   int64
 	since  time.Duration
 }
 
@@ -44,13 +45,35 @@
 // lend moves VMs between the pools. inUpkeep are VMs that a wave works on.
 func (t *term) lend(ctx context.Context, l *lending, list []Machine, inUpkeep map[string]bool) {
 	t.settleMoves(l, list)
+	moves := t.planMoves(l, list, inUpkeep)
+	if len(moves) == 0 {
+		return
+	}
+	ids := make([]string, 0, len(moves))
+	for _, m := range moves {
+		ids = append(ids, m.VM)
+	}
+	if !t.announceOrders(ctx, ids) {
+		t.dropMoves(l, ids)
+		return
+	}
 	var group sync.WaitGroup
-	for _, m := range t.planMoves(l, list, inUpkeep) {
+	for _, m := range moves {
 		group.Go(func() { t.move(ctx, l, m) })
 	}
 	group.Wait()
 }
 
+// dropMoves forgets moves that were not ordered.
+func (t *term) dropMoves(l *lending, ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		t.core.Close(l.moves[id].worker, false)
+		delete(l.moves, id)
+	}
+}
+
 // settleMoves forgets the moves that the list shows as done, and those of
 // which nothing came.
 func (t *term) settleMoves(l *lending, list []Machine) {
@@ -83,7 +106,7 @@
 		if mv := l.moves[m.ID]; mv != nil {
 			vm.Pool, vm.Arriving = mv.to, true
 		}
-		if m.Worker != "" && !t.core.Usable(m.Worker) {
+		if m.Worker != "" && !t.core.Usable(m.Worker) || t.formerlyOrdered(m.ID) {
 			vm.Pinned = true
 		}
 		vms = append(vms, vm)
@@ -93,7 +116,8 @@
 		if len(moves) == movesAtOnce || l.refused[[2]string{m.VM, m.To}] {
 			continue
 		}
-		l.moves[m.VM] = &moving{to: m.To, worker: workers[m.VM], since: now}
+		born, _ := t.core.Lifetime(workers[m.VM])
+		l.moves[m.VM] = &moving{to: m.To, worker: workers[m.VM], born: born, since: now}
 		t.core.Close(workers[m.VM], true)
 		moves = append(moves, m)
 	}
@@ -116,6 +140,9 @@
 	if mv == nil {
 		return
 	}
+	if err == nil {
+		t.core.Terminated(mv.worker, mv.born, boottime.Now())
+	}
 	if errors.Is(err, ErrBusy) || errors.Is(err, ErrWrongPool) {
 		t.core.Close(mv.worker, false)
 		delete(l.moves, m.VM)
--- a/owner/term.go
+++ b/owner/term.go
@@ -54,6 +54,14 @@
 	loops          map[string]*holdLoop
 	records        map[string][]byte
 	written        map[string]string
+	// onWritten are signalled when the store has a record.
+	onWritten map[string]chan struct{}
+	startedAt time.Duration
+	// orderedAt is when this owner gave its last order to a VM, formerOrders
+	// are the VMs that a former owner gave orders to lately. Only the
+	// machines' loop uses them once the records are loaded.
+	orderedAt    map[string]time.Duration
+	formerOrders map[string]bool
 	// waveDone are the VMs of each wave that had their upkeep under former
 	// owners.
 	waveDone map[int64][]string
@@ -67,8 +75,9 @@
 func newTerm(o *Owner, held *jobstore.Held, asked time.Duration) *term {
 	t := &term{
 		Owner: o, held: held, loops: map[string]*holdLoop{}, records: map[string][]byte{}, written: map[string]string{},
-		waveDone: map[int64][]string{},
-		wake:     make(chan struct{}, 1), wakeWrite: make(chan struct{}, 1),
+		waveDone: map[int64][]string{}, onWritten: map[string]chan struct{}{}, startedAt: boottime.Now(),
+		orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		wake: make(chan struct{}, 1), wakeWrite: make(chan struct{}, 1),
 		authorityUntil: asked + o.options.Lease - authorityMargin,
 	}
 	options := o.options.Execution
@@ -224,6 +233,11 @@
 				return 0, 0, err
 			}
 		}
+		if item.Key == jobstore.OrdersKey {
+			if err := t.takeOrdersRecord(item.Value); err != nil {
+				return 0, 0, err
+			}
+		}
 		if item.Key == jobstore.HoldersKey {
 			var ids []string
 			if err := json.Unmarshal(item.Value, &ids); err != nil {
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -100,13 +100,6 @@
 
 // upkeep carries out the waves until ctx ends.
 func (t *term) upkeep(ctx context.Context) {
-	pause := time.Duration(0)
-	if t.held.Inherited {
-		pause = t.options.HandOver + handOverMargin
-	}
-	if !sleepFor(ctx, pause) {
-		return
-	}
 	runs := map[int64]*waveRun{}
 	lent := newLending(t.options.MoveTime)
 	for ctx.Err() == nil {
@@ -190,7 +183,7 @@
 func (t *term) advance(ctx context.Context, open []*waveRun, list []Machine, lent *lending) {
 	byID := map[string]Machine{}
 	for _, m := range list {
-		if lent.moves[m.ID] != nil {
+		if lent.moves[m.ID] != nil || t.formerlyOrdered(m.ID) {
 			m.Up = false
 		}
 		byID[m.ID] = m
@@ -350,12 +343,16 @@
 
 // orderUpkeep reports whether the VM is, or may be, down.
 func (t *term) orderUpkeep(ctx context.Context, r *waveRun, id string, p *wavePart) bool {
+	if !t.announceOrders(ctx, []string{id}) {
+		return false
+	}
 	err := t.options.Machines.Upkeep(ctx, id, r.Number, t.held.Fence)
 	t.options.Log.Info().Str("event", "upkeep_ordered").Int64("wave", r.Number).Str("vm", id).Str("worker", p.worker).
 		Int64("fence", t.held.Fence).AnErr("error", err).Msg("")
 	switch {
 	case err == nil:
 		p.state, p.since = machineDown, boottime.Now()
+		t.terminated(p.worker, p.born)
 		return true
 	case errors.Is(err, ErrFenced):
 		t.fenced(err)
--- a/owner/write.go
+++ b/owner/write.go
@@ -117,6 +117,10 @@
 	t.wakeAcknowledgedLocked()
 	for _, r := range records[len(progress):] {
 		t.written[r.Key] = string(r.Value)
+		if done := t.onWritten[r.Key]; done != nil {
+			close(done)
+			delete(t.onWritten, r.Key)
+		}
 		if r.Key == jobstore.HoldersKey {
 			var ids []string
 			if json.Unmarshal(r.Value, &ids) == nil {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -28,8 +28,10 @@
 	// have not been contacted.
 	formerHolders map[string]struct{}
 	settled       bool
-	tickets       map[ticketKey]*advice
-	learner       *runtimes.Learner
+	// holdersChanged is set while the store names workers that are gone.
+	holdersChanged bool
+	tickets        map[ticketKey]*advice
+	learner        *runtimes.Learner
 	// queueWork is the mean work of the jobs of each queue in core-seconds.
 	queueWork map[string]float64
 }
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -141,3 +141,31 @@
 		t.Fatalf("%d stops, want 1", len(o.Stops))
 	}
 }
+
+// The record of possible lease holders kept workers whose VMs had been moved
+// away, so that each takeover waited for leases of workers that were long gone.
+func TestTerminatedWorkerIsNoHolder(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.core.Terminated(start.Worker.ID, start.Worker.Born, b.now)
+	if ids, changed := b.core.UnrecordedHolders(); len(ids) != 1 || !changed {
+		t.Fatalf("holders %v, changed %v; want the other worker alone, to be written", ids, changed)
+	}
+	if o := b.round(); len(o.Starts) != 1 || o.Starts[0].Worker.ID == start.Worker.ID {
+		t.Fatalf("starts %v; the item of the terminated worker must start elsewhere at once", o.Starts)
+	}
+}
+
+func TestWorkerThatLapsedLeavesTheHolders(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.WorkerGone("w1", b.now)
+	b.after(2 * testHold)
+	if ids, changed := b.core.UnrecordedHolders(); len(ids) != 0 || !changed {
+		t.Fatalf("holders %v, changed %v; want none, to be written", ids, changed)
+	}
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -124,6 +124,7 @@
 		}
 		if !w.present {
 			delete(c.workers, id)
+			c.holdersChanged = true
 			c.trace(Event{Name: "worker_gone", Worker: id, Service: w.Service})
 		}
 	}
@@ -151,9 +152,24 @@
 // started again.
 func (c *Core) Settled() bool { return c.settled }
 
-// UnrecordedHolders returns all workers that may hold leases when the store
-// has to learn of a new one before it gets work.
+// Terminated notes that the platform has ended a lifetime of a worker with all
+// that ran on it, by a move or an upkeep of its VM.
+func (c *Core) Terminated(id string, born int64, now Time) {
+	w := c.workers[id]
+	if w == nil || w.Born != born {
+		return
+	}
+	for _, cp := range copiesOf(w) {
+		c.lose(cp, "vm_taken", now)
+	}
+	delete(c.workers, id)
+	c.holdersChanged = true
+}
+
+// UnrecordedHolders returns all workers that may hold leases, and whether the
+// store names others. It has to learn of a worker before that gets work.
 func (c *Core) UnrecordedHolders() (ids []string, changed bool) {
+	changed = c.holdersChanged
 	for id, w := range c.workers {
 		ids = append(ids, id)
 		changed = changed || !w.grantRecorded
@@ -165,6 +181,7 @@
 // HoldersRecorded notes that the store names the workers as possible holders
 // of leases.
 func (c *Core) HoldersRecorded(ids []string) {
+	c.holdersChanged = len(ids) != len(c.workers)
 	for _, id := range ids {
 		if w := c.workers[id]; w != nil {
 			w.grantRecorded = true
