--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -321,11 +321,12 @@
 		}
 		now := boottime.Now()
 		t.mu.Lock()
-		left := t.core.Evacuate(p.worker, now-p.since > evacuateTime, now)
+		t.core.Evacuate(p.worker, now-p.since > evacuateTime, now)
+		empty := p.worker == "" || t.core.Empty(p.worker)
 		p.born, _ = t.core.Lifetime(p.worker)
 		t.mu.Unlock()
 		t.kick()
-		if left > 0 || down >= r.AtOnce || !t.authorized() {
+		if !empty || down >= r.AtOnce || !t.authorized() {
 			continue
 		}
 		if t.orderUpkeep(ctx, r, id, p) {
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -169,3 +169,24 @@
 		t.Fatalf("holders %v, changed %v; want none, to be written", ids, changed)
 	}
 }
+
+// Right after a takeover an owner took a VM for empty whose worker it had not
+// called yet, and ended two long-running items by its upkeep.
+func TestUncalledWorkerIsNotEmpty(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.FormerHolders([]string{"w1", "w2"})
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	for _, id := range []string{"w1", "w2"} {
+		if b.core.Empty(id) {
+			t.Errorf("%s counts as empty before it was called", id)
+		}
+	}
+	b.report("w1", Report{})
+	if !b.core.Empty("w1") {
+		t.Error("w1 has listed no runs and does not count as empty")
+	}
+	b.after(2 * testHold)
+	if !b.core.Empty("w2") {
+		t.Error("w2 does not count as empty after its lease has lapsed")
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -40,20 +40,28 @@
 	return len(w.copies) + len(w.orphans)
 }
 
+// Empty reports whether certainly nothing runs on a worker: it said so, or the
+// leases of former owners have lapsed for one that is not known.
+func (c *Core) Empty(id string) bool {
+	w := c.workers[id]
+	if w == nil {
+		return c.settled
+	}
+	return w.contacted && c.Load(id) == 0
+}
+
 // Evacuate wants the runs on a closed worker ended that can go on elsewhere
-// without loss, and with force all that availability allows. It returns the
-// number of runs that are left.
-func (c *Core) Evacuate(id string, force bool, now Time) int {
+// without loss, and with force all that availability allows.
+func (c *Core) Evacuate(id string, force bool, now Time) {
 	w := c.workers[id]
 	if w == nil {
-		return 0
+		return
 	}
 	for _, cp := range w.copies {
 		if !cp.stopWanted && cp.phase == running && (force || cp.item.step.spec.LongRunning || cp.item.step.spec.SavesProgress) {
 			cp.stopWanted = c.mayStop(cp, now)
 		}
 	}
-	return c.Load(id)
 }
 
 // evacuateDraining moves long-running items off workers that will leave.
