Add a stand-in of the users' platform and process tests of the job service

standin/jobplatform speaks the published protocol over real sockets: store with transactions, leases, watches and compaction, lost and late answers; workers with leases, fence numbers, late orders and restarts; machines with moves and upkeeps; advice. It records what workers run and reports what must not happen. Tests with built programs: kill of all entry VMs, frozen owner, late orders with restarted workers, lost answers of the store, a wave with its owner killed, SIGHUP and SIGTERM under load. dotterelheadd dev jobs and dotterelhead job submit, show, cancel, waiting run on it.

--- a/cmd/dotterelheadd/main.go
+++ b/cmd/dotterelheadd/main.go
@@ -163,9 +163,20 @@
 			return nil
 		},
 	}
-	c.Flags().IntVar(&options.Entries, "entries", 3, "number of entry VMs")
-	c.Flags().StringVar(&options.CallerListen, "caller-listen", "127.0.0.1:8080", "caller listener of the first entry VM; entry i listens on port + i")
+	c.AddCommand(&cobra.Command{
+		Use:   "jobs",
+		Short: "Run the job service with a stand-in of the users' platform in one process",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := development.RunJobs(c.Context(), options); err != nil {
+				return failure{err}
+			}
+			return nil
+		},
+	})
+	c.PersistentFlags().IntVar(&options.Entries, "entries", 3, "number of entry VMs")
+	c.PersistentFlags().StringVar(&options.CallerListen, "caller-listen", "127.0.0.1:8080", "caller listener of the first entry VM; entry i listens on port + i")
 	c.Flags().StringVar(&options.OperatorListen, "operator-listen", "127.0.0.1:8090", "operator listener of the first entry VM; entry i listens on port + i")
-	c.Flags().StringVar(&options.LogLevel, "log-level", "info", "debug, info, warn or error")
+	c.PersistentFlags().StringVar(&options.LogLevel, "log-level", "info", "debug, info, warn or error")
 	return c
 }
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -56,8 +56,8 @@
 	FarFactor float64 `toml:"far_factor"`
 }
 
-// defaults are the bounds of a platform that names none.
-func defaults() Settings {
+// DefaultSettings has the bounds of a platform that names none.
+func DefaultSettings() Settings {
 	return Settings{
 		LogLevel: "info",
 		Bounds: Bounds{
@@ -70,7 +70,7 @@
 // LoadSettings reads a settings file and returns everything that is wrong with
 // it.
 func LoadSettings(file string) (*Settings, findings.List) {
-	s := defaults()
+	s := DefaultSettings()
 	text, err := os.ReadFile(file)
 	if err != nil {
 		var found findings.List
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -23,6 +23,8 @@
 	Worker string
 	// Up is set while the VM is neither moving, nor in upkeep, nor down.
 	Up bool
+	// InUpkeep is set while the VM is down for its upkeep.
+	InUpkeep bool
 }
 
 // Machines moves VMs between pools and takes them down for upkeep.
@@ -304,12 +306,7 @@
 
 // drain empties the chosen VMs and orders the upkeep of the empty ones.
 func (t *term) drain(ctx context.Context, r *waveRun, byID map[string]Machine) {
-	down := 0
-	for _, p := range r.parts {
-		if p.state == machineDown {
-			down++
-		}
-	}
+	down := t.down(r, byID)
 	for id, p := range r.parts {
 		if p.state != machineDraining {
 			continue
@@ -335,6 +332,18 @@
 	}
 }
 
+// down returns how many VMs of a wave are down for it, or may be: a former
+// owner's orders count too.
+func (t *term) down(r *waveRun, byID map[string]Machine) int {
+	n := 0
+	for id, p := range r.parts {
+		if p.state == machineDown || p.state != machineDone && (byID[id].InUpkeep || t.formerlyOrdered(id)) {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *term) reopen(p *wavePart) {
 	t.mu.Lock()
 	t.core.Close(p.worker, false)
--- /dev/null
+++ b/standin/jobplatform/manifest.go
@@ -0,0 +1,28 @@
+package jobplatform
+
+// Route is a queue of a manifest.
+type Route struct {
+	Name, Host, Prefix, Service string
+}
+
+// Manifest returns a manifest as the operator writes it under op/config.
+func Manifest(version int64, routes []Route, services []string, spare string) any {
+	rows := []map[string]any{}
+	for _, r := range routes {
+		rows = append(rows, map[string]any{
+			"name": r.Name, "host": r.Host, "prefix": r.Prefix, "service": r.Service, "kind": "unsafe", "timeoutMs": 3000,
+			"targetLatencyMs": 600, "priority": 0, "attempts": 2, "stretch": 1.6,
+		})
+	}
+	pools := []map[string]any{}
+	for _, s := range services {
+		pools = append(pools, map[string]any{"name": s, "admissionCheck": false, "spare": false})
+	}
+	if spare != "" {
+		pools = append(pools, map[string]any{"name": spare, "admissionCheck": false, "spare": true})
+	}
+	return map[string]any{
+		"version": version, "routes": rows, "services": pools,
+		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
+	}
+}
