Keep former lease holders on record until they were called or have lapsed

Cause: an owner that had not called a worker yet dropped it from the record of lease holders when its registry entry went, and the owner after it started the worker's item again before the worker's end was read. Found by a property test that plays workers against successive owners in virtual time; the state machine iterates in a fixed order now, so that a failure can be reproduced.

--- a/job/job.go
+++ b/job/job.go
@@ -3,6 +3,7 @@
 package job
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -182,6 +183,11 @@
 	return fmt.Sprintf("%s.%d.%d.%d", i.Job, i.Occurrence, i.Step, i.Index)
 }
 
+// Compare orders work items by job, occurrence, step and index.
+func (i ItemID) Compare(o ItemID) int {
+	return cmp.Or(cmp.Compare(i.Job, o.Job), cmp.Compare(i.Occurrence, o.Occurrence), cmp.Compare(i.Step, o.Step), cmp.Compare(i.Index, o.Index))
+}
+
 // ParseItemID reads what ItemID.String writes.
 func ParseItemID(s string) (ItemID, error) {
 	parts := strings.Split(s, ".")
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -14,6 +14,9 @@
 	manifest *job.Manifest
 	jobs     map[string]*jobState
 	workers  map[string]*worker
+	// sorted holds the workers in the order of their IDs, so that the same
+	// input always gives the same orders.
+	sorted []*worker
 	// listed are the steps that may have work to place.
 	listed []*step
 	dirty  []*jobState
@@ -28,10 +31,10 @@
 	// have not been contacted.
 	formerHolders map[string]struct{}
 	settled       bool
-	// holdersChanged is set while the store names workers that are gone.
-	holdersChanged bool
-	tickets        map[ticketKey]*advice
-	learner        *runtimes.Learner
+	// recordedHolders are the possible holders of leases that the store names.
+	recordedHolders []string
+	tickets         map[ticketKey]*advice
+	learner         *runtimes.Learner
 	// queueWork is the mean work of the jobs of each queue in core-seconds.
 	queueWork map[string]float64
 }
@@ -337,7 +340,7 @@
 			j.committed = max(j.committed, w.version)
 		}
 	}
-	for _, w := range c.workers {
+	for _, w := range c.sorted {
 		w.advanceAcked()
 	}
 }
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -190,3 +190,21 @@
 		t.Error("w2 does not count as empty after its lease has lapsed")
 	}
 }
+
+// A worker that a new owner had not called lost its place in the record of
+// lease holders when its registry entry went; the owner after that started its
+// item a second time. Found by TestNoItemRunsTwice.
+func TestUncalledFormerHolderStaysOnRecord(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.FormerHolders([]string{"w1"})
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	b.core.WorkerGone("w1", b.now)
+	b.after(time.Second)
+	if ids, _ := b.core.UnrecordedHolders(); len(ids) != 1 {
+		t.Fatalf("holders %v, want w1 until its lease has lapsed", ids)
+	}
+	b.after(testHold)
+	if ids, _ := b.core.UnrecordedHolders(); len(ids) != 0 {
+		t.Fatalf("holders %v, want none after the lease", ids)
+	}
+}
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -10,14 +10,14 @@
 		byService[s.Name] = &capacity.Demand{Pool: s.Name, Spare: s.Spare}
 		order = append(order, s.Name)
 	}
-	for _, w := range c.workers {
+	for _, w := range c.sorted {
 		d := byService[w.Service]
 		if d == nil || !w.present {
 			continue
 		}
 		d.CoresPerVM = max(d.CoresPerVM, cores(w.Capacity.MilliCPU))
 		d.Used += cores(w.used.MilliCPU)
-		for _, cp := range w.copies {
+		for _, cp := range w.inOrder {
 			if cp.item.step.spec.LongRunning {
 				d.Lasting += cores(cp.item.step.spec.Charge().MilliCPU)
 			}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -16,8 +16,8 @@
 // ExpectStop tells which workers planned work will stop before long. Work that
 // lasts is placed elsewhere if there is room.
 func (c *Core) ExpectStop(ids map[string]bool) {
-	for id, w := range c.workers {
-		w.stopExpected = ids[id]
+	for _, w := range c.sorted {
+		w.stopExpected = ids[w.ID]
 	}
 }
 
@@ -57,7 +57,7 @@
 	if w == nil {
 		return
 	}
-	for _, cp := range w.copies {
+	for _, cp := range w.inOrder {
 		if !cp.stopWanted && cp.phase == running && (force || cp.item.step.spec.LongRunning || cp.item.step.spec.SavesProgress) {
 			cp.stopWanted = c.mayStop(cp, now)
 		}
@@ -66,11 +66,11 @@
 
 // evacuateDraining moves long-running items off workers that will leave.
 func (c *Core) evacuateDraining(now Time) {
-	for _, w := range c.workers {
+	for _, w := range c.sorted {
 		if !w.Draining || !w.present {
 			continue
 		}
-		for _, cp := range w.copies {
+		for _, cp := range w.inOrder {
 			if !cp.stopWanted && cp.phase == running && cp.item.step.spec.LongRunning {
 				cp.stopWanted = c.mayStop(cp, now)
 			}
--- a/scheduler/execution/pace.go
+++ b/scheduler/execution/pace.go
@@ -18,12 +18,12 @@
 
 // pace slows fillers beside long-running items that are over their targets.
 func (c *Core) pace(o *Orders, now Time) {
-	for _, w := range c.workers {
+	for _, w := range c.sorted {
 		if !w.contacted || w.fillerCPU == 0 {
 			continue
 		}
 		over, calm := w.overTarget(now)
-		for r, cp := range w.copies {
+		for _, cp := range w.inOrder {
 			if !cp.item.step.spec.Filler || cp.phase != running || cp.stopWanted {
 				continue
 			}
@@ -36,7 +36,7 @@
 			}
 			if level != cp.pace {
 				cp.pace, cp.overSince = level, now
-				o.Paces = append(o.Paces, Pace{Run: r, Worker: w.Worker, Percent: level})
+				o.Paces = append(o.Paces, Pace{Run: cp.id(), Worker: w.Worker, Percent: level})
 			}
 		}
 	}
@@ -46,7 +46,7 @@
 // its target for some time, and whether all are well under theirs.
 func (w *worker) overTarget(now Time) (over, calm bool) {
 	calm = true
-	for _, cp := range w.copies {
+	for _, cp := range w.inOrder {
 		target := cp.item.step.spec.TailTarget
 		if target == 0 || cp.item.step.spec.Filler || cp.phase != running {
 			continue
--- /dev/null
+++ b/scheduler/execution/property_test.go
@@ -0,0 +1,427 @@
+package execution
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// simulation plays workers against successive owners in virtual time, with
+// orders that are lost or carried out late, workers that restart, fall silent
+// or drain, and owners that are replaced or paused. It checks what workers see.
+type simulation struct {
+	t       *rapid.T
+	now     Time
+	term    int64
+	core    *Core
+	workers map[string]*simWorker
+	jobs    map[string]*job.Job
+	// progress is the store's record of each job.
+	progress  map[string]job.Progress
+	cancelled map[string]bool
+	holders   []string
+	late      []lateOrder
+	items     map[job.ItemID]*simItem
+}
+
+// simItem is the history of an item: its ends in their order, and for each
+// start how many ends there were before it.
+type simItem struct {
+	ends   []*simEnd
+	starts []int
+}
+
+// simEnd is an end; it is noted once the owner has acknowledged it, unless the
+// worker's lease lapsed or the worker restarted in between.
+type simEnd struct {
+	how   End
+	noted bool
+}
+
+func (i *simItem) done() bool {
+	return slices.ContainsFunc(i.ends, func(e *simEnd) bool { return e.how == EndDone })
+}
+
+// check finds a start after an end that has been noted as done by now, or after
+// as many noted failures as there are attempts.
+func (s *simulation) check(id job.ItemID) {
+	i := s.item(id)
+	for _, before := range i.starts {
+		failures := 0
+		for _, e := range i.ends[:before] {
+			if e.noted && e.how == EndDone {
+				s.t.Fatalf("%v started after its done end, which is acknowledged", id)
+			}
+			if e.noted && e.how == EndFailed {
+				failures++
+			}
+		}
+		if failures >= simAttempts {
+			s.t.Fatalf("%v started after %d acknowledged failures", id, failures)
+		}
+	}
+}
+
+type simWorker struct {
+	Worker
+	running  map[Run]Time
+	ended    []EndedItem
+	lastEnd  int64
+	highest  map[job.ItemID]int64
+	deadline Time
+	fence    int64
+	startsAt Time
+	silent   bool
+	// unnoted are the ends that were not acknowledged in this lease.
+	unnoted map[int64]unnotedEnd
+}
+
+type unnotedEnd struct {
+	item job.ItemID
+	end  *simEnd
+}
+
+type lateOrder struct {
+	at    Time
+	start Start
+	fence int64
+	to    *simWorker
+	born  int64
+}
+
+const (
+	simRunTime  = 300 * time.Millisecond
+	simAttempts = 2
+)
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{
+		t: t, now: time.Minute, workers: map[string]*simWorker{}, jobs: map[string]*job.Job{},
+		progress: map[string]job.Progress{}, cancelled: map[string]bool{}, items: map[job.ItemID]*simItem{},
+	}
+	for n := range rapid.IntRange(1, 4).Draw(t, "workers") {
+		id := fmt.Sprintf("w%d", n)
+		s.workers[id] = &simWorker{Worker: testWorker(id, 4000)}
+		s.boot(s.workers[id])
+	}
+	s.takeOver()
+	return s
+}
+
+func (s *simulation) boot(w *simWorker) {
+	w.running, w.ended, w.lastEnd, w.highest = map[Run]Time{}, nil, 0, map[job.ItemID]int64{}
+	w.deadline, w.fence, w.startsAt, w.unnoted = 0, 0, s.now, map[int64]unnotedEnd{}
+	w.Born++
+}
+
+// takeOver replaces the owner by a new one that knows only the store.
+func (s *simulation) takeOver() {
+	s.core = New(Options{Hold: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
+		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason)
+	}}, s.term, s.now)
+	s.term++
+	s.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testPool, Attempts: simAttempts}}})
+	s.core.FormerHolders(s.holders)
+	for _, w := range s.workers {
+		s.core.WorkerSeen(w.Worker, s.now)
+	}
+	for _, id := range sortedKeys(s.jobs) {
+		s.core.AddJob(s.jobs[id], s.progress[id], true, wall, s.now)
+		if s.cancelled[id] {
+			s.core.Cancel(id, s.now)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *simulation) item(id job.ItemID) *simItem {
+	if s.items[id] == nil {
+		s.items[id] = &simItem{}
+	}
+	return s.items[id]
+}
+
+// clock is a worker's own clock.
+func (s *simulation) clock(w *simWorker) time.Duration { return s.now - w.startsAt + time.Second }
+
+func (s *simulation) addJob() {
+	id := fmt.Sprintf("%016x", len(s.jobs))
+	step := job.Step{Count: rapid.IntRange(1, 4).Draw(s.t, "items"), Needs: job.Resources{MilliCPU: 1500, MemoryMB: 10}}
+	j := &job.Job{ID: id, Queue: testQueue, Service: testPool, Steps: []job.Step{step}}
+	if rapid.Bool().Draw(s.t, "second step") {
+		second := step
+		second.After = []int{0}
+		j.Steps = append(j.Steps, second)
+	}
+	s.jobs[id] = j
+	s.core.AddJob(j, job.Progress{}, false, wall, s.now)
+}
+
+// start carries out a start on a worker and checks what must hold.
+func (s *simulation) start(w *simWorker, st Start, fence int64) StartResult {
+	if fence < w.fence {
+		return NotStarted
+	}
+	w.fence = fence
+	if st.Deadline <= s.clock(w) {
+		return NotStarted
+	}
+	w.deadline = max(w.deadline, s.now+st.Deadline-s.clock(w))
+	if _, there := w.running[st.Run]; there {
+		return Started
+	}
+	if st.Run.Run <= w.highest[st.Item] {
+		return RejectedOld
+	}
+	i := s.item(st.Item)
+	for _, other := range s.workers {
+		for r := range other.running {
+			if r.Item == st.Item {
+				s.t.Fatalf("%v starts on %s while %v runs on %s", st.Run, w.ID, r, other.ID)
+			}
+		}
+	}
+	s.t.Logf("%v %s starts %v", s.now, w.ID, st.Run)
+	i.starts = append(i.starts, len(i.ends))
+	s.check(st.Item)
+	spec := s.jobs[st.Item.Job].Steps
+	for _, before := range spec[st.Item.Step].After {
+		for n := range spec[before].Count {
+			if !s.item(job.ItemID{Job: st.Item.Job, Step: before, Index: n}).done() {
+				s.t.Fatalf("%v starts before item %d of step %d is done", st.Run, n, before)
+			}
+		}
+	}
+	used := spec[st.Item.Step].Needs.MilliCPU
+	for r := range w.running {
+		used += s.jobs[r.Item.Job].Steps[r.Item.Step].Needs.MilliCPU
+	}
+	if used > w.Capacity.MilliCPU {
+		s.t.Fatalf("%v takes %s over its capacity: %d", st.Run, w.ID, used)
+	}
+	w.running[st.Run] = s.now
+	return Started
+}
+
+func (s *simulation) end(w *simWorker, r Run, how End) {
+	delete(w.running, r)
+	w.highest[r.Item] = max(w.highest[r.Item], r.Run)
+	w.lastEnd++
+	w.ended = append(w.ended, EndedItem{Number: w.lastEnd, Run: r, How: how})
+	s.t.Logf("%v %s ends %v: %s", s.now, w.ID, r, how)
+	e := &simEnd{how: how}
+	i := s.item(r.Item)
+	i.ends = append(i.ends, e)
+	w.unnoted[w.lastEnd] = unnotedEnd{r.Item, e}
+}
+
+// advance lets time pass on the workers.
+func (s *simulation) advance(d time.Duration) {
+	s.now += d
+	for _, id := range sortedKeys(s.workers) {
+		w := s.workers[id]
+		if s.now > w.deadline {
+			w.unnoted = map[int64]unnotedEnd{}
+		}
+		for _, r := range sortedRuns(w.running) {
+			switch {
+			case s.now > w.deadline:
+				s.end(w, r, EndLapsed)
+			case s.now-w.running[r] >= simRunTime:
+				how := EndDone
+				if rapid.IntRange(0, 9).Draw(s.t, "fails") == 0 {
+					how = EndFailed
+				}
+				s.end(w, r, how)
+			}
+		}
+	}
+	for len(s.late) > 0 && s.late[0].at <= s.now {
+		o := s.late[0]
+		s.late = s.late[1:]
+		// The lifetime that the order means is gone if the worker restarted.
+		if o.born == o.to.Born {
+			s.start(o.to, o.start, o.fence)
+		}
+	}
+}
+
+func sortedRuns(runs map[Run]Time) []Run {
+	out := make([]Run, 0, len(runs))
+	for r := range runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Run) int {
+		if a.Item != b.Item {
+			return compareStrings(a.Item.String(), b.Item.String())
+		}
+		return int(a.Run - b.Run)
+	})
+	return out
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// step lets the owner act once.
+func (s *simulation) step() {
+	s.advance(time.Duration(rapid.IntRange(1, 100).Draw(s.t, "ms")) * time.Millisecond)
+	if ids, changed := s.core.UnrecordedHolders(); changed {
+		s.holders = ids
+		s.core.HoldersRecorded(ids)
+	}
+	orders := s.core.Round(wall.Add(s.now), s.now)
+	for _, st := range orders.Starts {
+		s.send(st)
+	}
+	for _, stop := range orders.Stops {
+		w := s.workers[stop.Worker.ID]
+		if w.silent || s.term < w.fence {
+			s.core.StopDone(stop, false, s.now)
+			continue
+		}
+		w.fence = s.term
+		w.highest[stop.Item] = max(w.highest[stop.Item], stop.Run.Run)
+		if _, runs := w.running[stop.Run]; runs {
+			s.end(w, stop.Run, EndStopped)
+		}
+		s.core.StopDone(stop, true, s.now)
+	}
+	for _, id := range s.core.WorkersToHold() {
+		s.hold(s.workers[id])
+	}
+	if rapid.Bool().Draw(s.t, "commit") {
+		writes := s.core.TakeWrites(5)
+		for _, p := range writes {
+			s.progress[p.JobID] = p.Progress
+		}
+		s.core.Committed(writes)
+	}
+}
+
+func (s *simulation) send(st Start) {
+	w := s.workers[st.Worker.ID]
+	fate := rapid.IntRange(0, 9).Draw(s.t, "fate of a start")
+	switch {
+	case w.silent || fate == 0:
+		s.core.StartDone(st, StartUnknown, s.now)
+	case fate == 1:
+		at := s.now + time.Duration(rapid.IntRange(100, 8000).Draw(s.t, "late by"))*time.Millisecond
+		s.late = append(s.late, lateOrder{at: at, start: st, fence: s.term, to: w, born: w.Born})
+		slices.SortStableFunc(s.late, func(a, b lateOrder) int { return int(a.at - b.at) })
+		s.core.StartDone(st, StartUnknown, s.now)
+	case fate == 2:
+		s.start(w, st, s.term)
+		s.core.StartDone(st, StartUnknown, s.now)
+	default:
+		s.core.StartDone(st, s.start(w, st, s.term), s.now)
+	}
+}
+
+func (s *simulation) hold(w *simWorker) {
+	h, ok := s.core.HoldFor(w.ID, s.now)
+	if !ok || w.silent || s.term < w.fence {
+		return
+	}
+	w.fence = s.term
+	if h.Deadline > 0 {
+		w.deadline = max(w.deadline, s.now+h.Deadline-s.clock(w))
+	}
+	for number, u := range w.unnoted {
+		if number <= h.LastSeen {
+			u.end.noted = true
+			s.check(u.item)
+			delete(w.unnoted, number)
+		}
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedItem) bool { return e.Number <= h.LastSeen })
+	report := Report{Clock: s.clock(w), Born: w.Born, Ended: slices.Clone(w.ended)}
+	for _, r := range sortedRuns(w.running) {
+		report.Running = append(report.Running, RunningItem{Run: r, Percent: int(s.now-w.running[r]) * 100 / int(simRunTime)})
+	}
+	sent := s.now
+	s.advance(time.Millisecond)
+	s.core.HoldDone(h, report, sent, s.now)
+}
+
+// TestNoItemRunsTwice guards against two copies of an item at once, a start
+// after an acknowledged end or before earlier steps, more failures than
+// attempts, and workers over their capacity, under lost and late orders,
+// restarts, silence, and replaced owners.
+func TestNoItemRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			id := fmt.Sprintf("w%d", rapid.IntRange(0, len(s.workers)-1).Draw(t, "worker"))
+			switch rapid.IntRange(0, 24).Draw(t, "event") {
+			case 0, 1, 2:
+				s.addJob()
+			case 3:
+				s.takeOver()
+			case 4:
+				s.boot(s.workers[id])
+				s.core.WorkerSeen(s.workers[id].Worker, s.now)
+			case 5:
+				s.workers[id].silent = !s.workers[id].silent
+			case 6:
+				s.core.WorkerGone(id, s.now)
+			case 7:
+				s.core.WorkerSeen(s.workers[id].Worker, s.now)
+			case 8:
+				if len(s.jobs) > 0 {
+					job := fmt.Sprintf("%016x", rapid.IntRange(0, len(s.jobs)-1).Draw(t, "job"))
+					s.cancelled[job] = true
+					s.core.Cancel(job, s.now)
+				}
+			case 9:
+				s.advance(time.Duration(rapid.IntRange(1, 6000).Draw(t, "pause")) * time.Millisecond)
+			}
+			s.step()
+		}
+		s.drain()
+	})
+}
+
+// drain ends all faults and expects every job to end.
+func (s *simulation) drain() {
+	for _, w := range s.workers {
+		w.silent = false
+		s.core.WorkerSeen(w.Worker, s.now)
+	}
+	for range 3000 {
+		s.step()
+		if s.allFinal() {
+			return
+		}
+	}
+	s.t.Fatal("not all jobs have ended long after the last fault")
+}
+
+func (s *simulation) allFinal() bool {
+	for id := range s.jobs {
+		if !s.progress[id].Phase.Final() {
+			return false
+		}
+	}
+	return true
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -31,8 +31,8 @@
 
 // watchRuns wants runs stopped that make no progress.
 func (c *Core) watchRuns(now Time) {
-	for _, w := range c.workers {
-		for _, cp := range w.copies {
+	for _, w := range c.sorted {
+		for _, cp := range w.inOrder {
 			if cp.stopWanted || cp.phase != running || cp.pace < 100 || cp.item.step.spec.Filler {
 				continue
 			}
@@ -51,11 +51,11 @@
 
 // stops orders the end of every run that is not wanted.
 func (c *Core) stops(o *Orders, now Time) {
-	for _, w := range c.workers {
+	for _, w := range c.sorted {
 		if !w.contacted {
 			continue
 		}
-		for r, cp := range w.copies {
+		for _, cp := range w.inOrder {
 			if !cp.stopWanted || cp.stopInFlight || cp.phase == starting || cp.stopConfirmedAt > 0 && now-cp.stopConfirmedAt < c.options.StopTimeout+stopRepeat {
 				continue
 			}
@@ -63,9 +63,10 @@
 				continue
 			}
 			cp.stopAskedAt, cp.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker})
+			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker})
 		}
-		for r, orphan := range w.orphans {
+		for _, r := range orphansOf(w) {
+			orphan := w.orphans[r]
 			if orphan.inFlight || orphan.stopAskedAt > 0 && now-orphan.stopAskedAt < c.options.StopTimeout+stopRepeat {
 				continue
 			}
@@ -170,7 +171,9 @@
 			candidates = append(candidates, candidate{step: s, queue: q, rank: c.rankOf(s, q, now)})
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(a.rank.compare(b.rank), a.step.id().Compare(b.step.id()))
+	})
 	for _, cand := range candidates {
 		if cand.step.job.inherited && !c.settled {
 			continue
@@ -204,14 +207,11 @@
 // pools returns the workers that may get work, by service.
 func (c *Core) pools(now Time) map[string][]*worker {
 	pools := map[string][]*worker{}
-	for _, w := range c.workers {
+	for _, w := range c.sorted {
 		if w.present && w.contacted && w.grantRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < clockFresh {
 			pools[w.Service] = append(pools[w.Service], w)
 		}
 	}
-	for _, ws := range pools {
-		slices.SortFunc(ws, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
-	}
 	return pools
 }
 
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
@@ -65,6 +66,9 @@
 	return i.step.occurrence*i.step.job.perRun + i.step.offset + i.index
 }
 
+// id names the run of a copy.
+func (cp *itemCopy) id() Run { return Run{cp.item.id(), cp.run} }
+
 type step struct {
 	job        *jobState
 	spec       *job.Step
@@ -86,6 +90,10 @@
 	ran        int
 }
 
+func (s *step) id() job.ItemID {
+	return job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.number}
+}
+
 func (s *step) done() bool { return s.left == 0 }
 
 type jobState struct {
@@ -119,6 +127,8 @@
 	used      job.Resources
 	fillerCPU int64
 	copies    map[Run]*itemCopy
+	// inOrder holds the copies in the order in which they were added.
+	inOrder []*itemCopy
 	// orphans are runs on the worker that no item has: their ends are awaited.
 	orphans map[Run]*orphan
 	// clock is the worker's clock as read at clockAt.
@@ -189,12 +199,28 @@
 	lapseMargin = 200 * time.Millisecond
 )
 
+func (c *Core) addWorker(id string) *worker {
+	// A former owner may have granted a lease to any worker.
+	w := &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}, lapseAt: c.inheritedUntil}
+	c.workers[id] = w
+	at, _ := slices.BinarySearchFunc(c.sorted, id, func(w *worker, id string) int { return strings.Compare(w.ID, id) })
+	w.ID = id
+	c.sorted = slices.Insert(c.sorted, at, w)
+	return w
+}
+
+func (c *Core) removeWorker(w *worker) {
+	delete(c.workers, w.ID)
+	c.sorted = slices.DeleteFunc(c.sorted, func(o *worker) bool { return o == w })
+}
+
 func (c *Core) addCopy(i *item, w *worker, run int64, phase copyPhase, now Time) *itemCopy {
 	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100}
 	i.copies = append(i.copies, cp)
 	i.lastRun = max(i.lastRun, run)
 	i.step.copies[w]++
 	w.copies[Run{i.id(), run}] = cp
+	w.inOrder = append(w.inOrder, cp)
 	w.charge(i.step.spec, 1)
 	if i.step.firstStart == 0 {
 		i.step.firstStart = now
@@ -214,6 +240,7 @@
 		delete(i.step.copies, cp.worker)
 	}
 	delete(cp.worker.copies, Run{i.id(), cp.run})
+	cp.worker.inOrder = slices.DeleteFunc(cp.worker.inOrder, func(o *itemCopy) bool { return o == cp })
 	cp.worker.charge(i.step.spec, -1)
 	c.list(i.step)
 }
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -12,6 +12,7 @@
 package execution
 
 import (
+	"cmp"
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
@@ -42,6 +43,10 @@
 	Run  int64
 }
 
+func (r Run) compare(o Run) int {
+	return cmp.Or(r.Item.Compare(o.Item), cmp.Compare(r.Run, o.Run))
+}
+
 // Start tells a worker to run a work item.
 type Start struct {
 	Run
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -34,8 +34,7 @@
 func (c *Core) WorkerSeen(info Worker, now Time) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}}
-		c.workers[info.ID] = w
+		w = c.addWorker(info.ID)
 	} else if info.Born < w.Born {
 		return
 	} else if info.Born > w.Born {
@@ -64,7 +63,7 @@
 		}
 		cp.phase, cp.stopConfirmedAt = unresolved, 0
 	}
-	for r := range w.orphans {
+	for _, r := range orphansOf(w) {
 		c.dropOrphan(w, r)
 	}
 	w.contacted, w.clock, w.clockAt = false, 0, 0
@@ -73,12 +72,17 @@
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, Service: w.Service})
 }
 
-func copiesOf(w *worker) []*itemCopy {
-	copies := make([]*itemCopy, 0, len(w.copies))
-	for _, cp := range w.copies {
-		copies = append(copies, cp)
+// copiesOf returns the copies on a worker, for loops that drop some.
+func copiesOf(w *worker) []*itemCopy { return slices.Clone(w.inOrder) }
+
+// orphansOf returns the orphans on a worker in a fixed order.
+func orphansOf(w *worker) []Run {
+	runs := make([]Run, 0, len(w.orphans))
+	for r := range w.orphans {
+		runs = append(runs, r)
 	}
-	return copies
+	slices.SortFunc(runs, Run.compare)
+	return runs
 }
 
 // WorkerGone notes that the registry has no entry of a worker any more. What
@@ -97,9 +101,9 @@
 		seen[info.ID] = true
 		c.WorkerSeen(info, now)
 	}
-	for id := range c.workers {
-		if !seen[id] {
-			c.WorkerGone(id, now)
+	for _, w := range c.sorted {
+		if !seen[w.ID] {
+			c.WorkerGone(w.ID, now)
 		}
 	}
 }
@@ -112,20 +116,19 @@
 
 // sweep forgets what ran on workers whose leases have lapsed.
 func (c *Core) sweep(now Time) {
-	for id, w := range c.workers {
+	for _, w := range slices.Clone(c.sorted) {
 		if !w.lapsed(now) {
 			continue
 		}
 		for _, cp := range copiesOf(w) {
 			c.lose(cp, "lease_lapsed", now)
 		}
-		for r := range w.orphans {
+		for _, r := range orphansOf(w) {
 			c.dropOrphan(w, r)
 		}
 		if !w.present {
-			delete(c.workers, id)
-			c.holdersChanged = true
-			c.trace(Event{Name: "worker_gone", Worker: id, Service: w.Service})
+			c.removeWorker(w)
+			c.trace(Event{Name: "worker_gone", Worker: w.ID, Service: w.Service})
 		}
 	}
 	if !c.settled {
@@ -138,6 +141,7 @@
 		return
 	}
 	c.settled = true
+	defer clear(c.formerHolders)
 	reason := "all_workers_contacted"
 	if len(c.formerHolders) > 0 {
 		reason = "leases_lapsed"
@@ -162,26 +166,29 @@
 	for _, cp := range copiesOf(w) {
 		c.lose(cp, "vm_taken", now)
 	}
-	delete(c.workers, id)
-	c.holdersChanged = true
+	c.removeWorker(w)
 }
 
-// UnrecordedHolders returns all workers that may hold leases, and whether the
-// store names others. It has to learn of a worker before that gets work.
+// UnrecordedHolders returns all workers that may hold leases of this owner or
+// of former ones, and whether the store names others. It has to learn of a
+// worker before that gets work.
 func (c *Core) UnrecordedHolders() (ids []string, changed bool) {
-	changed = c.holdersChanged
-	for id, w := range c.workers {
-		ids = append(ids, id)
-		changed = changed || !w.grantRecorded
+	for _, w := range c.sorted {
+		ids = append(ids, w.ID)
+	}
+	for id := range c.formerHolders {
+		if c.workers[id] == nil {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
-	return ids, changed
+	return ids, !slices.Equal(ids, c.recordedHolders)
 }
 
 // HoldersRecorded notes that the store names the workers as possible holders
 // of leases.
 func (c *Core) HoldersRecorded(ids []string) {
-	c.holdersChanged = len(ids) != len(c.workers)
+	c.recordedHolders = ids
 	for _, id := range ids {
 		if w := c.workers[id]; w != nil {
 			w.grantRecorded = true
@@ -220,7 +227,7 @@
 }
 
 func (w *worker) hasUnresolved() bool {
-	for _, cp := range w.copies {
+	for _, cp := range w.inOrder {
 		if cp.phase == unresolved {
 			return true
 		}
@@ -466,8 +473,8 @@
 		case starting:
 		}
 	}
-	for r, o := range w.orphans {
-		if !listed[r] && complete && o.stopAskedAt < sent {
+	for _, r := range orphansOf(w) {
+		if !listed[r] && complete && w.orphans[r].stopAskedAt < sent {
 			c.dropOrphan(w, r)
 		}
 	}
@@ -480,9 +487,9 @@
 // have to be extended.
 func (c *Core) WorkersToHold() []string {
 	var ids []string
-	for id, w := range c.workers {
+	for _, w := range c.sorted {
 		if w.needsHold() {
-			ids = append(ids, id)
+			ids = append(ids, w.ID)
 		}
 	}
 	return ids
