--- a/owner/term.go
+++ b/owner/term.go
@@ -54,6 +54,8 @@
 	loops          map[string]*holdLoop
 	records        map[string][]byte
 	written        map[string]string
+	// queuedHolders is the record of lease holders that is to be written.
+	queuedHolders string
 	// onWritten are signalled when the store has a record.
 	onWritten map[string]chan struct{}
 	startedAt time.Duration
--- a/owner/write.go
+++ b/owner/write.go
@@ -65,10 +65,16 @@
 }
 
 func (t *term) recordHoldersLocked(ids []string) {
-	t.recordJSONLocked(jobstore.HoldersKey, ids)
-	if _, queued := t.records[jobstore.HoldersKey]; !queued {
-		// The store names them already.
-		t.core.HoldersRecorded(ids)
+	value, err := json.Marshal(ids)
+	if err != nil {
+		t.options.Log.Error().Str("event", "record_not_encoded").Str("key", jobstore.HoldersKey).Err(err).Msg("")
+		return
+	}
+	// It is written even if the store has it, because a different one may be
+	// on its way.
+	if t.queuedHolders != string(value) {
+		t.queuedHolders = string(value)
+		t.records[jobstore.HoldersKey] = value
 	}
 }
 
@@ -126,6 +132,9 @@
 			if json.Unmarshal(r.Value, &ids) == nil {
 				t.core.HoldersRecorded(ids)
 			}
+			if t.queuedHolders == string(r.Value) {
+				t.queuedHolders = ""
+			}
 		}
 	}
 	t.mu.Unlock()
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -208,3 +208,46 @@
 		t.Fatalf("holders %v, want none after the lease", ids)
 	}
 }
+
+// Right after a planned change of owner, an item that the former owner had
+// ordered to stop still showed as at work, and a second one of its step was
+// stopped (mastrunk-loans hunt-1557-19 at 9.3 s).
+func TestNewOwnerWaitsForStopsOfTheFormer(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.worker(testWorker("w1", 1000), Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 100}}})
+	b.worker(testWorker("w2", 1000), Report{Running: []RunningItem{{Run: testRun(jobA, 1, 1), Percent: 100}}})
+	b.core.Close("w2", true)
+	b.core.Evacuate("w2", true, b.now)
+	if o := b.round(); len(o.Stops) > 0 {
+		t.Fatalf("stopped %v while the other item may be stopping", o.Stops)
+	}
+	b.now += time.Second
+	b.report("w1", Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 100}}})
+	b.report("w2", Report{Running: []RunningItem{{Run: testRun(jobA, 1, 1), Percent: 100}}})
+	b.core.Evacuate("w2", true, b.now)
+	if o := b.round(); len(o.Stops) != 1 {
+		t.Fatalf("%d stops, want 1 once the other item is known to work", len(o.Stops))
+	}
+}
+
+// A worker that came back after its lease had lapsed never got work again: the
+// record of lease holders still named it, so nothing was written that would
+// have let it (niederalm-cut scale-2: a long-running item away for 16 s).
+func TestReturningWorkerGetsWork(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.WorkerGone("w1", b.now)
+	b.after(2 * testHold)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	ids, changed := b.core.UnrecordedHolders()
+	if !changed {
+		t.Fatal("the worker is not to be recorded again")
+	}
+	b.core.HoldersRecorded(ids)
+	b.report("w1", Report{})
+	if o := b.round(); len(o.Starts) != 1 {
+		t.Fatalf("%d starts on the worker that returned, want 1", len(o.Starts))
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -93,7 +93,7 @@
 		}
 		working := false
 		for _, oc := range other.copies {
-			working = working || oc.atWork(now)
+			working = working || oc.atWork(now) && !c.mayBeStopping(oc, now)
 		}
 		if !working {
 			away++
@@ -102,6 +102,12 @@
 	return away < s.spec.MaxUnavailable
 }
 
+// mayBeStopping reports whether a former owner may have ordered the end of an
+// adopted run, which would still show it at work.
+func (c *Core) mayBeStopping(cp *itemCopy, now Time) bool {
+	return cp.adopted && now-cp.confirmedAt < c.options.StopTimeout+lapseMargin
+}
+
 // atWork reports whether a long-running item serves its users, as of a recent
 // report of its worker.
 func (cp *itemCopy) atWork(now Time) bool {
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -19,6 +19,11 @@
 	outlived = 1.3
 	// lateFactor times its objective a job is still worth something.
 	lateFactor = 3
+	// finishFactor and finishMargin are added to what is expected: starts, the
+	// commit of ends, and the requester's question take some time, and a job
+	// that just misses its objective has taken the room of one that would not.
+	finishFactor = 1.1
+	finishMargin = 60 * time.Millisecond
 	// fixedWorth is the part of a job's worth that does not depend on its work.
 	fixedWorth = 0.3
 	// meanWeight is the weight of a new job in the mean work of its queue.
@@ -132,7 +137,7 @@
 	}
 	o := c.outlookOf(s.job.occurrences[s.occurrence], now)
 	objective := time.Duration(max(q.Stretch, 1)*float64(o.chain)) + q.TargetLatency
-	finish := now - since + o.chainLeft
+	finish := now - since + time.Duration(finishFactor*float64(o.chainLeft)) + finishMargin
 	switch {
 	case finish <= objective:
 		r.reach = reachesObjective
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -35,11 +35,13 @@
 	stopAskedAt     Time
 	stopInFlight    bool
 	stopConfirmedAt Time
-	percent         int
-	progressedAt    Time
-	load            int64
-	overSince       Time
-	pace            int
+	// adopted is set for runs that a former owner started.
+	adopted      bool
+	percent      int
+	progressedAt Time
+	load         int64
+	overSince    Time
+	pace         int
 }
 
 type item struct {
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -175,6 +175,7 @@
 func (c *Core) UnrecordedHolders() (ids []string, changed bool) {
 	for _, w := range c.sorted {
 		ids = append(ids, w.ID)
+		changed = changed || !w.grantRecorded
 	}
 	for id := range c.formerHolders {
 		if c.workers[id] == nil {
@@ -182,7 +183,7 @@
 		}
 	}
 	slices.Sort(ids)
-	return ids, !slices.Equal(ids, c.recordedHolders)
+	return ids, changed || !slices.Equal(ids, c.recordedHolders)
 }
 
 // HoldersRecorded notes that the store names the workers as possible holders
@@ -304,6 +305,7 @@
 	if i != nil && !i.done && !j.final() && len(i.copies) == 0 {
 		cp := c.addCopy(i, w, row.Run.Run, running, now)
 		w.lapseAt = max(w.lapseAt, now+c.leaseBound())
+		cp.adopted = true
 		cp.confirmedAt, cp.percent, cp.load = now, row.Percent, row.Load
 		if row.Saved != "" {
 			i.saved = row.Saved
