Shorten the owner's lease to 1.5 s and the workers' to 3.2 s

Cause: after the loss of an owner 2.5 s, and after the loss of a rack 4.8 s, passed before the work went on; a short job is worthless after about 6 s.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -26,8 +26,8 @@
 	// ownerLease is the time after which another entry VM takes over. Workers
 	// keep their work for workLease without an owner, so a takeover after a
 	// crash ends nothing.
-	ownerLease = 2500 * time.Millisecond
-	workLease  = 4500 * time.Millisecond
+	ownerLease = 1500 * time.Millisecond
+	workLease  = 3200 * time.Millisecond
 	// memoryShare of the limit is left to the Go heap; the rest holds stacks
 	// and buffers in the kernel.
 	memoryShare = 0.4
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -84,10 +84,13 @@
 
 const (
 	// renewEvery is the pause between renewals; several fit into a lease.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 300 * time.Millisecond
+	// renewTimeout leaves time for two more renewals after a lost answer. A slow
+	// store answers in about 250 ms.
+	renewTimeout = 350 * time.Millisecond
 	// authorityMargin is kept of a lease for the time between the check of the
 	// authority and the arrival of an order.
-	authorityMargin = 400 * time.Millisecond
+	authorityMargin = 300 * time.Millisecond
 	// contendEvery is the pause after an attempt to become the owner.
 	contendEvery = 100 * time.Millisecond
 	// ownerWait is how long a watch of the owner's key waits.
--- a/owner/term.go
+++ b/owner/term.go
@@ -174,7 +174,9 @@
 	reachable := true
 	for ctx.Err() == nil {
 		asked := boottime.Now()
-		err := t.options.Store.RenewLease(ctx, t.held.Lease)
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		err := t.options.Store.RenewLease(callCtx, t.held.Lease)
+		cancel()
 		if errors.Is(err, store.ErrNotFound) {
 			t.end(errLeaseLost)
 			return
