Count no VM as capacity that takes no work; spread long-running items

Packing put all items of a long-running step on one VM, which had to move them one by one. Change: VMs out of service neither count nor move; a sibling on a worker weighs as much as a whole worker's load.

--- a/owner/lend.go
+++ b/owner/lend.go
@@ -102,12 +102,17 @@
 	workers := map[string]string{}
 	for _, m := range list {
 		workers[m.ID] = m.Worker
-		vm := capacity.LentVM{ID: m.ID, Pool: m.Pool, Runs: t.core.Load(m.Worker), Pinned: inUpkeep[m.ID], Arriving: !m.Up}
+		vm := capacity.LentVM{ID: m.ID, Pool: m.Pool, Runs: t.core.Load(m.Worker), Arriving: !m.Up}
 		if mv := l.moves[m.ID]; mv != nil {
 			vm.Pool, vm.Arriving = mv.to, true
 		}
-		if m.Worker != "" && !t.core.Usable(m.Worker) || t.formerlyOrdered(m.ID) {
-			vm.Pinned = true
+		switch {
+		case inUpkeep[m.ID]:
+			vm.Out = true
+		case m.Worker != "" && t.core.Called(m.Worker) && !t.core.Usable(m.Worker):
+			vm.Out = !vm.Arriving
+		case m.Worker != "" && !t.core.Called(m.Worker), t.formerlyOrdered(m.ID):
+			vm.Arriving = true
 		}
 		vms = append(vms, vm)
 	}
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -62,6 +64,10 @@
 	upkeepEvery = 150 * time.Millisecond
 	// listLag is how old the platform's list may be.
 	listLag = 2 * time.Second
+	// progressEvery is the pause between log lines of a wave, progressVMs how
+	// many VMs one names.
+	progressEvery = 3 * time.Second
+	progressVMs   = 5
 	// machineTime is how long a VM takes from its choice until it is back: the
 	// rest of its work, the upkeep itself, and the lag of the list.
 	machineTime = 6 * time.Second
@@ -85,6 +91,8 @@
 	machineDone
 )
 
+func (s machineState) String() string { return [...]string{"pending", "draining", "down", "done"}[s] }
+
 // wavePart is one VM of a wave.
 type wavePart struct {
 	state  machineState
@@ -98,6 +106,7 @@
 	Wave
 	parts    map[string]*wavePart
 	reported bool
+	loggedAt time.Duration
 }
 
 // upkeep carries out the waves until ctx ends.
@@ -383,6 +392,7 @@
 func (t *term) finish(r *waveRun, byID map[string]Machine) {
 	for id, p := range r.parts {
 		if _, listed := byID[id]; p.state != machineDone && (listed || p.state != machinePending) {
+			t.logProgress(r, byID)
 			return
 		}
 	}
@@ -392,6 +402,23 @@
 		Dur("took", time.Since(r.SeenAt)).Msg("")
 }
 
+// logProgress writes now and then which VMs a wave still has to do.
+func (t *term) logProgress(r *waveRun, byID map[string]Machine) {
+	if boottime.Now()-r.loggedAt < progressEvery {
+		return
+	}
+	r.loggedAt = boottime.Now()
+	var left []string
+	for id, p := range r.parts {
+		if m, listed := byID[id]; p.state != machineDone {
+			left = append(left, fmt.Sprintf("%s:%s:listed=%t:up=%t:worker=%s", id, p.state, listed, m.Up, m.Worker))
+		}
+	}
+	slices.Sort(left)
+	t.options.Log.Info().Str("event", "wave_progress").Int64("wave", r.Number).Int("left", len(left)).
+		Str("vms", strings.Join(left[:min(len(left), progressVMs)], ",")).Msg("")
+}
+
 func (t *term) report(r *waveRun, completed bool) {
 	record := t.options.Machines.WaveStatus(r.Number, completed)
 	t.mu.Lock()
--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -27,8 +27,9 @@
 	Pool string
 	// Runs is the number of work items on the VM; only a VM without any moves.
 	Runs int
-	// Arriving VMs are on their way into their pool. Pinned VMs stay.
-	Arriving, Pinned bool
+	// Arriving VMs are on their way into their pool. Out VMs take no work, for
+	// an upkeep or a fault: they neither count nor move.
+	Arriving, Out bool
 }
 
 // LendingOptions configure a Lender. Zero values stand for the defaults.
@@ -123,11 +124,11 @@
 	}
 	for _, vm := range vms {
 		p := pools[vm.Pool]
-		if p == nil {
+		if p == nil || vm.Out {
 			continue
 		}
 		p.vms++
-		if vm.Runs == 0 && !vm.Arriving && !vm.Pinned {
+		if vm.Runs == 0 && !vm.Arriving {
 			p.idle = append(p.idle, vm)
 		}
 	}
--- /dev/null
+++ b/scheduler/capacity/lending_test.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const testCores = 16
+
+func pool(name string, used, waiting float64) Demand {
+	return Demand{Pool: name, CoresPerVM: testCores, Used: used, Waiting: waiting, Backlog: waiting}
+}
+
+func idleVMs(pool string, n int) []LentVM {
+	var vms []LentVM
+	for i := range n {
+		vms = append(vms, LentVM{ID: fmt.Sprintf("%s-%d", pool, i), Pool: pool})
+	}
+	return vms
+}
+
+func countMoves(moves []Move, from, to string) int {
+	n := 0
+	for _, m := range moves {
+		if m.From == from && m.To == to {
+			n++
+		}
+	}
+	return n
+}
+
+// Load pattern: a queue's turn begins and asks for more than its pool holds.
+// The spare pool has to give before pools that may need their VMs.
+func TestBurstTakesSpareVMsFirst(t *testing.T) {
+	l := NewLender(LendingOptions{})
+	spare := Demand{Pool: "spare", Spare: true}
+	vms := append(idleVMs("spare", 3), idleVMs("quiet", 6)...)
+	vms = append(vms, LentVM{ID: "busy-0", Pool: "busy", Runs: 10})
+	moves := l.Plan(0, []Demand{spare, pool("quiet", 0, 0), pool("busy", 16, 80)}, vms)
+	if n := countMoves(moves, "spare", "busy"); n != 3 {
+		t.Errorf("%d VMs from the spare pool, want 3: %v", n, moves)
+	}
+	if n := countMoves(moves, "quiet", "busy"); n < 1 {
+		t.Errorf("no VM from the quiet pool: %v", moves)
+	}
+}
+
+// Load pattern: a queue's turn is over. Its VMs stay for a while, in case more
+// comes, and are then switched off but for the headroom.
+func TestIdleVMsAreSwitchedOff(t *testing.T) {
+	l := NewLender(LendingOptions{Keep: time.Second})
+	demands := func(used float64) []Demand { return []Demand{{Pool: "spare", Spare: true}, pool("a", used, 0)} }
+	busy := idleVMs("a", 6)
+	for i := range busy {
+		busy[i].Runs = 1
+	}
+	l.Plan(0, demands(90), busy)
+	if moves := l.Plan(500*time.Millisecond, demands(0), idleVMs("a", 6)); len(moves) > 0 {
+		t.Errorf("moves %v within the time that VMs are kept", moves)
+	}
+	if moves := l.Plan(1600*time.Millisecond, demands(0), idleVMs("a", 6)); countMoves(moves, "a", "spare") != 5 {
+		t.Errorf("moves %v, want 5 VMs switched off and one kept", moves)
+	}
+}
+
+// A VM that is closed for its upkeep counted as capacity, so that a pool whose
+// VMs were all closed got none and its long-running items waited for 12 s
+// (niederalm-cut scale-2, seed 3).
+func TestVMsOutOfServiceDoNotCount(t *testing.T) {
+	l := NewLender(LendingOptions{})
+	vms := append(idleVMs("spare", 4), idleVMs("a", 3)...)
+	for i := range vms[4:] {
+		vms[4+i].Out = true
+	}
+	moves := l.Plan(0, []Demand{{Pool: "spare", Spare: true}, pool("a", 20, 5)}, vms)
+	if n := countMoves(moves, "spare", "a"); n < 2 {
+		t.Errorf("%d VMs for a pool without one in service, want at least 2: %v", n, moves)
+	}
+}
+
+// Load pattern: queues burst by turns at regular times. The VMs for the third
+// burst have to be under way before it begins.
+func TestRegularBurstIsExpected(t *testing.T) {
+	l := NewLender(LendingOptions{Keep: time.Second})
+	vms := append(idleVMs("spare", 20), LentVM{ID: "a-0", Pool: "a", Runs: 1})
+	const cycle = 16 * time.Second
+	burst := func(at time.Duration) bool { return at%cycle < 4*time.Second }
+	expected := 0
+	for at := time.Duration(0); at < 2*cycle; at += 100 * time.Millisecond {
+		d := pool("a", 1, 0)
+		if burst(at) {
+			d = pool("a", 16, 160)
+		}
+		moves := l.Plan(at, []Demand{{Pool: "spare", Spare: true}, d}, vms)
+		if at > 2*cycle-1500*time.Millisecond && !burst(at) {
+			expected = max(expected, countMoves(moves, "spare", "a"))
+		}
+	}
+	if expected < 5 {
+		t.Errorf("%d VMs moved ahead of the third burst, want at least 5", expected)
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -120,6 +120,12 @@
 	return cp.phase == running && cp.percent < 100 && now-cp.worker.clockAt < contactFresh
 }
 
+// Called reports whether a worker has answered this owner.
+func (c *Core) Called(id string) bool {
+	w := c.workers[id]
+	return w != nil && w.contacted
+}
+
 // Usable reports whether a worker takes new work.
 func (c *Core) Usable(id string) bool {
 	w := c.workers[id]
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -273,8 +273,11 @@
 		if w.ID == i.avoid {
 			score += avoidPenalty
 		}
-		if w.stopExpected && s.spec.LongRunning {
-			score += stopPenalty
+		if s.spec.LongRunning {
+			score += siblingPenalty * float64(s.copies[w])
+			if w.stopExpected {
+				score += stopPenalty
+			}
 		}
 		if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
 			score += farPenalty
@@ -291,6 +294,9 @@
 	farPenalty   = 2
 	avoidPenalty = 1
 	stopPenalty  = 1
+	// siblingPenalty spreads the items of a long-running step: a lost VM takes
+	// fewer of them, and a planned stop has to move fewer, one after the other.
+	siblingPenalty = 1
 )
 
 func (w *worker) suits(s *step, charge job.Resources, tickets map[string]string) bool {
