Send no work to silent workers; keep VMs until a pool's first burst

Change: a worker without an answer gets no work until its next report, asked for every 0.4 s; speculative items get a copy elsewhere meanwhile; a pool keeps its VMs for other pools' bursts only, until its first burst or 16 s have passed.

--- a/owner/term.go
+++ b/owner/term.go
@@ -25,7 +25,7 @@
 	roundGap = 3 * time.Millisecond
 	// callTimeout bounds an order to a worker, which answers within a zone's
 	// delay.
-	callTimeout = 400 * time.Millisecond
+	callTimeout = 300 * time.Millisecond
 	// releaseTimeout bounds the handing back of the lease at the end.
 	releaseTimeout = time.Second
 	// loadTimeout bounds the reading of the jobs at a takeover.
--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -62,6 +62,8 @@
 	// regularShare is how much the times between bursts may differ for the next
 	// one to be forecast.
 	regularShare = 0.15
+	// learnTime is how long a pool without a burst so far keeps its VMs.
+	learnTime = 16 * time.Second
 )
 
 // Lender moves VMs to the pools that ask for more than they hold, and switches
@@ -75,6 +77,7 @@
 
 // lendingHistory is what the lender remembers of a pool.
 type lendingHistory struct {
+	since time.Duration
 	// peaks are the recent wants, the largest of which counts.
 	peaks []want
 	// starts are the starts of the last bursts, burstVMs the largest want of
@@ -104,10 +107,11 @@
 // lendingPool is a pool during one plan.
 type lendingPool struct {
 	Demand
-	// wanted is what the pool needs now, kept what it must not fall below.
-	wanted, kept int
-	vms          int
-	idle         []LentVM
+	// wanted is what the pool needs now, lend what it keeps when other pools
+	// need VMs, kept what it keeps when none does.
+	wanted, lend, kept int
+	vms                int
+	idle               []LentVM
 }
 
 // Plan returns the moves to order now. now is on a clock that only grows.
@@ -117,7 +121,7 @@
 	for _, d := range demands {
 		p := &lendingPool{Demand: d}
 		if !d.Spare {
-			p.wanted, p.kept = l.target(now, d)
+			p.wanted, p.lend, p.kept = l.target(now, d)
 		}
 		pools[d.Pool] = p
 		order = append(order, p)
@@ -140,19 +144,25 @@
 
 func (p *lendingPool) missing() int { return p.wanted - p.vms }
 
-// surplus is how many idle VMs the pool can give away.
+// surplus is how many idle VMs the pool can give to one that needs them,
+// unused how many it can switch off.
 func (p *lendingPool) surplus() int {
 	if p.Spare {
 		return len(p.idle)
 	}
+	return min(p.vms-max(p.wanted, p.lend), len(p.idle))
+}
+
+func (p *lendingPool) unused() int {
 	return min(p.vms-max(p.wanted, p.kept), len(p.idle))
 }
 
-// target returns how many VMs a pool needs now and must keep.
-func (l *Lender) target(now time.Duration, d Demand) (wanted, kept int) {
+// target returns how many VMs a pool needs now, keeps when other pools need
+// some, and keeps when none does.
+func (l *Lender) target(now time.Duration, d Demand) (wanted, lend, kept int) {
 	h := l.pools[d.Pool]
 	if h == nil {
-		h = &lendingHistory{}
+		h = &lendingHistory{since: now}
 		l.pools[d.Pool] = h
 	}
 	size := max(d.CoresPerVM, 1)
@@ -163,7 +173,11 @@
 	if h.expects(now, l.options.MoveTime+forecastLead) {
 		wanted = max(wanted, h.burstVMs)
 	}
-	return wanted, max(base, h.largest())
+	lend = max(base, h.largest())
+	if len(h.starts) == 0 && now-h.since < learnTime {
+		return wanted, lend, math.MaxInt32
+	}
+	return wanted, lend, lend
 }
 
 func (h *lendingHistory) observe(now time.Duration, wanted, base int, keep time.Duration) {
@@ -256,7 +270,7 @@
 	spare := order[i]
 	var moves []Move
 	for _, p := range order {
-		for !p.Spare && p.surplus() > 0 {
+		for !p.Spare && p.unused() > 0 {
 			moves = append(moves, p.give(spare))
 		}
 	}
--- a/scheduler/execution/rank_test.go
+++ b/scheduler/execution/rank_test.go
@@ -60,3 +60,25 @@
 	}
 	return out
 }
+
+// Load pattern: a rack goes dark in a burst. Packing sent new items to its
+// silent workers, where each was stuck until the lease had lapsed.
+func TestSilentWorkerGetsNoWork(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 4000), Report{})
+	b.worker(testWorker("w2", 4000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Speculative: true}), job.Progress{}, false, wall, b.now)
+	first := b.round().Starts[0]
+	b.core.StartDone(first, Started, b.now)
+	b.core.HoldFailed(first.Worker.ID, b.now)
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, wall, b.now)
+	starts := b.round().Starts
+	if len(starts) != 2 {
+		t.Fatalf("starts %v, want the new item and a copy of the one on the silent worker", starts)
+	}
+	for _, s := range starts {
+		if s.Worker.ID == first.Worker.ID {
+			t.Errorf("%v starts on the silent worker", s.Run)
+		}
+	}
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -110,6 +110,7 @@
 		return
 	case StartUnknown:
 		cp.phase, cp.confirmedAt = unresolved, now
+		w.avoidUntil = max(w.avoidUntil, now+refusedPause)
 		c.trace(Event{Name: "start_unanswered", Item: s.Item.String(), Run: s.Run.Run, Worker: w.ID})
 		return
 	case NotStarted:
@@ -208,7 +209,7 @@
 func (c *Core) pools(now Time) map[string][]*worker {
 	pools := map[string][]*worker{}
 	for _, w := range c.sorted {
-		if w.present && w.contacted && w.grantRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < clockFresh {
+		if w.present && w.contacted && !w.silent && w.grantRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < clockFresh {
 			pools[w.Service] = append(pools[w.Service], w)
 		}
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -61,7 +61,14 @@
 	return job.ItemID{Job: i.step.job.ID, Occurrence: i.step.occurrence, Step: i.step.number, Index: i.index}
 }
 
-func (i *item) waiting() bool { return !i.done && len(i.copies) == 0 }
+// waiting reports whether the item can be started: nothing of it runs, or it
+// may run in copies and its only one is on a worker that does not answer.
+func (i *item) waiting() bool {
+	if i.done || len(i.copies) == 0 {
+		return !i.done
+	}
+	return i.step.spec.Speculative && len(i.copies) == 1 && i.copies[0].worker.silent
+}
 
 // number is the item's place in the durable record.
 func (i *item) number() int {
@@ -146,6 +153,8 @@
 	pendingEnds                 []pendingEnd
 	failures                    int
 	avoidUntil                  Time
+	// silent is set from a call without an answer to the next report.
+	silent bool
 	// closed keeps new work away, before an upkeep or a move.
 	closed bool
 	// stopExpected is set while planned work is going to stop the worker.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -9,8 +9,8 @@
 
 const (
 	// holdWait is how long a worker may wait for an end before it answers. A
-	// quarter of the shortest lease leaves time for two more calls.
-	holdWait = time.Second
+	// worker that went silent is noticed after this and the timeout of a call.
+	holdWait = 400 * time.Millisecond
 	// endsPerReport is how many ends a worker lists at once.
 	endsPerReport = 500
 	// contactFresh is how old the last report may be for the owner to extend a
@@ -249,6 +249,7 @@
 		c.reborn(w, now)
 		w.Born = r.Born
 	}
+	w.silent = false
 	if !w.contacted {
 		w.contacted = true
 		delete(c.formerHolders, w.ID)
@@ -272,6 +273,21 @@
 	c.reconcile(w, listed, len(r.Ended) < endsPerReport, sent, now)
 }
 
+// HoldFailed notes that a worker did not answer. It gets no work until it does.
+func (c *Core) HoldFailed(id string, now Time) {
+	w := c.workers[id]
+	if w == nil || w.silent {
+		return
+	}
+	w.silent = true
+	if len(w.copies) > 0 {
+		c.trace(Event{Name: "worker_silent", Worker: id, Service: w.Service, Took: now - w.clockAt})
+	}
+	for _, cp := range w.inOrder {
+		c.list(cp.item.step)
+	}
+}
+
 func (c *Core) noteRunning(w *worker, row RunningItem, now Time) {
 	if cp := w.copies[row.Run]; cp != nil {
 		if cp.phase != running {
