End an upkeep that a former owner had done; flush records at a planned change

At a planned change the record of lease holders still named VMs that had just moved, so that the next owner waited 3.7 s for their leases. Change: a VM that is up after the upkeep's time and the list's lag is done; the owner writes its records before it ends its lease.

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -74,10 +74,3 @@
 func (t *term) formerlyOrdered(vm string) bool {
 	return t.formerOrders[vm] && boottime.Now()-t.startedAt < t.options.HandOver+handOverMargin
 }
-
-// terminated notes that a VM was taken from a worker.
-func (t *term) terminated(worker string, born int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.core.Terminated(worker, born, boottime.Now())
-}
--- a/owner/term.go
+++ b/owner/term.go
@@ -114,8 +114,11 @@
 	// Orders under way may still be answered; no new ones are given.
 	t.revoke()
 	waitFor(&t.orders, callTimeout)
-	t.release(reason)
 	_ = group.Wait()
+	if errors.Is(reason, errStopped) && t.writer != nil {
+		t.flush()
+	}
+	t.release(reason)
 	return reason
 }
 
@@ -132,6 +135,19 @@
 	}
 }
 
+// flush writes what the next owner would otherwise have to find out.
+func (t *term) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	t.mu.Lock()
+	if holders, changed := t.core.UnrecordedHolders(); changed {
+		t.recordHoldersLocked(holders)
+	}
+	t.mu.Unlock()
+	for t.writeBatch(ctx) {
+	}
+}
+
 // release ends the lease, so that another process can take over at once.
 func (t *term) release(reason error) {
 	if errors.Is(reason, errLeaseLost) || errors.Is(reason, jobstore.ErrDeposed) {
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -233,16 +233,15 @@
 		switch {
 		case p.state == machineDown && !listed:
 			p.state = machineDone
-		case p.state == machineDown && m.Up && p.worker == "":
-			// A VM of a spare pool is off and has no worker to wait for. The
-			// list lags, so that it may still show the time before the upkeep.
-			if boottime.Now()-p.since > t.options.UpkeepTime+listLag {
-				p.state = machineDone
-			}
 		case p.state == machineDown && m.Up:
+			// Without a new lifetime the VM is off, in a spare pool, or had its
+			// upkeep from a former owner. The list lags, so that it may still
+			// show the time before.
 			born, registered := t.core.Lifetime(m.Worker)
-			if registered && (m.Worker != p.worker || born != p.born) {
+			renewed := registered && (m.Worker != p.worker || born != p.born)
+			if renewed || boottime.Now()-p.since > t.options.UpkeepTime+listLag {
 				p.state = machineDone
+				t.core.Close(p.worker, false)
 			}
 		case p.state == machinePending && !listed:
 			// The VM is gone; if it comes back, its upkeep is due again.
@@ -371,7 +370,6 @@
 	switch {
 	case err == nil:
 		p.state, p.since = machineDown, boottime.Now()
-		t.terminated(p.worker, p.born)
 		return true
 	case errors.Is(err, ErrFenced):
 		t.fenced(err)
--- /dev/null
+++ b/owner/upkeep_test.go
@@ -0,0 +1,102 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/scheduler/execution"
+	"dotterelhead.example/dotterelhead/store/storetest"
+	"dotterelhead.example/dotterelhead/telemetry"
+)
+
+// fakeMachines records the orders for VMs.
+type fakeMachines struct{ upkeeps, moves []string }
+
+func (f *fakeMachines) List(context.Context) ([]Machine, error) { return nil, nil }
+
+func (f *fakeMachines) Upkeep(_ context.Context, machine string, _, _ int64) error {
+	f.upkeeps = append(f.upkeeps, machine)
+	return nil
+}
+
+func (f *fakeMachines) Move(_ context.Context, machine, _ string, _ int64) error {
+	f.moves = append(f.moves, machine)
+	return nil
+}
+
+func (f *fakeMachines) WaveStatus(int64, bool) jobstore.Record {
+	return jobstore.Record{Key: "status", Value: []byte("{}")}
+}
+
+// testTerm returns a term that writes to a store in memory.
+func testTerm(t *testing.T, machines Machines) *term {
+	t.Helper()
+	s := storetest.New()
+	o := New(Options{
+		Node: "entry-0", Store: s, Machines: machines, Log: telemetry.Discard(), Lease: time.Minute,
+		UpkeepTime: -listLag, Manifest: func() *job.Manifest { return &job.Manifest{} },
+		Execution: execution.Options{Hold: time.Second, StopTimeout: time.Second},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	held, err := jobstore.Acquire(ctx, s, "entry-0", o.process, time.Minute)
+	if err != nil || held == nil {
+		t.Fatalf("not acquired: %v", err)
+	}
+	tm := newTerm(o, held, boottime.Now())
+	tm.end = func(err error) { t.Errorf("term ended: %v", err) }
+	tm.writer = jobstore.NewWriter(s, held.Fence, nil)
+	done := make(chan struct{})
+	go func() { tm.writeLoop(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return tm
+}
+
+func (t *term) testWorker(id string) {
+	now := boottime.Now()
+	t.core.WorkerSeen(execution.Worker{ID: id, Service: "a", Born: 1, Capacity: job.Resources{MilliCPU: 1000, MemoryMB: 10}}, now)
+	h, _ := t.core.HoldFor(id, now)
+	t.core.HoldDone(h, execution.Report{Clock: time.Second, Born: 1}, now, boottime.Now())
+}
+
+// A VM that had its upkeep from a former owner keeps its worker. The new owner
+// waited for a new lifetime for ever, and the wave never ended (niederalm-cut
+// trouble-2: 4 of 21 VMs left after rolling restarts of the entry VMs).
+func TestUpkeepDoneByAFormerOwner(t *testing.T) {
+	machines := &fakeMachines{}
+	tm := testTerm(t, machines)
+	tm.testWorker("w1")
+	r := tm.newWaveRun(Wave{Number: 1, Machines: []string{"m1"}, Duration: time.Minute, AtOnce: 1, SeenAt: time.Now()})
+	list := []Machine{{ID: "m1", Pool: "a", Worker: "w1", Up: true}}
+	for range 4 {
+		tm.advance(context.Background(), []*waveRun{r}, list, newLending(0))
+	}
+	if len(machines.upkeeps) != 1 {
+		t.Errorf("%d orders for the VM, want 1", len(machines.upkeeps))
+	}
+	if !r.reported {
+		t.Errorf("the wave is not completed; the VM is %s", r.parts["m1"].state)
+	}
+	if !tm.core.Usable("w1") {
+		t.Error("the worker takes no work after the wave")
+	}
+}
+
+// An upkeep of a former owner has to count against the number of VMs that may
+// be down together (LIMIT).
+func TestVMsTakenDownByAFormerOwnerCount(t *testing.T) {
+	machines := &fakeMachines{}
+	tm := testTerm(t, machines)
+	tm.testWorker("w1")
+	r := tm.newWaveRun(Wave{Number: 1, Machines: []string{"m1", "m2"}, Duration: time.Minute, AtOnce: 1, SeenAt: time.Now()})
+	list := []Machine{{ID: "m1", Pool: "a", Worker: "w1", Up: true}, {ID: "m2", Pool: "a", InUpkeep: true}}
+	for range 3 {
+		tm.advance(context.Background(), []*waveRun{r}, list, newLending(0))
+	}
+	if len(machines.upkeeps) != 0 {
+		t.Errorf("orders %v while another VM is down", machines.upkeeps)
+	}
+}
