--- a/cmd/dotterelheadd/main.go
+++ b/cmd/dotterelheadd/main.go
@@ -118,7 +118,9 @@
 			if err := found.Err(); err != nil {
 				return failure{err}
 			}
-			tel, err := telemetry.New(telemetry.Options{InstanceID: s.Node, LogLevel: s.LogLevel, LogWriter: os.Stdout})
+			out := telemetry.NewBufferedWriter(os.Stdout)
+			defer out.Close(time.Second)
+			tel, err := telemetry.New(telemetry.Options{InstanceID: s.Node, LogLevel: s.LogLevel, LogWriter: out})
 			if err != nil {
 				return failure{err}
 			}
@@ -126,6 +128,7 @@
 			signal.Notify(reload, syscall.SIGHUP)
 			server := jobserver.New(jobserver.Options{
 				Settings: *s, File: file, Reload: reload, Log: tel.Log, Scope: tel.Scope, Metrics: tel.MetricsHandler,
+				DroppedLines: out.Dropped,
 			})
 			if err := server.Run(c.Context()); err != nil {
 				return failure{err}
--- a/command/command.go
+++ b/command/command.go
@@ -107,7 +107,7 @@
 	flags.StringVar(&t.tokenFile, "token-file", "", "file with the operator token")
 	flags.StringVar(&t.caFile, "ca", "", "PEM file with the CA of the operator listeners; implies https")
 	flags.DurationVar(&t.timeout, "timeout", 8*time.Second, "time to wait for each entry VM")
-	root.AddCommand(t.check(), t.publish(), t.show(), t.history(), t.status(), t.jobs())
+	root.AddCommand(t.check(), t.publish(), t.show(), t.history(), t.status(), t.jobs(), t.explain())
 	return root
 }
 
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,205 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/store"
+	"dotterelhead.example/dotterelhead/store/storetest"
+)
+
+func testJob(n int) *job.Job {
+	return &job.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Steps: []job.Step{{Count: 1}}}
+}
+
+func running(t interface{ Cleanup(func()) }, s store.Store) *Intake {
+	in := New(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { in.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return in
+}
+
+// TestAnswersAreTrue guards against "accepted" for a job that is not stored,
+// and "not accepted" for one that is stored then or by a late write.
+func TestAnswersAreTrue(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fates := rapid.SliceOfN(rapid.SampledFrom([]storetest.Fate{
+			storetest.Applied, storetest.Refused, storetest.Lost, storetest.Late,
+		}), 1, 6).Draw(rt, "fates")
+		s := storetest.New()
+		var mu sync.Mutex
+		s.Decide = func(store.Transaction) storetest.Fate {
+			mu.Lock()
+			defer mu.Unlock()
+			if len(fates) == 0 {
+				return storetest.Applied
+			}
+			f := fates[0]
+			fates = fates[1:]
+			return f
+		}
+		in := running(rt, s)
+		var group sync.WaitGroup
+		answers := make([]error, 4)
+		for n := range answers {
+			group.Go(func() { answers[n] = in.Submit(testJob(n % 3)) })
+		}
+		group.Wait()
+		s.ApplyLate()
+		for n, err := range answers {
+			_, getErr := s.Get(context.Background(), jobstore.JobKey(testJob(n%3).ID))
+			stored := getErr == nil
+			switch {
+			case err == nil && !stored:
+				rt.Fatalf("job %d was accepted and is not stored", n%3)
+			case errors.Is(err, ErrNotAccepted) && stored && !acceptedElsewhere(answers, n):
+				rt.Fatalf("job %d was refused each time and is stored", n%3)
+			}
+		}
+	})
+}
+
+// acceptedElsewhere reports whether another submission of the same job was not
+// refused: that one may have stored it.
+func acceptedElsewhere(answers []error, n int) bool {
+	for m, err := range answers {
+		if m != n && m%3 == n%3 && !errors.Is(err, ErrNotAccepted) {
+			return true
+		}
+	}
+	return false
+}
+
+// operation is a call of a requester in a history.
+type operation struct{ call, id string }
+
+// outcome is what the requester was told.
+type outcome string
+
+const (
+	told    outcome = "ok"
+	refused outcome = "not accepted"
+	noJob   outcome = "no such job"
+	unknown outcome = "unknown"
+)
+
+// jobModel is one job: it exists once a submission took effect, for ever.
+var jobModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		parts := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			id := o.Input.(operation).id
+			parts[id] = append(parts[id], o)
+		}
+		var out [][]porcupine.Operation
+		for _, p := range parts {
+			out = append(out, p)
+		}
+		return out
+	},
+	Init: func() []any { return []any{false} },
+	Step: func(state, input, output any) []any {
+		exists, call, got := state.(bool), input.(operation).call, output.(outcome)
+		switch {
+		case call == "submit" && got == told:
+			return []any{true}
+		case call == "submit" && got == unknown:
+			return []any{exists, true}
+		case call == "submit" && got == refused:
+			return []any{exists}
+		case got == noJob && !exists, got == told && exists, got == unknown:
+			return []any{exists}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// TestHistoryOfOneJob checks concurrent calls at several entry VMs against one
+// job that exists or not, with lost, late and refused writes.
+func TestHistoryOfOneJob(t *testing.T) {
+	for seed := range uint64(20) {
+		checkHistory(t, seed)
+	}
+}
+
+func checkHistory(t *testing.T, seed uint64) {
+	t.Helper()
+	s := storetest.New()
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 0))
+	s.Decide = func(store.Transaction) storetest.Fate {
+		mu.Lock()
+		defer mu.Unlock()
+		return []storetest.Fate{storetest.Applied, storetest.Applied, storetest.Refused, storetest.Lost, storetest.Late}[random.IntN(5)]
+	}
+	entries := []*Intake{running(t, s), running(t, s)}
+	var history []porcupine.Operation
+	var group sync.WaitGroup
+	for client := range 6 {
+		group.Go(func() {
+			calls := rand.New(rand.NewPCG(seed, uint64(client)+1))
+			for range 8 {
+				in := entries[calls.IntN(len(entries))]
+				o := operation{call: []string{"submit", "phase", "cancel"}[calls.IntN(3)], id: testJob(calls.IntN(2)).ID}
+				start := time.Now().UnixNano()
+				got := perform(in, o)
+				end := time.Now().UnixNano()
+				if got == unknown {
+					// The write may take effect at any later time.
+					end = 1 << 62
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: client, Input: o, Call: start, Output: got, Return: end})
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	history = slices.DeleteFunc(history, func(o porcupine.Operation) bool {
+		return o.Output == unknown && o.Input.(operation).call != "submit"
+	})
+	// A client with an open operation counts as a new one afterwards.
+	for i := range history {
+		history[i].ClientId = i
+	}
+	if result := porcupine.CheckOperationsTimeout(jobModel.ToModel(), history, 10*time.Second); result != porcupine.Ok {
+		t.Errorf("seed %d: history of %d calls is %s", seed, len(history), result)
+	}
+}
+
+func perform(in *Intake, o operation) outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	var err error
+	switch o.call {
+	case "submit":
+		err = in.Submit(&job.Job{ID: o.id, Steps: []job.Step{{Count: 1}}})
+	case "phase":
+		_, err = in.Phase(ctx, o.id)
+	case "cancel":
+		err = in.Cancel(ctx, o.id)
+	}
+	switch {
+	case err == nil:
+		return told
+	case errors.Is(err, ErrNotAccepted):
+		return refused
+	case errors.Is(err, ErrNoJob):
+		return noJob
+	}
+	return unknown
+}
--- /dev/null
+++ b/joblog/joblog.go
@@ -0,0 +1,189 @@
+// Package joblog reads the logs of entry VMs and tells what happened to a job.
+package joblog
+
+import (
+	"bufio"
+	"cmp"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxLineBytes bounds a line; longer ones are an error of the input.
+const maxLineBytes = 1 << 20
+
+// Line is one event of a log.
+type Line struct {
+	Time   time.Time
+	Event  string
+	Entry  string
+	Fields map[string]string
+	text   string
+}
+
+// String returns the line as it stands in the log, without what a collector
+// put before it.
+func (l Line) String() string { return l.text }
+
+// Number returns a numeric field, or 0.
+func (l Line) Number(field string) float64 {
+	f, err := strconv.ParseFloat(l.Fields[field], 64)
+	if err != nil {
+		return 0
+	}
+	return f
+}
+
+// Read returns the events of logs in the order of their times. Text before the
+// first pair, as collectors add it, and lines without an event are skipped.
+func Read(logs ...io.Reader) ([]Line, error) {
+	var lines []Line
+	for _, r := range logs {
+		s := bufio.NewScanner(r)
+		s.Buffer(nil, maxLineBytes)
+		for s.Scan() {
+			if l, ok := parse(s.Text()); ok {
+				lines = append(lines, l)
+			}
+		}
+		if err := s.Err(); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return lines, nil
+}
+
+func parse(text string) (Line, bool) {
+	start := strings.Index(text, "time=")
+	if start < 0 {
+		return Line{}, false
+	}
+	l := Line{Fields: map[string]string{}, text: text[start:]}
+	rest := l.text
+	for rest != "" {
+		key, after, ok := strings.Cut(rest, "=")
+		if !ok {
+			break
+		}
+		value := after
+		if strings.HasPrefix(after, `"`) {
+			quoted, err := strconv.QuotedPrefix(after)
+			if err != nil {
+				break
+			}
+			rest = strings.TrimPrefix(after[len(quoted):], " ")
+			if value, err = strconv.Unquote(quoted); err != nil {
+				break
+			}
+		} else {
+			value, rest, _ = strings.Cut(after, " ")
+		}
+		l.Fields[key] = value
+	}
+	var err error
+	if l.Time, err = time.Parse(time.RFC3339Nano, l.Fields["time"]); err != nil {
+		return Line{}, false
+	}
+	l.Event, l.Entry = l.Fields["event"], l.Fields["entry"]
+	return l, l.Event != ""
+}
+
+// Story is what happened to one job.
+type Story struct {
+	Job   string
+	Lines []Line
+	// Accepted, FirstPlaced, LastEnded and Finished are zero if no line tells.
+	Accepted, FirstPlaced, LastEnded, Finished time.Time
+	Outcome                                    string
+	// Waited is the time of items between being ready and being placed, Ran
+	// the time of runs that ended as done, Lost that of all other runs.
+	Waited, Ran, Lost time.Duration
+	// Around are the changes of owners and the lost dependencies between the
+	// job's first and last line.
+	Around []Line
+}
+
+// context are the events that concern every job.
+var context = map[string]bool{
+	"ownership_acquired": true, "ownership_ended": true, "takeover_settled": true, "store_reachable": true,
+	"log_lines_dropped": true, "started": true, "stopping": true, "manifest_in_force": true,
+}
+
+// Explain tells the story of a job.
+func Explain(lines []Line, job string) Story {
+	s := Story{Job: job}
+	for _, l := range lines {
+		if l.Fields["job"] == job || strings.HasPrefix(l.Fields["item"], job+".") || strings.HasPrefix(l.Fields["step"], job+".") {
+			s.add(l)
+		}
+	}
+	if len(s.Lines) == 0 {
+		return s
+	}
+	first, last := s.Lines[0].Time, s.Lines[len(s.Lines)-1].Time
+	for _, l := range lines {
+		if context[l.Event] && !l.Time.Before(first) && !l.Time.After(last) {
+			s.Around = append(s.Around, l)
+		}
+	}
+	return s
+}
+
+func (s *Story) add(l Line) {
+	s.Lines = append(s.Lines, l)
+	took := time.Duration(l.Number("took_ms")) * time.Millisecond
+	switch l.Event {
+	case "request_answered":
+		if s.Accepted.IsZero() && l.Fields["method"] == "POST" && l.Fields["status"] == "200" {
+			s.Accepted = l.Time
+		}
+	case "run_placed":
+		if s.FirstPlaced.IsZero() {
+			s.FirstPlaced = l.Time
+		}
+		s.Waited += took
+	case "run_ended":
+		s.LastEnded = l.Time
+		if l.Fields["reason"] == "done" {
+			s.Ran += took
+		} else {
+			s.Lost += took
+		}
+	case "run_lost":
+		s.Lost += took
+	case "job_completed", "job_failed", "job_cancelled":
+		s.Finished, s.Outcome = l.Time, strings.TrimPrefix(l.Event, "job_")
+	}
+}
+
+// Sample is the state of a pool at a time.
+type Sample struct {
+	Time                 time.Time
+	VMs, Used, Waiting   float64
+	BacklogCoreSeconds   float64
+	LastingCoresPromised float64
+}
+
+// Pools returns the states of the pools over time.
+func Pools(lines []Line) map[string][]Sample {
+	pools := map[string][]Sample{}
+	for _, l := range lines {
+		if l.Event != "pool_state" {
+			continue
+		}
+		name := l.Fields["service"]
+		pools[name] = append(pools[name], Sample{
+			Time: l.Time, VMs: l.Number("vms"), Used: l.Number("used_cores"), Waiting: l.Number("waiting_cores"),
+			BacklogCoreSeconds: l.Number("backlog_core_seconds"), LastingCoresPromised: l.Number("lasting_cores"),
+		})
+	}
+	for _, samples := range pools {
+		slices.SortFunc(samples, func(a, b Sample) int { return cmp.Compare(a.Time.UnixNano(), b.Time.UnixNano()) })
+	}
+	return pools
+}
--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -53,6 +53,8 @@
 	Log     *telemetry.Logger
 	Scope   tally.Scope
 	Metrics http.Handler
+	// DroppedLines, if set, returns how many log lines were dropped so far.
+	DroppedLines func() int64
 }
 
 // Server is one entry VM of the job service.
@@ -133,6 +135,7 @@
 	group.Go(func() error { s.intake.Run(background); return nil })
 	group.Go(func() error { s.owner.Run(ctx); return nil })
 	group.Go(func() error { s.reload(background); return nil })
+	group.Go(func() error { s.gauge(background); return nil })
 	select {
 	case <-ctx.Done():
 	case <-background.Done():
@@ -143,6 +146,27 @@
 	return nil
 }
 
+// gaugeEvery is how often the gauges of the process are updated.
+const gaugeEvery = time.Second
+
+// gauge updates the gauges of the process.
+func (s *Server) gauge(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(gaugeEvery):
+		}
+		if s.options.DroppedLines != nil {
+			s.options.Scope.Gauge("log_lines_dropped").Update(float64(s.options.DroppedLines()))
+		}
+		if s.operator.Manifest() != nil {
+			s.options.Scope.Gauge("manifest_age_seconds").Update(s.operator.Age().Seconds())
+			s.options.Scope.Gauge("manifest_version").Update(float64(s.operator.Manifest().Version))
+		}
+	}
+}
+
 // reload checks the settings file whenever it is asked to. Only the log level
 // can change in a running process; all else takes effect at the next start.
 func (s *Server) reload(ctx context.Context) {
--- /dev/null
+++ b/jobstore/writer_test.go
@@ -0,0 +1,97 @@
+package jobstore
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/store"
+	"dotterelhead.example/dotterelhead/store/storetest"
+)
+
+// TestWritesKeepTheirOrder guards against a write without an answer that takes
+// effect after a later one, or after another owner took over.
+func TestWritesKeepTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := storetest.New()
+		faults := rapid.SliceOfN(rapid.SampledFrom([]storetest.Fate{
+			storetest.Applied, storetest.Refused, storetest.Lost, storetest.Late,
+		}), 0, 12).Draw(t, "fates")
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		want := map[string]string{}
+		for owner := range rapid.IntRange(1, 3).Draw(t, "owners") {
+			s.Decide = nil
+			node := strconv.Itoa(owner)
+			held, err := Acquire(ctx, s, node, node, time.Minute)
+			if err != nil || held == nil {
+				t.Fatalf("owner %d: not acquired: %v", owner, err)
+			}
+			known, _, err := store.ReadAll(ctx, s, ProgressPrefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Decide = func(store.Transaction) storetest.Fate {
+				if len(faults) == 0 {
+					return storetest.Applied
+				}
+				f := faults[0]
+				faults = faults[1:]
+				return f
+			}
+			w := NewWriter(s, held.Fence, known)
+			for n := range rapid.IntRange(1, 5).Draw(t, "writes") {
+				key := ProgressKey(strconv.Itoa(rapid.IntRange(0, 1).Draw(t, "key")))
+				value := fmt.Sprintf("%d-%d", owner, n)
+				if err := w.Write(ctx, []Record{{Key: key, Value: []byte(value)}}); err != nil {
+					t.Fatal(err)
+				}
+				want[key] = value
+				if rapid.Bool().Draw(t, "late writes arrive") {
+					s.ApplyLate()
+				}
+			}
+			if err := s.EndLease(ctx, held.Lease); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.ApplyLate()
+		for key, value := range want {
+			if item, err := s.Get(ctx, key); err != nil || string(item.Value) != value {
+				t.Fatalf("%s holds %q (%v), want the last write %q", key, item.Value, err, value)
+			}
+		}
+	})
+}
+
+// A deposed owner must learn of it by its next write, and change nothing.
+func TestDeposedOwnerWritesNothing(t *testing.T) {
+	s := storetest.New()
+	ctx := context.Background()
+	first, err := Acquire(ctx, s, "a", "1", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if other, err := Acquire(ctx, s, "b", "1", time.Minute); other != nil || err != nil {
+		t.Fatalf("a second owner beside the first: %v, %v", other, err)
+	}
+	second, err := Acquire(ctx, s, "a", "2", time.Minute)
+	if err != nil || second == nil {
+		t.Fatalf("a new process of the owner's VM does not take over: %v", err)
+	}
+	if second.Fence <= first.Fence || second.Term != first.Term+1 {
+		t.Errorf("fence %d after %d, term %d after %d", second.Fence, first.Fence, second.Term, first.Term)
+	}
+	err = NewWriter(s, first.Fence, nil).Write(ctx, []Record{{Key: ProgressKey("x"), Value: []byte("1")}})
+	if !errors.Is(err, ErrDeposed) {
+		t.Errorf("write of the deposed owner: %v", err)
+	}
+	if _, err := s.Get(ctx, ProgressKey("x")); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("the deposed owner wrote a record: %v", err)
+	}
+}
--- a/owner/write.go
+++ b/owner/write.go
@@ -44,6 +44,7 @@
 func (t *term) summarize() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.logPoolsLocked()
 	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
 	for _, id := range t.core.Forget(t.options.KeepFinished, forgetAtOnce, boottime.Now()) {
 		for _, key := range []string{jobstore.JobKey(id), jobstore.CancelKey(id), jobstore.ProgressKey(id)} {
@@ -52,6 +53,22 @@
 	}
 }
 
+// logPoolsLocked writes what each pool asks for and has.
+func (t *term) logPoolsLocked() {
+	vms := t.core.WorkersByService()
+	for _, d := range t.core.Demands(boottime.Now()) {
+		if d.Spare {
+			continue
+		}
+		t.options.Log.Info().Str("event", "pool_state").Str("service", d.Pool).Int("vms", vms[d.Pool]).Float64("used_cores", d.Used).
+			Float64("waiting_cores", d.Waiting).Float64("backlog_core_seconds", d.Backlog).Float64("lasting_cores", d.Lasting).Msg("")
+		tags := t.metrics.scope.Tagged(map[string]string{"service": d.Pool})
+		tags.Gauge("pool_vms").Update(float64(vms[d.Pool]))
+		tags.Gauge("pool_used_cores").Update(d.Used)
+		tags.Gauge("pool_waiting_cores").Update(d.Waiting)
+	}
+}
+
 // recordJSONLocked queues a record unless the store has it already.
 func (t *term) recordJSONLocked(key string, v any) {
 	value, err := json.Marshal(v)
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -46,3 +46,14 @@
 }
 
 func cores(milliCPU int64) float64 { return float64(milliCPU) / 1000 }
+
+// WorkersByService counts the workers that can take work.
+func (c *Core) WorkersByService() map[string]int {
+	counts := map[string]int{}
+	for _, w := range c.sorted {
+		if w.present && w.contacted {
+			counts[w.Service]++
+		}
+	}
+	return counts
+}
