--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -18,7 +18,7 @@
 const metricsInterval = time.Second
 
 // metrics sets the gauges of an entry VM and counts what happens to its
-// documents. docs/operations.md lists all metrics.
+// documents. docs/OPERATIONS.md lists all metrics.
 type metrics struct {
 	entry   *EntryVM
 	scope   tally.Scope
--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -19,10 +19,10 @@
 	"dotterelhead.example/dotterelhead/telemetry"
 )
 
-// documentedMetrics returns the names in the table of docs/operations.md.
+// documentedMetrics returns the names in the table of docs/OPERATIONS.md.
 func documentedMetrics(t *testing.T) []string {
 	t.Helper()
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	must(t, err)
 	_, section, _ := strings.Cut(string(page), "\n## Metrics\n")
 	section, _, _ = strings.Cut(section, "\n## ")
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -44,10 +44,10 @@
 	}
 }
 
-// checkDocumented applies the notes that docs/operations.md shows for a
+// checkDocumented applies the notes that docs/OPERATIONS.md shows for a
 // deployment, one after the other.
 func checkDocumented(t *testing.T, deployment string, config note.Config) {
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,11 +55,11 @@
 	section, _, _ = strings.Cut(section, "\n#")
 	blocks := strings.Split(section, "```toml\n")[1:]
 	if len(blocks) == 0 {
-		t.Errorf("docs/operations.md has no notes for %s", deployment)
+		t.Errorf("docs/OPERATIONS.md has no notes for %s", deployment)
 	}
 	for _, block := range blocks {
 		text, _, _ := strings.Cut(block, "```")
-		n, found := note.Parse("docs/operations.md", []byte(text))
+		n, found := note.Parse("docs/OPERATIONS.md", []byte(text))
 		if len(found) == 0 {
 			config, found = note.Apply(config, n)
 		}
