Refuse at once while the store is known to be down

Change: two failed calls in a row over 0.25 s count as an outage until a call is answered; requests are refused at once, and the entry VM is not ready.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -20,6 +20,8 @@
 	ErrNotAccepted = errors.New("not accepted")
 	// ErrUnknown reports that a job may have been accepted.
 	ErrUnknown = errors.New("outcome unknown")
+	// ErrDown reports that the store cannot be reached, and nothing was done.
+	ErrDown = errors.New("store is down")
 	// ErrNoJob reports that no such job exists.
 	ErrNoJob = errors.New("no such job")
 )
@@ -43,8 +45,9 @@
 
 // Intake accepts jobs.
 type Intake struct {
-	store store.Store
-	queue chan *submission
+	store  store.Store
+	health *store.Health
+	queue  chan *submission
 }
 
 // submission is a job on its way into the store.
@@ -57,9 +60,10 @@
 	done      chan error
 }
 
-// New returns an intake; Run has to be called for it to work.
-func New(s store.Store) *Intake {
-	return &Intake{store: s, queue: make(chan *submission, queuedJobs)}
+// New returns an intake; Run has to be called for it to work. While health
+// says that the store is down, everything is refused at once.
+func New(s store.Store, health *store.Health) *Intake {
+	return &Intake{store: s, health: health, queue: make(chan *submission, queuedJobs)}
 }
 
 // Run writes batches of jobs until ctx ends.
@@ -102,6 +106,9 @@
 // stored before, ErrNotAccepted only if no write of it can take effect, and
 // ErrUnknown otherwise.
 func (in *Intake) Submit(j *job.Job) error {
+	if in.health.Down() {
+		return errors.Wrap(ErrNotAccepted, "store is down")
+	}
 	value, err := json.Marshal(j)
 	if err != nil {
 		return errors.Wrap(ErrNotAccepted, err.Error())
@@ -208,6 +215,9 @@
 
 // Phase returns the state of a job.
 func (in *Intake) Phase(ctx context.Context, id string) (job.Phase, error) {
+	if in.health.Down() {
+		return "", errors.WithStack(ErrDown)
+	}
 	item, err := in.store.Get(ctx, jobstore.ProgressKey(id))
 	if err == nil {
 		var p job.Progress
@@ -230,6 +240,9 @@
 
 // Cancel stores that a job is cancelled.
 func (in *Intake) Cancel(ctx context.Context, id string) error {
+	if in.health.Down() {
+		return errors.WithStack(ErrDown)
+	}
 	for {
 		item, err := in.store.Get(ctx, jobstore.JobKey(id))
 		if errors.Is(err, store.ErrNotFound) {
@@ -255,6 +268,9 @@
 // Waiting returns how many jobs of a queue wait for their first start, as its
 // owner last wrote it.
 func (in *Intake) Waiting(ctx context.Context, queue string) (int, error) {
+	if in.health.Down() {
+		return 0, errors.WithStack(ErrDown)
+	}
 	item, err := in.store.Get(ctx, jobstore.WaitingKey)
 	if errors.Is(err, store.ErrNotFound) {
 		return 0, nil
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -24,7 +24,7 @@
 }
 
 func running(t interface{ Cleanup(func()) }, s store.Store) *Intake {
-	in := New(s)
+	in := New(s, store.NewHealth())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { in.Run(ctx); close(done) }()
@@ -83,6 +83,27 @@
 	return false
 }
 
+// A job that comes while the store is known to be down must be refused at
+// once, not after the timeouts of calls that cannot succeed.
+func TestRefusedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	s := storetest.New()
+	health := store.NewHealth()
+	in := New(s, health)
+	health.Observe(store.ErrUnavailable)
+	time.Sleep(300 * time.Millisecond)
+	health.Observe(store.ErrUnavailable)
+	started := time.Now()
+	if err := in.Submit(testJob(1)); !errors.Is(err, ErrNotAccepted) {
+		t.Errorf("submit: %v, want a refusal", err)
+	}
+	if _, err := in.Phase(context.Background(), testJob(1).ID); !errors.Is(err, ErrDown) {
+		t.Errorf("state: %v, want that the store is down", err)
+	}
+	if took := time.Since(started); took > 50*time.Millisecond {
+		t.Errorf("refusals took %v", took)
+	}
+}
+
 // operation is a call of a requester in a history.
 type operation struct{ call, id string }
 
--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -19,6 +19,7 @@
 	"dotterelhead.example/dotterelhead/owner"
 	"dotterelhead.example/dotterelhead/platform"
 	"dotterelhead.example/dotterelhead/scheduler/execution"
+	"dotterelhead.example/dotterelhead/store"
 	"dotterelhead.example/dotterelhead/telemetry"
 )
 
@@ -60,6 +61,7 @@
 // Server is one entry VM of the job service.
 type Server struct {
 	options  Options
+	health   *store.Health
 	operator *platform.Operator
 	intake   *intake.Intake
 	owner    *owner.Owner
@@ -77,13 +79,15 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimitMB<<20) * memoryShare))
 	}
 	st := platform.NewStore(s.StoreAddress)
+	health := store.NewHealth()
 	st.Observe = func(call string, took time.Duration, err error) {
+		health.Observe(err)
 		scope := o.Scope.Tagged(map[string]string{"call": call})
 		scope.Tagged(map[string]string{"ok": strconv.FormatBool(err == nil)}).Counter("store_calls_total").Inc(1)
 		scope.Timer("store_call_seconds").Record(took)
 	}
 	operator := &platform.Operator{Store: st, Log: o.Log}
-	in := intake.New(st)
+	in := intake.New(st, health)
 	options := owner.Options{
 		Node: s.Node, Store: st, Workers: platform.NewWorkers(), Registry: &platform.Registry{Store: st, Log: o.Log},
 		Manifest: operator.Manifest, Waves: operator.Waves, Log: o.Log, Scope: o.Scope, Lease: ownerLease,
@@ -106,7 +110,7 @@
 		o.Scope.Tagged(tags).Counter("requests_total").Inc(1)
 		o.Scope.Tagged(map[string]string{"call": call}).Timer("request_seconds").Record(took)
 	}
-	return &Server{options: o, operator: operator, intake: in, owner: owner.New(options), front: front}
+	return &Server{options: o, health: health, operator: operator, intake: in, owner: owner.New(options), front: front}
 }
 
 // Run serves until ctx ends, and then stops without cutting a request.
@@ -218,7 +222,7 @@
 // ready reports whether the entry VM can take requests: it knows the manifest
 // and has reached the store lately.
 func (s *Server) ready() bool {
-	return !s.stopping.Load() && s.operator.Manifest() != nil && s.operator.Age() < staleAfter
+	return !s.stopping.Load() && s.operator.Manifest() != nil && s.operator.Age() < staleAfter && !s.health.Down()
 }
 
 func listen(group *errgroup.Group, server *http.Server, address string) error {
