--- a/owner/term.go
+++ b/owner/term.go
@@ -30,8 +30,10 @@
 	releaseTimeout = time.Second
 	// loadTimeout bounds the reading of the jobs at a takeover.
 	loadTimeout = 10 * time.Second
-	// storeWait is how long a watch of the store waits for changes.
-	storeWait = 5 * time.Second
+	// inboxWait is how long a watch of the inbox waits for changes. A cancelled
+	// job must start nothing 3 s after its cancelling was acknowledged, and a
+	// connection that went silent is noticed only when the wait is over.
+	inboxWait = 700 * time.Millisecond
 )
 
 var (
@@ -311,7 +313,7 @@
 }
 
 func (t *term) followInbox(ctx context.Context, revision int64) {
-	store.FollowFrom(ctx, t.options.Store, jobstore.InboxPrefix, revision, storeWait, store.Follower{
+	store.FollowFrom(ctx, t.options.Store, jobstore.InboxPrefix, revision, inboxWait, store.Follower{
 		Reset: func(items []store.Item, _ int64) {
 			t.mu.Lock()
 			t.takeInbox(items, nil, false)
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -62,6 +62,9 @@
 const (
 	// upkeepEvery is the pause between looks at the waves and the VMs.
 	upkeepEvery = 150 * time.Millisecond
+	// pausePerVM makes looks at a long list rarer: reading an entry takes about
+	// 10 µs.
+	pausePerVM = 300 * time.Microsecond
 	// listLag is how old the platform's list may be.
 	listLag = 2 * time.Second
 	// progressEvery is the pause between log lines of a wave, progressVMs how
@@ -119,16 +122,18 @@
 				runs[w.Number] = t.newWaveRun(w)
 			}
 		}
+		pause := upkeepEvery
 		if t.authorized() {
 			if list, err := t.options.Machines.List(ctx); err == nil {
 				open := openRuns(runs)
+				pause = max(pause, time.Duration(len(list))*pausePerVM)
 				t.advance(ctx, open, list, lent)
 				t.lend(ctx, lent, list, inUpkeep(open))
 			} else if ctx.Err() == nil {
 				t.options.Log.Warn().Str("event", "vm_list_failed").Err(err).Msg("")
 			}
 		}
-		sleepFor(ctx, upkeepEvery)
+		sleepFor(ctx, pause)
 	}
 }
 
--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -419,3 +419,22 @@
 	group.Wait()
 	c.check(jobs, 20*time.Second)
 }
+
+// Guards against a cancelled job that goes on because the owner's watch is on a
+// connection that has gone silent: it has to be noticed within the 3 s after
+// which nothing of the job may start (niederalm-cut scale-2 at 11.5 s).
+func TestCancelBehindASilentWatch(t *testing.T) {
+	c := startJobs(t, 1, map[string]int{"artwork": 2, "spare": 1}, "spare")
+	r := c.requester()
+	j := c.testJob("work=10s")
+	j.Steps = j.Steps[:1]
+	if err := submitUntilAccepted(context.Background(), r, j); err != nil {
+		t.Fatal(err)
+	}
+	c.await(5*time.Second, "start", func() bool { return c.platform.Running(j.ID) > 0 })
+	c.platform.SilenceWatches()
+	if err := r.Cancel(context.Background(), j.ID); err != nil {
+		t.Fatal(err)
+	}
+	c.await(3*time.Second, "end of the cancelled runs", func() bool { return c.platform.Running(j.ID) == 0 })
+}
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -33,8 +33,10 @@
 	settled       bool
 	// recordedHolders are the possible holders of leases that the store names.
 	recordedHolders []string
-	tickets         map[ticketKey]*advice
-	learner         *runtimes.Learner
+	// holdersMoved is set when the possible holders may differ from those.
+	holdersMoved bool
+	tickets      map[ticketKey]*advice
+	learner      *runtimes.Learner
 	// queueWork is the mean work of the jobs of each queue in core-seconds.
 	queueWork map[string]float64
 }
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -4,12 +4,8 @@
 // opens it again.
 func (c *Core) Close(id string, closed bool) {
 	w := c.workers[id]
-	if w == nil || w.closed == closed {
-		return
-	}
-	w.closed = closed
-	if !closed {
-		c.relist(w.Service)
+	if w != nil {
+		w.closed = closed
 	}
 }
 
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -217,12 +217,14 @@
 	at, _ := slices.BinarySearchFunc(c.sorted, id, func(w *worker, id string) int { return strings.Compare(w.ID, id) })
 	w.ID = id
 	c.sorted = slices.Insert(c.sorted, at, w)
+	c.holdersMoved = true
 	return w
 }
 
 func (c *Core) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
 	c.sorted = slices.DeleteFunc(c.sorted, func(o *worker) bool { return o == w })
+	c.holdersMoved = true
 }
 
 func (c *Core) addCopy(i *item, w *worker, run int64, phase copyPhase, now Time) *itemCopy {
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -28,6 +28,7 @@
 			c.formerHolders[id] = struct{}{}
 		}
 	}
+	c.holdersMoved = true
 }
 
 // WorkerSeen notes the registry entry of a worker.
@@ -41,16 +42,6 @@
 		c.reborn(w, now)
 	}
 	w.Worker, w.present = info, true
-	c.relist(info.Service)
-}
-
-// relist makes the waiting steps of a service candidates again.
-func (c *Core) relist(service string) {
-	for _, j := range c.jobs {
-		if !j.final() && c.queueOf(j).Service == service {
-			c.listJob(j)
-		}
-	}
 }
 
 // reborn notes that a worker runs nothing of its former lifetime. A start that
@@ -140,7 +131,7 @@
 	if len(c.formerHolders) > 0 && now < c.inheritedUntil {
 		return
 	}
-	c.settled = true
+	c.settled, c.holdersMoved = true, true
 	defer clear(c.formerHolders)
 	reason := "all_workers_contacted"
 	if len(c.formerHolders) > 0 {
@@ -173,6 +164,9 @@
 // of former ones, and whether the store names others. It has to learn of a
 // worker before that gets work.
 func (c *Core) UnrecordedHolders() (ids []string, changed bool) {
+	if !c.holdersMoved {
+		return nil, false
+	}
 	for _, w := range c.sorted {
 		ids = append(ids, w.ID)
 		changed = changed || !w.grantRecorded
@@ -183,13 +177,14 @@
 		}
 	}
 	slices.Sort(ids)
-	return ids, changed || !slices.Equal(ids, c.recordedHolders)
+	c.holdersMoved = changed || !slices.Equal(ids, c.recordedHolders)
+	return ids, c.holdersMoved
 }
 
 // HoldersRecorded notes that the store names the workers as possible holders
 // of leases.
 func (c *Core) HoldersRecorded(ids []string) {
-	c.recordedHolders = ids
+	c.recordedHolders, c.holdersMoved = ids, true
 	for _, id := range ids {
 		if w := c.workers[id]; w != nil {
 			w.grantRecorded = true
@@ -253,7 +248,7 @@
 	if !w.contacted {
 		w.contacted = true
 		delete(c.formerHolders, w.ID)
-		c.relist(w.Service)
+		c.holdersMoved = true
 	}
 	if r.Clock >= w.clock {
 		w.clock, w.clockAt = r.Clock, now
--- a/standin/jobplatform/platform.go
+++ b/standin/jobplatform/platform.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +49,9 @@
 	store   *http.Server
 	address string
 
+	// silenced counts the calls of SilenceWatches.
+	silenced atomic.Int64
+
 	mu       sync.Mutex
 	faults   Faults
 	machines map[string]*machine
@@ -120,6 +124,23 @@
 // Compact drops the history of the store.
 func (p *Platform) Compact() { p.kv.compact() }
 
+// SilenceWatches leaves every watch that waits at the moment without an answer
+// for good.
+func (p *Platform) SilenceWatches() { p.silenced.Add(1) }
+
+// Running returns how many items of a job run.
+func (p *Platform) Running(job string) int {
+	p.history.mu.Lock()
+	defer p.history.mu.Unlock()
+	n := 0
+	for task, i := range p.history.items {
+		if strings.HasPrefix(task, job+".") {
+			n += len(i.running)
+		}
+	}
+	return n
+}
+
 // Publish writes a key of the operator.
 func (p *Platform) Publish(key string, value any) error {
 	data, err := json.Marshal(value)
--- a/standin/jobplatform/routes.go
+++ b/standin/jobplatform/routes.go
@@ -61,7 +61,12 @@
 	q := r.URL.Query()
 	timer := time.NewTimer(time.Duration(number(q.Get("waitMs"))) * time.Millisecond)
 	defer timer.Stop()
+	silenced := p.silenced.Load()
 	for {
+		if p.silenced.Load() != silenced {
+			<-r.Context().Done()
+			return
+		}
 		events, revision, changed, ok := p.kv.since(q.Get("prefix"), number(q.Get("after")))
 		if !ok {
 			writeJSON(rw, http.StatusGone, nil)
