Pass on what is left of each lease at a planned change of owner

Change: the record of lease holders carries the longest time that each lease can last; the owner that stops writes what is left. Workers not on record hold none.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -54,7 +54,11 @@
 	dirty := t.core.Dirty()
 	holders, changed := t.core.UnrecordedHolders()
 	if changed {
-		t.recordHoldersLocked(holders)
+		left := map[string]time.Duration{}
+		for _, id := range holders {
+			left[id] = t.core.LeaseBound()
+		}
+		t.recordHoldersLocked(left)
 	}
 	t.mu.Unlock()
 	for _, s := range orders.Starts {
--- a/owner/term.go
+++ b/owner/term.go
@@ -86,7 +86,7 @@
 	}
 	options := o.options.Execution
 	options.Trace = t.trace
-	t.core = execution.New(options, held.Term, boottime.Now())
+	t.core = execution.New(options, held.Term)
 	return t
 }
 
@@ -142,9 +142,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	t.mu.Lock()
-	if holders, changed := t.core.UnrecordedHolders(); changed {
-		t.recordHoldersLocked(holders)
-	}
+	t.recordHoldersLocked(t.core.Holders(boottime.Now()))
 	t.mu.Unlock()
 	for t.writeBatch(ctx) {
 	}
@@ -261,11 +259,11 @@
 			}
 		}
 		if item.Key == jobstore.HoldersKey {
-			var ids []string
-			if err := json.Unmarshal(item.Value, &ids); err != nil {
+			var holders map[string]int64
+			if err := json.Unmarshal(item.Value, &holders); err != nil {
 				return 0, 0, errors.Wrapf(err, "decode %s", item.Key)
 			}
-			t.core.FormerHolders(ids)
+			t.core.FormerHolders(durations(holders), t.startedAt)
 		}
 	}
 	t.setManifestLocked()
--- a/owner/write.go
+++ b/owner/write.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -81,8 +83,15 @@
 	}
 }
 
-func (t *term) recordHoldersLocked(ids []string) {
-	value, err := json.Marshal(ids)
+// recordHoldersLocked queues the record of the workers that may hold leases,
+// with the longest time in milliseconds that these can last once this owner
+// gives no more orders.
+func (t *term) recordHoldersLocked(left map[string]time.Duration) {
+	holders := map[string]int64{}
+	for id, d := range left {
+		holders[id] = d.Milliseconds() + 1
+	}
+	value, err := json.Marshal(holders)
 	if err != nil {
 		t.options.Log.Error().Str("event", "record_not_encoded").Str("key", jobstore.HoldersKey).Err(err).Msg("")
 		return
@@ -134,6 +143,24 @@
 	return true
 }
 
+// holderIDs returns the workers of a record of lease holders that this process
+// wrote.
+func holderIDs(value []byte) []string {
+	var holders map[string]int64
+	if err := json.Unmarshal(value, &holders); err != nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(holders))
+}
+
+func durations(milliseconds map[string]int64) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for id, ms := range milliseconds {
+		out[id] = time.Duration(ms) * time.Millisecond
+	}
+	return out
+}
+
 func (t *term) committed(progress []execution.ProgressWrite, records []jobstore.Record) {
 	t.mu.Lock()
 	t.core.Committed(progress)
@@ -145,10 +172,7 @@
 			delete(t.onWritten, r.Key)
 		}
 		if r.Key == jobstore.HoldersKey {
-			var ids []string
-			if json.Unmarshal(r.Value, &ids) == nil {
-				t.core.HoldersRecorded(ids)
-			}
+			t.core.HoldersRecorded(holderIDs(r.Value))
 			if t.queuedHolders == string(r.Value) {
 				t.queuedHolders = ""
 			}
--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -27,6 +27,8 @@
 type jobCluster struct {
 	*testing.T
 	platform *jobplatform.Platform
+	// dir is removed only after the logs in it were printed.
+	dir      string
 	entries  []*jobEntry
 	sequence int
 }
@@ -52,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &jobCluster{T: t, platform: p}
+	c := &jobCluster{T: t, platform: p, dir: t.TempDir()}
 	t.Cleanup(func() {
 		for _, e := range c.entries {
 			e.kill()
@@ -95,13 +97,13 @@
 
 func (c *jobCluster) newEntry(node string) *jobEntry {
 	c.Helper()
-	e := &jobEntry{node: node, caller: freeAddress(c.T), config: filepath.Join(c.TempDir(), node+".toml")}
+	e := &jobEntry{node: node, caller: freeAddress(c.T), config: filepath.Join(c.dir, node+".toml")}
 	text := fmt.Sprintf("node = %q\ncaller_listen = %q\nready_listen = %q\nstore_address = %[4]q\nmachines_address = %[4]q\nadvice_address = %[4]q\n[bounds]\ngrace_seconds = 4\nhand_over_ms = 500\nupkeep_seconds = 0.2\nmove_seconds = 0.2\n",
 		node, e.caller, freeAddress(c.T), c.platform.Addr())
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		c.Fatal(err)
 	}
-	log, err := os.Create(filepath.Join(c.TempDir(), node+".log"))
+	log, err := os.Create(filepath.Join(c.dir, node+".log"))
 	if err != nil {
 		c.Fatal(err)
 	}
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -25,11 +25,9 @@
 	// firstRun is the number of the first run that this owner starts of an
 	// item: above any that a former owner can have used.
 	firstRun int64
-	// inheritedUntil is when the leases of former owners have lapsed.
-	inheritedUntil Time
 	// formerHolders are workers that may hold leases of a former owner and
-	// have not been contacted.
-	formerHolders map[string]struct{}
+	// have not been contacted, with the time when these have lapsed.
+	formerHolders map[string]Time
 	settled       bool
 	// recordedHolders are the possible holders of leases that the store names.
 	recordedHolders []string
@@ -45,22 +43,18 @@
 // an item less often than this.
 const runsPerTerm = 10_000
 
-// New returns the state of an owner that took over at now. Term counts the
-// owners before it. Leases that former owners granted lapse within
-// Options.Hold of the takeover.
-func New(options Options, term int64, now Time) *Core {
-	c := &Core{
+// New returns the state of a new owner. Term counts the owners before it.
+func New(options Options, term int64) *Core {
+	return &Core{
 		options: options, manifest: &job.Manifest{},
 		jobs: map[string]*jobState{}, workers: map[string]*worker{},
 		scheduled:     map[*jobState]struct{}{},
 		firstRun:      term*runsPerTerm + 1,
-		formerHolders: map[string]struct{}{},
+		formerHolders: map[string]Time{},
 		tickets:       map[ticketKey]*advice{},
 		learner:       runtimes.NewLearner(),
 		queueWork:     map[string]float64{},
 	}
-	c.inheritedUntil = now + c.leaseBound() + lapseMargin
-	return c
 }
 
 func (c *Core) trace(e Event) {
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -27,7 +27,7 @@
 
 func newBench(t *testing.T, term int64) *bench {
 	b := &bench{T: t, now: time.Second}
-	b.core = New(Options{Hold: testHold, StopTimeout: 400 * time.Millisecond}, term, b.now)
+	b.core = New(Options{Hold: testHold, StopTimeout: 400 * time.Millisecond}, term)
 	b.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testPool, Attempts: 2}}})
 	return b
 }
@@ -174,7 +174,7 @@
 // called yet, and ended two long-running items by its upkeep.
 func TestUncalledWorkerIsNotEmpty(t *testing.T) {
 	b := newBench(t, 1)
-	b.core.FormerHolders([]string{"w1", "w2"})
+	b.core.FormerHolders(map[string]time.Duration{"w1": testHold, "w2": testHold}, b.now)
 	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
 	for _, id := range []string{"w1", "w2"} {
 		if b.core.Empty(id) {
@@ -196,7 +196,7 @@
 // item a second time. Found by TestNoItemRunsTwice.
 func TestUncalledFormerHolderStaysOnRecord(t *testing.T) {
 	b := newBench(t, 1)
-	b.core.FormerHolders([]string{"w1"})
+	b.core.FormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
 	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
 	b.core.WorkerGone("w1", b.now)
 	b.after(time.Second)
@@ -251,3 +251,22 @@
 		t.Fatalf("%d starts on the worker that returned, want 1", len(o.Starts))
 	}
 }
+
+// Each planned change of owner began the wait for a silent worker's lease anew;
+// with entry VMs restarted every 2 s, inherited work waited for 10 s
+// (mastrunk-loans inc-4624).
+func TestPlannedChangePassesOnWhatIsLeftOfALease(t *testing.T) {
+	b := newBench(t, 1)
+	b.core.FormerHolders(map[string]time.Duration{"gone": 3 * time.Second}, b.now)
+	b.after(2 * time.Second)
+	left := b.core.Holders(b.now)
+	if left["gone"] > time.Second || left["gone"] < 900*time.Millisecond {
+		t.Fatalf("%v left of the lease, want 1 s", left["gone"])
+	}
+	next := New(b.core.options, 2)
+	next.FormerHolders(left, b.now)
+	next.Round(wall, b.now+1100*time.Millisecond)
+	if !next.Settled() {
+		t.Error("the next owner waits longer than the lease lasts")
+	}
+}
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -24,7 +24,7 @@
 	// progress is the store's record of each job.
 	progress  map[string]job.Progress
 	cancelled map[string]bool
-	holders   []string
+	holders   map[string]time.Duration
 	late      []lateOrder
 	items     map[job.ItemID]*simItem
 }
@@ -123,10 +123,10 @@
 func (s *simulation) takeOver() {
 	s.core = New(Options{Hold: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
 		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason)
-	}}, s.term, s.now)
+	}}, s.term)
 	s.term++
 	s.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testPool, Attempts: simAttempts}}})
-	s.core.FormerHolders(s.holders)
+	s.core.FormerHolders(s.holders, s.now)
 	for _, w := range s.workers {
 		s.core.WorkerSeen(w.Worker, s.now)
 	}
@@ -287,7 +287,10 @@
 func (s *simulation) step() {
 	s.advance(time.Duration(rapid.IntRange(1, 100).Draw(s.t, "ms")) * time.Millisecond)
 	if ids, changed := s.core.UnrecordedHolders(); changed {
-		s.holders = ids
+		s.holders = map[string]time.Duration{}
+		for _, id := range ids {
+			s.holders[id] = s.core.LeaseBound()
+		}
 		s.core.HoldersRecorded(ids)
 	}
 	orders := s.core.Round(wall.Add(s.now), s.now)
@@ -378,6 +381,10 @@
 				s.addJob()
 			case 3:
 				s.takeOver()
+			case 10:
+				// A planned change: the owner records what is left of each lease.
+				s.holders = s.core.Holders(s.now)
+				s.takeOver()
 			case 4:
 				s.boot(s.workers[id])
 				s.core.WorkerSeen(s.workers[id].Worker, s.now)
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -211,8 +211,8 @@
 )
 
 func (c *Core) addWorker(id string) *worker {
-	// A former owner may have granted a lease to any worker.
-	w := &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}, lapseAt: c.inheritedUntil}
+	// Only workers on record can hold a lease of a former owner.
+	w := &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}, lapseAt: c.formerHolders[id]}
 	c.workers[id] = w
 	at, _ := slices.BinarySearchFunc(c.sorted, id, func(w *worker, id string) int { return strings.Compare(w.ID, id) })
 	w.ID = id
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -19,18 +19,39 @@
 	contactFresh = 2 * time.Second
 )
 
-// FormerHolders names workers that may hold leases of a former owner. Work
-// that a former owner may have started waits until each of them was contacted
-// or its lease has lapsed.
-func (c *Core) FormerHolders(ids []string) {
-	for _, id := range ids {
-		if w := c.workers[id]; w == nil || !w.contacted {
-			c.formerHolders[id] = struct{}{}
-		}
+// FormerHolders names the workers that may hold leases of a former owner, with
+// the longest time that these can last from now. It is called before any
+// worker is seen. Work that a former owner may have started waits until each
+// of them was contacted or its lease has lapsed.
+func (c *Core) FormerHolders(holders map[string]time.Duration, now Time) {
+	for id, left := range holders {
+		c.formerHolders[id] = now + left
 	}
 	c.holdersMoved = true
 }
 
+// Holders returns the workers that may hold leases when this owner gives no
+// more orders, with the longest time that these can last from now. The next
+// owner has to wait no longer.
+func (c *Core) Holders(now Time) map[string]time.Duration {
+	holders := map[string]time.Duration{}
+	for id, until := range c.formerHolders {
+		if until > now {
+			holders[id] = until - now
+		}
+	}
+	for _, w := range c.sorted {
+		if !w.lapsed(now) {
+			holders[w.ID] = w.lapseAt - now
+		}
+	}
+	return holders
+}
+
+// LeaseBound is the longest time that a lease which was granted by now lasts,
+// with what a worker takes to end its runs.
+func (c *Core) LeaseBound() time.Duration { return c.leaseBound() + lapseMargin }
+
 // WorkerSeen notes the registry entry of a worker.
 func (c *Core) WorkerSeen(info Worker, now Time) {
 	w := c.workers[info.ID]
@@ -128,8 +149,10 @@
 }
 
 func (c *Core) settle(now Time) {
-	if len(c.formerHolders) > 0 && now < c.inheritedUntil {
-		return
+	for _, until := range c.formerHolders {
+		if now < until {
+			return
+		}
 	}
 	c.settled, c.holdersMoved = true, true
 	defer clear(c.formerHolders)
