Empty VMs of a pool whose turn is over for the pool whose turn begins

Change: VMs with the fewest runs and no work that lasts are closed and emptied; work that saves its progress goes on elsewhere, the rest runs to its end.

--- a/owner/lend.go
+++ b/owner/lend.go
@@ -31,6 +31,8 @@
 type lending struct {
 	lender *capacity.Lender
 	moves  map[string]*moving
+	// draining are the workers of VMs that are emptied for another pool.
+	draining map[string]string
 	// refused are pairs of a VM and a pool that the platform does not allow.
 	refused map[[2]string]bool
 }
@@ -38,7 +40,7 @@
 func newLending(moveTime time.Duration) *lending {
 	return &lending{
 		lender: capacity.NewLender(capacity.LendingOptions{MoveTime: moveTime}),
-		moves:  map[string]*moving{}, refused: map[[2]string]bool{},
+		moves:  map[string]*moving{}, draining: map[string]string{}, refused: map[[2]string]bool{},
 	}
 }
 
@@ -102,13 +104,17 @@
 	workers := map[string]string{}
 	for _, m := range list {
 		workers[m.ID] = m.Worker
-		vm := capacity.LentVM{ID: m.ID, Pool: m.Pool, Runs: t.core.Load(m.Worker), Arriving: !m.Up}
+		vm := capacity.LentVM{
+			ID: m.ID, Pool: m.Pool, Runs: t.core.Load(m.Worker), Arriving: !m.Up, Lasting: t.core.RunsLasting(m.Worker),
+			Draining: l.draining[m.ID] != "",
+		}
 		if mv := l.moves[m.ID]; mv != nil {
 			vm.Pool, vm.Arriving = mv.to, true
 		}
 		switch {
 		case inUpkeep[m.ID]:
 			vm.Out = true
+		case vm.Draining:
 		case m.Worker != "" && t.core.Called(m.Worker) && !t.core.Usable(m.Worker):
 			vm.Out = !vm.Arriving
 		case m.Worker != "" && !t.core.Called(m.Worker), t.formerlyOrdered(m.ID):
@@ -117,7 +123,9 @@
 		vms = append(vms, vm)
 	}
 	var moves []capacity.Move
-	for _, m := range l.lender.Plan(now, t.core.Demands(now), vms) {
+	planned, drain := l.lender.Plan(now, t.core.Demands(now), vms)
+	t.drainLocked(l, drain, workers, inUpkeep, now)
+	for _, m := range planned {
 		if len(moves) == movesAtOnce || l.refused[[2]string{m.VM, m.To}] {
 			continue
 		}
@@ -129,6 +137,29 @@
 	return moves
 }
 
+// drainLocked closes the workers of the VMs that are to be emptied, lets their
+// work go on elsewhere where nothing is lost by it, and opens the others.
+func (t *term) drainLocked(l *lending, drain []string, workers map[string]string, inUpkeep map[string]bool, now time.Duration) {
+	wanted := map[string]bool{}
+	for _, vm := range drain {
+		wanted[vm] = true
+		if l.draining[vm] == "" {
+			t.options.Log.Info().Str("event", "vm_emptied").Str("vm", vm).Str("worker", workers[vm]).Int("runs", t.core.Load(workers[vm])).Msg("")
+		}
+		l.draining[vm] = workers[vm]
+		t.core.Close(workers[vm], true)
+		t.core.Evacuate(workers[vm], false, now)
+	}
+	for vm, worker := range l.draining {
+		if !wanted[vm] {
+			delete(l.draining, vm)
+			if l.moves[vm] == nil && !inUpkeep[vm] {
+				t.core.Close(worker, false)
+			}
+		}
+	}
+}
+
 // move orders one move. An order without an answer may have been carried out;
 // the list tells.
 func (t *term) move(ctx context.Context, l *lending, m capacity.Move) {
--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -27,6 +27,10 @@
 	Pool string
 	// Runs is the number of work items on the VM; only a VM without any moves.
 	Runs int
+	// Lasting VMs run work that lasts; they are not emptied for another pool.
+	Lasting bool
+	// Draining VMs take no new work, to be moved once they are empty.
+	Draining bool
 	// Arriving VMs are on their way into their pool. Out VMs take no work, for
 	// an upkeep or a fault: they neither count nor move.
 	Arriving, Out bool
@@ -111,11 +115,13 @@
 	// need VMs, kept what it keeps when none does.
 	wanted, lend, kept int
 	vms                int
-	idle               []LentVM
+	// idle VMs run nothing, busy ones nothing that lasts.
+	idle, busy []LentVM
 }
 
-// Plan returns the moves to order now. now is on a clock that only grows.
-func (l *Lender) Plan(now time.Duration, demands []Demand, vms []LentVM) []Move {
+// Plan returns the moves to order now, and the VMs that are to be emptied for
+// pools that need more than the idle VMs. now is on a clock that only grows.
+func (l *Lender) Plan(now time.Duration, demands []Demand, vms []LentVM) (moves []Move, drain []string) {
 	pools := map[string]*lendingPool{}
 	var order []*lendingPool
 	for _, d := range demands {
@@ -132,14 +138,54 @@
 			continue
 		}
 		p.vms++
-		if vm.Runs == 0 && !vm.Arriving {
+		switch {
+		case vm.Arriving:
+		case vm.Runs == 0:
 			p.idle = append(p.idle, vm)
+		case !vm.Lasting:
+			p.busy = append(p.busy, vm)
 		}
 	}
 	slices.SortFunc(order, func(a, b *lendingPool) int {
 		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.Pool, b.Pool))
 	})
-	return append(l.fill(order), l.switchOff(order)...)
+	moves = l.fill(order)
+	drain = emptied(order)
+	return append(moves, l.switchOff(order)...), drain
+}
+
+// emptied returns the VMs to empty for the pools that still need some: those
+// with the fewest runs of pools that have more than they need.
+func emptied(order []*lendingPool) []string {
+	missing := 0
+	for _, p := range order {
+		if !p.Spare {
+			missing += max(p.missing(), 0)
+		}
+	}
+	var drain []string
+	for _, p := range order {
+		slices.SortFunc(p.busy, func(a, b LentVM) int {
+			return cmp.Or(boolCompare(b.Draining, a.Draining), cmp.Compare(a.Runs, b.Runs), cmp.Compare(a.ID, b.ID))
+		})
+		surplus := min(p.vms-max(p.wanted, p.lend), len(p.busy), missing)
+		for _, vm := range p.busy[:max(surplus, 0)] {
+			drain = append(drain, vm.ID)
+			missing--
+		}
+	}
+	return drain
+}
+
+// boolCompare orders false before true.
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 func (p *lendingPool) missing() int { return p.wanted - p.vms }
--- a/scheduler/capacity/lending_test.go
+++ b/scheduler/capacity/lending_test.go
@@ -37,7 +37,7 @@
 	spare := Demand{Pool: "spare", Spare: true}
 	vms := append(idleVMs("spare", 3), idleVMs("quiet", 6)...)
 	vms = append(vms, LentVM{ID: "busy-0", Pool: "busy", Runs: 10})
-	moves := l.Plan(0, []Demand{spare, pool("quiet", 0, 0), pool("busy", 16, 80)}, vms)
+	moves, _ := l.Plan(0, []Demand{spare, pool("quiet", 0, 0), pool("busy", 16, 80)}, vms)
 	if n := countMoves(moves, "spare", "busy"); n != 3 {
 		t.Errorf("%d VMs from the spare pool, want 3: %v", n, moves)
 	}
@@ -56,10 +56,10 @@
 		busy[i].Runs = 1
 	}
 	l.Plan(0, demands(90), busy)
-	if moves := l.Plan(500*time.Millisecond, demands(0), idleVMs("a", 6)); len(moves) > 0 {
+	if moves, _ := l.Plan(500*time.Millisecond, demands(0), idleVMs("a", 6)); len(moves) > 0 {
 		t.Errorf("moves %v within the time that VMs are kept", moves)
 	}
-	if moves := l.Plan(1600*time.Millisecond, demands(0), idleVMs("a", 6)); countMoves(moves, "a", "spare") != 5 {
+	if moves, _ := l.Plan(1600*time.Millisecond, demands(0), idleVMs("a", 6)); countMoves(moves, "a", "spare") != 5 {
 		t.Errorf("moves %v, want 5 VMs switched off and one kept", moves)
 	}
 }
@@ -73,7 +73,7 @@
 	for i := range vms[4:] {
 		vms[4+i].Out = true
 	}
-	moves := l.Plan(0, []Demand{{Pool: "spare", Spare: true}, pool("a", 20, 5)}, vms)
+	moves, _ := l.Plan(0, []Demand{{Pool: "spare", Spare: true}, pool("a", 20, 5)}, vms)
 	if n := countMoves(moves, "spare", "a"); n < 2 {
 		t.Errorf("%d VMs for a pool without one in service, want at least 2: %v", n, moves)
 	}
@@ -92,7 +92,7 @@
 		if burst(at) {
 			d = pool("a", 16, 160)
 		}
-		moves := l.Plan(at, []Demand{{Pool: "spare", Spare: true}, d}, vms)
+		moves, _ := l.Plan(at, []Demand{{Pool: "spare", Spare: true}, d}, vms)
 		if at > 2*cycle-1500*time.Millisecond && !burst(at) {
 			expected = max(expected, countMoves(moves, "spare", "a"))
 		}
@@ -101,3 +101,28 @@
 		t.Errorf("%d VMs moved ahead of the third burst, want at least 5", expected)
 	}
 }
+
+// Load pattern: one queue's turn ends while the next one's begins. What is left
+// of the first is spread over all its VMs, so none of them is idle; the ones
+// with the fewest runs have to be emptied.
+func TestBusyVMsAreEmptiedForABurst(t *testing.T) {
+	l := NewLender(LendingOptions{Keep: time.Second})
+	var vms []LentVM
+	for i := range 20 {
+		vms = append(vms, LentVM{ID: fmt.Sprintf("old-%02d", i), Pool: "old", Runs: 1 + i%5, Lasting: i == 0})
+	}
+	vms = append(vms, LentVM{ID: "new-0", Pool: "new", Runs: 9})
+	_, drain := l.Plan(0, []Demand{pool("old", 80, 0), pool("new", 16, 160)}, vms)
+	if len(drain) < 8 || len(drain) > 14 {
+		t.Fatalf("%d VMs are emptied, want those that the old pool can spare: %v", len(drain), drain)
+	}
+	for _, id := range drain {
+		if id == "old-00" {
+			t.Error("a VM with work that lasts is emptied")
+		}
+	}
+	_, drain = l.Plan(2*time.Second, []Demand{pool("old", 80, 0), pool("new", 4, 0)}, vms)
+	if len(drain) > 0 {
+		t.Errorf("%v are emptied although no pool needs VMs", drain)
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -1,5 +1,7 @@
 package execution
 
+import "slices"
+
 // Close keeps new work away from a worker, before a planned stop of its VM, or
 // opens it again.
 func (c *Core) Close(id string, closed bool) {
@@ -36,6 +38,15 @@
 	return len(w.copies) + len(w.orphans)
 }
 
+// RunsLasting reports whether long-running work is on a worker.
+func (c *Core) RunsLasting(id string) bool {
+	w := c.workers[id]
+	if w == nil {
+		return false
+	}
+	return slices.ContainsFunc(w.inOrder, func(cp *itemCopy) bool { return cp.item.step.spec.LongRunning })
+}
+
 // Empty reports whether certainly nothing runs on a worker: it said so, or the
 // leases of former owners have lapsed for one that is not known.
 func (c *Core) Empty(id string) bool {
