Measure the decisions about jobs in virtual time; skip full pools

tools/measure jobs plays both deployments with the daemon's own decision packages against first come first served and a clairvoyant pool, and times decisions from 50 to 2,000 workers.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -170,11 +170,11 @@
 	cancel()
 	if err != nil {
 		t.fenced(err)
-		t.mu.Lock()
-		t.core.HoldFailed(hold.Worker.ID, boottime.Now())
-		t.mu.Unlock()
-		t.kick()
 		if ctx.Err() == nil {
+			t.mu.Lock()
+			t.core.HoldFailed(hold.Worker.ID, boottime.Now())
+			t.mu.Unlock()
+			t.kick()
 			t.metrics.scope.Counter("hold_failures_total").Inc(1)
 			t.options.Log.Debug().Str("event", "hold_failed").Str("worker", hold.Worker.ID).Err(err).Msg("")
 		}
--- a/scheduler/execution/advice.go
+++ b/scheduler/execution/advice.go
@@ -81,7 +81,11 @@
 			continue
 		}
 		q := Question{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.number}}
-		for _, w := range pools[c.queueOf(s.job).Service] {
+		p := pools[c.queueOf(s.job).Service]
+		if p == nil {
+			continue
+		}
+		for _, w := range p.workers {
 			if len(q.Workers) < adviceWorkers && w.suits(s, s.spec.Charge(), nil) {
 				q.Workers = append(q.Workers, w.ID)
 			}
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -38,13 +38,16 @@
 // runTime is how long an item of the step is expected to run: as its siblings
 // did, else as items that declared about as much, else as declared.
 func (c *Core) runTime(s *step, now Time) time.Duration {
-	if s.observed > 0 {
+	if s.observed > 0 && !c.options.TrustDeclared {
 		return s.observed
 	}
 	expected := unknownRunTime
 	if s.spec.Estimate > 0 {
 		expected = min(max(s.spec.Estimate, shortestRunTime), longestRunTime)
 	}
+	if c.options.TrustDeclared {
+		return expected
+	}
 	if e, ok := c.learner.Estimate(s.operation(), s.spec.Estimate); ok {
 		expected = e.Median
 	}
@@ -132,6 +135,10 @@
 		return r
 	}
 	since := s.job.acceptedAt
+	if c.options.FirstComeFirstServed {
+		r.order = since.Seconds()
+		return r
+	}
 	if due := s.job.dueAt[s.occurrence]; due > 0 {
 		since = due
 	}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -168,7 +168,7 @@
 	candidates := make([]candidate, 0, len(steps))
 	for _, s := range steps {
 		q := c.queueOf(s.job)
-		if len(pools[q.Service]) > 0 {
+		if pools[q.Service] != nil {
 			candidates = append(candidates, candidate{step: s, queue: q, rank: c.rankOf(s, q, now)})
 		}
 	}
@@ -205,12 +205,28 @@
 	rank  rank
 }
 
+// pool is the workers of a service that may get work. room is at least what
+// the freest of them has left, so that a full pool costs no search.
+type pool struct {
+	workers []*worker
+	room    job.Resources
+}
+
 // pools returns the workers that may get work, by service.
-func (c *Core) pools(now Time) map[string][]*worker {
-	pools := map[string][]*worker{}
+func (c *Core) pools(now Time) map[string]*pool {
+	pools := map[string]*pool{}
 	for _, w := range c.sorted {
 		if w.present && w.contacted && !w.silent && w.grantRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < clockFresh {
-			pools[w.Service] = append(pools[w.Service], w)
+			p := pools[w.Service]
+			if p == nil {
+				p = &pool{}
+				pools[w.Service] = p
+			}
+			p.workers = append(p.workers, w)
+			free := w.free()
+			p.room = job.Resources{
+				MilliCPU: max(p.room.MilliCPU, free.MilliCPU), MemoryMB: max(p.room.MemoryMB, free.MemoryMB), GPU: max(p.room.GPU, free.GPU),
+			}
 		}
 	}
 	return pools
@@ -219,8 +235,12 @@
 // clockFresh is how long a worker's clock may be derived from one report.
 const clockFresh = 30 * time.Second
 
-func (c *Core) placeStep(o *Orders, cand candidate, pool []*worker, now Time) {
+func (c *Core) placeStep(o *Orders, cand candidate, p *pool, now Time) {
 	s := cand.step
+	if !s.spec.Charge().Fits(p.room) {
+		return
+	}
+	pool := p.workers
 	tickets, ok := c.ticketsFor(s, cand.queue, now)
 	if !ok {
 		return
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -181,6 +181,10 @@
 	EarlyMargin time.Duration
 	// FarFactor is how much slower an item runs away from its data.
 	FarFactor float64
+	// FirstComeFirstServed ranks steps by the acceptance of their jobs alone,
+	// and TrustDeclared takes the declared run times as true. Measurements
+	// compare with them.
+	FirstComeFirstServed, TrustDeclared bool
 	// Trace, if set, receives each decision.
 	Trace func(Event)
 }
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "measure", Short: "Measure the decisions of dotterelhead", SilenceUsage: true}
-	root.AddCommand(decisionsCommand(), overheadCommand(), sizing.Command())
+	root.AddCommand(decisionsCommand(), jobsCommand(), overheadCommand(), sizing.Command())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
