--- /dev/null
+++ b/scheduler/execution/placement_test.go
@@ -0,0 +1,231 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// start confirms all starts of a round and returns them.
+func (b *bench) start() []Start {
+	b.Helper()
+	starts := b.round().Starts
+	for _, s := range starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	return starts
+}
+
+// Part of a gang on the workers would wait in vain for the rest and end alone.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 2500), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 4, Gang: true}), job.Progress{}, false, wall, b.now)
+	if starts := b.start(); len(starts) != 0 {
+		t.Fatalf("%d members start where two fit", len(starts))
+	}
+	b.worker(testWorker("w2", 2500), Report{})
+	starts := b.start()
+	if len(starts) != 4 {
+		t.Fatalf("%d members start, want all 4", len(starts))
+	}
+	for _, s := range starts {
+		if s.Run.Run != starts[0].Run.Run {
+			t.Errorf("member %v has another run than %v", s.Run, starts[0].Run)
+		}
+	}
+	first := starts[0]
+	b.report(first.Worker.ID, Report{Ended: []EndedItem{{Number: 1, Run: first.Run, How: EndDone}}})
+	if p := b.core.jobs[jobA].phase; p != job.Completed {
+		t.Errorf("the job is %s after one member ended as done, which stands for all", p)
+	}
+}
+
+// The members of a gang that could not start must not leave the others waiting.
+func TestGangIsStoppedWhenAMemberCannotStart(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 5000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 3, Gang: true}), job.Progress{}, false, wall, b.now)
+	starts := b.round().Starts
+	b.core.StartDone(starts[0], Started, b.now)
+	b.core.StartDone(starts[1], Started, b.now)
+	b.core.StartDone(starts[2], RejectedRoom, b.now)
+	if o := b.round(); len(o.Stops) != 2 {
+		t.Fatalf("%d stops, want those of the 2 members that run", len(o.Stops))
+	}
+}
+
+func TestGangPrefersOneRack(t *testing.T) {
+	b := newBench(t, 0)
+	for id, rack := range map[string]string{"w1": "r1", "w2": "r2", "w3": "r2"} {
+		w := testWorker(id, 2500)
+		w.Rack = rack
+		b.worker(w, Report{})
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 4, Gang: true, SameRack: true}), job.Progress{}, false, wall, b.now)
+	starts := b.start()
+	if len(starts) != 4 {
+		t.Fatalf("%d starts, want 4", len(starts))
+	}
+	for _, s := range starts {
+		if s.Worker.Rack != "r2" {
+			t.Errorf("a member starts on rack %s, which cannot hold all", s.Worker.Rack)
+		}
+	}
+}
+
+func TestLabelRackAndMaxPerWorker(t *testing.T) {
+	b := newBench(t, 0)
+	plain, labelled := testWorker("w1", 8000), testWorker("w2", 8000)
+	plain.Rack, labelled.Rack, labelled.Labels = "r1", "r2", []string{"gpu"}
+	b.worker(plain, Report{})
+	b.worker(labelled, Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 3, Label: "gpu", MaxPerWorker: 2}), job.Progress{}, false, wall, b.now)
+	starts := b.start()
+	if len(starts) != 2 || starts[0].Worker.ID != "w2" || starts[1].Worker.ID != "w2" {
+		t.Errorf("starts %v, want two on the worker with the label", starts)
+	}
+	b.core.AddJob(oneStep(jobB, job.Step{DataRack: "r1"}), job.Progress{}, false, wall, b.now)
+	if starts := b.start(); len(starts) != 1 || starts[0].Worker.ID != "w1" {
+		t.Errorf("starts %v, want one near its data", starts)
+	}
+}
+
+// A start more than the margin before its due time breaks the schedule; one
+// that is late keeps the next occurrence on time.
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 8000), Report{})
+	j := oneStep(jobA, job.Step{})
+	j.Occurrences, j.FirstDue, j.Interval = 3, wall.Add(b.now+2*time.Second), time.Second
+	b.core.AddJob(j, job.Progress{}, false, wall.Add(b.now), b.now)
+	if starts := b.start(); len(starts) != 0 {
+		t.Fatalf("%d starts 2 s before the due time", len(starts))
+	}
+	b.now += 2 * time.Second
+	if starts := b.start(); len(starts) != 1 || starts[0].Item.Occurrence != 0 {
+		t.Fatalf("starts %v at the due time, want the first occurrence", starts)
+	}
+	b.now += 2 * time.Second
+	if starts := b.start(); len(starts) != 2 {
+		t.Fatalf("%d starts, want the two occurrences that are due", len(starts))
+	}
+}
+
+// A saved checkpoint has to come with the next start, also from the record of
+// a former owner.
+func TestCheckpointComesWithTheNextStart(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{SavesProgress: true}), job.Progress{}, false, wall, b.now)
+	first := b.start()[0]
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first.Run, How: EndStopped, Saved: "half"}}})
+	writes := b.core.TakeWrites(10)
+	b.core.Committed(writes)
+	if second := b.start()[0]; second.Saved != "half" || second.Run.Run <= first.Run.Run {
+		t.Errorf("second start %+v, want the checkpoint and a higher run", second)
+	}
+	next := newBench(t, 1)
+	next.core.AddJob(oneStep(jobA, job.Step{SavesProgress: true}), writes[0].Progress, true, wall, next.now)
+	next.worker(testWorker("w1", 1000), Report{})
+	if s := next.start()[0]; s.Saved != "half" || s.Run.Run <= first.Run.Run {
+		t.Errorf("start of the next owner %+v, want the checkpoint and a higher run", s)
+	}
+}
+
+// An end may be acknowledged only once the record that follows from it is
+// committed; an owner that dies in between would lose it.
+func TestEndsAreAcknowledgedAfterTheCommit(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.Committed(b.core.TakeWrites(10))
+	s := b.start()[0]
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: s.Run, How: EndDone}}})
+	if h, _ := b.core.HoldFor("w1", b.now); h.LastSeen != 0 {
+		t.Fatal("the end is acknowledged before its record is committed")
+	}
+	b.core.Committed(b.core.TakeWrites(10))
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.LastSeen != 1 {
+		t.Errorf("hold %+v, want the end acknowledged", h)
+	}
+}
+
+// A filler beside a long-running item over its target has to slow down before
+// users are harmed, and gets its speed back when they are well.
+func TestFillersGiveWay(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 4000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{LongRunning: true, TailTarget: 100 * time.Millisecond}), job.Progress{}, false, wall, b.now)
+	b.core.AddJob(oneStep(jobB, job.Step{Filler: true, Needs: job.Resources{MilliCPU: 9000, MemoryMB: 10}}), job.Progress{}, false, wall, b.now)
+	starts := b.start()
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want the filler beside the serving item", len(starts))
+	}
+	rows := func(tail int64) []RunningItem {
+		var out []RunningItem
+		for _, s := range starts {
+			out = append(out, RunningItem{Run: s.Run, Percent: 100, Load: tail})
+		}
+		return out
+	}
+	var paces []Pace
+	for range 40 {
+		b.now += 100 * time.Millisecond
+		b.report("w1", Report{Running: rows(250)})
+		paces = append(paces, b.round().Paces...)
+	}
+	if len(paces) == 0 || paces[0].Item.Job != jobB || paces[len(paces)-1].Percent != 0 {
+		t.Fatalf("paces %v, want the filler slowed down to nothing within 4 s", paces)
+	}
+	paces = nil
+	for range 120 {
+		b.now += 100 * time.Millisecond
+		b.report("w1", Report{Running: rows(20)})
+		paces = append(paces, b.round().Paces...)
+	}
+	if len(paces) == 0 || paces[len(paces)-1].Percent != 100 {
+		t.Errorf("paces %v, want full speed again", paces)
+	}
+}
+
+// A queue with advice starts nothing without a ticket, and asks for few steps
+// at once, because the service handles one call at a time.
+func TestStartsCarryTickets(t *testing.T) {
+	b := newBench(t, 0)
+	b.core.SetManifest(&job.Manifest{Version: 2, Queues: []job.Queue{{Name: testQueue, Service: testPool, Attempts: 2, Advice: &job.Advice{}}}})
+	b.worker(testWorker("w1", 4000), Report{})
+	b.worker(testWorker("w2", 4000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
+	if starts := b.start(); len(starts) != 0 {
+		t.Fatalf("%d starts without advice", len(starts))
+	}
+	questions := b.core.Questions(b.now)
+	if len(questions) != 1 || len(questions[0].Workers) != 2 {
+		t.Fatalf("questions %v, want one that names both workers", questions)
+	}
+	b.core.Answered(questions[0], map[string]string{"w2": "t2"}, 3*time.Second, b.now)
+	starts := b.start()
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2", len(starts))
+	}
+	for _, s := range starts {
+		if s.Worker.ID != "w2" || s.Ticket != "t2" {
+			t.Errorf("start on %s with ticket %q", s.Worker.ID, s.Ticket)
+		}
+	}
+}
+
+// A cancelled job must stop what runs and start nothing more.
+func TestCancelStopsAndStartsNothing(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
+	b.start()
+	b.core.Cancel(jobA, b.now)
+	o := b.round()
+	if len(o.Stops) != 1 || len(o.Starts) != 0 {
+		t.Errorf("%d stops and %d starts, want 1 and 0", len(o.Stops), len(o.Starts))
+	}
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -1,10 +1,6 @@
 package execution
 
-import (
-	"slices"
-
-	"dotterelhead.example/dotterelhead/job"
-)
+import "slices"
 
 // WorkerSeen notes the registry entry of a worker.
 func (c *Core) WorkerSeen(info Worker, now Time) {
