Add a randomized fault soak of the job service

Processes are killed, paused, stopped and started; the store is down, loses answers, drops its history or leaves watches silent; orders are late and workers start again; manifests and a wave come meanwhile. No proxy between processes yet: connections are not delayed or cut one way.

--- /dev/null
+++ b/processtest/soak_test.go
@@ -0,0 +1,115 @@
+package processtest
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/standin/jobplatform"
+)
+
+var (
+	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds of TestJobSoak")
+	soakFirst = flag.Uint64("soak.first", 1, "first seed of TestJobSoak")
+)
+
+const (
+	soakSteps = 14
+	// soakSettle is how long all jobs may take after the last fault.
+	soakSettle = 40 * time.Second
+)
+
+// TestJobSoak runs entry VMs as processes under series of faults that are drawn
+// from a seed: processes are killed, paused, stopped and started again; the
+// store is down, loses answers, drops its history, or leaves watches silent;
+// orders are carried out late and workers start again; manifests and a wave
+// come meanwhile. It guards against accepted jobs that are lost, and against
+// what the workers must not see. Fifty seeds by hand:
+//
+//	go test ./processtest -run JobSoak -soak.seeds 50 -timeout 30m
+func TestJobSoak(t *testing.T) {
+	for n := range *soakSeeds {
+		seed := *soakFirst + uint64(n)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	c := startJobs(t, 3, map[string]int{"artwork": 6, "spare": 2}, "spare")
+	random := rand.New(rand.NewPCG(seed, 7))
+	machines := append(c.platform.Machines("artwork"), c.platform.Machines("spare")...)
+	if err := c.platform.Publish("op/wave/1", map[string]any{"wave": 1, "machines": machines, "durationS": 20, "cap": 2}); err != nil {
+		t.Fatal(err)
+	}
+	var jobs []*job.Job
+	version := int64(1)
+	for range soakSteps {
+		fault := random.IntN(11)
+		t.Logf("seed %d: fault %d", seed, fault)
+		c.soakFault(random, fault, &version)
+		jobs = append(jobs, c.load(2+random.IntN(4), "work=120ms", 10*time.Millisecond)...)
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+	c.platform.SetFaults(jobplatform.Faults{})
+	for _, e := range c.entries {
+		e.signal(syscall.SIGCONT)
+	}
+	c.check(jobs, soakSettle)
+	for id, n := range c.platform.Upkeeps() {
+		if n > 1 {
+			t.Errorf("VM %s had %d upkeeps in one wave", id, n)
+		}
+	}
+}
+
+// soakFault starts one fault; most last until the next one of their kind.
+func (c *jobCluster) soakFault(random *rand.Rand, fault int, version *int64) {
+	e := c.entries[random.IntN(len(c.entries))]
+	switch fault {
+	case 0:
+		e.kill()
+		c.start(e)
+	case 1:
+		for _, e := range c.entries {
+			e.signal(syscall.SIGKILL)
+		}
+		for _, e := range c.entries {
+			<-e.exited
+			c.start(e)
+		}
+	case 2:
+		e.signal(syscall.SIGSTOP)
+		time.AfterFunc(time.Duration(300+random.IntN(2500))*time.Millisecond, func() { e.signal(syscall.SIGCONT) })
+	case 3:
+		e.signal(syscall.SIGTERM)
+		<-e.exited
+		c.start(e)
+	case 4:
+		c.platform.SetFaults(jobplatform.Faults{StoreDown: true})
+		time.Sleep(time.Duration(200+random.IntN(2500)) * time.Millisecond)
+		c.platform.SetFaults(jobplatform.Faults{})
+	case 5:
+		c.platform.SetFaults(jobplatform.Faults{LoseAnswers: 0.3, DelayWrites: 0.4})
+	case 6:
+		c.platform.SetFaults(jobplatform.Faults{LateOrders: 0.06, LateBy: time.Duration(1+random.IntN(5)) * time.Second})
+	case 7:
+		machines := c.platform.Machines("artwork")
+		if len(machines) > 0 {
+			if err := c.platform.RestartWorker(machines[random.IntN(len(machines))]); err != nil {
+				c.Logf("not restarted: %v", err)
+			}
+		}
+	case 8:
+		c.platform.Compact()
+	case 9:
+		c.platform.SilenceWatches()
+	case 10:
+		*version += int64(1 + random.IntN(3))
+		c.publish(*version)
+		e.signal(syscall.SIGHUP)
+	}
+}
