Let larger entry VMs own the jobs; keep room for other records under load

Change: entry VMs contend for the ownership in the order of their processor share, within 80 ms; five places of a transaction are for other records.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -92,7 +92,7 @@
 		Node: s.Node, Store: st, Workers: platform.NewWorkers(), Registry: &platform.Registry{Store: st, Log: o.Log},
 		Manifest: operator.Manifest, Waves: operator.Waves, Log: o.Log, Scope: o.Scope, Lease: ownerLease,
 		HandOver: milliseconds(s.Bounds.HandOverMs), KeepFinished: seconds(s.Bounds.StatusSeconds),
-		UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
+		ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
 		Execution: execution.Options{
 			Hold: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
 			EarlyMargin: milliseconds(s.Bounds.EarlyMs), FarFactor: s.Bounds.FarFactor,
@@ -113,6 +113,22 @@
 	return &Server{options: o, health: health, operator: operator, intake: in, owner: owner.New(options), front: front}
 }
 
+const (
+	// ownerCPUShare is the part of a core that carries the ownership of some
+	// 350 workers. Entry VMs with less wait up to contendWait before they
+	// contend, a little longer than an acquiring takes.
+	ownerCPUShare = 0.8
+	contendWait   = 80 * time.Millisecond
+)
+
+// contendDelay is how long an entry VM lets larger ones come first.
+func contendDelay(cpuShare float64) time.Duration {
+	if cpuShare <= 0 || cpuShare >= ownerCPUShare {
+		return 0
+	}
+	return time.Duration(float64(contendWait) * (1 - cpuShare/ownerCPUShare))
+}
+
 // Run serves until ctx ends, and then stops without cutting a request.
 func (s *Server) Run(ctx context.Context) error {
 	set := s.options.Settings
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -28,8 +28,11 @@
 	MachinesAddress string `toml:"machines_address"`
 	AdviceAddress   string `toml:"advice_address"`
 	MemoryLimitMB   int64  `toml:"memory_limit_mb"`
-	LogLevel        string `toml:"log_level"`
-	Bounds          Bounds `toml:"bounds"`
+	// CPUShare is the part of a core that the VM has; 0 means that it is not
+	// limited. Entry VMs with more become the owner of the jobs first.
+	CPUShare float64 `toml:"cpu_share"`
+	LogLevel string  `toml:"log_level"`
+	Bounds   Bounds  `toml:"bounds"`
 }
 
 // Bounds are the times that the platform promises and asks for.
@@ -115,6 +118,9 @@
 	if !telemetry.KnownLevel(s.LogLevel) {
 		found.Add(index.At("log_level"), "log_level %q is not known", s.LogLevel)
 	}
+	if s.CPUShare < 0 {
+		found.Add(index.At("cpu_share"), "cpu_share is negative")
+	}
 	if s.MemoryLimitMB < 0 {
 		found.Add(index.At("memory_limit_mb"), "memory_limit_mb is negative")
 	}
--- a/jobserver/settings_test.go
+++ b/jobserver/settings_test.go
@@ -56,3 +56,12 @@
 		}
 	}
 }
+
+// A small entry VM that became the owner of 350 workers could not keep up with
+// their leases (niederalm-cut-grown trouble-1): larger ones have to come first.
+func TestLargerEntryVMsContendFirst(t *testing.T) {
+	large, middle, small := contendDelay(0.8), contendDelay(0.4), contendDelay(0.192)
+	if large != 0 || middle <= large || small <= middle || contendDelay(0) != 0 {
+		t.Errorf("delays %v, %v, %v for 0.8, 0.4 and 0.192 of a core", large, middle, small)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,9 @@
 	Scope tally.Scope
 	// Lease is the time after which another process may become the owner.
 	Lease time.Duration
+	// ContendDelay is how long this process waits before it contends for a
+	// vacant ownership, so that larger entry VMs come first.
+	ContendDelay time.Duration
 	// HandOver is the least time between cloud orders of successive owners for
 	// one machine.
 	HandOver time.Duration
@@ -119,6 +122,7 @@
 			return
 		case <-vacant:
 		}
+		wait(ctx, nil, o.options.ContendDelay)
 		if o.options.Manifest() != nil {
 			if t := o.contend(ctx); t != nil {
 				o.exercise(ctx, t)
--- a/owner/write.go
+++ b/owner/write.go
@@ -20,6 +20,9 @@
 	writeGap = 8 * time.Millisecond
 	// summaryEvery is how often the counts of waiting jobs are written.
 	summaryEvery = 700 * time.Millisecond
+	// otherRecords is how many records beside the progress of jobs have a place
+	// in each transaction; progress alone fills every one under load.
+	otherRecords = 5
 	// forgetAtOnce bounds the finished jobs that are deleted together.
 	forgetAtOnce = 5
 )
@@ -104,11 +107,13 @@
 	}
 }
 
-// writeBatch writes one transaction and reports whether there was something to
-// write.
-func (t *term) writeBatch(ctx context.Context) bool {
+// nextBatch takes what the next transaction holds: progress of jobs, and after
+// it the records that stand beside it.
+func (t *term) nextBatch() ([]execution.ProgressWrite, []jobstore.Record) {
 	t.mu.Lock()
-	progress := t.core.TakeWrites(t.writer.MaxRecords())
+	defer t.mu.Unlock()
+	others := min(len(t.records), otherRecords)
+	progress := t.core.TakeWrites(t.writer.MaxRecords() - others)
 	records := make([]jobstore.Record, 0, t.writer.MaxRecords())
 	for _, p := range progress {
 		value, err := json.Marshal(p.Progress)
@@ -125,7 +130,13 @@
 		records = append(records, jobstore.Record{Key: key, Value: value})
 		delete(t.records, key)
 	}
-	t.mu.Unlock()
+	return progress, records
+}
+
+// writeBatch writes one transaction and reports whether there was something to
+// write.
+func (t *term) writeBatch(ctx context.Context) bool {
+	progress, records := t.nextBatch()
 	if len(records) == 0 {
 		return false
 	}
