--- a/scheduler/execution/placement_test.go
+++ b/scheduler/execution/placement_test.go
@@ -229,3 +229,22 @@
 		t.Errorf("%d stops and %d starts, want 1 and 0", len(o.Stops), len(o.Starts))
 	}
 }
+
+// A job counted as begun once an order was sent, although the worker rejected
+// it or never got it, and was missing among the jobs that wait
+// (niederalm-cut-grown scale-2 at 6.5 s).
+func TestJobBeginsWithAConfirmedRun(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	s := b.round().Starts[0]
+	b.core.StartDone(s, NotStarted, b.now)
+	if n := b.core.Waiting()[testQueue]; n != 1 {
+		t.Errorf("%d jobs wait after a rejected start, want 1", n)
+	}
+	b.now += time.Second
+	b.start()
+	if n := b.core.Waiting()[testQueue]; n != 0 {
+		t.Errorf("%d jobs wait after a confirmed start, want 0", n)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -112,7 +112,7 @@
 func (c *Core) noteRunning(w *worker, row RunningItem, now Time) {
 	if cp := w.copies[row.Run]; cp != nil {
 		if cp.phase != running {
-			cp.phase, cp.confirmedAt = running, now
+			c.confirm(cp, now)
 		}
 		if row.Percent != cp.percent {
 			cp.percent, cp.progressedAt = row.Percent, now
@@ -143,7 +143,8 @@
 		cp := c.addCopy(i, w, row.Run.Run, running, now)
 		w.lapseAt = max(w.lapseAt, now+c.leaseBound())
 		cp.adopted = true
-		cp.confirmedAt, cp.percent, cp.load = now, row.Percent, row.Load
+		c.confirm(cp, now)
+		cp.percent, cp.load = row.Percent, row.Load
 		if row.Saved != "" {
 			i.saved = row.Saved
 		}
@@ -201,6 +202,7 @@
 	var took time.Duration
 	if cp != nil {
 		took = now - cp.startedAt
+		c.begin(j)
 		c.dropCopy(cp)
 	}
 	c.trace(Event{Name: "run_ended", Item: end.Item.String(), Run: end.Run.Run, Worker: w.ID, Reason: string(end.How), Took: took})
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -106,7 +106,7 @@
 	}
 	switch result {
 	case Started:
-		cp.phase, cp.confirmedAt, cp.progressedAt = running, now, now
+		c.confirm(cp, now)
 		return
 	case StartUnknown:
 		cp.phase, cp.confirmedAt = unresolved, now
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -238,13 +238,23 @@
 	if i.step.firstStart == 0 {
 		i.step.firstStart = now
 	}
-	if !i.step.job.begun {
-		i.step.job.begun = true
-		c.markDirty(i.step.job)
-	}
 	return cp
 }
 
+// confirm notes that a worker has a run. Only then does its job count as begun:
+// an order alone may never reach the worker.
+func (c *Core) confirm(cp *itemCopy, now Time) {
+	cp.phase, cp.confirmedAt, cp.progressedAt = running, now, now
+	c.begin(cp.item.step.job)
+}
+
+func (c *Core) begin(j *jobState) {
+	if !j.begun {
+		j.begun = true
+		c.markDirty(j)
+	}
+}
+
 // dropCopy forgets a copy that certainly does not run any more.
 func (c *Core) dropCopy(cp *itemCopy) {
 	i := cp.item
