Remove settings and fields without use; name and explain what the reading found

early_ms and far_factor had no effect; two metrics were declared and never set. A wave that a former owner has begun is not reported as running again.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -95,7 +95,6 @@
 		ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
 		Execution: execution.Options{
 			Hold: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
-			EarlyMargin: milliseconds(s.Bounds.EarlyMs), FarFactor: s.Bounds.FarFactor,
 		},
 	}
 	if s.MachinesAddress != "" {
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -47,16 +47,12 @@
 	// HandOverMs is the least time between orders of successive owners for one
 	// VM.
 	HandOverMs int64 `toml:"hand_over_ms"`
-	// EarlyMs is how much before its due time an occurrence may start.
-	EarlyMs int64 `toml:"early_ms"`
 	// StatusSeconds is how long a finished job can be asked for.
 	StatusSeconds float64 `toml:"status_seconds"`
 	// UpkeepSeconds and MoveSeconds are how long a VM is away for its upkeep or
 	// for a move to another pool.
 	UpkeepSeconds float64 `toml:"upkeep_seconds"`
 	MoveSeconds   float64 `toml:"move_seconds"`
-	// FarFactor is how much slower an item runs away from its data.
-	FarFactor float64 `toml:"far_factor"`
 }
 
 // DefaultSettings has the bounds of a platform that names none.
@@ -64,7 +60,7 @@
 	return Settings{
 		LogLevel: "info",
 		Bounds: Bounds{
-			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, HandOverMs: 3000, EarlyMs: 250, StatusSeconds: 120, FarFactor: 2,
+			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, HandOverMs: 3000, StatusSeconds: 120,
 			UpkeepSeconds: 2, MoveSeconds: 1.5,
 		},
 	}
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -8,8 +8,8 @@
 	takeover   tally.Timer
 	commit     tally.Timer
 	startCall  tally.Timer
-	queueWait  tally.Timer
-	jobs       tally.Gauge
+	placement  tally.Timer
+	job        tally.Timer
 	ownerGauge tally.Gauge
 }
 
@@ -23,8 +23,8 @@
 		takeover:   s.Timer("takeover_seconds"),
 		commit:     s.Timer("progress_write_seconds"),
 		startCall:  s.Timer("start_call_seconds"),
-		queueWait:  s.Timer("job_seconds"),
-		jobs:       s.Gauge("jobs_waiting"),
+		placement:  s.Timer("placement_seconds"),
+		job:        s.Timer("job_seconds"),
 		ownerGauge: s.Gauge("owner"),
 	}
 }
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -267,6 +267,12 @@
 
 // trace writes one line for each decision.
 func (t *term) trace(e execution.Event) {
+	switch e.Name {
+	case "run_placed":
+		t.metrics.placement.Record(e.Took)
+	case "job_completed":
+		t.metrics.job.Record(e.Took)
+	}
 	entry := t.options.Log.Info().Str("event", e.Name)
 	if e.Job != "" {
 		entry = entry.Str("job", e.Job)
--- a/owner/term.go
+++ b/owner/term.go
@@ -350,7 +350,7 @@
 		t.core.WorkerSeen(w, now)
 	}
 	for _, id := range gone {
-		t.core.WorkerGone(id, now)
+		t.core.WorkerGone(id)
 	}
 	t.mu.Unlock()
 	t.kick()
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -96,9 +96,10 @@
 
 func (s machineState) String() string { return [...]string{"pending", "draining", "down", "done"}[s] }
 
-// wavePart is one VM of a wave.
+// wavePart is one VM of a wave, with the worker that its upkeep ends.
 type wavePart struct {
-	state  machineState
+	state machineState
+	// since is when the state began.
 	since  time.Duration
 	worker string
 	born   int64
@@ -133,7 +134,7 @@
 				t.options.Log.Warn().Str("event", "vm_list_failed").Err(err).Msg("")
 			}
 		}
-		sleepFor(ctx, pause)
+		wait(ctx, nil, pause)
 	}
 }
 
@@ -150,11 +151,6 @@
 	return ids
 }
 
-func sleepFor(ctx context.Context, d time.Duration) bool {
-	wait(ctx, nil, d)
-	return ctx.Err() == nil
-}
-
 func openRuns(runs map[int64]*waveRun) []*waveRun {
 	var open []*waveRun
 	for _, r := range runs {
@@ -177,7 +173,9 @@
 			p.state = machineDone
 		}
 	}
-	t.report(r, false)
+	if _, begun := t.waveDone[w.Number]; !begun {
+		t.report(r, false)
+	}
 	return r
 }
 
--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -56,17 +56,18 @@
 	// headroomVMs are kept idle in each pool, so that a job between bursts does
 	// not wait for a move.
 	headroomVMs = 1.0
-	// burstFactor times the lasting work and the headroom is a burst.
+	// burstVMs more than the lasting work and the headroom take is a burst.
 	burstVMs = 3
 	// forecastLead is how long before an expected burst VMs are moved, beyond
 	// the time of the move.
 	forecastLead = 400 * time.Millisecond
 	// forecastWait is how long after its expected start a burst is waited for.
 	forecastWait = 1200 * time.Millisecond
-	// regularShare is how much the times between bursts may differ for the next
-	// one to be forecast.
+	// regularShare is by which part of itself the time between bursts may vary
+	// for the next one to be forecast.
 	regularShare = 0.15
-	// learnTime is how long a pool without a burst so far keeps its VMs.
+	// learnTime is how long a pool without a burst so far keeps its VMs: a whole
+	// cycle of four queues with turns of 4 s.
 	learnTime = 16 * time.Second
 )
 
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -163,7 +163,7 @@
 func TestWorkerThatLapsedLeavesTheHolders(t *testing.T) {
 	b := newBench(t, 0)
 	b.worker(testWorker("w1", 1000), Report{})
-	b.core.WorkerGone("w1", b.now)
+	b.core.WorkerGone("w1")
 	b.after(2 * testHold)
 	if ids, changed := b.core.UnrecordedHolders(); len(ids) != 0 || !changed {
 		t.Fatalf("holders %v, changed %v; want none, to be written", ids, changed)
@@ -198,7 +198,7 @@
 	b := newBench(t, 1)
 	b.core.FormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
 	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
-	b.core.WorkerGone("w1", b.now)
+	b.core.WorkerGone("w1")
 	b.after(time.Second)
 	if ids, _ := b.core.UnrecordedHolders(); len(ids) != 1 {
 		t.Fatalf("holders %v, want w1 until its lease has lapsed", ids)
@@ -237,7 +237,7 @@
 func TestReturningWorkerGetsWork(t *testing.T) {
 	b := newBench(t, 0)
 	b.worker(testWorker("w1", 1000), Report{})
-	b.core.WorkerGone("w1", b.now)
+	b.core.WorkerGone("w1")
 	b.after(2 * testHold)
 	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
 	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -391,7 +391,7 @@
 			case 5:
 				s.workers[id].silent = !s.workers[id].silent
 			case 6:
-				s.core.WorkerGone(id, s.now)
+				s.core.WorkerGone(id)
 			case 7:
 				s.core.WorkerSeen(s.workers[id].Worker, s.now)
 			case 8:
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -36,12 +36,17 @@
 	stopInFlight    bool
 	stopConfirmedAt Time
 	// adopted is set for runs that a former owner started.
-	adopted      bool
+	adopted bool
+	// percent is the progress, which last changed at progressedAt.
 	percent      int
 	progressedAt Time
-	load         int64
-	overSince    Time
-	pace         int
+	// load is the tail of the response times in milliseconds of a long-running
+	// item. overSince is since when that is over its target; of a filler it is
+	// when its pace last changed.
+	load      int64
+	overSince Time
+	// pace is the share of its speed in percent that a filler works at.
+	pace int
 }
 
 type item struct {
@@ -49,12 +54,14 @@
 	index    int
 	done     bool
 	failures int
-	saved    string
-	lastRun  int64
-	copies   []*itemCopy
+	// saved is the last checkpoint, lastRun the highest run that was started.
+	saved   string
+	lastRun int64
+	copies  []*itemCopy
 	// notBefore delays the next start after a failure.
 	notBefore Time
-	avoid     string
+	// avoid is the worker on which the item failed or stood still last.
+	avoid string
 }
 
 func (i *item) id() job.ItemID {
@@ -129,8 +136,8 @@
 
 type worker struct {
 	Worker
-	present   bool
-	missingAt Time
+	// present is set while the registry has an entry of the worker.
+	present bool
 	// contacted is set once the worker has seen this owner's fence number.
 	contacted bool
 	used      job.Resources
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -177,10 +177,6 @@
 	Hold time.Duration
 	// StopTimeout is how long a worker takes to stop a run.
 	StopTimeout time.Duration
-	// EarlyMargin is how much before its due time an occurrence may start.
-	EarlyMargin time.Duration
-	// FarFactor is how much slower an item runs away from its data.
-	FarFactor float64
 	// FirstComeFirstServed ranks steps by the acceptance of their jobs alone,
 	// and TrustDeclared takes the declared run times as true. Measurements
 	// compare with them.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -50,9 +50,9 @@
 // WorkerGone notes that the registry has no entry of a worker any more. What
 // runs there counts until its lease has lapsed, because a worker that lost the
 // store runs on.
-func (c *Core) WorkerGone(id string, now Time) {
-	if w := c.workers[id]; w != nil && w.present {
-		w.present, w.missingAt = false, now
+func (c *Core) WorkerGone(id string) {
+	if w := c.workers[id]; w != nil {
+		w.present = false
 	}
 }
 
@@ -65,7 +65,7 @@
 	}
 	for _, w := range c.sorted {
 		if !seen[w.ID] {
-			c.WorkerGone(w.ID, now)
+			c.WorkerGone(w.ID)
 		}
 	}
 }
