--- a/job/progress.go
+++ b/job/progress.go
@@ -30,7 +30,9 @@
 type ItemProgress struct {
 	Number int `json:"n"`
 	// LastRun is the highest run that was started.
-	LastRun  int64  `json:"r,omitempty"`
-	Failures int    `json:"f,omitempty"`
-	Saved    string `json:"s,omitempty"`
+	LastRun int64 `json:"r,omitempty"`
+	// FailedRuns are the runs that failed. A worker lists an end until it is
+	// acknowledged, so the next owner may see one that counts already.
+	FailedRuns []int64 `json:"f,omitempty"`
+	Saved      string  `json:"s,omitempty"`
 }
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"slices"
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
@@ -132,7 +133,7 @@
 	}
 	for _, record := range p.Items {
 		if i := j.byNumber(record.Number, now); i != nil {
-			i.lastRun, i.failures, i.saved = record.LastRun, record.Failures, record.Saved
+			i.lastRun, i.failedRuns, i.saved = record.LastRun, record.FailedRuns, record.Saved
 		}
 	}
 }
@@ -380,8 +381,10 @@
 				switch {
 				case i.done:
 					p.Done = append(p.Done, i.number())
-				case i.failures > 0 || i.saved != "":
-					p.Items = append(p.Items, job.ItemProgress{Number: i.number(), LastRun: i.lastRun, Failures: i.failures, Saved: i.saved})
+				case len(i.failedRuns) > 0 || i.saved != "":
+					p.Items = append(p.Items, job.ItemProgress{
+						Number: i.number(), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns), Saved: i.saved,
+					})
 				}
 			}
 		}
--- a/scheduler/execution/placement_test.go
+++ b/scheduler/execution/placement_test.go
@@ -248,3 +248,28 @@
 		t.Errorf("%d jobs wait after a confirmed start, want 0", n)
 	}
 }
+
+// A failed end that a former owner had counted but not yet acknowledged was
+// counted again, and the job was shown as failed after one failure
+// (niederalm-cut trouble-2, seed 70998663022, at 15.3 s).
+func TestFailureIsCountedOnce(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	s := b.start()[0]
+	end := EndedItem{Number: 1, Run: s.Run, How: EndFailed}
+	b.report("w1", Report{Ended: []EndedItem{end}})
+	writes := b.core.TakeWrites(10)
+	next := newBench(t, 1)
+	next.core.AddJob(oneStep(jobA, job.Step{}), writes[0].Progress, true, wall, next.now)
+	next.worker(testWorker("w1", 1000), Report{Ended: []EndedItem{end}})
+	if p := next.core.jobs[jobA].phase; p == job.Failed {
+		t.Fatal("the job has failed after one failure of two")
+	}
+	next.now += time.Second
+	again := next.start()[0]
+	next.report("w1", Report{Ended: []EndedItem{{Number: 2, Run: again.Run, How: EndFailed}}})
+	if p := next.core.jobs[jobA].phase; p != job.Failed {
+		t.Errorf("the job is %s after two failures of two", p)
+	}
+}
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -430,5 +430,25 @@
 			return false
 		}
 	}
+	for id := range s.jobs {
+		if s.progress[id].Phase == job.Failed && s.mostFailures(id) < simAttempts {
+			s.t.Fatalf("job %s is shown as failed after %d failures of an item", id, s.mostFailures(id))
+		}
+	}
 	return true
 }
+
+// mostFailures is how often an item of a job has failed.
+func (s *simulation) mostFailures(id string) int {
+	most := 0
+	for item, i := range s.items {
+		failures := 0
+		for _, e := range i.ends {
+			if item.Job == id && e.how == EndFailed {
+				failures++
+			}
+		}
+		most = max(most, failures)
+	}
+	return most
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"slices"
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
@@ -224,7 +225,7 @@
 			c.endedDone(i, cp, now)
 		}
 	case EndFailed:
-		c.endedFailed(w, i, now)
+		c.endedFailed(w, i, end.Run.Run, now)
 	case EndLapsed, EndAlone, EndBroken, EndStopped:
 	}
 	if i.step.spec.LongRunning && !i.done {
@@ -267,17 +268,17 @@
 	avoidTimeMax = 8 * time.Second
 )
 
-func (c *Core) endedFailed(w *worker, i *item, now Time) {
+func (c *Core) endedFailed(w *worker, i *item, run int64, now Time) {
 	j := i.step.job
-	i.failures++
 	i.avoid = w.ID
 	i.notBefore = now + failureBackoff
-	c.markDirty(j)
 	c.suspect(w, now)
-	if i.step.spec.LongRunning {
+	if i.step.spec.LongRunning || slices.Contains(i.failedRuns, run) {
 		return
 	}
-	if attempts := max(c.queueOf(j).Attempts, 1); i.failures >= attempts {
+	i.failedRuns = append(i.failedRuns, run)
+	c.markDirty(j)
+	if attempts := max(c.queueOf(j).Attempts, 1); len(i.failedRuns) >= attempts {
 		c.finish(j, job.Failed, "attempts_used_up", now)
 	}
 }
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -50,10 +50,11 @@
 }
 
 type item struct {
-	step     *step
-	index    int
-	done     bool
-	failures int
+	step  *step
+	index int
+	done  bool
+	// failedRuns are the runs that failed, of an item that does not last.
+	failedRuns []int64
 	// saved is the last checkpoint, lastRun the highest run that was started.
 	saved   string
 	lastRun int64
