Remove a method of the state machine that nothing calls

Writes that did not reach the store end the ownership, and the next owner starts from the store; nothing returns them to the state machine. No behaviour changes.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -342,16 +342,6 @@
 	}
 }
 
-// NotCommitted returns writes that did not reach the store.
-func (c *Core) NotCommitted(writes []ProgressWrite) {
-	for _, w := range writes {
-		if j := c.jobs[w.JobID]; j != nil && !j.dirty {
-			j.dirty = true
-			c.dirty = append(c.dirty, j)
-		}
-	}
-}
-
 func (w *worker) advanceAcked() {
 	n := 0
 	for n < len(w.pendingEnds) {
