Write the counts of waiting jobs while other records are written

The writing loop came to the counts only once nothing else was left to write. The loop now looks at the time between transactions.

--- a/owner/term.go
+++ b/owner/term.go
@@ -66,6 +66,9 @@
 	// machines' loop uses them once the records are loaded.
 	orderedAt    map[string]time.Duration
 	formerOrders map[string]bool
+	// summaryDue is when the counts of waiting jobs are written next. Only the
+	// writing loop uses it.
+	summaryDue time.Duration
 	// waveDone are the VMs of each wave that had their upkeep under former
 	// owners.
 	waveDone map[int64][]string
--- a/owner/write.go
+++ b/owner/write.go
@@ -29,22 +29,24 @@
 
 // writeLoop writes what has changed to the store.
 func (t *term) writeLoop(ctx context.Context) {
-	ticker := time.NewTicker(summaryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.wakeWrite:
-		case <-ticker.C:
-			t.summarize()
-		}
+	for ctx.Err() == nil {
+		wait(ctx, t.wakeWrite, summaryEvery)
+		t.summarizeIfDue()
 		for t.writeBatch(ctx) {
+			// Under load there is always something to write.
+			t.summarizeIfDue()
 		}
 		wait(ctx, nil, writeGap)
 	}
 }
 
+func (t *term) summarizeIfDue() {
+	if now := boottime.Now(); now >= t.summaryDue {
+		t.summaryDue = now + summaryEvery
+		t.summarize()
+	}
+}
+
 // summarize queues the counts of waiting jobs and the deletion of old ones.
 func (t *term) summarize() {
 	t.mu.Lock()
--- a/owner/write_test.go
+++ b/owner/write_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/store"
+	"dotterelhead.example/dotterelhead/store/storetest"
 )
 
 // Load pattern: more jobs change than a transaction holds, all the time. Their
@@ -33,3 +36,36 @@
 		t.Error("the counts have no place in the transaction")
 	}
 }
+
+// Load pattern: each transaction finds new records to write, for longer than
+// the counts of waiting jobs may be old. They were written only once nothing
+// else was left (niederalm-cut-grown trouble-1: 0 jobs said to wait, 7 waited).
+func TestCountsAreWrittenUnderLoad(t *testing.T) {
+	tm := testTerm(t, &fakeMachines{})
+	var stopped atomic.Bool
+	t.Cleanup(func() { stopped.Store(true) })
+	counted := make(chan struct{}, 1)
+	tm.mu.Lock()
+	transactions := 0
+	tm.options.Store.(*storetest.Store).Decide = func(tx store.Transaction) storetest.Fate {
+		time.Sleep(time.Millisecond)
+		if slices.ContainsFunc(tx.Writes, func(w store.Write) bool { return w.Key == jobstore.WaitingKey }) {
+			poke(counted)
+		}
+		if !stopped.Load() {
+			transactions++
+			tm.mu.Lock()
+			tm.records[fmt.Sprintf("load/%d", transactions)] = []byte("{}")
+			tm.mu.Unlock()
+		}
+		return storetest.Applied
+	}
+	tm.records["load/0"] = []byte("{}")
+	tm.mu.Unlock()
+	tm.kickWriter()
+	select {
+	case <-counted:
+	case <-time.After(3 * summaryEvery):
+		t.Errorf("the counts are not written within %v", 3*summaryEvery)
+	}
+}
