Keep progress and other records of a transaction apart

committed took the other records by their position after the progress. Progress that cannot be encoded is left out of the records, and then a record of lease holders could have been taken for progress and never be noted as written.

--- a/owner/write.go
+++ b/owner/write.go
@@ -109,36 +109,45 @@
 	}
 }
 
-// nextBatch takes what the next transaction holds: progress of jobs, and after
-// it the records that stand beside it.
-func (t *term) nextBatch() ([]execution.ProgressWrite, []jobstore.Record) {
+// batch is what one transaction writes: the progress of jobs, and the records
+// that stand beside it.
+type batch struct {
+	progress       []execution.ProgressWrite
+	progressValues []jobstore.Record
+	others         []jobstore.Record
+}
+
+func (b batch) records() []jobstore.Record { return slices.Concat(b.progressValues, b.others) }
+
+// nextBatch takes what the next transaction holds.
+func (t *term) nextBatch() batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	others := min(len(t.records), otherRecords)
-	progress := t.core.TakeWrites(t.writer.MaxRecords() - others)
-	records := make([]jobstore.Record, 0, t.writer.MaxRecords())
-	for _, p := range progress {
+	var b batch
+	for _, p := range t.core.TakeWrites(t.writer.MaxRecords() - min(len(t.records), otherRecords)) {
 		value, err := json.Marshal(p.Progress)
 		if err != nil {
 			t.options.Log.Error().Str("event", "record_not_encoded").Str("job", p.JobID).Err(err).Msg("")
 			continue
 		}
-		records = append(records, jobstore.Record{Key: jobstore.ProgressKey(p.JobID), Value: value})
+		b.progress = append(b.progress, p)
+		b.progressValues = append(b.progressValues, jobstore.Record{Key: jobstore.ProgressKey(p.JobID), Value: value})
 	}
 	for key, value := range t.records {
-		if len(records) == t.writer.MaxRecords() {
+		if len(b.progress)+len(b.others) == t.writer.MaxRecords() {
 			break
 		}
-		records = append(records, jobstore.Record{Key: key, Value: value})
+		b.others = append(b.others, jobstore.Record{Key: key, Value: value})
 		delete(t.records, key)
 	}
-	return progress, records
+	return b
 }
 
 // writeBatch writes one transaction and reports whether there was something to
 // write.
 func (t *term) writeBatch(ctx context.Context) bool {
-	progress, records := t.nextBatch()
+	b := t.nextBatch()
+	records := b.records()
 	if len(records) == 0 {
 		return false
 	}
@@ -152,7 +161,7 @@
 		}
 		return false
 	}
-	t.committed(progress, records)
+	t.committed(b)
 	return true
 }
 
@@ -174,11 +183,11 @@
 	return out
 }
 
-func (t *term) committed(progress []execution.ProgressWrite, records []jobstore.Record) {
+func (t *term) committed(b batch) {
 	t.mu.Lock()
-	t.core.Committed(progress)
+	t.core.Committed(b.progress)
 	t.wakeAcknowledgedLocked()
-	for _, r := range records[len(progress):] {
+	for _, r := range b.others {
 		t.written[r.Key] = string(r.Value)
 		if done := t.onWritten[r.Key]; done != nil {
 			close(done)
--- a/owner/write_test.go
+++ b/owner/write_test.go
@@ -28,9 +28,10 @@
 	}
 	tm.records[jobstore.WaitingKey] = []byte("{}")
 	tm.mu.Unlock()
-	progress, records := tm.nextBatch()
-	if len(records) != tm.writer.MaxRecords() || len(progress) == 0 {
-		t.Errorf("%d records, %d of them progress; want a full transaction of both", len(records), len(progress))
+	b := tm.nextBatch()
+	records := b.records()
+	if len(records) != tm.writer.MaxRecords() || len(b.progress) == 0 {
+		t.Errorf("%d records, %d of them progress; want a full transaction of both", len(records), len(b.progress))
 	}
 	if !slices.ContainsFunc(records, func(r jobstore.Record) bool { return r.Key == jobstore.WaitingKey }) {
 		t.Error("the counts have no place in the transaction")
