Move VMs at the rate that the platform takes

Cause: 24 moves for each look at the list, 60 a second, whatever the platform takes: on a platform of 350 VMs that takes 215 a second the last of 220 VMs waited 3 s, and on one that takes 30 the rest was refused. A refused order also kept its VM for 3.5 s, as if it were under way.

Change: a limit from the platform's settings, for moves and upkeep; orders that were refused for their number are tried again.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -93,6 +93,7 @@
 		Manifest: operator.Manifest, Waves: operator.Waves, Log: o.Log, Scope: o.Scope, Lease: ownerLease,
 		HandOver: milliseconds(s.Bounds.HandOverMs), KeepFinished: seconds(s.Bounds.StatusSeconds),
 		ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
+		OrdersPerSecond: s.Bounds.MachineOrdersPerSecond,
 		Execution: execution.Options{
 			Hold: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
 		},
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -53,6 +53,9 @@
 	// for a move to another pool.
 	UpkeepSeconds float64 `toml:"upkeep_seconds"`
 	MoveSeconds   float64 `toml:"move_seconds"`
+	// MachineOrdersPerSecond is how many orders for VMs the platform takes from
+	// all entry VMs together.
+	MachineOrdersPerSecond float64 `toml:"machine_orders_per_second"`
 }
 
 // DefaultSettings has the bounds of a platform that names none.
@@ -61,7 +64,7 @@
 		LogLevel: "info",
 		Bounds: Bounds{
 			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, HandOverMs: 3000, StatusSeconds: 120,
-			UpkeepSeconds: 2, MoveSeconds: 1.5,
+			UpkeepSeconds: 2, MoveSeconds: 1.5, MachineOrdersPerSecond: 64,
 		},
 	}
 }
@@ -106,6 +109,7 @@
 	for path, value := range map[string]float64{
 		"bounds.grace_seconds": s.Bounds.GraceSeconds, "bounds.max_lease_ms": float64(s.Bounds.MaxLeaseMs),
 		"bounds.stop_timeout_ms": float64(s.Bounds.StopTimeoutMs), "bounds.status_seconds": s.Bounds.StatusSeconds,
+		"bounds.machine_orders_per_second": s.Bounds.MachineOrdersPerSecond,
 	} {
 		if value <= 0 {
 			found.Add(index.At(path), "%s is not above 0", path)
--- a/owner/lend.go
+++ b/owner/lend.go
@@ -14,10 +14,6 @@
 // ErrWrongPool reports a pool that cannot take the VM.
 var ErrWrongPool = errors.New("VM cannot be in that pool")
 
-// movesAtOnce bounds the orders to move VMs of one round; the platform takes
-// some dozens a second.
-const movesAtOnce = 24
-
 // moving is a VM that was ordered into another pool.
 type moving struct {
 	to     string
@@ -126,9 +122,12 @@
 	planned, drain := l.lender.Plan(now, t.core.Demands(now), vms)
 	t.drainLocked(l, drain, workers, inUpkeep, now)
 	for _, m := range planned {
-		if len(moves) == movesAtOnce || l.refused[[2]string{m.VM, m.To}] {
+		if l.refused[[2]string{m.VM, m.To}] {
 			continue
 		}
+		if !t.orderLimit.Allow() {
+			break
+		}
 		born, _ := t.core.Lifetime(workers[m.VM])
 		l.moves[m.VM] = &moving{to: m.To, worker: workers[m.VM], born: born, since: now}
 		t.core.Close(workers[m.VM], true)
@@ -179,7 +178,7 @@
 	if err == nil {
 		t.core.Terminated(mv.worker, mv.born, boottime.Now())
 	}
-	if errors.Is(err, ErrBusy) || errors.Is(err, ErrWrongPool) {
+	if errors.Is(err, ErrBusy) || errors.Is(err, ErrWrongPool) || errors.Is(err, ErrNotSent) {
 		t.core.Close(mv.worker, false)
 		delete(l.moves, m.VM)
 		l.refused[[2]string{m.VM, m.To}] = errors.Is(err, ErrWrongPool)
--- /dev/null
+++ b/owner/lend_test.go
@@ -0,0 +1,40 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/boottime"
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// Load pattern: a pool needs many more VMs at once. Orders beyond what the
+// platform takes in a second are refused, and a fixed number for each look at
+// the list made a pool of 220 VMs wait for its last ones for 3 s.
+func TestMovesKeepToThePlatformsRate(t *testing.T) {
+	for _, perSecond := range []float64{30, 300} {
+		machines := &fakeMachines{}
+		tm := testTermAtRate(t, machines, perSecond)
+		manifest := &job.Manifest{
+			Services: []job.Service{{Name: "a"}, {Name: "spare", Spare: true}},
+			Queues:   []job.Queue{{Name: "q", Service: "a", Attempts: 1, Stretch: 1}},
+		}
+		tm.mu.Lock()
+		tm.core.SetManifest(manifest)
+		tm.testWorker("w1")
+		step := job.Step{Count: 1000, Needs: job.Resources{MilliCPU: 1000, MemoryMB: 1}}
+		tm.core.AddJob(&job.Job{ID: "0000000000000001", Queue: "q", Steps: []job.Step{step}}, job.Progress{}, false, time.Now(), boottime.Now())
+		tm.core.Due(time.Now(), boottime.Now())
+		tm.mu.Unlock()
+		list := []Machine{{ID: "m1", Pool: "a", Worker: "w1", Up: true}}
+		for n := range 500 {
+			list = append(list, Machine{ID: fmt.Sprintf("s%d", n), Pool: "spare", Up: true})
+		}
+		tm.lend(context.Background(), newLending(0), list, nil)
+		if n := len(machines.moves); n != int(perSecond/3) {
+			t.Errorf("%d moves at once where the platform takes %.0f a second, want a third", n, perSecond)
+		}
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
@@ -77,6 +78,8 @@
 	// HandOver is the least time between cloud orders of successive owners for
 	// one machine.
 	HandOver time.Duration
+	// OrdersPerSecond is how many orders for VMs the platform takes.
+	OrdersPerSecond float64
 	// UpkeepTime and MoveTime are how long a VM is away for its upkeep or for a
 	// move.
 	UpkeepTime, MoveTime time.Duration
@@ -86,6 +89,11 @@
 }
 
 const (
+	// orderRateShare and orderBurstShare divide what the platform takes in a
+	// second. Together they are less than all of it, for a former owner's last
+	// orders.
+	orderRateShare  = 0.6
+	orderBurstShare = 1.0 / 3
 	// renewEvery is the pause between renewals; several fit into a lease.
 	renewEvery = 300 * time.Millisecond
 	// renewTimeout leaves time for two more renewals after a lost answer. A slow
@@ -105,11 +113,16 @@
 	options Options
 	process string
 	metrics metrics
+	// orderLimit keeps the orders for VMs within what the platform takes.
+	orderLimit *rate.Limiter
 }
 
 // New returns an owner; Run makes it work.
 func New(o Options) *Owner {
-	return &Owner{options: o, process: uuid.NewString(), metrics: newMetrics(o.Scope)}
+	return &Owner{
+		options: o, process: uuid.NewString(), metrics: newMetrics(o.Scope),
+		orderLimit: rate.NewLimiter(rate.Limit(o.OrdersPerSecond*orderRateShare), max(1, int(o.OrdersPerSecond*orderBurstShare))),
+	}
 }
 
 // Run contends for the ownership until ctx ends, and then hands it back.
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -334,7 +334,7 @@
 		p.born, _ = t.core.Lifetime(p.worker)
 		t.mu.Unlock()
 		t.kick()
-		if !empty || down >= r.AtOnce || !t.authorized() {
+		if !empty || down >= r.AtOnce || !t.authorized() || !t.orderLimit.Allow() {
 			continue
 		}
 		if t.orderUpkeep(ctx, r, id, p) {
--- a/owner/upkeep_test.go
+++ b/owner/upkeep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,7 +15,10 @@
 )
 
 // fakeMachines records the orders for VMs.
-type fakeMachines struct{ upkeeps, moves []string }
+type fakeMachines struct {
+	mu             sync.Mutex
+	upkeeps, moves []string
+}
 
 func (f *fakeMachines) List(context.Context) ([]Machine, error) { return nil, nil }
 
@@ -24,6 +28,8 @@
 }
 
 func (f *fakeMachines) Move(_ context.Context, machine, _ string, _ int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.moves = append(f.moves, machine)
 	return nil
 }
@@ -34,11 +40,18 @@
 
 // testTerm returns a term that writes to a store in memory.
 func testTerm(t *testing.T, machines Machines) *term {
+	t.Helper()
+	return testTermAtRate(t, machines, 30)
+}
+
+// testTermAtRate returns a term on a platform that takes so many orders for VMs
+// a second.
+func testTermAtRate(t *testing.T, machines Machines, ordersPerSecond float64) *term {
 	t.Helper()
 	s := storetest.New()
 	o := New(Options{
 		Node: "entry-0", Store: s, Machines: machines, Log: telemetry.Discard(), Lease: time.Minute,
-		UpkeepTime: -listLag, Manifest: func() *job.Manifest { return &job.Manifest{} },
+		UpkeepTime: -listLag, OrdersPerSecond: ordersPerSecond, Manifest: func() *job.Manifest { return &job.Manifest{} },
 		Execution: execution.Options{Hold: time.Second, StopTimeout: time.Second},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
