Expect a burst to grow like others, and do upkeep on spare VMs first

Cause: the beginning of a burst asks for a part of what it needs a move's time later. A wave took idle VMs of pools as readily as VMs that are off.

Change: for a move's time and a second after its start a burst asks for its pool's first size, times the least growth that other pools' bursts had; a burst is an eighth of the pool's size at least; VMs that are off have their upkeep first.

--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -273,6 +273,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	name := strconv.FormatInt(r.Number, 10)
+	spare := t.core.SparePools()
 	s := maintenance.Snapshot{
 		Pools: []maintenance.Pool{{Name: name, MaxUnavailable: maintenance.Unlimited}},
 		Waves: []maintenance.Wave{{Name: name, Pools: []string{name}, MaxConcurrent: r.concurrency(), AnyRack: true, Done: r.done()}},
@@ -280,6 +281,10 @@
 	for id, p := range r.parts {
 		m, listed := byID[id]
 		vm := maintenance.VM{ID: id, Pool: name, HomePool: name, Busy: t.core.Load(m.Worker)}
+		if !spare[m.Pool] {
+			// Idle VMs of a pool may soon get work; those that are off do not.
+			vm.Busy++
+		}
 		switch {
 		case p.state == machineDraining || p.state == machineDown:
 			vm.State, vm.Wave = maintenance.Planned, name
--- a/owner/write.go
+++ b/owner/write.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		t.options.Log.Info().Str("event", "pool_state").Str("service", d.Pool).Int("vms", vms[d.Pool]).Float64("used_cores", d.Used).
-			Float64("waiting_cores", d.Waiting).Float64("backlog_core_seconds", d.Backlog).Float64("lasting_cores", d.Lasting).Msg("")
+			Float64("waiting_cores", d.Waiting).Float64("backlog_core_seconds", d.Backlog).Float64("arriving_cores", d.Arriving).Float64("lasting_cores", d.Lasting).Msg("")
 		tags := t.metrics.scope.Tagged(map[string]string{"service": d.Pool})
 		tags.Gauge("pool_vms").Update(float64(vms[d.Pool]))
 		tags.Gauge("pool_used_cores").Update(d.Used)
--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -59,8 +59,14 @@
 	// headroomVMs are kept idle in each pool, so that a job between bursts does
 	// not wait for a move.
 	headroomVMs = 1.0
-	// burstVMs more than the lasting work and the headroom take is a burst.
-	burstVMs = 3
+	// burstVMs more than the lasting work and the headroom take is a burst, and
+	// in a large pool burstShare of its first size.
+	burstVMs   = 3
+	burstShare = 0.125
+	// rampTime is how long after its start a burst is taken to become as large
+	// as others were, beyond the time of a move: what it asks for by then is
+	// known from its work.
+	rampTime = time.Second
 	// forecastLead is how long before an expected burst VMs are moved, beyond
 	// the time of the move.
 	forecastLead = 400 * time.Millisecond
@@ -94,6 +100,8 @@
 	starts   []time.Duration
 	burstVMs int
 	peak     int
+	// size is how many VMs the pool had when the lender first saw some.
+	size int
 }
 
 type want struct {
@@ -128,10 +136,14 @@
 func (l *Lender) Plan(now time.Duration, demands []Demand, vms []LentVM) (moves []Move, drain []string) {
 	pools := map[string]*lendingPool{}
 	var order []*lendingPool
+	sizes := map[string]int{}
+	for _, vm := range vms {
+		sizes[vm.Pool]++
+	}
 	for _, d := range demands {
 		p := &lendingPool{Demand: d}
 		if !d.Spare {
-			p.wanted, p.lend, p.kept = l.target(now, d)
+			p.wanted, p.lend, p.kept = l.target(now, d, sizes[d.Pool])
 		}
 		pools[d.Pool] = p
 		order = append(order, p)
@@ -209,18 +221,24 @@
 
 // target returns how many VMs a pool needs now, keeps when other pools need
 // some, and keeps when none does.
-func (l *Lender) target(now time.Duration, d Demand) (wanted, lend, kept int) {
+func (l *Lender) target(now time.Duration, d Demand, vms int) (wanted, lend, kept int) {
 	h := l.pools[d.Pool]
 	if h == nil {
 		h = &lendingHistory{since: now}
 		l.pools[d.Pool] = h
 	}
+	if h.size == 0 {
+		h.size = vms
+	}
 	size := max(d.CoresPerVM, 1)
 	cores := max(d.Used+min(d.Waiting, d.Backlog/clearTime.Seconds()), d.Lasting+d.Arriving)
 	wanted = max(int(math.Ceil(cores/size+headroomVMs/2)), 1)
 	base := int(math.Ceil(d.Lasting/size + headroomVMs))
 	h.observe(now, wanted, base, l.options.Keep)
-	if h.expects(now, l.options.MoveTime+forecastLead) {
+	switch {
+	case h.begins(now, l.options.MoveTime+rampTime):
+		wanted = max(wanted, int(l.burstGrowth()*float64(h.size)))
+	case h.expects(now, l.options.MoveTime+forecastLead):
 		wanted = max(wanted, h.burstVMs)
 	}
 	lend = max(base, h.largest())
@@ -230,17 +248,44 @@
 	return wanted, lend, lend
 }
 
+// burstGrowth is by how much a burst at least exceeds the first size of its
+// pool: the least of the pools that had one, or 1.
+func (l *Lender) burstGrowth() float64 {
+	least := math.Inf(1)
+	for _, h := range l.pools {
+		if h.burstVMs > 0 && h.size > 0 {
+			least = min(least, float64(h.burstVMs)/float64(h.size))
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 1
+	}
+	return max(least, 1)
+}
+
+// begins reports whether a burst began within ramp, as seen from before it.
+func (h *lendingHistory) begins(now, ramp time.Duration) bool {
+	if !h.inBurst {
+		return false
+	}
+	start := h.starts[len(h.starts)-1]
+	return start > h.since && now-start < ramp
+}
+
+// threshold is how many VMs make a burst, beyond the usual ones.
+func (h *lendingHistory) threshold() int { return max(burstVMs, int(burstShare*float64(h.size))) }
+
 func (h *lendingHistory) observe(now time.Duration, wanted, base int, keep time.Duration) {
 	h.peaks = append(h.peaks, want{now, wanted})
 	h.peaks = slices.DeleteFunc(h.peaks, func(w want) bool { return now-w.at > keep })
 	switch {
-	case !h.inBurst && wanted >= base+burstVMs:
+	case !h.inBurst && wanted >= base+h.threshold():
 		h.inBurst, h.peak = true, wanted
 		h.starts = append(h.starts, now)
 		if len(h.starts) > 3 {
 			h.starts = h.starts[1:]
 		}
-	case h.inBurst && h.largest() < base+burstVMs:
+	case h.inBurst && h.largest() < base+h.threshold():
 		h.inBurst, h.burstVMs = false, h.peak
 	}
 	if h.inBurst {
--- a/scheduler/capacity/lending_test.go
+++ b/scheduler/capacity/lending_test.go
@@ -60,6 +60,40 @@
 	}
 }
 
+// Load pattern: the first burst of a pool that holds many VMs begins with a part
+// of its load. The lender switched off the VMs that the beginning did not need,
+// and a moment later the burst did (niederalm-cut-grown quiet-1: 70 VMs, then
+// 34, then 123).
+func TestBeginningBurstKeepsThePool(t *testing.T) {
+	l := NewLender(LendingOptions{})
+	spare := Demand{Pool: "spare", Spare: true}
+	vms := idleVMs("a", 70)
+	l.Plan(0, []Demand{spare, pool("a", 0, 0)}, vms)
+	if moves, _ := l.Plan(time.Second, []Demand{spare, pool("a", 20*testCores, 0)}, vms); len(moves) > 0 {
+		t.Errorf("%d VMs leave the pool as its burst begins", len(moves))
+	}
+	if moves, _ := l.Plan(10*time.Second, []Demand{spare, pool("a", 20*testCores, 0)}, vms); len(moves) < 40 {
+		t.Errorf("%d VMs leave the pool once its burst turns out smaller", len(moves))
+	}
+}
+
+// Load pattern: the queues of several pools burst by turns. How much the first
+// burst exceeded its pool tells what the next one needs.
+func TestBurstIsExpectedToGrowLikeOthers(t *testing.T) {
+	l := NewLender(LendingOptions{Keep: 100 * time.Millisecond})
+	spare := Demand{Pool: "spare", Spare: true}
+	vms := append(idleVMs("a", 10), idleVMs("b", 20)...)
+	vms = append(vms, idleVMs("spare", 40)...)
+	l.Plan(0, []Demand{spare, pool("a", 0, 0), pool("b", 0, 0)}, vms)
+	l.Plan(time.Second, []Demand{spare, pool("a", 20*testCores, 0), pool("b", 0, 0)}, vms)
+	l.Plan(5*time.Second, []Demand{spare, pool("a", 0, 0), pool("b", 0, 0)}, vms)
+	l.Plan(6*time.Second, []Demand{spare, pool("a", 0, 0), pool("b", 0, 0)}, vms)
+	moves, _ := l.Plan(7*time.Second, []Demand{spare, pool("a", 0, 0), pool("b", 8*testCores, 0)}, vms)
+	if n := countMoves(moves, "spare", "b"); n < 15 {
+		t.Errorf("%d VMs for a burst in a pool of 20, after another doubled its pool", n)
+	}
+}
+
 // Load pattern: a queue's turn is over. Its VMs stay for a while, in case more
 // comes, and are then switched off but for the headroom.
 func TestIdleVMsAreSwitchedOff(t *testing.T) {
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -95,6 +95,17 @@
 	return demands
 }
 
+// SparePools returns the services whose VMs are off.
+func (c *Core) SparePools() map[string]bool {
+	spare := map[string]bool{}
+	for _, s := range c.manifest.Services {
+		if s.Spare {
+			spare[s.Name] = true
+		}
+	}
+	return spare
+}
+
 func cores(milliCPU int64) float64 { return float64(milliCPU) / 1000 }
 
 // WorkersByService counts the workers that can take work.
