--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -292,6 +292,9 @@
 	if e.Reason != "" {
 		entry = entry.Str("reason", e.Reason)
 	}
+	if e.Detail != "" {
+		entry = entry.Str("detail", e.Detail)
+	}
 	if e.Took > 0 {
 		entry = entry.Str("took_ms", strconv.FormatInt(e.Took.Milliseconds(), 10))
 	}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -1,6 +1,10 @@
 package execution
 
-import "slices"
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
 
 // Close keeps new work away from a worker, before a planned stop of its VM, or
 // opens it again.
@@ -66,11 +70,34 @@
 	}
 	for _, cp := range w.inOrder {
 		if !cp.stopWanted && cp.phase == running && (force || cp.item.step.spec.LongRunning || cp.item.step.spec.SavesProgress) {
-			cp.stopWanted = c.mayStop(cp, now)
+			c.stopIfAllowed(cp, now)
 		}
 	}
 }
 
+// stopIfAllowed wants a run ended for planned work if availability allows it.
+func (c *Core) stopIfAllowed(cp *itemCopy, now Time) {
+	cp.stopWanted = c.mayStop(cp, now)
+	if s := cp.item.step; cp.stopWanted && s.spec.MaxUnavailable > 0 {
+		c.trace(Event{
+			Name: "run_ended_for_plan", Item: cp.item.id().String(), Run: cp.run, Worker: cp.worker.ID,
+			Detail: s.availability(now),
+		})
+	}
+}
+
+// availability says of each item of a step how far it is and how old the report
+// about it is, for the log.
+func (s *step) availability(now Time) string {
+	var b strings.Builder
+	for n := range s.items {
+		for _, cp := range s.items[n].copies {
+			fmt.Fprintf(&b, "%d:%d%%:%dms,", n, cp.percent, (now - cp.worker.clockAt).Milliseconds())
+		}
+	}
+	return strings.TrimSuffix(b.String(), ",")
+}
+
 // evacuateDraining moves long-running items off workers that will leave.
 func (c *Core) evacuateDraining(now Time) {
 	for _, w := range c.sorted {
@@ -79,7 +106,7 @@
 		}
 		for _, cp := range w.inOrder {
 			if !cp.stopWanted && cp.phase == running && cp.item.step.spec.LongRunning {
-				cp.stopWanted = c.mayStop(cp, now)
+				c.stopIfAllowed(cp, now)
 			}
 		}
 	}
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -166,6 +166,8 @@
 	Service string
 	Run     int64
 	Reason  string
+	// Detail is what decided it.
+	Detail string
 	// Took is how long the run or the job took.
 	Took time.Duration
 }
