Count an item that is about to serve its users as serving

Cause: a wave ended an item of a step with one allowed absence whose last report, 250 ms old, showed it at 90%: taken to be idle, so that the budget was not asked. Ruled out: the takeover before, and the crash at 9.6 s; the log of the decision shows both items on sound workers.

Change: an item is idle only below 50%, by a report of at most 300 ms, and if it cannot be done at twice its pace by the time an order to stop arrives.

--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -130,6 +130,33 @@
 	}
 }
 
+// A wave ended an item that its last report, 250 ms old, showed at 90 %. It had
+// begun to serve its users meanwhile, while another of its step was away (AVAIL,
+// niederalm-cut trouble-3, 5 of 39 plays).
+func TestItemAboutToServeCountsAsServing(t *testing.T) {
+	for _, c := range []struct {
+		percent int
+		started time.Duration
+		stops   int
+	}{
+		{percent: 90, started: 1500 * time.Millisecond, stops: 0},
+		{percent: 30, started: 300 * time.Millisecond, stops: 0},
+		{percent: 10, started: 1500 * time.Millisecond, stops: 1},
+	} {
+		b := newBench(t, 0)
+		lastingPair(b)
+		b.after(c.started)
+		b.report("w1", Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 20}}})
+		b.report("w2", Report{Running: []RunningItem{{Run: testRun(jobA, 1, 1), Percent: c.percent}}})
+		b.after(250 * time.Millisecond)
+		b.core.Close("w2", true)
+		b.core.Evacuate("w2", true, b.now)
+		if o := b.round(); len(o.Stops) != c.stops {
+			t.Errorf("%d stops of an item at %d%% after %v, want %d", len(o.Stops), c.percent, c.started, c.stops)
+		}
+	}
+}
+
 func TestEvacuationTakesOneItemAtATime(t *testing.T) {
 	b := newBench(t, 0)
 	lastingPair(b)
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Close keeps new work away from a worker, before a planned stop of its VM, or
@@ -148,10 +149,29 @@
 	return cp.phase == running && !cp.stopWanted && cp.percent >= 100 && now-cp.worker.clockAt < contactFresh
 }
 
-// knownIdle reports whether a long-running item has not begun to serve its
-// users, as of a recent report. Without one it may have.
+const (
+	// idleFresh is how old a report may be that shows an item before it serves
+	// its users: a worker is held several times a second.
+	idleFresh = 300 * time.Millisecond
+	// idlePercent is how far such an item may be. One that was slowed down can
+	// go on at full speed at any time.
+	idlePercent = 50
+	// stopArrives is how long an order to stop may be under way.
+	stopArrives = 300 * time.Millisecond
+	// idleHaste is how much faster than so far the item may go on.
+	idleHaste = 2
+)
+
+// knownIdle reports whether a long-running item has certainly not begun to
+// serve its users by the time at which an order to stop arrives.
 func (cp *itemCopy) knownIdle(now Time) bool {
-	return cp.phase == running && cp.percent < 100 && now-cp.worker.clockAt < contactFresh
+	age := now - cp.worker.clockAt
+	if cp.phase != running || cp.percent >= idlePercent || age > idleFresh {
+		return false
+	}
+	ran := max(cp.worker.clockAt-cp.startedAt, time.Millisecond)
+	ahead := idleHaste * float64(cp.percent) * float64(age+stopArrives) / float64(ran)
+	return float64(cp.percent)+ahead < 100
 }
 
 // Called reports whether a worker has answered this owner.
