--- a/command/command.go
+++ b/command/command.go
@@ -249,11 +249,15 @@
 }
 
 func (t *tool) status() *cobra.Command {
+	var storeAddress string
 	c := &cobra.Command{
 		Use:   "status",
-		Short: "Show pools, VMs that do not serve, waves and availability budgets",
+		Short: "Show pools, VMs that do not serve, waves and availability budgets, or the jobs in a store",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if storeAddress != "" {
+				return t.jobStatus(c.Context(), storeAddress)
+			}
 			var answer operator.StatusAnswer
 			if err := t.call(c.Context(), http.MethodGet, "/v1/status", nil, &answer); err != nil {
 				return err
@@ -262,6 +266,7 @@
 		},
 	}
 	t.outputFlag(c, "text", "json")
+	c.Flags().StringVar(&storeAddress, "store", "", "show the jobs in the platform's store at this IP:port instead")
 	return c
 }
 
--- a/development/jobs.go
+++ b/development/jobs.go
@@ -56,7 +56,7 @@
 		if !awaitOwner(ctx, p) {
 			return nil
 		}
-		log.Info().Str("event", "ready").Str("callers", options.CallerListen).Str("queue", JobQueue).Msg("")
+		log.Info().Str("event", "ready").Str("callers", options.CallerListen).Str("queue", JobQueue).Str("store", p.Addr()).Msg("")
 		return nil
 	})
 	return group.Wait()
--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -440,3 +440,21 @@
 	}
 	c.await(3*time.Second, "end of the cancelled runs", func() bool { return c.platform.Running(j.ID) == 0 })
 }
+
+// The state of the jobs has to be readable by the tool while no entry VM runs.
+func TestStatusShowsJobs(t *testing.T) {
+	c := startJobs(t, 1, map[string]int{"artwork": 2, "spare": 1}, "spare")
+	j := c.testJob("work=20ms")
+	if err := submitUntilAccepted(context.Background(), c.requester(), j); err != nil {
+		t.Fatal(err)
+	}
+	c.check([]*job.Job{j}, 20*time.Second)
+	c.entries[0].kill()
+	out, err := exec.Command(filepath.Join(programs, "dotterelhead"), "status", "--store", c.platform.Addr()).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	if !strings.Contains(string(out), "completed  1\n") {
+		t.Errorf("the job is not shown as completed:\n%s", out)
+	}
+}
