Let the soak disturb connections, and mend what it found at once

The soak now runs with relays before the store, each worker and each entry VM's callers, which hold bytes up, lose what goes one way, or reset connections.

Now only a run that a report has listed ends with a lifetime; the others are unresolved until the worker's next report. Ruled out: the relays.

--- a/processtest/harness_test.go
+++ b/processtest/harness_test.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -354,91 +353,6 @@
 	return addresses
 }
 
-// relay passes the peer traffic of one entry VM on. While it is cut, open
-// connections stay silent and new ones get no answer.
-type relay struct {
-	listener net.Listener
-	target   string
-
-	mu    sync.Mutex
-	cut   func(client net.Addr) bool
-	conns map[net.Conn]bool
-}
-
-func nothing(net.Addr) bool    { return false }
-func everything(net.Addr) bool { return true }
-
-func newRelay(t *testing.T, target string) *relay {
-	t.Helper()
-	listener, err := net.Listen("tcp", freeAddresses(t, 1)[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{listener: listener, target: target, cut: nothing, conns: map[net.Conn]bool{}}
-	t.Cleanup(func() {
-		listener.Close()
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		for conn := range r.conns {
-			conn.Close()
-		}
-	})
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go r.pass(conn)
-		}
-	}()
-	return r
-}
-
-func (r *relay) address() string { return r.listener.Addr().String() }
-
-// setCut cuts the connections for which the function returns true.
-func (r *relay) setCut(cut func(client net.Addr) bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cut = cut
-}
-
-func (r *relay) pass(client net.Conn) {
-	server, err := net.Dial("tcp", r.target)
-	if err != nil {
-		client.Close()
-		return
-	}
-	r.mu.Lock()
-	r.conns[client], r.conns[server] = true, true
-	r.mu.Unlock()
-	go r.copy(server, client, client.RemoteAddr())
-	r.copy(client, server, client.RemoteAddr())
-}
-
-func (r *relay) copy(to, from net.Conn, client net.Addr) {
-	defer to.Close()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if n > 0 && !r.isCut(client) {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-func (r *relay) isCut(client net.Addr) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cut(client)
-}
-
 // cutPeers cuts an entry VM off from its peers in both directions. Entry VMs
 // call their peers from the IP address of their own peer listener.
 func (c *cluster) cutPeers(e *entry) {
--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -31,13 +31,20 @@
 	dir      string
 	entries  []*jobEntry
 	sequence int
+
+	mu sync.Mutex
+	// workers passes the calls to each worker.
+	workers []*relay
 }
 
+// jobEntry is an entry VM behind relays: callers passes the calls of
+// requesters, store its own calls to the platform.
 type jobEntry struct {
-	node, caller, config string
-	log                  *os.File
-	process              *exec.Cmd
-	exited               chan struct{}
+	node, config   string
+	callers, store *relay
+	log            *os.File
+	process        *exec.Cmd
+	exited         chan struct{}
 }
 
 const (
@@ -50,11 +57,19 @@
 func startJobs(t *testing.T, entries int, pools map[string]int, spare string) *jobCluster {
 	t.Helper()
 	t.Parallel()
-	p, err := jobplatform.Start(jobplatform.Options{Pools: pools, Spare: spare})
+	c := &jobCluster{T: t, dir: t.TempDir()}
+	if *soakLogs != "" {
+		dir, err := os.MkdirTemp(*soakLogs, strings.ReplaceAll(t.Name(), "/", "-")+"-")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.dir = dir
+	}
+	p, err := jobplatform.Start(jobplatform.Options{Pools: pools, Spare: spare, Advertise: c.relayWorker})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &jobCluster{T: t, platform: p, dir: t.TempDir()}
+	c.platform = p
 	t.Cleanup(func() {
 		for _, e := range c.entries {
 			e.kill()
@@ -75,6 +90,19 @@
 	return c
 }
 
+// relayWorker returns the address of a relay in front of a worker.
+func (c *jobCluster) relayWorker(address string) string {
+	r, err := startRelay(c.T, "127.0.0.1:0", address)
+	if err != nil {
+		c.Errorf("relay of worker %s: %v", address, err)
+		return address
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers = append(c.workers, r)
+	return r.address()
+}
+
 func (c *jobCluster) publish(version int64) {
 	c.Helper()
 	err := c.platform.Publish("op/config", jobplatform.Manifest(version, []jobplatform.Route{
@@ -97,9 +125,13 @@
 
 func (c *jobCluster) newEntry(node string) *jobEntry {
 	c.Helper()
-	e := &jobEntry{node: node, caller: freeAddress(c.T), config: filepath.Join(c.dir, node+".toml")}
+	caller := freeAddress(c.T)
+	e := &jobEntry{
+		node: node, config: filepath.Join(c.dir, node+".toml"),
+		callers: newRelay(c.T, caller), store: newRelay(c.T, c.platform.Addr()),
+	}
 	text := fmt.Sprintf("node = %q\ncaller_listen = %q\nready_listen = %q\nstore_address = %[4]q\nmachines_address = %[4]q\nadvice_address = %[4]q\n[bounds]\ngrace_seconds = 4\nhand_over_ms = 500\nupkeep_seconds = 0.2\nmove_seconds = 0.2\n",
-		node, e.caller, freeAddress(c.T), c.platform.Addr())
+		node, caller, freeAddress(c.T), e.store.address())
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		c.Fatal(err)
 	}
@@ -180,7 +212,7 @@
 	c.Helper()
 	var callers []string
 	for _, e := range c.entries {
-		callers = append(callers, e.caller)
+		callers = append(callers, e.callers.address())
 	}
 	r, err := platform.NewRequester(callers, testQueue)
 	if err != nil {
--- a/processtest/soak_test.go
+++ b/processtest/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 var (
 	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds of TestJobSoak")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of TestJobSoak")
+	soakLogs  = flag.String("soak.logs", "", "directory that keeps the logs of entry VMs; by default they are removed")
 )
 
 const (
@@ -26,8 +28,9 @@
 // TestJobSoak runs entry VMs as processes under series of faults that are drawn
 // from a seed: processes are killed, paused, stopped and started again; the
 // store is down, loses answers, drops its history, or leaves watches silent;
-// orders are carried out late and workers start again; manifests and a wave
-// come meanwhile. It guards against accepted jobs that are lost, and against
+// connections to the store, to workers and of requesters are held up, reset, or
+// lose what goes one way; orders are carried out late and workers start again;
+// manifests and a wave come meanwhile. It guards against accepted jobs that are lost, and against
 // what the workers must not see. Fifty seeds by hand:
 //
 //	go test ./processtest -run JobSoak -soak.seeds 50 -timeout 30m
@@ -48,7 +51,7 @@
 	var jobs []*job.Job
 	version := int64(1)
 	for range soakSteps {
-		fault := random.IntN(11)
+		fault := random.IntN(14)
 		t.Logf("seed %d: fault %d", seed, fault)
 		c.soakFault(random, fault, &version)
 		jobs = append(jobs, c.load(2+random.IntN(4), "work=120ms", 10*time.Millisecond)...)
@@ -58,6 +61,7 @@
 	for _, e := range c.entries {
 		e.signal(syscall.SIGCONT)
 	}
+	c.healRelays()
 	c.check(jobs, soakSettle)
 	for id, n := range c.platform.Upkeeps() {
 		if n > 1 {
@@ -111,5 +115,47 @@
 		*version += int64(1 + random.IntN(3))
 		c.publish(*version)
 		e.signal(syscall.SIGHUP)
+	case 11:
+		c.disturb(random, e.store)
+	case 12:
+		c.disturb(random, e.callers)
+	case 13:
+		c.mu.Lock()
+		r := c.workers[random.IntN(len(c.workers))]
+		c.mu.Unlock()
+		c.disturb(random, r)
+	}
+}
+
+// disturb holds up a relay's connections, loses what goes one way, or resets
+// them. All but the reset last for up to 3 s.
+func (c *jobCluster) disturb(random *rand.Rand, r *relay) {
+	lasts := time.Duration(200+random.IntN(2800)) * time.Millisecond
+	delay := time.Duration(20+random.IntN(400)) * time.Millisecond
+	switch random.IntN(4) {
+	case 0:
+		r.setFault(relayFault{Delay: delay})
+	case 1:
+		r.setFault(relayFault{LoseRequests: true})
+	case 2:
+		r.setFault(relayFault{LoseAnswers: true})
+	case 3:
+		r.reset()
+	}
+	time.AfterFunc(lasts, func() { r.setFault(relayFault{}) })
+}
+
+// healRelays ends the faults of all relays, and the connections that stay
+// silent.
+func (c *jobCluster) healRelays() {
+	c.mu.Lock()
+	relays := slices.Clone(c.workers)
+	c.mu.Unlock()
+	for _, e := range c.entries {
+		relays = append(relays, e.callers, e.store)
+	}
+	for _, r := range relays {
+		r.setFault(relayFault{})
+		r.reset()
 	}
 }
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -91,6 +91,33 @@
 	return Run{Item: job.ItemID{Job: id, Index: index}, Run: run}
 }
 
+// A worker that had started again got a start and confirmed it before the owner
+// knew of its new lifetime. The owner then took the run to have ended with the
+// former lifetime and started the item elsewhere as well (soak, seed 105).
+func TestStartInANewLifetimeCounts(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	restarted := testWorker("w1", 1000)
+	restarted.Born = 2
+	b.core.WorkerSeen(restarted, b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	if o := b.round(); len(o.Starts) > 0 {
+		t.Fatalf("started %v while the new lifetime may run the item", o.Starts)
+	}
+	b.report("w1", Report{Born: 2, Running: []RunningItem{{Run: start.Run, Percent: 10}}})
+	if o := b.round(); len(o.Starts)+len(o.Stops) > 0 {
+		t.Fatalf("orders %+v about an item that runs", o)
+	}
+	restarted.Born = 3
+	b.core.WorkerSeen(restarted, b.now)
+	if o := b.round(); len(o.Starts) != 1 || o.Starts[0].Worker.ID != "w2" {
+		t.Fatalf("starts %v; a run that was listed has ended with its lifetime", o.Starts)
+	}
+}
+
 // An adopted run was forgotten in the next round, because the new owner had
 // granted no lease on its worker, and its room was given away.
 func TestAdoptedRunKeepsItsRoom(t *testing.T) {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -115,6 +115,7 @@
 		if cp.phase != running {
 			c.confirm(cp, now)
 		}
+		cp.listed = true
 		if row.Percent != cp.percent {
 			cp.percent, cp.progressedAt = row.Percent, now
 		}
@@ -143,7 +144,7 @@
 	if i != nil && !i.done && !j.final() && len(i.copies) == 0 {
 		cp := c.addCopy(i, w, row.Run.Run, running, now)
 		w.lapseAt = max(w.lapseAt, now+c.leaseBound())
-		cp.adopted = true
+		cp.adopted, cp.listed = true, true
 		c.confirm(cp, now)
 		cp.percent, cp.load = row.Percent, row.Load
 		if row.Saved != "" {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -37,6 +37,9 @@
 	stopConfirmedAt Time
 	// adopted is set for runs that a former owner started.
 	adopted bool
+	// listed is set once a report showed the run in the present lifetime of the
+	// worker.
+	listed bool
 	// percent is the progress, which last changed at progressedAt.
 	percent      int
 	progressedAt Time
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -15,15 +15,15 @@
 	w.Worker, w.present = info, true
 }
 
-// reborn notes that a worker runs nothing of its former lifetime. A start that
-// is still under way may reach the new one.
+// reborn notes that a worker runs nothing of its former lifetime. A start may
+// have reached the new one before the owner knew of it, or may yet reach it.
 func (c *Core) reborn(w *worker, now Time) {
 	for _, cp := range copiesOf(w) {
-		if cp.phase == running {
+		if cp.listed {
 			c.lose(cp, "worker_restarted", now)
 			continue
 		}
-		cp.phase, cp.stopConfirmedAt = unresolved, 0
+		cp.phase, cp.confirmedAt, cp.stopConfirmedAt = unresolved, now, 0
 	}
 	for _, r := range orphansOf(w) {
 		c.dropOrphan(w, r)
--- a/standin/jobplatform/platform.go
+++ b/standin/jobplatform/platform.go
@@ -24,6 +24,9 @@
 	// off.
 	Pools map[string]int
 	Spare string
+	// Advertise, if set, returns the address that a worker registers in place
+	// of its own.
+	Advertise func(address string) string
 	// MoveTime and UpkeepTime are how long a VM is away.
 	MoveTime, UpkeepTime time.Duration
 }
@@ -241,6 +244,10 @@
 		return errors.WithStack(err)
 	}
 	w.address = l.Addr().String()
+	w.registered = w.address
+	if p.options.Advertise != nil {
+		w.registered = p.options.Advertise(w.address)
+	}
 	m.worker = w
 	m.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
 	go m.server.Serve(l)
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -22,8 +22,10 @@
 	service  string
 	rack     string
 	address  string
-	born     int64
-	started  time.Time
+	// registered is the address in the registry.
+	registered string
+	born       int64
+	started    time.Time
 
 	mu       sync.Mutex
 	draining bool
@@ -310,7 +312,7 @@
 		state = "draining"
 	}
 	value, err := json.Marshal(map[string]any{
-		"service": w.service, "addr": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "machine": w.machine,
+		"service": w.service, "addr": w.registered, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "machine": w.machine,
 		"coldLeftMs": 0, "born": w.born, "labels": []string{"a", w.rack}, "clockMs": w.clock(), "seq": 1,
 		"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0},
 	})
