Hand the ownership over to a much larger entry VM

Change: an entry VM with 1.5 times the owner's part of a core asks for the ownership once the owner has had it for 2 s; the owner hands it over as at a planned stop.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -92,7 +92,7 @@
 		Node: s.Node, Store: st, Workers: platform.NewWorkers(), Registry: &platform.Registry{Store: st, Log: o.Log},
 		Manifest: operator.Manifest, Waves: operator.Waves, Log: o.Log, Scope: o.Scope, Lease: ownerLease,
 		HandOver: milliseconds(s.Bounds.HandOverMs), KeepFinished: seconds(s.Bounds.StatusSeconds),
-		ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
+		CPUShare: s.CPUShare, ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
 		OrdersPerSecond: s.Bounds.MachineOrdersPerSecond,
 		Execution: execution.Options{
 			Hold: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -6,6 +6,7 @@
 //	progress/ID       what the job has done; written by the owner
 //	owner/lease       the owner; attached to the owner's lease
 //	owner/term        how many owners there have been
+//	owner/challenge   an entry VM that is larger than the owner's asks to be it
 //	owner/holders     workers that may hold leases; written by the owner
 //	owner/orders      VMs that were ordered to move or to upkeep lately
 //	owner/waiting     jobs of each queue of which nothing has started
@@ -23,6 +24,7 @@
 	OwnerPrefix    = "owner/"
 	OwnerKey       = OwnerPrefix + "lease"
 	TermKey        = OwnerPrefix + "term"
+	ChallengeKey   = OwnerPrefix + "challenge"
 	HoldersKey     = OwnerPrefix + "holders"
 	WaitingKey     = OwnerPrefix + "waiting"
 	OrdersKey      = OwnerPrefix + "orders"
--- a/jobstore/lease.go
+++ b/jobstore/lease.go
@@ -17,6 +17,8 @@
 	// Process differs for each process on the entry VM.
 	Process string `json:"process"`
 	Term    int64  `json:"term"`
+	// CPUShare is the part of a core that the entry VM has.
+	CPUShare float64 `json:"cpu_share"`
 }
 
 // Held is an ownership that was acquired.
@@ -44,10 +46,11 @@
 	return claim, item, true, nil
 }
 
-// Acquire tries to become the owner with a lease of ttl. It succeeds if there
+// Acquire tries to become the owner as candidate, with a lease of ttl. It succeeds if there
 // is no owner, or if the owner is a former process of the same entry VM, which
 // has ended. Without ownership it returns nil.
-func Acquire(ctx context.Context, s store.Store, node, process string, ttl time.Duration) (*Held, error) {
+func Acquire(ctx context.Context, s store.Store, candidate Claim, ttl time.Duration) (*Held, error) {
+	node, process := candidate.Node, candidate.Process
 	present, item, ok, err := ReadClaim(ctx, s)
 	if err != nil {
 		return nil, err
@@ -63,7 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	held := &Held{Claim: Claim{Node: node, Process: process, Term: term}, Lease: lease, Inherited: term > 0}
+	candidate.Term = term
+	held := &Held{Claim: candidate, Lease: lease, Inherited: term > 0}
 	value, err := json.Marshal(held.Claim)
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/jobstore/status_test.go
+++ b/jobstore/status_test.go
@@ -15,7 +15,7 @@
 func TestReadStatus(t *testing.T) {
 	s := storetest.New()
 	ctx := context.Background()
-	if held, err := Acquire(ctx, s, "entry-0", "p", time.Minute); err != nil || held == nil {
+	if held, err := Acquire(ctx, s, Claim{Node: "entry-0", Process: "p"}, time.Minute); err != nil || held == nil {
 		t.Fatalf("not acquired: %v", err)
 	}
 	_, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -28,7 +28,7 @@
 		for owner := range rapid.IntRange(1, 3).Draw(t, "owners") {
 			s.Decide = nil
 			node := strconv.Itoa(owner)
-			held, err := Acquire(ctx, s, node, node, time.Minute)
+			held, err := Acquire(ctx, s, Claim{Node: node, Process: node}, time.Minute)
 			if err != nil || held == nil {
 				t.Fatalf("owner %d: not acquired: %v", owner, err)
 			}
@@ -73,14 +73,14 @@
 func TestDeposedOwnerWritesNothing(t *testing.T) {
 	s := storetest.New()
 	ctx := context.Background()
-	first, err := Acquire(ctx, s, "a", "1", time.Minute)
+	first, err := Acquire(ctx, s, Claim{Node: "a", Process: "1"}, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if other, err := Acquire(ctx, s, "b", "1", time.Minute); other != nil || err != nil {
+	if other, err := Acquire(ctx, s, Claim{Node: "b", Process: "1"}, time.Minute); other != nil || err != nil {
 		t.Fatalf("a second owner beside the first: %v, %v", other, err)
 	}
-	second, err := Acquire(ctx, s, "a", "2", time.Minute)
+	second, err := Acquire(ctx, s, Claim{Node: "a", Process: "2"}, time.Minute)
 	if err != nil || second == nil {
 		t.Fatalf("a new process of the owner's VM does not take over: %v", err)
 	}
--- /dev/null
+++ b/owner/handover_test.go
@@ -0,0 +1,78 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/store/storetest"
+	"dotterelhead.example/dotterelhead/telemetry"
+)
+
+// After an outage of the store that spared only small entry VMs one with a fifth
+// of a core owned the jobs of 350 workers to the end of the day: it could not
+// read their reports before their leases lapsed, and started finished items
+// again (niederalm-cut-grown, a mixed day of a hunt: LOST and TWICE).
+func TestSmallOwnerHandsOver(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		challenger float64
+		handsOver  bool
+	}{{"larger", 0.8, true}, {"as large", 0.25, false}, {"not limited", 0, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			tm := testTerm(t, &fakeMachines{})
+			tm.held.CPUShare = 0.2
+			ended := make(chan error, 1)
+			tm.end = func(err error) { ended <- err }
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			challenger := jobstore.Claim{Node: "entry-1", Process: "p", CPUShare: c.challenger}
+			if err := jobstore.Challenge(ctx, tm.options.Store, challenger, time.Minute); err != nil {
+				t.Fatal(err)
+			}
+			go tm.yield(ctx)
+			select {
+			case err := <-ended:
+				if !c.handsOver || !errors.Is(err, errHandedOver) {
+					t.Errorf("the term ended: %v", err)
+				}
+			case <-time.After(3 * challengeEvery / 2):
+				if c.handsOver {
+					t.Error("the owner did not hand over")
+				}
+			}
+		})
+	}
+}
+
+// Only an entry VM that is much larger than the owner's may ask for the
+// ownership, and only once the owner had some time.
+func TestOnlyLargerEntryVMsChallenge(t *testing.T) {
+	o := New(Options{
+		Node: "entry-0", Store: storetest.New(), Log: telemetry.Discard(), CPUShare: 0.4,
+		Manifest: func() *job.Manifest { return &job.Manifest{} },
+	})
+	for _, c := range []struct {
+		owner jobstore.Claim
+		want  bool
+	}{
+		{jobstore.Claim{Node: "entry-1", CPUShare: 0.2}, true},
+		{jobstore.Claim{Node: "entry-1", CPUShare: 0.4}, false},
+		{jobstore.Claim{Node: "entry-1"}, false},
+		{jobstore.Claim{Node: "entry-0", CPUShare: 0.2}, false},
+	} {
+		o.noteOwner(nil)
+		o.noteOwner(&c.owner)
+		if o.outgrown() {
+			t.Errorf("owner %+v is challenged at once", c.owner)
+		}
+		o.seen.since -= challengeAfter
+		if o.outgrown() != c.want {
+			t.Errorf("owner %+v is challenged: %t, want %t", c.owner, !c.want, c.want)
+		}
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -72,6 +73,9 @@
 	Scope tally.Scope
 	// Lease is the time after which another process may become the owner.
 	Lease time.Duration
+	// CPUShare is the part of a core that this entry VM has; 0 means that it is
+	// not limited.
+	CPUShare float64
 	// ContendDelay is how long this process waits before it contends for a
 	// vacant ownership, so that larger entry VMs come first.
 	ContendDelay time.Duration
@@ -115,6 +119,9 @@
 	metrics metrics
 	// orderLimit keeps the orders for VMs within what the platform takes.
 	orderLimit *rate.Limiter
+
+	mu   sync.Mutex
+	seen *seenOwner
 }
 
 // New returns an owner; Run makes it work.
@@ -129,6 +136,7 @@
 func (o *Owner) Run(ctx context.Context) {
 	vacant := make(chan struct{}, 1)
 	go o.watchOwner(ctx, vacant)
+	go o.challenge(ctx)
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -152,9 +160,11 @@
 		for _, item := range claims {
 			var c jobstore.Claim
 			if json.Unmarshal(item.Value, &c) == nil && (c.Node != o.options.Node || c.Process == o.process) {
+				o.noteOwner(&c)
 				return
 			}
 		}
+		o.noteOwner(nil)
 		poke(vacant)
 	}
 	free := false
@@ -184,7 +194,7 @@
 // granted.
 func (o *Owner) contend(ctx context.Context) *term {
 	asked := boottime.Now()
-	held, err := jobstore.Acquire(ctx, o.options.Store, o.options.Node, o.process, o.options.Lease)
+	held, err := jobstore.Acquire(ctx, o.options.Store, o.claim(), o.options.Lease)
 	if err != nil {
 		if ctx.Err() == nil {
 			o.options.Log.Warn().Str("event", "ownership_not_acquired").Err(err).Msg("")
--- a/owner/term.go
+++ b/owner/term.go
@@ -123,7 +123,7 @@
 	t.revoke()
 	waitFor(&t.orders, callTimeout)
 	_ = group.Wait()
-	if errors.Is(reason, errStopped) && t.writer != nil {
+	if (errors.Is(reason, errStopped) || errors.Is(reason, errHandedOver)) && t.writer != nil {
 		t.flush()
 	}
 	t.release(reason)
@@ -138,6 +138,7 @@
 	})
 	group.Go(func() error { t.writeLoop(ctx); return nil })
 	group.Go(func() error { t.rounds(ctx); return nil })
+	group.Go(func() error { t.yield(ctx); return nil })
 	if t.options.Machines != nil {
 		group.Go(func() error { t.upkeep(ctx); return nil })
 	}
--- a/owner/upkeep_test.go
+++ b/owner/upkeep_test.go
@@ -55,7 +55,7 @@
 		Execution: execution.Options{Hold: time.Second, StopTimeout: time.Second},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	held, err := jobstore.Acquire(ctx, s, "entry-0", o.process, time.Minute)
+	held, err := jobstore.Acquire(ctx, s, o.claim(), time.Minute)
 	if err != nil || held == nil {
 		t.Fatalf("not acquired: %v", err)
 	}
