Leave idle workers out of the leases that a planned change passes on

Cause: an owner that stopped named every worker whose lease had not lapsed, also those that ran nothing. With VMs moved and rebooted all the time some of them were gone when the next owner called, and inherited work waited for their leases.

Change: only workers with runs, or with starts or stops in doubt, are named.

--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -306,6 +306,24 @@
 	}
 }
 
+// Load pattern: entry VMs are restarted one after the other while VMs are moved
+// and have their upkeep. The next owner waited for the leases of workers that
+// ran nothing and were gone when it called them.
+func TestPlannedChangeDoesNotWaitForIdleWorkers(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), How: EndDone}}})
+	holders := b.core.Holders(b.now)
+	if _, idle := holders["w1"]; idle || len(holders) != 1 {
+		t.Errorf("holders %v, want the worker that runs something", holders)
+	}
+}
+
 // Each planned change of owner began the wait for a silent worker's lease anew;
 // with entry VMs restarted every 2 s, inherited work waited for 10 s
 // (mastrunk-loans inc-4624).
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -16,9 +16,9 @@
 	c.holdersMoved = true
 }
 
-// Holders returns the workers that may hold leases when this owner gives no
-// more orders, with the longest time that these can last from now. The next
-// owner has to wait no longer.
+// Holders returns the workers that may run something under a lease when this
+// owner gives no more orders, with the longest time that these can last from
+// now. The next owner has to wait no longer.
 func (c *Core) Holders(now Time) map[string]time.Duration {
 	holders := map[string]time.Duration{}
 	for id, until := range c.formerHolders {
@@ -27,7 +27,7 @@
 		}
 	}
 	for _, w := range c.sorted {
-		if !w.lapsed(now) {
+		if !w.lapsed(now) && c.Load(w.ID) > 0 {
 			holders[w.ID] = w.lapseAt - now
 		}
 	}
