Limit the starts that wait for their answers

Load pattern: a burst brings more starts than the owner's processor can send before they time out after 0.3 s.

Change: 128 starts wait at once; the others stay in the order of rank until there is room.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -17,6 +17,10 @@
 	ackWait = 100 * time.Millisecond
 	// retryWait is the pause after a call that a worker did not answer.
 	retryWait = 200 * time.Millisecond
+	// startsUnderWay is how many starts wait for their answers at once. A worker
+	// answers within some milliseconds; when the processor cannot keep up, more
+	// starts would only run into their timeouts, and holds with them.
+	startsUnderWay = 128
 )
 
 // rounds decides whenever something has changed, and every tick.
@@ -51,6 +55,7 @@
 	}
 	t.setManifestLocked()
 	now := boottime.Now()
+	t.core.LimitStarts(max(startsUnderWay-int(t.starting.Load()), 0))
 	orders := t.core.Round(started, now)
 	questions := t.core.Questions(now)
 	t.ensureLoopsLocked(ctx)
@@ -65,7 +70,13 @@
 	}
 	t.mu.Unlock()
 	for _, s := range orders.Starts {
-		t.order(func() { t.sendStart(ctx, s) })
+		t.starting.Add(1)
+		t.order(func() {
+			t.sendStart(ctx, s)
+			if t.starting.Add(-1) == startsUnderWay/2 {
+				t.kick()
+			}
+		})
 	}
 	for _, s := range orders.Stops {
 		t.order(func() { t.sendStop(ctx, s) })
--- a/owner/term.go
+++ b/owner/term.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,7 +80,9 @@
 	wake      chan struct{}
 	wakeWrite chan struct{}
 	orders    sync.WaitGroup
-	end       context.CancelCauseFunc
+	// starting counts the starts that wait for their answers.
+	starting atomic.Int64
+	end      context.CancelCauseFunc
 }
 
 func newTerm(o *Owner, held *jobstore.Held, asked time.Duration) *term {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -38,6 +38,8 @@
 	learner      *runtimes.Learner
 	// queueWork is the mean work of the jobs of each queue in core-seconds.
 	queueWork map[string]float64
+	// startLimit bounds the starts of a round; nil stands for no bound.
+	startLimit *int
 	// arrivals are the new jobs of each service within arrivalWindow.
 	arrivals map[string][]arrival
 }
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -306,6 +306,26 @@
 	}
 }
 
+// Load pattern: a burst brings more starts than the owner's processor can send
+// before they time out. Those that can be sent go to the steps that rank first.
+func TestStartsAreLimited(t *testing.T) {
+	b := newBench(t, 0)
+	b.worker(testWorker("w1", 100_000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 30}), job.Progress{}, false, wall, b.now)
+	b.core.LimitStarts(20)
+	if o := b.round(); len(o.Starts) != 20 {
+		t.Errorf("%d starts, want 20", len(o.Starts))
+	}
+	b.core.LimitStarts(0)
+	if o := b.round(); len(o.Starts) != 0 {
+		t.Errorf("%d starts, want none", len(o.Starts))
+	}
+	b.core.LimitStarts(20)
+	if o := b.round(); len(o.Starts) != 10 {
+		t.Errorf("%d starts, want the other 10", len(o.Starts))
+	}
+}
+
 // Load pattern: entry VMs are restarted one after the other while VMs are moved
 // and have their upkeep. The next owner waited for the leases of workers that
 // ran nothing and were gone when it called them.
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -150,6 +150,10 @@
 	}
 }
 
+// LimitStarts bounds the starts of the next rounds. The members of a gang are
+// started together all the same.
+func (c *Core) LimitStarts(n int) { c.startLimit = &n }
+
 // place starts waiting work items in the order of rank.
 func (c *Core) place(o *Orders, now Time) {
 	if len(c.listed) == 0 {
@@ -176,6 +180,9 @@
 		return cmp.Or(a.rank.compare(b.rank), a.step.id().Compare(b.step.id()))
 	})
 	for _, cand := range candidates {
+		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
+			break
+		}
 		if cand.step.job.inherited && !c.settled {
 			continue
 		}
@@ -254,6 +261,9 @@
 		if !i.waiting() || now < i.notBefore {
 			continue
 		}
+		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
+			return
+		}
 		w := c.choose(i, pool, tickets)
 		if w == nil {
 			return
