Take a VM that is off for back after the time of its upkeep

Cause: a VM without a worker counted as down for its upkeep for 4 s, 2 s for the upkeep and 2 s for the lag of the list, since no worker showed that it was back.

Change: its order was answered, so that it is back 0.3 s after the time that an upkeep takes.

--- a/owner/lend_test.go
+++ b/owner/lend_test.go
@@ -21,9 +21,9 @@
 			Services: []job.Service{{Name: "a"}, {Name: "spare", Spare: true}},
 			Queues:   []job.Queue{{Name: "q", Service: "a", Attempts: 1, Stretch: 1}},
 		}
+		tm.testWorker("w1")
 		tm.mu.Lock()
 		tm.core.SetManifest(manifest)
-		tm.testWorker("w1")
 		step := job.Step{Count: 1000, Needs: job.Resources{MilliCPU: 1000, MemoryMB: 1}}
 		tm.core.AddJob(&job.Job{ID: "0000000000000001", Queue: "q", Steps: []job.Step{step}}, job.Progress{}, false, time.Now(), boottime.Now())
 		tm.core.Due(time.Now(), boottime.Now())
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -67,6 +67,8 @@
 	pausePerVM = 300 * time.Microsecond
 	// listLag is how old the platform's list may be.
 	listLag = 2 * time.Second
+	// upkeepMargin is added to the time that an upkeep takes.
+	upkeepMargin = 300 * time.Millisecond
 	// progressEvery is the pause between log lines of a wave, progressVMs how
 	// many VMs one names.
 	progressEvery = 3 * time.Second
@@ -242,7 +244,10 @@
 			// show the time before.
 			born, registered := t.core.Lifetime(m.Worker)
 			renewed := registered && (m.Worker != p.worker || born != p.born)
-			if renewed || boottime.Now()-p.since > t.options.UpkeepTime+listLag {
+			lasted := boottime.Now() - p.since
+			// A VM that is off shows nothing new; its order was answered at since.
+			off := p.worker == "" && m.Worker == "" && lasted > t.options.UpkeepTime+upkeepMargin
+			if renewed || off || lasted > t.options.UpkeepTime+listLag {
 				p.state = machineDone
 				t.core.Close(p.worker, false)
 			}
--- a/owner/upkeep_test.go
+++ b/owner/upkeep_test.go
@@ -69,6 +69,8 @@
 }
 
 func (t *term) testWorker(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	now := boottime.Now()
 	t.core.WorkerSeen(execution.Worker{ID: id, Service: "a", Born: 1, Capacity: job.Resources{MilliCPU: 1000, MemoryMB: 10}}, now)
 	h, _ := t.core.HoldFor(id, now)
@@ -98,6 +100,29 @@
 	}
 }
 
+// VMs of a spare pool have no worker that could show that they are back. They
+// counted as down for the whole lag of the list, and a wave of 24 VMs of which
+// many were off did not end in time (niederalm-cut inc-3686).
+func TestUpkeepOfAVMThatIsOff(t *testing.T) {
+	tm := testTerm(t, &fakeMachines{})
+	tm.options.UpkeepTime = -upkeepMargin
+	r := tm.newWaveRun(Wave{Number: 1, Machines: []string{"off", "on"}, Duration: time.Minute, AtOnce: 2, SeenAt: time.Now()})
+	tm.testWorker("w1")
+	list := []Machine{{ID: "off", Pool: "spare", Up: true}, {ID: "on", Pool: "a", Worker: "w1", Up: true}}
+	for _, id := range []string{"off", "on"} {
+		r.parts[id].state, r.parts[id].since = machineDown, boottime.Now()
+	}
+	r.parts["on"].worker, r.parts["on"].born = "w1", 1
+	time.Sleep(time.Millisecond)
+	tm.advance(context.Background(), []*waveRun{r}, list, newLending(0))
+	if s := r.parts["off"].state; s != machineDone {
+		t.Errorf("the VM that is off is %s after the time of an upkeep, want done", s)
+	}
+	if s := r.parts["on"].state; s != machineDown {
+		t.Errorf("the VM whose worker is the same as before is %s, want down", s)
+	}
+}
+
 // An upkeep of a former owner has to count against the number of VMs that may
 // be down together (LIMIT).
 func TestVMsTakenDownByAFormerOwnerCount(t *testing.T) {
