Give pools the VMs that spread work needs

Cause: a step of 7 long-running items, at most 2 on a VM, had two VMs in service and two closed for a wave. The waiting item's cores fitted into the pool, so that the lender moved no VM there, but the item could start nowhere; and while it was away the wave could not end the items on the closed VMs.

--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -19,6 +19,9 @@
 	Used, Waiting, Lasting float64
 	// Backlog is the work that waits, in core-seconds.
 	Backlog float64
+	// MinVMs is how many VMs waiting work needs whatever their size, because a
+	// VM may run only some of its items.
+	MinVMs int
 	// Arriving is the rate of new work in core-seconds per second, as far as it
 	// is certain.
 	Arriving float64
@@ -241,6 +244,7 @@
 	case h.expects(now, l.options.MoveTime+forecastLead):
 		wanted = max(wanted, h.burstVMs)
 	}
+	wanted = max(wanted, d.MinVMs)
 	lend = max(base, h.largest())
 	if len(h.starts) == 0 && now-h.since < learnTime {
 		return wanted, lend, math.MaxInt32
--- a/scheduler/capacity/lending_test.go
+++ b/scheduler/capacity/lending_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// A step of 7 long-running items, at most 2 on a VM, had 2 VMs in service while
+// a wave kept the others closed. Its cores fitted, so that the pool got no VM:
+// the item could not start, and the wave could not end the others' VMs while it
+// was away (niederalm-cut mix, seed 45356400644: LOST).
+func TestPoolHoldsTheVMsThatWaitingWorkNeeds(t *testing.T) {
+	l := NewLender(LendingOptions{})
+	d := pool("a", 16, 1.5)
+	d.Lasting, d.MinVMs = 14, 4
+	vms := append(idleVMs("spare", 10), LentVM{ID: "a-0", Pool: "a", Runs: 2, Lasting: true}, LentVM{ID: "a-1", Pool: "a", Runs: 2, Lasting: true},
+		LentVM{ID: "a-2", Pool: "a", Runs: 1, Out: true}, LentVM{ID: "a-3", Pool: "a", Runs: 1, Out: true})
+	moves, _ := l.Plan(0, []Demand{{Pool: "spare", Spare: true}, d}, vms)
+	if n := countMoves(moves, "spare", "a"); n != 2 {
+		t.Errorf("%d VMs for work that needs 4, with 2 in service", n)
+	}
+}
+
 // Load pattern: a queue's turn is over. Its VMs stay for a while, in case more
 // comes, and are then switched off but for the headroom.
 func TestIdleVMsAreSwitchedOff(t *testing.T) {
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -83,6 +83,9 @@
 				waiting++
 			}
 		}
+		if most := s.spec.MaxPerWorker; most > 0 && waiting > 0 {
+			d.MinVMs = max(d.MinVMs, (s.left+most-1)/most)
+		}
 		asked := float64(waiting) * cores(s.spec.Charge().MilliCPU)
 		d.Waiting += asked
 		d.Backlog += asked * c.runTime(s, now).Seconds()
--- a/scheduler/execution/demand_test.go
+++ b/scheduler/execution/demand_test.go
@@ -35,3 +35,19 @@
 		t.Errorf("%.0f cores arrive with a single job, want 0", rate)
 	}
 }
+
+// Waiting work of which a VM may run only two items needs more VMs than its
+// cores tell.
+func TestDemandCountsVMsForSpreadWork(t *testing.T) {
+	b := newBench(t, 0)
+	b.core.SetManifest(&job.Manifest{
+		Services: []job.Service{{Name: testPool}},
+		Queues:   []job.Queue{{Name: testQueue, Service: testPool, Attempts: 2}},
+	})
+	b.worker(testWorker("w1", 16_000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 7, LongRunning: true, MaxPerWorker: 2}), job.Progress{}, false, wall, b.now)
+	b.round()
+	if d := b.core.Demands(b.now)[0]; d.MinVMs != 4 {
+		t.Errorf("%d VMs asked for, want 4", d.MinVMs)
+	}
+}
