Serve pools whose work can start nowhere before bursts

A pool that misses one VM for an item of a spread step came after a bursting one that misses ten, which took all free VMs for the length of its turn.

--- a/scheduler/capacity/lending.go
+++ b/scheduler/capacity/lending.go
@@ -165,8 +165,9 @@
 			p.busy = append(p.busy, vm)
 		}
 	}
+	// Work that no VM of its pool can take comes before work that only waits.
 	slices.SortFunc(order, func(a, b *lendingPool) int {
-		return cmp.Or(cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.Pool, b.Pool))
+		return cmp.Or(cmp.Compare(b.blocked(), a.blocked()), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.Pool, b.Pool))
 	})
 	moves = l.fill(order)
 	drain = emptied(order)
@@ -209,6 +210,9 @@
 
 func (p *lendingPool) missing() int { return p.wanted - p.vms }
 
+// blocked is how many VMs are missing for work that can start nowhere.
+func (p *lendingPool) blocked() int { return max(p.MinVMs-p.vms, 0) }
+
 // surplus is how many idle VMs the pool can give to one that needs them,
 // unused how many it can switch off.
 func (p *lendingPool) surplus() int {
--- a/scheduler/capacity/lending_test.go
+++ b/scheduler/capacity/lending_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// Load pattern: one queue bursts while an item of another can start on no VM of
+// its pool. The burst is missing more VMs and took all that were free.
+func TestBlockedWorkComesBeforeABurst(t *testing.T) {
+	l := NewLender(LendingOptions{})
+	blocked := pool("blocked", 2, 1)
+	blocked.MinVMs = 2
+	vms := append(idleVMs("spare", 2), LentVM{ID: "b-0", Pool: "blocked", Runs: 2, Lasting: true}, LentVM{ID: "a-0", Pool: "a", Runs: 9})
+	moves, _ := l.Plan(0, []Demand{{Pool: "spare", Spare: true}, pool("a", 16, 160), blocked}, vms)
+	if n := countMoves(moves, "spare", "blocked"); n != 1 {
+		t.Errorf("%d VMs for the blocked item, want 1: %v", n, moves)
+	}
+}
+
 // Load pattern: a queue's turn is over. Its VMs stay for a while, in case more
 // comes, and are then switched off but for the headroom.
 func TestIdleVMsAreSwitchedOff(t *testing.T) {
