Take the addresses of job processes from the reserved ports

freeAddress was a second, weaker copy of freeAddresses: a port that the kernel chose could be taken by another test between its release and the start of the process.

--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -113,25 +112,16 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (c *jobCluster) newEntry(node string) *jobEntry {
 	c.Helper()
-	caller := freeAddress(c.T)
+	listen := freeAddresses(c.T, 2)
+	caller, ready := listen[0], listen[1]
 	e := &jobEntry{
 		node: node, config: filepath.Join(c.dir, node+".toml"),
 		callers: newRelay(c.T, caller), store: newRelay(c.T, c.platform.Addr()),
 	}
 	text := fmt.Sprintf("node = %q\ncaller_listen = %q\nready_listen = %q\nstore_address = %[4]q\nmachines_address = %[4]q\nadvice_address = %[4]q\n[bounds]\ngrace_seconds = 4\nhand_over_ms = 500\nupkeep_seconds = 0.2\nmove_seconds = 0.2\n",
-		node, caller, freeAddress(c.T), e.store.address())
+		node, caller, ready, e.store.address())
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		c.Fatal(err)
 	}
