--- a/jobstore/lease.go
+++ b/jobstore/lease.go
@@ -27,8 +27,6 @@
 	// Fence is the revision of the owner's key; it only grows.
 	Fence int64
 	Lease int64
-	// Inherited is set if there was an owner before.
-	Inherited bool
 }
 
 // ReadClaim returns the present owner's key; ok is false if there is none.
@@ -67,7 +65,7 @@
 		return nil, err
 	}
 	candidate.Term = term
-	held := &Held{Claim: candidate, Lease: lease, Inherited: term > 0}
+	held := &Held{Claim: candidate, Lease: lease}
 	value, err := json.Marshal(held.Claim)
 	if err != nil {
 		return nil, errors.WithStack(err)
