Do not name workers that run nothing and get no work as holders of leases

On the large site a takeover took 5.2 s from the loss of the owner to the first start of inherited work: 3.6 s of it waited for the leases of workers whose VMs were in upkeep. The former owner had seen them empty and ended them itself, but the record of lease holders named every worker of the registry.

A worker that is closed and has reported that nothing runs on it, or that has been silent until its leases had lapsed, leaves the record, and has to be recorded again before it gets work.

--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -366,3 +366,71 @@
 		t.Error("the next owner waits longer than the lease lasts")
 	}
 }
+
+// A wave had 76 VMs down when the owner was lost. The record of lease holders
+// still named their workers, so the next owner waited 3.6 s for leases that had
+// ended with the workers, and started nothing of what it had inherited.
+func TestClosedEmptyWorkerIsNoHolder(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.core.SetClosed("w1", true)
+	b.core.SetClosed("w2", true)
+	ids, changed := b.core.HoldersToRecord()
+	if !changed || len(ids) != 1 || ids[0] != start.Worker.ID {
+		t.Fatalf("holders %v, changed %v; want only %s, which runs something", ids, changed, start.Worker.ID)
+	}
+	b.core.HoldersRecorded(ids)
+	b.report(start.Worker.ID, Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
+	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 0 {
+		t.Errorf("holders %v, changed %v; want none once the item has ended", ids, changed)
+	}
+}
+
+// A worker that takes work again has to be in the record before it gets any, also
+// if an older record that names it is confirmed only now.
+func TestReopenedWorkerIsRecordedBeforeItGetsWork(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.SetClosed("w1", true)
+	b.core.HoldersToRecord()
+	b.core.HoldersRecorded([]string{"w1"})
+	b.core.SetClosed("w1", false)
+	if o := b.round(); len(o.Starts) != 0 {
+		t.Fatalf("started %v before the store names the worker", o.Starts)
+	}
+	ids, changed := b.core.HoldersToRecord()
+	if !changed || len(ids) != 1 {
+		t.Fatalf("holders %v, changed %v; want w1 in a new record", ids, changed)
+	}
+	b.core.HoldersRecorded(ids)
+	if o := b.round(); len(o.Starts) != 1 {
+		t.Errorf("%d starts, want 1 once the store names the worker", len(o.Starts))
+	}
+}
+
+// Workers of a rack that had lost its connection stayed in the record of lease
+// holders, and each later takeover waited for their leases again.
+func TestSilentWorkerIsNoHolderOnceItsLeaseHasLapsed(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.HoldFailed("w1", b.now)
+	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
+		t.Errorf("holders %v, want w1 while its lease may be in force", ids)
+	}
+	b.roundAfter(2 * testHold)
+	ids, changed := b.core.HoldersToRecord()
+	if !changed || len(ids) != 0 {
+		t.Fatalf("holders %v, changed %v; want none after the lease", ids, changed)
+	}
+	b.core.HoldersRecorded(ids)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.HoldDone(Hold{Worker: testWorker("w1", 1000)}, Report{Clock: b.now, StartMillis: 1}, b.now, b.now)
+	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 1 {
+		t.Errorf("holders %v, changed %v; want w1 again once it answers", ids, changed)
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -11,9 +11,9 @@
 // worker. The owner closes a worker before a planned stop of its VM, whereas
 // Worker.Draining comes from the registry.
 func (c *Core) SetClosed(id string, closed bool) {
-	w := c.workers[id]
-	if w != nil {
+	if w := c.workers[id]; w != nil {
 		w.closed = closed
+		c.checkHoldersOf(w)
 	}
 }
 
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -39,16 +39,22 @@
 // maxLeaseTime already includes once.
 func (c *Core) RecordedLeaseTime() time.Duration { return c.maxLeaseTime() + lapseMargin }
 
-// HoldersToRecord returns all workers that may hold leases of this owner or
-// of former ones, recorded or not, and whether they have to replace the record in
-// the store. A worker must be in that record before it gets work. It returns nil
-// if neither the possible holders nor the record have changed since both were
-// last found to agree.
+// HoldersToRecord returns the workers that have to be in the record of possible
+// lease holders, and whether the record in the store has to be replaced. A
+// worker must be in that record before it gets work. It returns nil if neither
+// the possible holders nor the record have changed since both were last found to
+// agree.
 func (c *Core) HoldersToRecord() (ids []string, changed bool) {
 	if !c.checkHolders {
 		return nil, false
 	}
 	for _, w := range c.sortedWorkers {
+		w.holder = w.mayHoldLease()
+		if !w.holder {
+			// The record that is written next does not name the worker.
+			w.holderRecorded = false
+			continue
+		}
 		ids = append(ids, w.ID)
 		changed = changed || !w.holderRecorded
 	}
@@ -62,13 +68,26 @@
 	return ids, c.checkHolders
 }
 
+// mayHoldLease reports whether a worker may hold a lease of a run, now or before
+// the record of possible lease holders is written again. A worker that reported
+// that nothing runs on it holds none while it gets no work: it is closed for
+// planned maintenance or a move, which ends it soon, or it has fallen silent and
+// its leases have lapsed. The next owner would wait for each of them in vain.
+func (w *worker) mayHoldLease() bool {
+	if !w.contacted || len(w.copies) > 0 || len(w.orphans) > 0 {
+		return true
+	}
+	return !w.closed && !w.silentSinceLapse
+}
+
 // HoldersRecorded marks the workers as named in the store's record of possible
-// lease holders. The next call of HoldersToRecord compares the record with the
-// holders again, because these may have changed while it was written.
+// lease holders, unless a later record that does not name them is to be written.
+// The next call of HoldersToRecord compares the record with the holders again,
+// because these may have changed while it was written.
 func (c *Core) HoldersRecorded(ids []string) {
 	c.recordedHolders, c.checkHolders = ids, true
 	for _, id := range ids {
-		if w := c.workers[id]; w != nil {
+		if w := c.workers[id]; w != nil && w.holder {
 			w.holderRecorded = true
 		}
 	}
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -23,11 +23,16 @@
 	workers map[string]*simWorker
 	jobs    map[string]*job.Job
 	// progress is the store's record of each job.
-	progress   map[string]job.Progress
-	cancelled  map[string]bool
-	holders    map[string]time.Duration
-	lateOrders []lateOrder
-	items      map[job.ItemID]*simItem
+	progress  map[string]job.Progress
+	cancelled map[string]bool
+	// holders is the store's record of possible lease holders. queuedHolders is
+	// the record that is to be written next, writtenHolders the one that the
+	// store is being asked to write; nil stands for none.
+	holders        map[string]time.Duration
+	queuedHolders  []string
+	writtenHolders []string
+	lateOrders     []lateOrder
+	items          map[job.ItemID]*simItem
 }
 
 // simItem is the history of an item: its ends in order, and for each start the
@@ -127,6 +132,10 @@
 
 // takeOver replaces the owner by a new one that knows only what is in the store.
 func (s *simulation) takeOver() {
+	if s.writtenHolders != nil && rapid.Bool().Draw(s.t, "holders stored") {
+		s.storeHolders()
+	}
+	s.queuedHolders, s.writtenHolders = nil, nil
 	s.core = New(Options{LeaseDuration: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
 		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason)
 	}}, s.term)
@@ -294,12 +303,9 @@
 func (s *simulation) step() {
 	s.advance(time.Duration(rapid.IntRange(1, 100).Draw(s.t, "ms")) * time.Millisecond)
 	if ids, changed := s.core.HoldersToRecord(); changed {
-		s.holders = map[string]time.Duration{}
-		for _, id := range ids {
-			s.holders[id] = s.core.RecordedLeaseTime()
-		}
-		s.core.HoldersRecorded(ids)
+		s.queuedHolders = append([]string{}, ids...)
 	}
+	s.writeHolders()
 	orders := s.core.Round(wall.Add(s.now), s.now)
 	for _, st := range orders.Starts {
 		s.send(st)
@@ -329,6 +335,26 @@
 	}
 }
 
+// writeHolders carries on the writing of the records of possible lease holders:
+// one is written at a time, and a newer one replaces one that waits.
+func (s *simulation) writeHolders() {
+	if s.writtenHolders == nil {
+		s.writtenHolders, s.queuedHolders = s.queuedHolders, nil
+	}
+	if s.writtenHolders != nil && rapid.IntRange(0, 3).Draw(s.t, "holders confirmed") > 0 {
+		s.storeHolders()
+		s.core.HoldersRecorded(s.writtenHolders)
+		s.writtenHolders = nil
+	}
+}
+
+func (s *simulation) storeHolders() {
+	s.holders = map[string]time.Duration{}
+	for _, id := range s.writtenHolders {
+		s.holders[id] = s.core.RecordedLeaseTime()
+	}
+}
+
 func (s *simulation) send(st Start) {
 	w := s.workers[st.Worker.ID]
 	outcome := rapid.IntRange(0, 9).Draw(s.t, "outcome of a start")
@@ -378,14 +404,15 @@
 // an acknowledged end with EndDone or before the steps that the item depends on,
 // a start after too many acknowledged failures, a job that is shown as failed too
 // early, and workers over their capacity. Orders are lost and late, workers
-// restart and stop answering, and owners are replaced.
+// restart, stop answering and are closed, records of lease holders are confirmed
+// late, and owners are replaced.
 func TestNoItemRunsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
 			id := fmt.Sprintf("w%d", rapid.IntRange(0, len(s.workers)-1).Draw(t, "worker"))
-			// Most steps come without an event: 11 to 24 stand for none.
-			switch rapid.IntRange(0, 24).Draw(t, "event") {
+			// Most steps come without an event: 13 to 26 stand for none.
+			switch rapid.IntRange(0, 26).Draw(t, "event") {
 			case 0, 1, 2:
 				s.addJob()
 			case 3:
@@ -393,6 +420,7 @@
 			case 10:
 				// A planned change of owner: the former one records the remaining
 				// time of each lease.
+				s.queuedHolders, s.writtenHolders = nil, nil
 				s.holders = s.core.LeaseHolders(s.now)
 				s.takeOver()
 			case 4:
@@ -410,6 +438,10 @@
 					s.cancelled[job] = true
 					s.core.Cancel(job, s.now)
 				}
+			case 11:
+				s.core.SetClosed(id, true)
+			case 12:
+				s.core.SetClosed(id, false)
 			case 9:
 				s.advance(time.Duration(rapid.IntRange(1, 6000).Draw(t, "pause")) * time.Millisecond)
 			}
@@ -424,6 +456,7 @@
 	for _, w := range s.workers {
 		w.silent = false
 		s.core.WorkerSeen(w.Worker, s.now)
+		s.core.SetClosed(w.ID, false)
 	}
 	for range 3000 {
 		s.step()
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -76,7 +76,7 @@
 		c.startLifetime(w, now)
 		w.StartMillis = r.StartMillis
 	}
-	w.silent = false
+	w.silent, w.silentSinceLapse = false, false
 	if !w.contacted {
 		w.contacted = true
 		delete(c.formerHolders, w.ID)
@@ -98,6 +98,7 @@
 	w.advanceCommittedEnd()
 	w.acknowledgedEnd = max(w.acknowledgedEnd, h.AcknowledgedEnd)
 	c.reconcile(w, listed, len(r.Ended) < maxEndsPerReport, sent, now)
+	c.checkHoldersOf(w)
 }
 
 // HoldFailed records that a worker did not answer a hold. The worker gets no
@@ -185,6 +186,7 @@
 		w.used = w.used.Add(o.charge, -1)
 		w.fillerCPU -= o.fillerCPU
 		delete(w.orphans, r)
+		c.checkHoldersOf(w)
 	}
 }
 
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -182,15 +182,17 @@
 	failures                                    int
 	avoidUntil                                  Time
 	// silent is set when a hold gets no answer, until the next report.
-	silent bool
+	// silentSinceLapse is set once the leases of a silent worker have lapsed.
+	silent, silentSinceLapse bool
 	// closed is set before maintenance or a move of the VM: no new work is
 	// placed on the worker.
 	closed bool
 	// stopExpected is set while planned maintenance will stop the worker soon.
 	stopExpected bool
-	// holderRecorded is set once the store names the worker among those that
-	// may hold leases.
-	holderRecorded bool
+	// holder is set if the newest record of those workers that may hold leases
+	// names the worker, whether the store has that record or not. holderRecorded
+	// is set once the store has it.
+	holder, holderRecorded bool
 }
 
 // orphan is an unwanted run and the capacity that it uses on its worker.
@@ -257,6 +259,14 @@
 	return w
 }
 
+// checkHoldersOf makes HoldersToRecord look again, after a change of a worker
+// that may have made it a possible lease holder or no longer one.
+func (c *Core) checkHoldersOf(w *worker) {
+	if w.holder != w.mayHoldLease() {
+		c.checkHolders = true
+	}
+}
+
 func (c *Core) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
@@ -301,6 +311,7 @@
 	delete(cp.worker.copies, Run{i.id(), cp.run})
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
 	cp.worker.reserve(i.step.spec, -1)
+	c.checkHoldersOf(cp.worker)
 	c.addPending(i.step)
 }
 
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -93,6 +93,10 @@
 		for _, r := range orphansOf(w) {
 			c.dropOrphan(w, r)
 		}
+		if w.silent && !w.silentSinceLapse {
+			w.silentSinceLapse = true
+			c.checkHoldersOf(w)
+		}
 		if !w.present {
 			c.removeWorker(w)
 			c.trace(Event{Name: "worker_gone", Worker: w.ID, Service: w.Service})
