Call silent workers until they answer

A worker that was cut off until its lease had lapsed ran nothing any more, and only workers that run something or were never contacted are called. It counted as silent for the rest of the term and got no work, although it could be reached: workers.TestSilentWorkerIsCalledUntilItAnswers.

Ruled out: the record of lease holders and the limit of items for each worker; a trial that listed what kept each worker from the item named only its silence.

--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -434,3 +435,30 @@
 		t.Errorf("holders %v, changed %v; want w1 again once it answers", ids, changed)
 	}
 }
+
+// A worker was cut off until its lease had lapsed, and then ran nothing. It was
+// not called again, so it counted as silent for the rest of the owner's term and
+// got no work, although it answered. Three items of a long-running step had no
+// other worker and were unavailable for 20 s.
+func TestSilentWorkerIsCalledUntilItAnswers(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{LongRunning: true}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.core.HoldFailed("w1", b.now)
+	b.roundAfter(2 * testHold)
+	h, due := b.core.HoldFor("w1", b.now)
+	if !due || !slices.Contains(b.core.WorkersToHold(), "w1") {
+		t.Fatal("the silent worker is not to be called any more")
+	}
+	if h.LongPollTimeout > 0 || h.Deadline > 0 {
+		t.Errorf("hold %+v; want an immediate answer and no lease", h)
+	}
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndLapsed}}})
+	ids, _ := b.core.HoldersToRecord()
+	b.core.HoldersRecorded(ids)
+	if o := b.round(); len(o.Starts) != 1 {
+		t.Errorf("%d starts once the worker answers again, want 1", len(o.Starts))
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -23,7 +23,8 @@
 )
 
 // HoldFor returns the next hold for a worker. It reports false when none is due:
-// the worker was contacted, runs nothing and has no ends left to acknowledge. The
+// the worker has answered the last one, runs nothing and has no ends left to
+// acknowledge. The
 // extension of the lease counts as granted from then on, even if the hold is not
 // sent.
 func (c *Core) HoldFor(id string, now Time) (Hold, bool) {
@@ -36,7 +37,7 @@
 		h.Deadline = w.clockNow(now) + c.options.LeaseDuration
 		w.grant(h.Deadline)
 	}
-	if w.contacted && !w.needsImmediateAnswer() {
+	if w.contacted && !w.silent && !w.needsImmediateAnswer() {
 		h.LongPollTimeout = holdWait
 	}
 	return h, true
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -148,8 +148,8 @@
 // has an entry for it, or its lease may not have lapsed.
 func (c *Core) HasWorker(id string) bool { return c.workers[id] != nil }
 
-// WorkersToHold returns the workers that have to be contacted or whose leases
-// have to be extended.
+// WorkersToHold returns the workers that have to be contacted, that have stopped
+// answering, or whose leases have to be extended.
 func (c *Core) WorkersToHold() []string {
 	var ids []string
 	for _, w := range c.sortedWorkers {
@@ -160,6 +160,8 @@
 	return ids
 }
 
+// needsHold reports whether a hold is due. A silent worker is called until it
+// answers, because it gets no work before.
 func (w *worker) needsHold() bool {
-	return !w.contacted || len(w.copies) > 0 || len(w.orphans) > 0 || w.acknowledgedEnd != w.processedEnd
+	return !w.contacted || w.silent || len(w.copies) > 0 || len(w.orphans) > 0 || w.acknowledgedEnd != w.processedEnd
 }
