Order VMs for the load that arrives when their moves are done

Load pattern: a burst grows to five times the mean of its queue within two or three seconds.

The growth of the rate of new work, as far as it exceeds what chance explains, is projected over the time of a move: capacity.TestGrowingLoadGetsItsVMsAhead, execution.TestGrowthOfArrivingWork.

--- a/owner/write.go
+++ b/owner/write.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		t.options.Log.Info().Str("event", "pool_state").Str("service", d.Pool).Int("vms", vms[d.Pool]).Float64("used_cores", d.RunningCores).
-			Float64("waiting_cores", d.WaitingCores).Float64("backlog_core_seconds", d.BacklogCoreSeconds).Float64("arriving_cores", d.ArrivalRate).Float64("lasting_cores", d.LongRunningCores).Msg("")
+			Float64("waiting_cores", d.WaitingCores).Float64("backlog_core_seconds", d.BacklogCoreSeconds).Float64("arriving_cores", d.ArrivalRate).Float64("arrival_growth", d.ArrivalGrowth).Float64("lasting_cores", d.LongRunningCores).Msg("")
 		tags := t.metrics.scope.Tagged(map[string]string{"service": d.Pool})
 		tags.Gauge("pool_vms").Update(float64(vms[d.Pool]))
 		tags.Gauge("pool_used_cores").Update(d.RunningCores)
--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -26,9 +26,9 @@
 	// RequiredVMs is the number of VMs that the waiting work needs regardless of
 	// their size, because the number of its items on one VM may be limited.
 	RequiredVMs int
-	// ArrivalRate is the rate of new work in core-seconds per second, as far as it
-	// is known for certain.
-	ArrivalRate float64
+	// ArrivalRate is the rate of new work in core-seconds per second, and
+	// ArrivalGrowth its growth per second, as far as both are known for certain.
+	ArrivalRate, ArrivalGrowth float64
 }
 
 // ManagedVM is a VM that a Rebalancer manages, whichever pool it is in.
@@ -262,7 +262,9 @@
 		h.initialSize = vms
 	}
 	size := max(d.CoresPerVM, 1)
-	cores := max(d.RunningCores+min(d.WaitingCores, d.BacklogCoreSeconds/backlogCompletionTime.Seconds()), d.LongRunningCores+d.ArrivalRate)
+	// A VM that is ordered now takes work once the move is done.
+	ahead := d.ArrivalGrowth * (r.options.MoveTime + forecastLead).Seconds()
+	cores := max(d.RunningCores+min(d.WaitingCores, d.BacklogCoreSeconds/backlogCompletionTime.Seconds()), d.LongRunningCores+d.ArrivalRate+ahead)
 	wanted = max(int(math.Ceil(cores/size+headroomVMs/2)), 1)
 	base := int(math.Ceil(d.LongRunningCores/size + headroomVMs))
 	h.observe(now, wanted, base, r.options.IdleTimeout)
--- a/scheduler/capacity/rebalancing_test.go
+++ b/scheduler/capacity/rebalancing_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// Load pattern: the work that arrives at a pool grows by a tenth of its peak
+// every 0.2 s. Guards against VMs that are ordered for the work of the moment and
+// take work only after the load has grown by as much again: a pool of 65 VMs got
+// its first further ones 3 s after the start of the burst, when 75 VMs' work
+// waited.
+func TestGrowingLoadGetsItsVMsAhead(t *testing.T) {
+	r := NewRebalancer(RebalancingOptions{MoveTime: 1500 * time.Millisecond})
+	busy := pool("busy", 10, 0)
+	busy.ArrivalRate, busy.ArrivalGrowth = 10*testCores, 10*testCores
+	vms := append(idleVMs("spare", 60), ManagedVM{ID: "busy-0", Pool: "busy", WorkItems: 10})
+	moves, _ := r.Plan(0, []CoreDemand{{Pool: "spare", Spare: true}, busy}, vms)
+	if n := countMoves(moves, "spare", "busy"); n < 25 || n > 30 {
+		t.Errorf("%d VMs moved, want 25 to 30: after 1.9 s the work needs 29 and the pool has one", n)
+	}
+}
+
 // Load pattern: the first burst of a pool with many VMs starts with a part of
 // its load. Guards against switching off the VMs that the burst doesn't need at
 // its start but a moment later: a pool went from 70 VMs to 34 and then to 123.
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -48,7 +48,7 @@
 	meanQueueWork map[string]float64
 	// startLimit bounds the starts of a round; nil means no bound.
 	startLimit *int
-	// arrivals are the new jobs of each service within arrivalWindow.
+	// arrivals are the new jobs of each service within two arrival windows.
 	arrivals map[string][]arrival
 }
 
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -35,23 +35,43 @@
 	c.arrivals[service] = append(c.recentArrivals(service, now), arrival{now, work})
 }
 
+// recentArrivals returns the arrivals within the last two windows.
 func (c *Core) recentArrivals(service string, now Time) []arrival {
-	return slices.DeleteFunc(c.arrivals[service], func(a arrival) bool { return now-a.at > arrivalWindow })
+	return slices.DeleteFunc(c.arrivals[service], func(a arrival) bool { return now-a.at > 2*arrivalWindow })
 }
 
 // arrivalRate returns a low estimate of the new work for a service in
-// core-seconds per second: the rate in the window less one standard deviation,
-// so that a single large job gives 0.
-func (c *Core) arrivalRate(service string, now Time) float64 {
+// core-seconds per second, and of the growth of this rate per second. The rate
+// is that in the last window less one standard deviation, so that a single large
+// job gives 0. The growth is what remains above the rate in the window before
+// plus one standard deviation, so that it is 0 unless a burst clearly begins.
+func (c *Core) arrivalRate(service string, now Time) (rate, growth float64) {
 	c.arrivals[service] = c.recentArrivals(service, now)
-	var sum, squares float64
+	var last, before windowWork
 	for _, a := range c.arrivals[service] {
-		sum += a.work
-		squares += a.work * a.work
+		if now-a.at <= arrivalWindow {
+			last.add(a.work)
+		} else {
+			before.add(a.work)
+		}
 	}
-	return (sum - math.Sqrt(squares)) / arrivalWindow.Seconds()
+	rate = (last.sum - last.deviation()) / arrivalWindow.Seconds()
+	rateBefore := (before.sum + before.deviation()) / arrivalWindow.Seconds()
+	return rate, max(rate-rateBefore, 0) / arrivalWindow.Seconds()
 }
 
+// windowWork is the work that arrived within a window in core-seconds.
+type windowWork struct{ sum, squares float64 }
+
+func (w *windowWork) add(work float64) {
+	w.sum += work
+	w.squares += work * work
+}
+
+// deviation returns the standard deviation of the sum, if jobs arrive
+// independently of each other.
+func (w *windowWork) deviation() float64 { return math.Sqrt(w.squares) }
+
 // Demands returns the demand of each service in the manifest, in the order of
 // the manifest.
 func (c *Core) Demands(now Time) []capacity.CoreDemand {
@@ -94,7 +114,7 @@
 	}
 	demands := make([]capacity.CoreDemand, 0, len(order))
 	for _, name := range order {
-		byService[name].ArrivalRate = c.arrivalRate(name, now)
+		byService[name].ArrivalRate, byService[name].ArrivalGrowth = c.arrivalRate(name, now)
 		demands = append(demands, *byService[name])
 	}
 	return demands
--- a/scheduler/execution/demand_test.go
+++ b/scheduler/execution/demand_test.go
@@ -36,6 +36,37 @@
 	}
 }
 
+// A rate that grows has to be known before the load has grown. A steady rate must
+// not look as if it grew because of chance.
+func TestGrowthOfArrivingWork(t *testing.T) {
+	growth := func(pauseBefore, pauseAfter time.Duration) float64 {
+		c := New(Options{LeaseDuration: time.Second, TrustDeclared: true}, 0)
+		c.SetManifest(&job.Manifest{
+			Services: []job.Service{{Name: "a"}},
+			Queues:   []job.Queue{{Name: "q", Service: "a", Attempts: 2, LatencyFactor: 1}},
+		})
+		now := Time(0)
+		for n := 0; now < 2*arrivalWindow; n++ {
+			if now < arrivalWindow {
+				now += pauseBefore
+			} else {
+				now += pauseAfter
+			}
+			c.AddJob(&job.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Steps: []job.Step{
+				{Count: 4, Needs: job.Resources{MilliCPU: 1000, MemoryMB: 1}, Estimate: time.Second},
+			}}, job.Progress{}, false, time.Time{}, now)
+		}
+		return c.Demands(now)[0].ArrivalGrowth
+	}
+	if g := growth(10*time.Millisecond, 10*time.Millisecond); g != 0 {
+		t.Errorf("growth %.0f cores per second at a steady rate, want 0", g)
+	}
+	// From 40 to 200 jobs/s of 4 core-seconds each, within half a second.
+	if g := growth(25*time.Millisecond, 5*time.Millisecond); g < 800 || g > 1280 {
+		t.Errorf("growth %.0f cores per second, want somewhat less than 1280", g)
+	}
+}
+
 // Waiting items of which a VM may run only two need more VMs than follows from
 // their cores.
 func TestDemandCountsVMsForSpreadWork(t *testing.T) {
