Learn the growth of bursts while they last, and keep VMs through a dip

Load pattern: queues burst in turn, and the next burst begins while the last VMs of the one before are in use. And a burst's VMs were switched off 1.2 s after a fall of its load, which rises again: a pool went from 173 VMs to 115 within a second and lacked 45 of them 2 s later.

A burst past its first seconds counts with its peak so far, and VMs without work stay for 4 s while their pool's burst lasts, unless another pool needs them: capacity.TestBurstIsExpectedToGrowLikeOneInProgress, TestBurstKeepsItsVMsThroughADip.

--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -81,6 +81,9 @@
 	// to become as large, relative to the initial size of its pool, as the last
 	// bursts of the pools did. After that its work shows how much it needs.
 	rampTime = time.Second
+	// burstKeepTime is how long an unused VM is kept during a burst, whose load
+	// often falls and rises again. It covers two moves and a second in between.
+	burstKeepTime = 4 * time.Second
 	// forecastLead plus the time of a move is how long before an expected burst
 	// VMs are moved for it.
 	forecastLead = 400 * time.Millisecond
@@ -108,7 +111,7 @@
 type rebalancingHistory struct {
 	// since is when the rebalancer first saw the pool.
 	since time.Duration
-	// recent holds the needs within the time that unused VMs are kept.
+	// recent holds the needs within the longest time that unused VMs are kept.
 	recent []rebalancingNeed
 	// inBurst tells whether a burst is in progress.
 	inBurst bool
@@ -270,26 +273,30 @@
 	h.observe(now, wanted, base, r.options.IdleTimeout)
 	switch {
 	case h.burstJustStarted(now, r.options.MoveTime+rampTime):
-		wanted = max(wanted, int(r.burstGrowth()*float64(h.initialSize)))
+		wanted = max(wanted, int(r.burstGrowth(now)*float64(h.initialSize)))
 	case h.burstDue(now, r.options.MoveTime+forecastLead):
 		wanted = max(wanted, h.lastPeak)
 	}
 	wanted = max(wanted, d.RequiredVMs)
-	minKept = max(base, h.largest())
+	minKept = max(base, h.largest(now, r.options.IdleTimeout))
+	maxKept = minKept
+	if h.inBurst {
+		maxKept = max(base, h.largest(now, burstKeepTime))
+	}
 	if len(h.starts) == 0 && now-h.since < learnTime {
 		return wanted, minKept, math.MaxInt32
 	}
-	return wanted, minKept, minKept
+	return wanted, minKept, maxKept
 }
 
 // burstGrowth returns the factor by which a burst is expected to exceed the
 // initial size of its pool: the smallest one of the last bursts of all pools, at
 // least 1.
-func (r *Rebalancer) burstGrowth() float64 {
+func (r *Rebalancer) burstGrowth(now time.Duration) float64 {
 	least := math.Inf(1)
 	for _, h := range r.pools {
-		if h.lastPeak > 0 && h.initialSize > 0 {
-			least = min(least, float64(h.lastPeak)/float64(h.initialSize))
+		if peak := h.knownPeak(now, r.options.MoveTime+rampTime); peak > 0 && h.initialSize > 0 {
+			least = min(least, float64(peak)/float64(h.initialSize))
 		}
 	}
 	if math.IsInf(least, 1) {
@@ -298,6 +305,16 @@
 	return max(least, 1)
 }
 
+// knownPeak returns the largest need of the last burst that is complete, or of
+// the one in progress if it started more than ramp ago and needed more. It
+// returns 0 if neither is known.
+func (h *rebalancingHistory) knownPeak(now, ramp time.Duration) int {
+	if h.inBurst && !h.burstJustStarted(now, ramp) {
+		return max(h.lastPeak, h.peak)
+	}
+	return h.lastPeak
+}
+
 // burstJustStarted reports whether a burst started less than ramp ago. A burst
 // that was in progress when the rebalancer first saw the pool does not count,
 // because its start is not known.
@@ -318,7 +335,7 @@
 // observe adds the need at a time and detects the start and the end of bursts.
 func (h *rebalancingHistory) observe(now time.Duration, wanted, base int, keep time.Duration) {
 	h.recent = append(h.recent, rebalancingNeed{now, wanted})
-	h.recent = slices.DeleteFunc(h.recent, func(w rebalancingNeed) bool { return now-w.at > keep })
+	h.recent = slices.DeleteFunc(h.recent, func(w rebalancingNeed) bool { return now-w.at > max(keep, burstKeepTime) })
 	switch {
 	case !h.inBurst && wanted >= base+h.threshold():
 		h.inBurst, h.peak = true, wanted
@@ -326,7 +343,7 @@
 		if len(h.starts) > 3 {
 			h.starts = h.starts[1:]
 		}
-	case h.inBurst && h.largest() < base+h.threshold():
+	case h.inBurst && h.largest(now, keep) < base+h.threshold():
 		h.inBurst, h.lastPeak = false, h.peak
 	}
 	if h.inBurst {
@@ -334,11 +351,13 @@
 	}
 }
 
-// largest returns the largest of the recent needs.
-func (h *rebalancingHistory) largest() int {
+// largest returns the largest of the recent needs, which are at most within ago.
+func (h *rebalancingHistory) largest(now, within time.Duration) int {
 	most := 0
 	for _, w := range h.recent {
-		most = max(most, w.vms)
+		if now-w.at <= within {
+			most = max(most, w.vms)
+		}
 	}
 	return most
 }
--- a/scheduler/capacity/rebalancing_test.go
+++ b/scheduler/capacity/rebalancing_test.go
@@ -109,6 +109,42 @@
 	}
 }
 
+// Load pattern: the next queue bursts while the last VMs of the burst before are
+// still in use. Guards against a growth that is learned only from complete
+// bursts: the second pool of the day was kept at 85 VMs for 2 s and needed 170.
+func TestBurstIsExpectedToGrowLikeOneInProgress(t *testing.T) {
+	r := NewRebalancer(RebalancingOptions{})
+	spare := CoreDemand{Pool: "spare", Spare: true}
+	vms := append(idleVMs("a", 10), idleVMs("b", 20)...)
+	vms = append(vms, idleVMs("spare", 40)...)
+	r.Plan(0, []CoreDemand{spare, pool("a", 0, 0), pool("b", 0, 0)}, vms)
+	r.Plan(time.Second, []CoreDemand{spare, pool("a", 20*testCores, 0), pool("b", 0, 0)}, vms)
+	r.Plan(6*time.Second, []CoreDemand{spare, pool("a", 8*testCores, 0), pool("b", 0, 0)}, vms)
+	moves, _ := r.Plan(7*time.Second, []CoreDemand{spare, pool("a", 8*testCores, 0), pool("b", 8*testCores, 0)}, vms)
+	if n := countMoves(moves, "spare", "b"); n < 15 {
+		t.Errorf("%d VMs for a burst in a pool of 20 after another pool doubled, want at least 15", n)
+	}
+}
+
+// Load pattern: the load of a burst falls for 2 s and rises again. Guards against
+// VMs that are switched off in between: a pool went from 173 VMs to 115 within a
+// second and lacked 45 of them 2 s later.
+func TestBurstKeepsItsVMsThroughADip(t *testing.T) {
+	r := NewRebalancer(RebalancingOptions{})
+	spare := CoreDemand{Pool: "spare", Spare: true}
+	vms := idleVMs("a", 19)
+	r.Plan(0, []CoreDemand{spare, pool("a", 0, 0)}, vms)
+	for at := time.Second; at < 7*time.Second; at += 100 * time.Millisecond {
+		used := 18.0 * testCores
+		if at > 4*time.Second {
+			used = 8 * testCores
+		}
+		if moves, _ := r.Plan(at, []CoreDemand{spare, pool("a", used, 0)}, vms); len(moves) > 0 {
+			t.Fatalf("%d VMs switched off at %v, 2 s after all were in use", len(moves), at)
+		}
+	}
+}
+
 // Guards against an item that is lost because it can start on no VM. A step of 7
 // long-running items, at most 2 per VM, had 2 VMs in service while a maintenance
 // wave kept the other VMs closed. The 2 VMs had enough cores, so the pool got no
