Let entry VMs that were restarted lately contend for the ownership first

A process waits longer before it contends the longer it has run (owner.TestRestartedProcessesContendFirst).

--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -76,3 +76,16 @@
 		}
 	}
 }
+
+// Entry VMs were restarted one after the other, every 2 s. The ownership went to
+// one that was restarted next, four times in a row, and once while the store
+// answered slowly: nothing started for 4 s.
+func TestRestartedProcessesContendFirst(t *testing.T) {
+	restarted, next := delayForUptime(3*time.Second), delayForUptime(15*time.Second)
+	if next-restarted < 10*time.Millisecond {
+		t.Errorf("a process that has run for 15 s contends %v after one that has run for 3 s, want at least 10 ms", next-restarted)
+	}
+	if d := delayForUptime(30 * 24 * time.Hour); d > maxUptimeDelay || d < delayForUptime(time.Hour) {
+		t.Errorf("a process that has run for a month waits %v", d)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -121,6 +122,13 @@
 	authorityMargin = 300 * time.Millisecond
 	// contendEvery is the pause after an attempt to become the owner.
 	contendEvery = 100 * time.Millisecond
+	// uptimeDelay, times the common logarithm of a process's uptime in seconds, is
+	// added to its ContendDelay, up to maxUptimeDelay. During a rolling restart,
+	// the processes that have run longest are stopped next; as owners they would
+	// have to hand over again. An order of magnitude in uptime exceeds the
+	// differences between the times at which processes hear of a vacancy.
+	uptimeDelay    = 20 * time.Millisecond
+	maxUptimeDelay = 100 * time.Millisecond
 	// ownerWait is how long one watch call on the owner's key waits for changes.
 	ownerWait = 5 * time.Second
 )
@@ -128,9 +136,10 @@
 // Owner contends for the ownership of the jobs, and runs the jobs while it has
 // it.
 type Owner struct {
-	options Options
-	process string
-	metrics metrics
+	options   Options
+	process   string
+	startedAt time.Duration
+	metrics   metrics
 	// vmOrderLimit limits the rate of orders for VMs to what the platform accepts.
 	vmOrderLimit *rate.Limiter
 
@@ -141,7 +150,7 @@
 // New returns an owner that starts to work when Run is called.
 func New(o Options) *Owner {
 	return &Owner{
-		options: o, process: uuid.NewString(), metrics: newMetrics(o.Scope),
+		options: o, process: uuid.NewString(), startedAt: boottime.Now(), metrics: newMetrics(o.Scope),
 		vmOrderLimit: rate.NewLimiter(rate.Limit(o.OrdersPerSecond*orderRateShare), max(1, int(o.OrdersPerSecond*orderBurstShare))),
 	}
 }
@@ -157,7 +166,7 @@
 			return
 		case <-vacant:
 		}
-		wait(ctx, nil, o.options.ContendDelay)
+		wait(ctx, nil, o.options.ContendDelay+delayForUptime(boottime.Now()-o.startedAt))
 		if o.options.Manifest() != nil {
 			if t := o.contend(ctx); t != nil {
 				o.runTerm(ctx, t)
@@ -167,6 +176,13 @@
 	}
 }
 
+// delayForUptime returns how long a process waits before it contends for the
+// ownership, in addition to ContendDelay.
+func delayForUptime(uptime time.Duration) time.Duration {
+	delay := time.Duration(float64(uptimeDelay) * math.Log10(1+uptime.Seconds()))
+	return min(delay, maxUptimeDelay)
+}
+
 // watchOwner signals vacant when there is no owner, or when the owner is an
 // earlier process of this entry VM, which has ended. While the owner's key does
 // not exist, it repeats the signal after each watch call.
