Count only contacted workers that may get work as holders of leases

A worker counts as a possible holder only once it was contacted, unless a former owner named it; a worker that ended with the upkeep of its VM stays closed; the record without the workers that orders end goes with the record of the orders. execution.TestUncontactedWorkerIsNoHolder, owner.TestWorkerBeforeTheUpkeepStaysClosed.

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -46,6 +46,10 @@
 func (t *term) writeThrough(ctx context.Context, r jobstore.Record) bool {
 	done := make(chan struct{})
 	t.mu.Lock()
+	// The orders end the workers of the VMs, which are closed by now. The record
+	// that no longer names them goes with that of the orders, so that an owner
+	// that takes over right after does not wait for their leases.
+	t.recordChangedHoldersLocked()
 	t.queuedRecords[r.Key] = r.Value
 	t.onWritten[r.Key] = done
 	t.mu.Unlock()
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -63,14 +63,7 @@
 	adviceRequests := t.core.AdviceRequests(now)
 	t.ensureHoldLoopsLocked(ctx)
 	dirty := t.core.Dirty()
-	holders, changed := t.core.HoldersToRecord()
-	if changed {
-		left := map[string]time.Duration{}
-		for _, id := range holders {
-			left[id] = t.core.RecordedLeaseTime()
-		}
-		t.recordHoldersLocked(left)
-	}
+	changed := t.recordChangedHoldersLocked()
 	t.mu.Unlock()
 	for _, s := range orders.Starts {
 		t.pendingStarts.Add(1)
--- a/owner/upkeep_test.go
+++ b/owner/upkeep_test.go
@@ -140,3 +140,26 @@
 		t.Errorf("orders %v while another VM is down", vms.upkeeps)
 	}
 }
+
+// The upkeep of a VM ends its worker, and the VM comes back with another one. The
+// worker that had ended was opened again and so named as a holder of leases until
+// its registry entry ended; an owner that took over waited 3.6 s for it.
+func TestWorkerBeforeTheUpkeepStaysClosed(t *testing.T) {
+	tm := testTerm(t, &fakeVMs{})
+	tm.testWorker("before")
+	tm.testWorker("after")
+	ws := tm.newWaveState(Wave{Number: 1, VMs: []string{"m1"}, Duration: time.Minute, MaxConcurrent: 1, FirstSeenAt: time.Now()})
+	list := []VM{{ID: "m1", Pool: "a", Worker: "before", Up: true}}
+	tm.advanceWaves(context.Background(), []*waveState{ws}, list, newRebalancing(0))
+	list[0].Worker = "after"
+	tm.advanceWaves(context.Background(), []*waveState{ws}, list, newRebalancing(0))
+	if s := ws.vms["m1"].state; s != upkeepDone {
+		t.Fatalf("the VM is %s, want done", s)
+	}
+	if tm.core.Usable("before") {
+		t.Error("the worker from before the upkeep takes work")
+	}
+	if !tm.core.Usable("after") {
+		t.Error("the worker after the upkeep takes no work")
+	}
+}
--- a/owner/write.go
+++ b/owner/write.go
@@ -92,6 +92,21 @@
 	}
 }
 
+// recordChangedHoldersLocked queues the record of possible lease holders if these
+// have changed, and reports whether they have.
+func (t *term) recordChangedHoldersLocked() bool {
+	holders, changed := t.core.HoldersToRecord()
+	if !changed {
+		return false
+	}
+	left := map[string]time.Duration{}
+	for _, id := range holders {
+		left[id] = t.core.RecordedLeaseTime()
+	}
+	t.recordHoldersLocked(left)
+	return true
+}
+
 // recordHoldersLocked queues the record of the workers that may hold leases. For
 // each it names the longest time in milliseconds that its leases can last once
 // this owner gives no more orders.
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -40,14 +40,19 @@
 	}
 }
 
-// worker registers a worker, records it as a possible lease holder and answers
-// its first hold.
+// worker registers a worker, answers its first hold and records it as a possible
+// lease holder.
 func (b *testbed) worker(w Worker, report Report) {
 	b.Helper()
 	b.core.WorkerSeen(w, b.now)
+	b.report(w.ID, report)
+	b.recordHolders()
+}
+
+// recordHolders writes the record of possible lease holders.
+func (b *testbed) recordHolders() {
 	ids, _ := b.core.HoldersToRecord()
 	b.core.HoldersRecorded(ids)
-	b.report(w.ID, report)
 }
 
 // report answers the hold that is due for a worker.
@@ -301,12 +306,12 @@
 	b.roundAfter(2 * testHold)
 	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
 	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	b.report("w1", Report{})
 	ids, changed := b.core.HoldersToRecord()
 	if !changed {
 		t.Fatal("the record of holders is not to be written again for the returning worker")
 	}
 	b.core.HoldersRecorded(ids)
-	b.report("w1", Report{})
 	if o := b.round(); len(o.Starts) != 1 {
 		t.Fatalf("%d starts on the worker that returned, want 1", len(o.Starts))
 	}
@@ -456,9 +461,25 @@
 		t.Errorf("hold %+v; want an immediate answer and no lease", h)
 	}
 	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndLapsed}}})
-	ids, _ := b.core.HoldersToRecord()
-	b.core.HoldersRecorded(ids)
+	b.recordHolders()
 	if o := b.round(); len(o.Starts) != 1 {
 		t.Errorf("%d starts once the worker answers again, want 1", len(o.Starts))
 	}
 }
+
+// The registry still had the entry of a worker whose VM had been moved away when
+// it sent the worker again. The worker was recorded as a lease holder although
+// no owner had ever given it anything, and the next owner waited for its lease.
+func TestUncontactedWorkerIsNoHolder(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"former": testHold}, b.now)
+	b.core.WorkerSeen(testWorker("former", 1000), b.now)
+	b.core.WorkerSeen(testWorker("new", 1000), b.now)
+	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 || ids[0] != "former" {
+		t.Errorf("holders %v, want only the worker to which a former owner may have given a lease", ids)
+	}
+	b.report("new", Report{})
+	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 2 {
+		t.Errorf("holders %v, changed %v; want the contacted worker too, before it gets work", ids, changed)
+	}
+}
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -49,7 +49,7 @@
 		return nil, false
 	}
 	for _, w := range c.sortedWorkers {
-		w.holder = w.mayHoldLease()
+		w.holder = c.mayHoldLease(w)
 		if !w.holder {
 			// The record that is written next does not name the worker.
 			w.holderRecorded = false
@@ -69,14 +69,22 @@
 }
 
 // mayHoldLease reports whether a worker may hold a lease of a run, now or before
-// the record of possible lease holders is written again. A worker that reported
-// that nothing runs on it holds none while it gets no work: it is closed for
-// planned maintenance or a move, which ends it soon, or it has fallen silent and
-// its leases have lapsed. The next owner would wait for each of them in vain.
-func (w *worker) mayHoldLease() bool {
-	if !w.contacted || len(w.copies) > 0 || len(w.orphans) > 0 {
+// the record of possible lease holders is written again. The next owner waits
+// for the lease of each holder that it cannot contact, so that it matters to
+// name no worker that holds none:
+//   - A worker that this owner has not contacted holds at most a lease of a former
+//     owner.
+//   - A worker that reported that nothing runs on it holds none while it gets no
+//     work: it is closed for planned maintenance or a move, which ends it soon,
+//     or it has fallen silent and its leases have lapsed.
+func (c *Core) mayHoldLease(w *worker) bool {
+	if len(w.copies) > 0 || len(w.orphans) > 0 {
 		return true
 	}
+	if !w.contacted {
+		_, former := c.formerHolders[w.ID]
+		return former
+	}
 	return !w.closed && !w.silentSinceLapse
 }
 
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -262,7 +262,7 @@
 // checkHoldersOf makes HoldersToRecord look again, after a change of a worker
 // that may have made it a possible lease holder or no longer one.
 func (c *Core) checkHoldersOf(w *worker) {
-	if w.holder != w.mayHoldLease() {
+	if w.holder != c.mayHoldLease(w) {
 		c.checkHolders = true
 	}
 }
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -1,6 +1,10 @@
 package execution
 
-import "slices"
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
 
 // WorkerSeen updates a worker from its registry entry.
 func (c *Core) WorkerSeen(info Worker, now Time) {
@@ -121,12 +125,34 @@
 	if len(c.formerHolders) > 0 {
 		reason = "leases_lapsed"
 	}
-	c.trace(Event{Name: "takeover_settled", Reason: reason})
+	c.trace(Event{Name: "takeover_settled", Reason: reason, Detail: c.uncontactedDetail()})
 	for _, j := range c.jobs {
 		c.addPendingSteps(j)
 	}
 }
 
+// maxUncontactedDetail is the number of workers that uncontactedDetail names.
+const maxUncontactedDetail = 5
+
+// uncontactedDetail lists, for the log, the number of workers that may have held
+// leases of a former owner and did not answer, and some of them: each with its
+// service, or with "unregistered" if the registry has no entry for it.
+func (c *Core) uncontactedDetail() string {
+	if len(c.formerHolders) == 0 {
+		return ""
+	}
+	ids := slices.Sorted(maps.Keys(c.formerHolders))
+	detail := fmt.Sprintf("%d uncontacted", len(ids))
+	for _, id := range ids[:min(len(ids), maxUncontactedDetail)] {
+		state := "unregistered"
+		if w := c.workers[id]; w != nil && w.present {
+			state = w.Service
+		}
+		detail += fmt.Sprintf(",%s:%s", id, state)
+	}
+	return detail
+}
+
 // TakeoverSettled reports whether work that a former owner may have started can
 // be started again.
 func (c *Core) TakeoverSettled() bool { return c.settled }
