Bind confirmations, authority and former orders to the orders they are for

- A hand-over, orders that go out twice: a commit confirmed whichever record of its key was waited for, also a newer one that the store did not have (TestOlderRecordDoesNotConfirmANewerOne); a new owner's first record of orders dropped those of the owner before it (TestRecordOfOrdersKeepsThoseOfFormerOwners).
- A paused process, a permission that has run out: the authority was not checked after the wait for the record of orders (TestOrdersNeedAuthorityAfterTheirRecord), nor before stops and paces (TestStopsAndPacesNeedAuthority).

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -17,7 +17,8 @@
 
 // recordOrders records in the store which VMs are about to get orders, so that
 // a later owner gives them none within MinOrderInterval. It returns false if
-// the store did not confirm the record; the orders must not be sent then.
+// the store did not confirm the record, or if this process may not be the owner
+// any more since; the orders must not be sent then.
 func (t *term) recordOrders(ctx context.Context, vms []string) bool {
 	now := boottime.Now()
 	for _, id := range vms {
@@ -31,6 +32,13 @@
 		}
 		recent = append(recent, id)
 	}
+	// The record replaces that of the former owner, whose orders count for the
+	// next owner as well.
+	for id := range t.formerOrders {
+		if _, own := t.orderedAt[id]; !own && t.formerlyOrdered(id) {
+			recent = append(recent, id)
+		}
+	}
 	slices.Sort(recent)
 	value, err := json.Marshal(recent)
 	if err != nil {
@@ -38,7 +46,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordOrdersTimeout)
 	defer cancel()
-	return t.writeThrough(ctx, jobstore.Record{Key: jobstore.OrdersKey, Value: value})
+	return t.writeThrough(ctx, jobstore.Record{Key: jobstore.OrdersKey, Value: value}) && t.authorized()
+}
+
+// pendingRecord is a record whose writer waits until the store has it.
+type pendingRecord struct {
+	value string
+	// done is closed once the store has the value.
+	done chan struct{}
 }
 
 // writeThrough writes a record and waits until the store has it. It returns
@@ -51,7 +66,7 @@
 	// that takes over right after does not wait for their leases.
 	t.recordChangedHoldersLocked()
 	t.queuedRecords[r.Key] = r.Value
-	t.onWritten[r.Key] = done
+	t.onWritten[r.Key] = pendingRecord{string(r.Value), done}
 	t.mu.Unlock()
 	t.wakeWriter()
 	select {
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -249,6 +249,12 @@
 }
 
 func (t *term) sendStop(ctx context.Context, s execution.Stop) {
+	if !t.authorized() {
+		t.mu.Lock()
+		t.core.StopDone(s, false, boottime.Now())
+		t.mu.Unlock()
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	err := t.options.Workers.Stop(callCtx, s, t.ownership.Fence)
 	cancel()
@@ -261,6 +267,9 @@
 }
 
 func (t *term) sendPace(ctx context.Context, p execution.Pace) {
+	if !t.authorized() {
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := t.options.Workers.Pace(callCtx, p, t.ownership.Fence)
--- a/owner/term.go
+++ b/owner/term.go
@@ -69,9 +69,8 @@
 	// queuedHolders is the record of workers that may hold leases of runs, as it
 	// is queued or being written.
 	queuedHolders string
-	// onWritten holds, by key, channels that are closed when the store has the
-	// queued record.
-	onWritten map[string]chan struct{}
+	// onWritten holds, by key, the records whose writers wait.
+	onWritten map[string]pendingRecord
 	startedAt time.Duration
 	// orderedAt is when this owner gave its last order to a VM, formerOrders
 	// holds the VMs to which a former owner gave orders recently. Only the
@@ -98,7 +97,7 @@
 func newTerm(o *Owner, ownership *jobstore.Ownership, requestedAt time.Duration) *term {
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
-		waveDone: map[int64][]string{}, onWritten: map[string]chan struct{}{}, startedAt: boottime.Now(),
+		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
 		orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
--- a/owner/write.go
+++ b/owner/write.go
@@ -211,8 +211,10 @@
 	t.wakeSettledLocked()
 	for _, r := range b.others {
 		t.written[r.Key] = string(r.Value)
-		if done := t.onWritten[r.Key]; done != nil {
-			close(done)
+		// An older record of the key may have been on its way when the one that is
+		// waited for was queued.
+		if p, waiting := t.onWritten[r.Key]; waiting && p.value == string(r.Value) {
+			close(p.done)
 			delete(t.onWritten, r.Key)
 		}
 		if r.Key == jobstore.HoldersKey {
