--- a/owner/orders.go
+++ b/owner/orders.go
@@ -56,14 +56,15 @@
 	done chan struct{}
 }
 
-// writeThrough writes a record and waits until the store has it. It returns
-// false if ctx ends first.
+// writeThrough writes a record, and with it that of possible lease holders if
+// these have changed, and waits until the store has it. It returns false if ctx
+// ends first.
 func (t *term) writeThrough(ctx context.Context, r jobstore.Record) bool {
 	done := make(chan struct{})
 	t.mu.Lock()
-	// The orders end the workers of the VMs, which are closed by now. The record
-	// that no longer names them goes with that of the orders, so that an owner
-	// that takes over right after does not wait for their leases.
+	// The orders that follow end workers, which are closed by now. The store has to
+	// know that these hold no leases, so that an owner that takes over right after
+	// does not wait for them.
 	t.recordChangedHoldersLocked()
 	t.queuedRecords[r.Key] = r.Value
 	t.onWritten[r.Key] = pendingRecord{string(r.Value), done}
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -260,12 +260,12 @@
 			off := p.worker == "" && m.Worker == "" && lasted > t.options.UpkeepTime+upkeepMargin
 			if renewed || off || lasted > t.options.UpkeepTime+listLag {
 				p.state = upkeepDone
+				// If the VM has another worker now, the former one has gone with the
+				// upkeep. It stays closed, so that it does not count as a possible
+				// holder of leases until its registry entry ends.
 				if m.Worker == p.worker {
 					t.core.SetClosed(p.worker, false)
 				}
-				// Otherwise the worker has gone with the upkeep. It stays closed,
-				// so that it does not count as a possible holder of leases until
-				// its registry entry ends.
 			}
 		case p.state == upkeepPending && !listed:
 			// The VM is gone; if it comes back, its upkeep is due again.
--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -351,7 +351,7 @@
 	}
 }
 
-// largest returns the largest of the recent needs, which are at most within ago.
+// largest returns the largest need of the time within before now.
 func (h *rebalancingHistory) largest(now, within time.Duration) int {
 	most := 0
 	for _, w := range h.recent {
