--- a/job/job.go
+++ b/job/job.go
@@ -32,6 +32,15 @@
 	GPU      int64 `json:"g,omitempty"`
 }
 
+// String returns the resources for the log, without those that are 0.
+func (r Resources) String() string {
+	s := fmt.Sprintf("cpu=%dm memory=%dMB", r.MilliCPU, r.MemoryMB)
+	if r.GPU != 0 {
+		s += fmt.Sprintf(" gpu=%d", r.GPU)
+	}
+	return s
+}
+
 // Fits reports whether r fits into free.
 func (r Resources) Fits(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -188,7 +190,7 @@
 		t.endIfFenced(err)
 		if ctx.Err() == nil {
 			t.mu.Lock()
-			t.core.HoldFailed(hold.Worker.ID, boottime.Now())
+			t.core.HoldFailed(hold.Worker.ID, failureReason(err), boottime.Now())
 			t.mu.Unlock()
 			t.wakeRounds()
 			t.metrics.scope.Counter("hold_failures_total").Inc(1)
@@ -208,6 +210,23 @@
 	}
 }
 
+// failureReason says, for the log, how a call to a worker failed. A worker whose
+// process has ended refuses or resets connections; one that is cut off or hangs
+// does not answer.
+func failureReason(err error) string {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "connection_refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, syscall.EPIPE):
+		return "connection_closed"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "no_answer"
+	case errors.Is(err, ErrNotExecuted), errors.Is(err, ErrFenced):
+		return "call_rejected"
+	}
+	return "call_failed"
+}
+
 // wait returns when wake is signalled, after d, or when ctx ends. wake may be
 // nil.
 func wait(ctx context.Context, wake chan struct{}, d time.Duration) {
@@ -311,6 +330,9 @@
 	if e.Worker != "" {
 		entry = entry.Str("worker", e.Worker)
 	}
+	if e.VM != "" {
+		entry = entry.Str("vm", e.VM)
+	}
 	if e.Service != "" {
 		entry = entry.Str("service", e.Service)
 	}
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -424,7 +424,7 @@
 func TestSilentWorkerIsNoHolderOnceItsLeaseHasLapsed(t *testing.T) {
 	b := newTestbed(t, 0)
 	b.worker(testWorker("w1", 1000), Report{})
-	b.core.HoldFailed("w1", b.now)
+	b.core.HoldFailed("w1", "no_answer", b.now)
 	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
 		t.Errorf("holders %v, want w1 while its lease may be in force", ids)
 	}
@@ -451,7 +451,7 @@
 	b.core.AddJob(oneStep(jobA, job.Step{LongRunning: true}), job.Progress{}, false, wall, b.now)
 	start := b.round().Starts[0]
 	b.core.StartDone(start, Started, b.now)
-	b.core.HoldFailed("w1", b.now)
+	b.core.HoldFailed("w1", "no_answer", b.now)
 	b.roundAfter(2 * testHold)
 	h, due := b.core.HoldFor("w1", b.now)
 	if !due || !slices.Contains(b.core.WorkersToHold(), "w1") {
--- a/scheduler/execution/rank_test.go
+++ b/scheduler/execution/rank_test.go
@@ -71,7 +71,7 @@
 	b.core.AddJob(oneStep(jobA, job.Step{Speculative: true}), job.Progress{}, false, wall, b.now)
 	first := b.round().Starts[0]
 	b.core.StartDone(first, Started, b.now)
-	b.core.HoldFailed(first.Worker.ID, b.now)
+	b.core.HoldFailed(first.Worker.ID, "no_answer", b.now)
 	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, wall, b.now)
 	starts := b.round().Starts
 	if len(starts) != 2 {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -102,16 +102,16 @@
 	c.checkHoldersOf(w)
 }
 
-// HoldFailed records that a worker did not answer a hold. The worker gets no
-// work until it answers one.
-func (c *Core) HoldFailed(id string, now Time) {
+// HoldFailed records that a worker did not answer a hold, and why the call
+// failed. The worker gets no work until it answers one.
+func (c *Core) HoldFailed(id, reason string, now Time) {
 	w := c.workers[id]
 	if w == nil || w.silent {
 		return
 	}
 	w.silent = true
 	if len(w.copies) > 0 {
-		c.trace(Event{Name: "worker_silent", Worker: id, Service: w.Service, Took: now - w.clockAt})
+		c.trace(Event{Name: "worker_silent", Worker: id, VM: w.VM, Service: w.Service, Reason: reason, Took: now - w.clockAt})
 	}
 	for _, cp := range w.orderedCopies {
 		c.addPending(cp.item.step)
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -45,6 +45,8 @@
 type Worker struct {
 	ID      string
 	Service string
+	// VM is the VM on which the worker runs, or empty if it is not known.
+	VM      string
 	Address string
 	Zone    string
 	Rack    string
@@ -200,6 +202,8 @@
 	Reason  string
 	// Detail holds the state that the decision was based on.
 	Detail string
+	// VM is the VM of the worker, for events about a lifetime of a worker.
+	VM string
 	// Took is how long the run or the job took. For run_placed it is the time
 	// since the step became ready, for worker_silent the time since the last
 	// report, and for worker_avoided how long the worker will get no work.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -6,8 +6,22 @@
 	"slices"
 )
 
-// WorkerSeen updates a worker from its registry entry.
+// WorkerSeen updates a worker from a change of its registry entry.
 func (c *Core) WorkerSeen(info Worker, now Time) {
+	w := c.workers[info.ID]
+	registered := w == nil || !w.present || info.StartMillis > w.StartMillis
+	changed := !registered && info.Capacity != w.Capacity
+	c.updateWorker(info, now)
+	switch {
+	case registered:
+		c.trace(Event{Name: "worker_registered", Worker: info.ID, VM: info.VM, Service: info.Service, Detail: info.Capacity.String()})
+	case changed:
+		c.trace(Event{Name: "worker_capacity_changed", Worker: info.ID, VM: info.VM, Service: info.Service, Detail: info.Capacity.String()})
+	}
+}
+
+// updateWorker updates a worker from its registry entry.
+func (c *Core) updateWorker(info Worker, now Time) {
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info.ID)
@@ -37,7 +51,7 @@
 	w.contacted, w.clock, w.clockAt = false, 0, 0
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.failures, w.avoidUntil = 0, 0
-	c.trace(Event{Name: "worker_restarted", Worker: w.ID, Service: w.Service})
+	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
 }
 
 // copiesOf returns the copies on a worker, for loops that drop some.
@@ -57,18 +71,20 @@
 // runs are kept until its lease has lapsed, because a worker that lost its
 // connection to the store keeps running them.
 func (c *Core) WorkerGone(id string) {
-	if w := c.workers[id]; w != nil {
+	if w := c.workers[id]; w != nil && w.present {
 		w.present = false
+		c.trace(Event{Name: "worker_unregistered", Worker: id, VM: w.VM, Service: w.Service})
 	}
 }
 
 // SetWorkers updates all workers from the entries of the registry; workers without
-// an entry are gone.
+// an entry are gone. It logs no line for each entry, because an owner reads all
+// entries when its term begins.
 func (c *Core) SetWorkers(infos []Worker, now Time) {
 	seen := map[string]bool{}
 	for _, info := range infos {
 		seen[info.ID] = true
-		c.WorkerSeen(info, now)
+		c.updateWorker(info, now)
 	}
 	for _, w := range c.sortedWorkers {
 		if !seen[w.ID] {
@@ -103,7 +119,7 @@
 		}
 		if !w.present {
 			c.removeWorker(w)
-			c.trace(Event{Name: "worker_gone", Worker: w.ID, Service: w.Service})
+			c.trace(Event{Name: "worker_gone", Worker: w.ID, VM: w.VM, Service: w.Service})
 		}
 	}
 	if !c.settled {
