Name workers with uncommitted ends as possible lease holders

A worker whose last run had ended was left out of the record of lease holders while it was closed, and at a planned change of owner, although the store did not have the end yet. The next owner then settled its takeover without asking that worker, started the item again, and acknowledged the end afterwards: the item ran twice.

TestWorkerWithUncommittedEndIsHolder fails without the change.

--- a/owner/term.go
+++ b/owner/term.go
@@ -156,11 +156,13 @@
 	}
 }
 
-// flush writes the queued records and the workers that currently hold leases of
-// runs, so that the next owner need not wait for leases that have ended.
+// flush writes the queued records, and then the workers that currently hold leases
+// of runs, so that the next owner need not wait for leases that have ended.
 func (t *term) flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	for t.writeBatch(ctx) {
+	}
 	t.mu.Lock()
 	t.recordHoldersLocked(t.core.LeaseHolders(boottime.Now()))
 	t.mu.Unlock()
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -363,6 +363,7 @@
 	}
 	for _, w := range c.sortedWorkers {
 		w.advanceCommittedEnd()
+		c.checkHoldersOf(w)
 	}
 }
 
--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -349,6 +349,7 @@
 		b.core.StartDone(s, Started, b.now)
 	}
 	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
+	b.core.MarkCommitted(b.core.TakeWrites(1))
 	holders := b.core.LeaseHolders(b.now)
 	if _, idle := holders["w1"]; idle || len(holders) != 1 {
 		t.Errorf("holders %v, want the worker that runs something", holders)
@@ -391,11 +392,39 @@
 	}
 	b.core.HoldersRecorded(ids)
 	b.report(start.Worker.ID, Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
+	b.core.MarkCommitted(b.core.TakeWrites(1))
 	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 0 {
 		t.Errorf("holders %v, changed %v; want none once the item has ended", ids, changed)
 	}
 }
 
+// An end was processed but not committed when its worker, which ran nothing else,
+// was left out of the record of lease holders. The next owner did not ask that
+// worker, started the item again, and acknowledged the end later. Found by
+// TestNoItemRunsTwice.
+func TestWorkerWithUncommittedEndIsHolder(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.core.SetClosed("w1", true)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
+	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
+		t.Errorf("holders %v before the end is committed, want w1", ids)
+	}
+	if holders := b.core.LeaseHolders(b.now); holders["w1"] == 0 {
+		t.Errorf("holders %v at a planned change of owner, want w1", holders)
+	}
+	b.core.MarkCommitted(b.core.TakeWrites(1))
+	if ids, changed := b.core.HoldersToRecord(); len(ids) != 0 || !changed {
+		t.Errorf("holders %v, changed %v once the end is committed; want none", ids, changed)
+	}
+	if holders := b.core.LeaseHolders(b.now); len(holders) != 0 {
+		t.Errorf("holders %v at a planned change of owner, want none", holders)
+	}
+}
+
 // A worker that takes work again has to be in the record before it gets any, also
 // if an older record that names it is confirmed only now.
 func TestReopenedWorkerIsRecordedBeforeItGetsWork(t *testing.T) {
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -17,7 +17,8 @@
 }
 
 // LeaseHolders returns the workers that may run something under a lease, with the
-// longest time that each lease can last from now. It is used when this owner
+// longest time that each lease can last from now, and those with ends that are not
+// committed. It is used when this owner
 // gives no more orders; the next owner has to wait no longer than these times.
 func (c *Core) LeaseHolders(now Time) map[string]time.Duration {
 	holders := map[string]time.Duration{}
@@ -27,7 +28,10 @@
 		}
 	}
 	for _, w := range c.sortedWorkers {
-		if !w.lapsed(now) && c.RunCount(w.ID) > 0 {
+		switch {
+		case w.hasUncommittedEnds():
+			holders[w.ID] = c.RecordedLeaseTime()
+		case !w.lapsed(now) && c.RunCount(w.ID) > 0:
 			holders[w.ID] = w.lapseAt - now
 		}
 	}
@@ -77,8 +81,10 @@
 //   - A worker that reported that nothing runs on it holds none while it gets no
 //     work: it is closed for planned maintenance or a move, which ends it soon,
 //     or it has fallen silent and its leases have lapsed.
+//   - A worker with ends that are not committed counts as a holder: it alone knows
+//     of them, and the next owner would start these items again.
 func (c *Core) mayHoldLease(w *worker) bool {
-	if len(w.copies) > 0 || len(w.orphans) > 0 {
+	if len(w.copies) > 0 || len(w.orphans) > 0 || w.hasUncommittedEnds() {
 		return true
 	}
 	if !w.contacted {
@@ -88,6 +94,10 @@
 	return !w.closed && !w.silentSinceLapse
 }
 
+// hasUncommittedEnds reports whether the store may not have the consequences of an
+// end that the worker has listed.
+func (w *worker) hasUncommittedEnds() bool { return w.committedEnd != w.processedEnd }
+
 // HoldersRecorded marks the workers as named in the store's record of possible
 // lease holders, unless a later record that does not name them is to be written.
 // The next call of HoldersToRecord compares the record with the holders again,
