Give up items that crash the workers that start them

Callers saw jobs that ran on without an end while the workers of their queue crashed one after the other: a run that was lost with its worker was started again without a limit, because only ends that a worker lists as failed were counted.

A crash is known as such now: the VM, or the ID, has a worker of a later lifetime. Items that were on the worker are suspects, recorded durably as soon as the worker falls silent, so that the count survives a change of owner. Suspects are kept apart; after two crashes an item runs on trial, beside runs that have outlived their start, and nothing is started beside it; after three its job is shown as failed. Losses to workers that were cut off, planned ends and long-running items that served do not count. The runs of a crashed worker start again once its VM has a new worker, not when its lease has lapsed.

--- a/job/progress.go
+++ b/job/progress.go
@@ -35,6 +35,21 @@
 	// from counting a failure twice: a worker reports the end of a run until it
 	// is acknowledged, so the end may have been counted by a former owner.
 	FailedRuns []int64 `json:"f,omitempty"`
+	// CrashedRuns are the numbers of the runs that were on workers when these
+	// crashed and may be the cause.
+	CrashedRuns []int64 `json:"c,omitempty"`
+	// LostRuns are the runs whose workers fell silent and that may be the cause.
+	LostRuns []LostRun `json:"l,omitempty"`
 	// Saved is the last checkpoint of an item that saves its progress.
 	Saved string `json:"s,omitempty"`
 }
+
+// LostRun is a run on a worker that fell silent. If the worker has a later lifetime,
+// it has crashed.
+type LostRun struct {
+	Run int64 `json:"r"`
+	// Worker is the VM of the worker, or its ID if the VM is not known.
+	Worker string `json:"w"`
+	// StartMillis is the start of the worker's lifetime in Unix milliseconds.
+	StartMillis int64 `json:"t"`
+}
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -18,6 +18,10 @@
 	// sortedWorkers holds the workers sorted by ID, so that the same input
 	// always gives the same orders.
 	sortedWorkers []*worker
+	// workerOnVM holds the worker of each VM that has one.
+	workerOnVM map[string]*worker
+	// lostAt holds the items with lost runs, by the place of the worker.
+	lostAt map[string][]*item
 	// pendingSteps are the steps that may have work to place.
 	pendingSteps []*step
 	// dirty are the jobs whose records have changed since they were last
@@ -62,6 +66,8 @@
 	return &Core{
 		options: options, manifest: &job.Manifest{},
 		jobs: map[string]*jobState{}, workers: map[string]*worker{},
+		workerOnVM:    map[string]*worker{},
+		lostAt:        map[string][]*item{},
 		scheduled:     map[*jobState]struct{}{},
 		firstRun:      term*runsPerTerm + 1,
 		formerHolders: map[string]Time{},
@@ -151,6 +157,8 @@
 	for _, record := range p.Items {
 		if i := j.itemByNumber(record.Number, now); i != nil {
 			i.lastRun, i.failedRuns, i.saved = record.LastRun, record.FailedRuns, record.Saved
+			i.setCrashedRuns(record.CrashedRuns)
+			c.restoreLostRuns(i, record.LostRuns, now)
 		}
 	}
 }
@@ -258,6 +266,7 @@
 func (c *Core) markItemDone(i *item, now Time) {
 	s := i.step
 	i.done = true
+	i.setCrashedRuns(nil)
 	s.itemsLeft--
 	if !s.done() {
 		return
@@ -318,15 +327,18 @@
 // their IDs.
 func (c *Core) RemoveFinished(keep time.Duration, limit int, now Time) []string {
 	var ids []string
+	removed := map[string]bool{}
 	for id, j := range c.jobs {
 		if len(ids) == limit {
 			break
 		}
 		if j.final() && !j.dirty && j.committed == j.version && now-j.finishedAt > keep && !j.hasCopies() {
 			ids = append(ids, id)
+			removed[id] = true
 			delete(c.jobs, id)
 		}
 	}
+	c.dropLostRuns(removed)
 	return ids
 }
 
@@ -398,9 +410,10 @@
 				switch {
 				case i.done:
 					p.Done = append(p.Done, i.recordNumber())
-				case len(i.failedRuns) > 0 || i.saved != "":
+				case len(i.failedRuns) > 0 || len(i.crashedRuns) > 0 || len(i.lostRuns) > 0 || i.saved != "":
 					p.Items = append(p.Items, job.ItemProgress{
-						Number: i.recordNumber(), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns), Saved: i.saved,
+						Number: i.recordNumber(), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns),
+						CrashedRuns: slices.Clone(i.crashedRuns), LostRuns: slices.Clone(i.lostRuns), Saved: i.saved,
 					})
 				}
 			}
--- /dev/null
+++ b/scheduler/execution/crashes.go
@@ -0,0 +1,320 @@
+package execution
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// A worker that crashes lists no ends, so that the owner has to find out which of
+// its items made it crash. Every item that may be the cause is a suspect. Suspects
+// are kept apart, so that the next crash tells them from each other. One that was on
+// two workers that crashed runs on trial: only beside runs that have outlived their
+// start and are no suspects, and nothing is started beside it. An innocent item ends
+// its run; the job of one that crashes maxCrashes workers is given up.
+
+const (
+	// maxCrashes is the number of workers that may crash under an item before its
+	// job is given up. With three, the last run was on trial; five starts would
+	// be too many.
+	maxCrashes = 3
+	// trialCrashes is the number of crashes after which an item runs on trial.
+	trialCrashes = maxCrashes - 1
+	// maxTrialShare is the part of the workers of a service that trials may take,
+	// but at least one worker. The others keep taking new work.
+	maxTrialShare = 0.5
+)
+
+func (i *item) suspect() bool { return len(i.crashedRuns) > 0 }
+
+// onTrial reports whether the item has to run alone. The items of a gang only work
+// together, so they never run on trial.
+func (i *item) onTrial() bool { return len(i.crashedRuns) >= trialCrashes && !i.step.spec.Gang }
+
+// setCrashedRuns replaces the runs of the item whose workers crashed.
+func (i *item) setCrashedRuns(runs []int64) {
+	before := i.onTrial()
+	i.crashedRuns = runs
+	switch after := i.onTrial(); {
+	case after && !before:
+		i.step.trials++
+	case before && !after:
+		i.step.trials--
+	}
+}
+
+// suspects returns the copies that may have made their worker crash. Long-running
+// items that served their users did not crash the worker when they started, and a run
+// that has already crashed a former lifetime is looked for in this one, but hardly
+// there. Of the items that were suspects before, only those with the most crashes are
+// suspected again.
+func (w *worker) suspects() []*itemCopy {
+	var suspects []*itemCopy
+	most := 0
+	for _, cp := range w.orderedCopies {
+		if cp.phase == starting || cp.item.step.job.final() || cp.served() || slices.Contains(cp.item.crashedRuns, cp.run) {
+			continue
+		}
+		suspects = append(suspects, cp)
+		most = max(most, len(cp.item.crashedRuns))
+	}
+	return slices.DeleteFunc(suspects, func(cp *itemCopy) bool {
+		return cp.item.suspect() && len(cp.item.crashedRuns) < most
+	})
+}
+
+// served reports whether the run is one of a long-running item that has served its
+// users.
+func (cp *itemCopy) served() bool { return cp.item.step.spec.LongRunning && cp.percent >= 100 }
+
+// suspectRuns records the runs on a worker that has fallen silent, or whose lifetime
+// has ended, and that may be the cause. It is not known yet whether the worker has
+// crashed. The record is durable, because the next owner may be the first to know.
+func (c *Core) suspectRuns(w *worker) {
+	for _, cp := range w.suspects() {
+		i := cp.item
+		if slices.ContainsFunc(i.lostRuns, func(l job.LostRun) bool { return l.Run == cp.run }) {
+			continue
+		}
+		i.lostRuns = append(i.lostRuns, job.LostRun{Run: cp.run, Worker: w.place(), StartMillis: w.StartMillis})
+		c.lostAt[w.place()] = append(c.lostAt[w.place()], i)
+		if i.step.job.begun {
+			// A record would show a job as running of which nothing may run yet.
+			c.markDirty(i.step.job)
+		}
+	}
+}
+
+// settleLostRuns decides about the lost runs at the place of a worker. Those of
+// earlier lifetimes have crashed it. Those of its present lifetime are dropped if
+// it is known that it has not crashed.
+func (c *Core) settleLostRuns(w Worker, notCrashed bool, now Time) {
+	items := c.lostAt[w.place()]
+	if len(items) == 0 {
+		return
+	}
+	delete(c.lostAt, w.place())
+	for _, i := range items {
+		var crashed []job.LostRun
+		dropped, left := false, false
+		i.lostRuns = slices.DeleteFunc(i.lostRuns, func(l job.LostRun) bool {
+			switch {
+			case l.Worker != w.place():
+				return false
+			case l.StartMillis < w.StartMillis:
+				crashed = append(crashed, l)
+				return true
+			}
+			dropped, left = dropped || notCrashed, left || !notCrashed
+			return notCrashed
+		})
+		if left {
+			c.lostAt[w.place()] = append(c.lostAt[w.place()], i)
+		}
+		if dropped && !i.done && !i.step.job.final() {
+			c.markDirty(i.step.job)
+		}
+		for _, l := range crashed {
+			c.countCrash(i, l, now)
+		}
+	}
+}
+
+// dropLostRuns forgets the lost runs of jobs that are removed.
+func (c *Core) dropLostRuns(removed map[string]bool) {
+	if len(removed) == 0 {
+		return
+	}
+	for place, items := range c.lostAt {
+		items = slices.DeleteFunc(items, func(i *item) bool { return removed[i.step.job.ID] })
+		if c.lostAt[place] = items; len(items) == 0 {
+			delete(c.lostAt, place)
+		}
+	}
+}
+
+// restoreLostRuns sets the lost runs of an item from its durable record.
+func (c *Core) restoreLostRuns(i *item, lost []job.LostRun, now Time) {
+	i.lostRuns = slices.Clone(lost)
+	for _, l := range lost {
+		c.lostAt[l.Worker] = append(c.lostAt[l.Worker], i)
+		if w := cmp.Or(c.workerOnVM[l.Worker], c.workers[l.Worker]); w != nil {
+			c.settleLostRuns(w.Worker, false, now)
+		}
+	}
+}
+
+// workerEnded is called when the lifetime of a worker has ended. Unless the end was
+// planned, the worker has crashed.
+func (c *Core) workerEnded(w *worker, now Time) {
+	if w.closed || w.Draining {
+		c.settleLostRuns(w.Worker, true, now)
+		return
+	}
+	if len(w.orderedCopies) > 0 {
+		c.suspectRuns(w)
+		c.trace(Event{
+			Name: "worker_crashed", Worker: w.ID, VM: w.VM, Service: w.Service,
+			Detail: fmt.Sprintf("runs=%d suspects=%d", len(w.orderedCopies), len(c.lostAt[w.place()])),
+		})
+	}
+}
+
+// replaceFormerWorker ends the lifetime of the worker that ran on a VM before the
+// given one. It returns false if the given worker is the former one: the registry
+// keeps its entry for a while.
+func (c *Core) replaceFormerWorker(info Worker, now Time) bool {
+	former := c.workerOnVM[info.VM]
+	if info.VM == "" || former == nil || former.ID == info.ID || former.StartMillis == info.StartMillis {
+		return true
+	}
+	if info.StartMillis < former.StartMillis {
+		return false
+	}
+	c.workerEnded(former, now)
+	for _, cp := range copiesOf(former) {
+		c.requeueLost(cp, "vm_restarted", now)
+	}
+	c.removeWorker(former)
+	return true
+}
+
+// countCrash counts a worker that crashed while a run of the item was on it, and
+// gives the job up after maxCrashes of them. It does not while another run of the
+// item is known to go on.
+func (c *Core) countCrash(i *item, lost job.LostRun, now Time) {
+	j := i.step.job
+	if j.final() || i.done || slices.Contains(i.crashedRuns, lost.Run) {
+		return
+	}
+	i.setCrashedRuns(append(slices.Clone(i.crashedRuns), lost.Run))
+	i.avoid = lost.Worker
+	c.markDirty(j)
+	c.trace(Event{Name: "item_suspected", Item: i.id().String(), Run: lost.Run, VM: lost.Worker, Detail: fmt.Sprintf("crashes=%d", len(i.crashedRuns))})
+	if len(i.crashedRuns) >= maxCrashes && !slices.ContainsFunc(i.copies, func(cp *itemCopy) bool { return cp.listed && !cp.worker.silent }) {
+		c.finish(j, job.Failed, "workers_crashed", now)
+	}
+}
+
+// clearRun forgets that a run may have crashed its worker: the worker lists it, so
+// that the start reached the worker's present lifetime.
+func (c *Core) clearRun(i *item, run int64) {
+	if n := slices.Index(i.crashedRuns, run); n >= 0 {
+		i.setCrashedRuns(slices.Delete(slices.Clone(i.crashedRuns), n, n+1))
+		c.markDirty(i.step.job)
+	}
+}
+
+// clearSuspicion forgets the crashes of a long-running item that serves its users.
+func (c *Core) clearSuspicion(cp *itemCopy) {
+	if !cp.item.suspect() {
+		return
+	}
+	cp.item.setCrashedRuns(nil)
+	cp.worker.suspectRuns -= boolToInt(cp.suspect)
+	cp.worker.trialRuns -= boolToInt(cp.trial)
+	cp.suspect, cp.trial = false, false
+	c.markDirty(cp.item.step.job)
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// placeTrials starts the items of the candidates that run on trial. It takes the
+// workers of trials, and those that a trial waits for, from the eligible workers.
+func (c *Core) placeTrials(o *Orders, candidates []candidate, eligible map[string]*eligibleWorkers, now Time) {
+	left := map[string]int{}
+	for _, cand := range candidates {
+		if cand.step.trials == 0 || cand.step.job.inherited && !c.settled {
+			continue
+		}
+		group := eligible[cand.queue.Service]
+		tickets, ok := c.ticketsFor(cand.step, cand.queue, now)
+		if !ok {
+			continue
+		}
+		if _, known := left[cand.queue.Service]; !known {
+			left[cand.queue.Service] = max(int(maxTrialShare*float64(len(group.workers)+group.trials)), 1) - group.trials
+		}
+		for n := range cand.step.items {
+			i := &cand.step.items[n]
+			if !i.onTrial() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 {
+				continue
+			}
+			w := trialWorker(i, group.workers, tickets)
+			if w == nil {
+				continue
+			}
+			left[cand.queue.Service]--
+			group.workers = slices.DeleteFunc(slices.Clone(group.workers), func(other *worker) bool { return other == w })
+			if w.unsettledRuns() == 0 && w.accepts(cand.step, cand.step.spec.Charge(), tickets) {
+				o.Starts = append(o.Starts, c.start(i, w, max(i.lastRun+1, c.firstRun), i.saved, tickets, now))
+			}
+		}
+	}
+}
+
+// waitingTrials returns the number of items that wait for a trial.
+func (s *step) waitingTrials() int {
+	if s.trials == 0 {
+		return 0
+	}
+	n := 0
+	for k := range s.items {
+		if s.items[k].onTrial() && s.items[k].startable() {
+			n++
+		}
+	}
+	return n
+}
+
+// trialWorker returns the worker for an item on trial: among those that have room for
+// it now, or else once some runs have ended, the one with the fewest runs that a trial
+// has to wait for, and not the one that crashed last if there is a choice.
+func trialWorker(i *item, workers []*worker, tickets map[string]string) *worker {
+	type score struct{ full, unsettled, crashedLast, runs int }
+	charge := i.step.spec.Charge()
+	var best *worker
+	var bestScore score
+	for _, w := range workers {
+		if !w.allows(i.step, tickets) || !charge.Fits(w.idleCapacity()) {
+			continue
+		}
+		s := score{boolToInt(!charge.Fits(w.free())), w.unsettledRuns(), boolToInt(w.place() == i.avoid), len(w.orderedCopies)}
+		if best == nil || cmp.Or(cmp.Compare(s.full, bestScore.full), cmp.Compare(s.unsettled, bestScore.unsettled),
+			cmp.Compare(s.crashedLast, bestScore.crashedLast), cmp.Compare(s.runs, bestScore.runs)) < 0 {
+			best, bestScore = w, s
+		}
+	}
+	return best
+}
+
+// unsettledRuns returns the number of runs on the worker that a trial has to wait
+// for: suspects, and runs that the worker has not listed yet.
+func (w *worker) unsettledRuns() int {
+	n := len(w.orphans)
+	for _, cp := range w.orderedCopies {
+		if cp.suspect || !cp.listed {
+			n++
+		}
+	}
+	return n
+}
+
+// idleCapacity returns what the worker has free once all runs have ended but those
+// of long-running items.
+func (w *worker) idleCapacity() job.Resources {
+	free := w.Capacity
+	for _, cp := range w.orderedCopies {
+		if cp.item.step.spec.LongRunning {
+			free = free.Add(cp.item.step.spec.Charge(), -1)
+		}
+	}
+	return free
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -78,6 +78,7 @@
 		w.StartMillis = r.StartMillis
 	}
 	w.silent, w.silentSinceLapse = false, false
+	c.settleLostRuns(w.Worker, true, now)
 	if !w.contacted {
 		w.contacted = true
 		delete(c.formerHolders, w.ID)
@@ -110,6 +111,7 @@
 		return
 	}
 	w.silent = true
+	c.suspectRuns(w)
 	if len(w.copies) > 0 {
 		c.trace(Event{Name: "worker_silent", Worker: id, VM: w.VM, Service: w.Service, Reason: reason, Took: now - w.clockAt})
 	}
@@ -124,6 +126,7 @@
 			c.confirm(cp, now)
 		}
 		cp.listed = true
+		c.clearRun(cp.item, cp.run)
 		if row.Percent != cp.percent {
 			cp.percent, cp.progressedAt = row.Percent, now
 		}
@@ -131,6 +134,9 @@
 			cp.item.saved = row.Saved
 		}
 		cp.tailMillis = row.Load
+		if cp.served() {
+			c.clearSuspicion(cp)
+		}
 		return
 	}
 	if _, known := w.orphans[row.Run]; known {
@@ -292,7 +298,7 @@
 // limit of attempts, and processEnd removes their delay.
 func (c *Core) handleFailure(w *worker, i *item, run int64, now Time) {
 	j := i.step.job
-	i.avoid = w.ID
+	i.avoid = w.place()
 	i.notBefore = now + failureBackoff
 	c.recordFailure(w, now)
 	if i.step.spec.LongRunning || slices.Contains(i.failedRuns, run) {
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -47,7 +47,7 @@
 			// that the run makes no progress.
 			if now-cp.progressedAt > stallTimeout && w.clockAt > cp.progressedAt+stallTimeout/2 {
 				cp.stopWanted = true
-				cp.item.avoid = w.ID
+				cp.item.avoid = w.place()
 				c.trace(Event{Name: "run_stalled", Item: cp.item.id().String(), Run: cp.run, Worker: w.ID, Took: now - cp.startedAt})
 				c.recordFailure(w, now)
 			}
@@ -189,6 +189,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(a.rank.compare(b.rank), a.step.id().Compare(b.step.id()))
 	})
+	c.placeTrials(o, candidates, eligible, now)
 	for _, cand := range candidates {
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
 			break
@@ -228,6 +229,9 @@
 type eligibleWorkers struct {
 	workers []*worker
 	maxFree job.Resources
+	// trials is the number of workers that would be eligible but for an item on
+	// trial.
+	trials int
 }
 
 // eligibleByService returns the workers that may get work, by service.
@@ -240,6 +244,10 @@
 				p = &eligibleWorkers{}
 				byService[w.Service] = p
 			}
+			if w.trialRuns > 0 {
+				p.trials++
+				continue
+			}
 			p.workers = append(p.workers, w)
 			free := w.free()
 			p.maxFree = job.Resources{
@@ -272,7 +280,7 @@
 	}
 	for n := range s.items {
 		i := &s.items[n]
-		if !i.startable() || now < i.notBefore {
+		if !i.startable() || i.onTrial() || now < i.notBefore {
 			continue
 		}
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
@@ -313,12 +321,19 @@
 			continue
 		}
 		score := -w.cpuFraction()
-		if s.spec.Filler {
+		switch {
+		case s.spec.Filler:
 			score = w.cpuFractionWithFillers()
+		case i.suspect():
+			// If the item crashes the worker, it takes the fewest other runs with it.
+			score = w.cpuFraction()
 		}
-		if w.ID == i.avoid {
+		if w.place() == i.avoid {
 			score += avoidPenalty
 		}
+		if w.suspectRuns > 0 {
+			score += suspectPenalty
+		}
 		if s.spec.LongRunning {
 			score += siblingPenalty * float64(s.copies[w])
 			if w.stopExpected {
@@ -341,6 +356,8 @@
 	otherRackPenalty    = 2
 	avoidPenalty        = 1
 	stopExpectedPenalty = 1
+	// suspectPenalty keeps suspects apart from each other and from other items.
+	suspectPenalty = 2
 	// siblingPenalty spreads the items of a long-running step: fewer of them
 	// are lost with a VM, and a planned stop has to move fewer of them one by
 	// one.
@@ -350,9 +367,11 @@
 // accepts reports whether an item of a step may be placed on the worker. tickets
 // is nil if none is needed, or if the advice is yet to be asked for.
 func (w *worker) accepts(s *step, charge job.Resources, tickets map[string]string) bool {
-	if !charge.Fits(w.free()) {
-		return false
-	}
+	return charge.Fits(w.free()) && w.allows(s, tickets)
+}
+
+// allows is accepts without regard to the worker's free capacity.
+func (w *worker) allows(s *step, tickets map[string]string) bool {
 	if s.spec.MaxPerWorker > 0 && s.copies[w] >= s.spec.MaxPerWorker {
 		return false
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -42,6 +42,9 @@
 	// listed is set once a report showed the run in the current lifetime of
 	// the worker.
 	listed bool
+	// suspect and trial are set if the item was a suspect or on trial when the run
+	// started.
+	suspect, trial bool
 	// percent is the progress, which last changed at progressedAt.
 	percent      int
 	progressedAt Time
@@ -66,10 +69,17 @@
 	saved   string
 	lastRun int64
 	copies  []*itemCopy
+	// crashedRuns are the runs whose workers crashed, each with the run as a
+	// possible cause.
+	crashedRuns []int64
+	// lostRuns are runs that may become crashedRuns: their workers fell silent, and
+	// it is not known yet whether they crashed.
+	lostRuns []job.LostRun
 	// notBefore is the earliest time of the next start after a failure. It does
 	// not delay long-running items.
 	notBefore Time
-	// avoid is the ID of the worker on which the item last failed or stalled.
+	// avoid is the place of the worker on which the item last failed or stalled,
+	// or which crashed under it.
 	avoid string
 }
 
@@ -78,12 +88,13 @@
 }
 
 // startable reports whether the item is not done and either has no copy or is
-// speculative and has its only copy on a worker that does not answer.
+// speculative and has its only copy on a worker that does not answer. A suspect
+// gets no second copy, because that would crash another worker.
 func (i *item) startable() bool {
 	if i.done || len(i.copies) == 0 {
 		return !i.done
 	}
-	return i.step.spec.Speculative && len(i.copies) == 1 && i.copies[0].worker.silent
+	return i.step.spec.Speculative && !i.suspect() && len(i.copies) == 1 && i.copies[0].worker.silent
 }
 
 // recordNumber returns the number under which the job's durable record holds the
@@ -109,6 +120,8 @@
 	readyAt Time
 	// copies is the number of copies on each worker.
 	copies map[*worker]int
+	// trials is the number of items on trial.
+	trials int
 	// pending is set while the step is in Core.pendingSteps.
 	pending bool
 	// firstStart is when the first item was started; meanRunTime is the mean of
@@ -161,6 +174,8 @@
 	used      job.Resources
 	fillerCPU int64
 	copies    map[Run]*itemCopy
+	// suspectRuns and trialRuns count the copies with suspect and trial set.
+	suspectRuns, trialRuns int
 	// orderedCopies holds the copies in the order in which they were added.
 	orderedCopies []*itemCopy
 	// orphans are runs on the worker that are not wanted and belong to no copy.
@@ -270,16 +285,21 @@
 func (c *Core) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
+	if c.workerOnVM[w.VM] == w {
+		delete(c.workerOnVM, w.VM)
+	}
 	c.checkHolders = true
 }
 
 func (c *Core) addCopy(i *item, w *worker, run int64, phase copyPhase, now Time) *itemCopy {
-	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100}
+	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100, suspect: i.suspect(), trial: i.onTrial()}
 	i.copies = append(i.copies, cp)
 	i.lastRun = max(i.lastRun, run)
 	i.step.copies[w]++
 	w.copies[Run{i.id(), run}] = cp
 	w.orderedCopies = append(w.orderedCopies, cp)
+	w.suspectRuns += boolToInt(cp.suspect)
+	w.trialRuns += boolToInt(cp.trial)
 	w.reserve(i.step.spec, 1)
 	if i.step.firstStart == 0 {
 		i.step.firstStart = now
@@ -310,6 +330,8 @@
 	}
 	delete(cp.worker.copies, Run{i.id(), cp.run})
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
+	cp.worker.suspectRuns -= boolToInt(cp.suspect)
+	cp.worker.trialRuns -= boolToInt(cp.trial)
 	cp.worker.reserve(i.step.spec, -1)
 	c.checkHoldersOf(cp.worker)
 	c.addPending(i.step)
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -23,11 +23,12 @@
 //   - A work item has more than one copy at a time only if its step is
 //     speculative.
 //   - A copy is dropped only when its worker has listed its end, when the worker
-//     certainly does not run it (it has a new lifetime, or it has answered an
-//     order to stop the run and does not list it), or when the worker's lease has
-//     lapsed.
+//     certainly does not run it (it has a new lifetime, its VM runs a newer worker,
+//     or it has answered an order to stop the run and does not list it), or when
+//     the worker's lease has lapsed.
 //   - An end is acknowledged to a worker only after the progress that follows
 //     from it has been committed to the store.
+//   - An item is not started again once maxCrashes workers have crashed under it.
 package execution
 
 import (
@@ -62,6 +63,9 @@
 	StartMillis int64
 }
 
+// place identifies where the worker runs, across restarts if its VM is known.
+func (w Worker) place() string { return cmp.Or(w.VM, w.ID) }
+
 // Run identifies one start of a work item. Later starts have higher numbers; the
 // items of a gang that start together have the same one.
 type Run struct {
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -8,6 +8,9 @@
 
 // WorkerSeen updates a worker from a change of its registry entry.
 func (c *Core) WorkerSeen(info Worker, now Time) {
+	if w := c.workerOnVM[info.VM]; w != nil && info.StartMillis < w.StartMillis {
+		return
+	}
 	w := c.workers[info.ID]
 	registered := w == nil || !w.present || info.StartMillis > w.StartMillis
 	changed := !registered && info.Capacity != w.Capacity
@@ -22,6 +25,9 @@
 
 // updateWorker updates a worker from its registry entry.
 func (c *Core) updateWorker(info Worker, now Time) {
+	if !c.replaceFormerWorker(info, now) {
+		return
+	}
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info.ID)
@@ -31,6 +37,10 @@
 		c.startLifetime(w, now)
 	}
 	w.Worker, w.present = info, true
+	if info.VM != "" {
+		c.workerOnVM[info.VM] = w
+	}
+	c.settleLostRuns(info, false, now)
 }
 
 // startLifetime resets what is known of a worker that has restarted: runs that
@@ -38,6 +48,7 @@
 // unresolved, because their starts may have reached the new lifetime before the
 // owner knew of it, or may yet reach it.
 func (c *Core) startLifetime(w *worker, now Time) {
+	c.workerEnded(w, now)
 	for _, cp := range copiesOf(w) {
 		if cp.listed {
 			c.requeueLost(cp, "worker_restarted", now)
@@ -107,6 +118,9 @@
 		if !w.lapsed(now) {
 			continue
 		}
+		if w.silent {
+			c.suspectRuns(w)
+		}
 		for _, cp := range copiesOf(w) {
 			c.requeueLost(cp, "lease_lapsed", now)
 		}
@@ -118,6 +132,9 @@
 			c.checkHoldersOf(w)
 		}
 		if !w.present {
+			if w.closed || w.Draining {
+				c.settleLostRuns(w.Worker, true, now)
+			}
 			c.removeWorker(w)
 			c.trace(Event{Name: "worker_gone", Worker: w.ID, VM: w.VM, Service: w.Service})
 		}
@@ -183,6 +200,7 @@
 	for _, cp := range copiesOf(w) {
 		c.requeueLost(cp, "vm_taken", now)
 	}
+	c.settleLostRuns(w.Worker, true, now)
 	c.removeWorker(w)
 }
 
