Test LIMIT under a capacity that shrinks while workers run

The stand-in's workers change their capacity, check it at each start, and crash under items whose spec says so; the soak has both as faults.

--- a/processtest/soak_test.go
+++ b/processtest/soak_test.go
@@ -32,10 +32,11 @@
 // store is down, loses answers, compacts its history, or leaves its pending watches
 // (long polls) without an answer;
 // connections to the store, to workers and from requesters are delayed, reset, or
-// lose the data of one direction; orders are carried out late and workers restart.
+// lose the data of one direction; orders are carried out late, workers restart, and
+// their capacity shrinks and grows. Some jobs crash the workers that start them.
 // Meanwhile, new manifests and a maintenance wave are published. The test guards
-// against accepted jobs that are lost, and against violations recorded by the
-// workers. A seed fixes the choice of the faults, but not the timing of the processes
+// against accepted jobs that are lost, jobs that crash workers without an end, and
+// violations recorded by the workers. A seed fixes the choice of the faults, but not the timing of the processes
 // nor the calls that the platform lets fail. To run fifty seeds by hand:
 //
 //	go test ./processtest -run JobSoak -soak.seeds 50 -timeout 30m
@@ -53,14 +54,18 @@
 	if err := c.platform.Publish("op/wave/1", map[string]any{"wave": 1, "machines": vms, "durationS": 20, "cap": 2}); err != nil {
 		t.Fatal(err)
 	}
-	var jobs []*job.Job
+	var jobs, deadly []*job.Job
 	version := int64(1)
 	for range soakFaultCount {
-		// injectFault has the cases 0 to 13.
-		fault := random.IntN(14)
+		// injectFault has the cases 0 to 14; 15 stands for a job that crashes workers.
+		fault := random.IntN(16)
 		t.Logf("seed %d: fault %d", seed, fault)
-		c.injectFault(random, fault, &version)
-		jobs = append(jobs, c.submitJobs(2+random.IntN(4), "work=120ms", 10*time.Millisecond)...)
+		if fault == 15 {
+			deadly = append(deadly, c.submitJobs(1, "deadly", 0)...)
+		} else {
+			c.injectFault(random, fault, &version)
+		}
+		jobs = append(jobs, c.submitJobs(2+random.IntN(4), "work=120ms cpu=2000", 10*time.Millisecond)...)
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
 	c.platform.SetFaults(jobplatform.Faults{})
@@ -68,6 +73,7 @@
 		e.signal(syscall.SIGCONT)
 	}
 	c.clearRelayFaults()
+	c.checkFailed(deadly, soakCompletionTimeout)
 	c.checkCompleted(jobs, soakCompletionTimeout)
 	for id, n := range c.platform.UpkeepCounts() {
 		if n > 1 {
@@ -133,6 +139,12 @@
 		r := c.workerRelays[random.IntN(len(c.workerRelays))]
 		c.mu.Unlock()
 		c.injectRelayFault(random, r)
+	case 14:
+		for _, vm := range c.platform.Machines("artwork") {
+			if err := c.platform.SetCapacity(vm, int64(2000+random.IntN(14000))); err != nil {
+				c.Logf("capacity not changed: %v", err)
+			}
+		}
 	}
 }
 
--- a/standin/jobplatform/history.go
+++ b/standin/jobplatform/history.go
@@ -8,7 +8,8 @@
 )
 
 // history records the runs on all workers and detects violations of the protocol:
-// an item that runs twice at once, or again after its end was acknowledged.
+// an item that runs twice at once, or again after its end was acknowledged, or that
+// crashes worker after worker, and workers over their capacity.
 type history struct {
 	mu    sync.Mutex
 	items map[string]*itemHistory
@@ -28,6 +29,9 @@
 	acknowledged time.Time
 	// done is set when a run ends with the outcome done, acknowledged or not.
 	done bool
+	// crashes counts the workers that the item crashed, startsAfterCrashes its
+	// starts after maxCrashes of them.
+	crashes, startsAfterCrashes int
 }
 
 func newHistory() *history {
@@ -117,3 +121,29 @@
 	}
 	return nil
 }
+
+const (
+	// After maxCrashes crashes, an item that crashes its workers may be started
+	// maxStartsAfterCrashes times more.
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 2
+)
+
+// deadlyStart records a start of an item that crashes its worker.
+func (h *history) deadlyStart(key runKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := h.item(key.item)
+	if i.crashes >= maxCrashes {
+		if i.startsAfterCrashes++; i.startsAfterCrashes > maxStartsAfterCrashes {
+			h.addViolation("item %s: run %d starts after %d workers have crashed under it", key.item, key.run, i.crashes)
+		}
+	}
+	i.crashes++
+}
+
+func (h *history) overCapacity(w *worker, key runKey, used, limit int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addViolation("item %s: run %d takes %s to %d thousandths of a core, over its capacity of %d", key.item, key.run, w.id, used, limit)
+}
--- a/standin/jobplatform/platform.go
+++ b/standin/jobplatform/platform.go
@@ -32,6 +32,9 @@
 	// MoveTime and UpkeepTime are how long a machine is out of service while it moves
 	// to another pool or is under maintenance. The default is 200 ms.
 	MoveTime, UpkeepTime time.Duration
+	// RestartTime is how long a machine takes to start a new worker after a crash
+	// by a work item. The default is 300 ms.
+	RestartTime time.Duration
 }
 
 // Faults are the faults that the platform injects.
@@ -63,6 +66,7 @@
 	faults            Faults
 	machines          map[string]*machine
 	lastWorkerNumber  int
+	closed            bool
 	maintenanceCounts map[string]int
 }
 
@@ -82,6 +86,9 @@
 	if o.UpkeepTime == 0 {
 		o.UpkeepTime = 200 * time.Millisecond
 	}
+	if o.RestartTime == 0 {
+		o.RestartTime = 300 * time.Millisecond
+	}
 	p := &Platform{options: o, kv: newKV(), history: newHistory(), machines: map[string]*machine{}, maintenanceCounts: map[string]int{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -111,6 +118,7 @@
 	p.store.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, m := range p.machines {
 		p.stopWorker(m)
 	}
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -42,6 +42,8 @@
 	leaseExpiry        time.Time
 	leaseTimer         *time.Timer
 	runEnded           chan struct{}
+	// capacities are the changes of the worker's capacity, the last one in force.
+	capacities []capacityChange
 }
 
 type runKey struct {
@@ -58,7 +60,9 @@
 	willFail bool
 	// lasting is set if the run does not end on its own.
 	lasting bool
-	timer   *time.Timer
+	// milliCPU is what the run takes from the worker's capacity.
+	milliCPU int64
+	timer    *time.Timer
 }
 
 type runEnd struct {
@@ -70,11 +74,14 @@
 
 // jobSpec is the simulated behaviour of the items of a job. A spec is a list of
 // words: work=50ms (duration), fail=0.1 (probability of failure), lasting (runs
-// until it is stopped).
+// until it is stopped), cpu=2000 (thousandths of a core that an item requests, for
+// the check of the worker's capacity), deadly (each item crashes the worker that
+// starts it).
 type jobSpec struct {
 	work            time.Duration
 	failProbability float64
-	lasting         bool
+	lasting, deadly bool
+	milliCPU        int64
 }
 
 func parseSpec(spec string) jobSpec {
@@ -92,6 +99,10 @@
 			}
 		case "lasting":
 			parsed.lasting = true
+		case "deadly":
+			parsed.deadly = true
+		case "cpu":
+			parsed.milliCPU = parseIntOrZero(value)
 		}
 	}
 	return parsed
@@ -187,10 +198,17 @@
 		return http.StatusConflict, w.refusalBody("old")
 	}
 	spec := parseSpec(body.Spec)
-	r := &run{saved: body.Saved, started: time.Now(), work: spec.work, willFail: rand.Float64() < spec.failProbability, lasting: spec.lasting}
+	r := &run{
+		saved: body.Saved, started: time.Now(), work: spec.work, willFail: rand.Float64() < spec.failProbability, lasting: spec.lasting,
+		milliCPU: spec.milliCPU,
+	}
 	w.runs[key] = r
 	w.platform.history.started(w, key)
-	if !r.lasting {
+	w.checkCapacity(key)
+	if spec.deadly {
+		w.platform.history.deadlyStart(key)
+		time.AfterFunc(crashAfter, func() { w.platform.crash(w) })
+	} else if !r.lasting {
 		outcome := "done"
 		if r.willFail {
 			outcome = "failed"
@@ -321,6 +339,7 @@
 		}
 		w.platform.history.killed(w, key)
 	}
+	w.capacities = nil
 	w.runs = map[runKey]*run{}
 	w.platform.history.discardUnacknowledgedEnds(w.id)
 	if w.leaseTimer != nil {
@@ -339,7 +358,7 @@
 	value, err := json.Marshal(map[string]any{
 		"service": w.service, "addr": w.registeredAddress, "zone": "zone-a", "version": "v1", "slots": 8, "state": state, "machine": w.machine,
 		"coldLeftMs": 0, "born": w.startedUnixMillis, "labels": []string{"a", w.rack}, "clockMs": w.clockMillis(), "seq": 1,
-		"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0},
+		"capacity": map[string]int64{"cpu": w.milliCPU(), "memMb": workerMemoryMB, "gpu": 0},
 	})
 	if err != nil {
 		panic(fmt.Sprintf("encode registry entry: %v", err))
@@ -347,7 +366,7 @@
 	return value
 }
 
-// Resources of a worker.
+// Resources of a worker, unless SetCapacity has changed them.
 const (
 	workerMilliCPU = 16000
 	workerMemoryMB = 65536
