Move VMs to pools whose VMs have lost capacity

A VM whose capacity had shrunk counted as a whole one, so that a pool in which most had shrunk was taken to have room while its work waited. What the VMs of a pool have lost in their lifetimes counts as used now. TestLostCapacityBringsVMs fails without the change: no VM moves to a pool that lacks 48 of 64 cores.

--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -15,12 +15,14 @@
 	// Spare tells whether the pool is the spare pool, whose VMs are switched off
 	// and cost nothing.
 	Spare bool
-	// CoresPerVM is the size of a VM of the pool.
+	// CoresPerVM is the size of a VM of the pool that has all its capacity.
 	CoresPerVM float64
 	// RunningCores is the demand of running work, WaitingCores that of work that
 	// could start at once, and LongRunningCores the part of RunningCores that is
 	// long-running.
 	RunningCores, WaitingCores, LongRunningCores float64
+	// LostCores is by how much the capacity of the pool's VMs has shrunk.
+	LostCores float64
 	// BacklogCoreSeconds is the waiting work in core-seconds.
 	BacklogCoreSeconds float64
 	// RequiredVMs is the number of VMs that the waiting work needs regardless of
@@ -268,7 +270,7 @@
 	// A VM that is ordered now takes work once the move is done.
 	ahead := d.ArrivalGrowth * (r.options.MoveTime + forecastLead).Seconds()
 	cores := max(d.RunningCores+min(d.WaitingCores, d.BacklogCoreSeconds/backlogCompletionTime.Seconds()), d.LongRunningCores+d.ArrivalRate+ahead)
-	wanted = max(int(math.Ceil(cores/size+headroomVMs/2)), 1)
+	wanted = max(int(math.Ceil((cores+d.LostCores)/size+headroomVMs/2)), 1)
 	base := int(math.Ceil(d.LongRunningCores/size + headroomVMs))
 	h.observe(now, wanted, base, r.options.IdleTimeout)
 	switch {
--- a/scheduler/capacity/rebalancing_test.go
+++ b/scheduler/capacity/rebalancing_test.go
@@ -256,3 +256,19 @@
 		t.Errorf("%v are drained although no pool needs VMs", drain)
 	}
 }
+
+// Load pattern: the VMs of a pool lose most of their capacity while it is in use.
+// Others have to replace them.
+func TestLostCapacityBringsVMs(t *testing.T) {
+	r := NewRebalancer(RebalancingOptions{})
+	vms := idleVMs("spare", 5)
+	for n := range 4 {
+		vms = append(vms, ManagedVM{ID: fmt.Sprintf("shrunk-%d", n), Pool: "shrunk", WorkItems: 1})
+	}
+	d := pool("shrunk", 16, 30)
+	d.LostCores = 48
+	moves, _ := r.Plan(0, []CoreDemand{{Pool: "spare", Spare: true}, d}, vms)
+	if n := countMoves(moves, "spare", "shrunk"); n < 2 {
+		t.Errorf("%d VMs move to the pool, want at least 2 for 94 cores on VMs of 16", n)
+	}
+}
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -86,8 +86,9 @@
 		if d == nil || !w.present {
 			continue
 		}
-		d.CoresPerVM = max(d.CoresPerVM, cores(w.Capacity.MilliCPU))
+		d.CoresPerVM = max(d.CoresPerVM, cores(w.largestMilliCPU))
 		d.RunningCores += cores(w.used.MilliCPU)
+		d.LostCores += cores(w.largestMilliCPU - w.Capacity.MilliCPU)
 		for _, cp := range w.orderedCopies {
 			if cp.item.step.spec.LongRunning {
 				d.LongRunningCores += cores(cp.item.step.spec.Charge().MilliCPU)
--- a/scheduler/execution/demand_test.go
+++ b/scheduler/execution/demand_test.go
@@ -82,3 +82,22 @@
 		t.Errorf("%d VMs asked for, want 4", d.RequiredVMs)
 	}
 }
+
+// The capacity of most VMs of a pool shrank. The planner counted them as whole VMs
+// and took the pool to have room, so that work waited and no VM was moved to it.
+func TestLostCapacityIsReplaced(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.SetManifest(&job.Manifest{Services: []job.Service{{Name: testService}}, Queues: []job.Queue{{Name: testQueue, Service: testService}}})
+	for _, id := range []string{"w1", "w2", "w3"} {
+		b.worker(testWorker(id, 16_000), Report{})
+	}
+	shrunk := testWorker("w1", 4000)
+	b.core.WorkerSeen(shrunk, b.now)
+	if d := b.core.Demands(b.now)[0]; d.CoresPerVM != 16 || d.LostCores != 12 {
+		t.Errorf("%v cores a VM and %v lost, want 16 and 12", d.CoresPerVM, d.LostCores)
+	}
+	b.core.WorkerSeen(testWorker("w1", 16_000), b.now)
+	if d := b.core.Demands(b.now)[0]; d.LostCores != 0 {
+		t.Errorf("%v cores lost after the capacity has grown again, want 0", d.LostCores)
+	}
+}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -174,6 +174,9 @@
 	used      job.Resources
 	fillerCPU int64
 	copies    map[Run]*itemCopy
+	// largestMilliCPU is the largest CPU capacity in the worker's lifetime, in
+	// thousandths of a core.
+	largestMilliCPU int64
 	// suspectRuns and trialRuns count the copies with suspect and trial set.
 	suspectRuns, trialRuns int
 	// orderedCopies holds the copies in the order in which they were added.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -37,6 +37,7 @@
 		c.startLifetime(w, now)
 	}
 	w.Worker, w.present = info, true
+	w.largestMilliCPU = max(w.largestMilliCPU, info.Capacity.MilliCPU)
 	if info.VM != "" {
 		c.workerOnVM[info.VM] = w
 	}
@@ -61,7 +62,7 @@
 	}
 	w.contacted, w.clock, w.clockAt = false, 0, 0
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
-	w.failures, w.avoidUntil = 0, 0
+	w.failures, w.avoidUntil, w.largestMilliCPU = 0, 0, 0
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
 }
 
