Limit what one failing item does to the workers of its queue

The same class of fault as items that crash workers: long-running items may fail any number of times, were started again at once, and each failure counted against the worker. One item that always fails kept all four workers of a test out of use; its starts were limited only by these pauses. After two workers the item is taken to be the cause, for stalls as well, and its starts are spaced by up to 2 s until it serves its users.

--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -370,3 +370,39 @@
 		}
 	}
 }
+
+// A long-running item that failed on every worker was started again without a pause,
+// and each worker that it failed on got no work for a while: one item took the
+// workers of its queue out of use, one after the other.
+func TestItemThatFailsEverywhereLeavesWorkersInUse(t *testing.T) {
+	b := newTestbed(t, 0)
+	ends := map[string]int64{}
+	for _, id := range []string{"w1", "w2", "w3", "w4"} {
+		b.worker(testWorker(id, 4000), Report{})
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{LongRunning: true}), job.Progress{}, false, wall, b.now)
+	starts := 0
+	for until := b.now + 10*time.Second; b.now < until; b.now += 10 * time.Millisecond {
+		for _, s := range b.round().Starts {
+			starts++
+			b.core.StartDone(s, Started, b.now)
+			ends[s.Worker.ID]++
+			b.report(s.Worker.ID, Report{Ended: []EndedItem{{Number: ends[s.Worker.ID], Run: s.Run, Kind: EndFailed}}})
+		}
+	}
+	if starts > 20 {
+		t.Errorf("%d starts in 10 s of an item that fails at once, want at most 20", starts)
+	}
+	if starts < 4 {
+		t.Errorf("%d starts in 10 s, want one every 2 s at least", starts)
+	}
+	avoided := 0
+	for _, w := range b.core.sortedWorkers {
+		if b.now < w.avoidUntil {
+			avoided++
+		}
+	}
+	if avoided > 0 {
+		t.Errorf("%d of 4 workers get no work because of one item", avoided)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -135,6 +135,7 @@
 		}
 		cp.tailMillis = row.Load
 		if cp.served() {
+			cp.item.troubles = 0
 			c.clearSuspicion(cp)
 		}
 		return
@@ -247,10 +248,6 @@
 		c.handleFailure(w, i, end.Run.Number, now)
 	case EndLapsed, EndAlone, EndBroken, EndStopped:
 	}
-	if i.step.spec.LongRunning && !i.done {
-		// Long-running items start again without delay, even after a failure.
-		i.notBefore = now
-	}
 	c.addPending(i.step)
 }
 
@@ -281,9 +278,15 @@
 }
 
 const (
-	// failureBackoff is the delay before an item that failed is started again,
-	// unless it is long-running.
-	failureBackoff = 50 * time.Millisecond
+	// failureBackoff is the delay before an item that failed is started again. For
+	// a long-running item, which may fail any number of times, there is none after
+	// the first failure; it doubles with each further one up to failureBackoffMax
+	// until the item serves its users.
+	failureBackoff    = 50 * time.Millisecond
+	failureBackoffMax = 2 * time.Second
+	// maxBlamedWorkers is the number of workers that are blamed for the failures
+	// and stalls of one item. After that, the cause is the item.
+	maxBlamedWorkers = 2
 	// failuresToAvoid is the number of failures, without a run with EndDone in
 	// between, after which a worker is avoided.
 	failuresToAvoid = 3
@@ -295,12 +298,12 @@
 
 // handleFailure delays the next start of an item that failed, and ends the job
 // as failed once the item has used up its attempts. Long-running items have no
-// limit of attempts, and processEnd removes their delay.
+// limit of attempts.
 func (c *Core) handleFailure(w *worker, i *item, run int64, now Time) {
 	j := i.step.job
 	i.avoid = w.place()
-	i.notBefore = now + failureBackoff
-	c.recordFailure(w, now)
+	i.notBefore = now + i.backoff()
+	c.recordFailure(w, i, now)
 	if i.step.spec.LongRunning || slices.Contains(i.failedRuns, run) {
 		return
 	}
@@ -311,9 +314,24 @@
 	}
 }
 
-// recordFailure counts a failure that the worker may have caused, and places no
-// work on the worker for some time after several in a row.
-func (c *Core) recordFailure(w *worker, now Time) {
+// backoff returns the delay before the next start of an item that has failed.
+func (i *item) backoff() time.Duration {
+	if !i.step.spec.LongRunning {
+		return failureBackoff
+	}
+	if i.troubles == 0 {
+		return 0
+	}
+	return min(failureBackoff<<min(i.troubles-1, 10), failureBackoffMax)
+}
+
+// recordFailure counts a failure or stall of an item that the worker may have caused,
+// and places no work on the worker for some time after several in a row.
+func (c *Core) recordFailure(w *worker, i *item, now Time) {
+	i.troubles++
+	if i.troubles > maxBlamedWorkers {
+		return
+	}
 	w.failures++
 	if w.failures >= failuresToAvoid {
 		d := min(avoidTime<<min(w.failures-failuresToAvoid, 3), avoidTimeMax)
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -49,7 +49,7 @@
 				cp.stopWanted = true
 				cp.item.avoid = w.place()
 				c.trace(Event{Name: "run_stalled", Item: cp.item.id().String(), Run: cp.run, Worker: w.ID, Took: now - cp.startedAt})
-				c.recordFailure(w, now)
+				c.recordFailure(w, cp.item, now)
 			}
 		}
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -75,9 +75,11 @@
 	// lostRuns are runs that may become crashedRuns: their workers fell silent, and
 	// it is not known yet whether they crashed.
 	lostRuns []job.LostRun
-	// notBefore is the earliest time of the next start after a failure. It does
-	// not delay long-running items.
+	// notBefore is the earliest time of the next start after a failure.
 	notBefore Time
+	// troubles counts the failures and stalls of the item, and for a long-running
+	// item those since it last served its users.
+	troubles int
 	// avoid is the place of the worker on which the item last failed or stalled,
 	// or which crashed under it.
 	avoid string
