Bound the occurrences of a job, and pass over records that cannot be used

The same class of fault at the entry VMs: one job that was accepted with a thousand million occurrences took the memory of each owner that read it, and a progress record that could not be decoded ended each owner's term. Such jobs are refused with a finding now; stored ones, and jobs without a readable record, are logged as job_unreadable and progress_unreadable and are not run, and the other jobs go on.

--- a/job/job.go
+++ b/job/job.go
@@ -20,6 +20,9 @@
 	MaxSteps     = 64
 	// MaxItemsPerStep bounds the memory that the owner needs for one job.
 	MaxItemsPerStep = 2000
+	// MaxOccurrences bounds the memory that the owner needs before the first
+	// occurrence of a job is due, at 32 bytes for each.
+	MaxOccurrences = 10_000
 	// idDigits is the length of a job's ID in hexadecimal digits.
 	idDigits = 16
 )
@@ -162,6 +165,9 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		add("%d steps, not 1 to %d", len(j.Steps), MaxSteps)
 	}
+	if j.Occurrences > MaxOccurrences {
+		add("%d occurrences, more than %d", j.Occurrences, MaxOccurrences)
+	}
 	if j.Occurrences < 0 || j.Interval < 0 {
 		add("negative number of occurrences or interval")
 	}
--- a/owner/term.go
+++ b/owner/term.go
@@ -80,6 +80,9 @@
 	// summaryDue is when the counts of waiting jobs are written next. Only the
 	// write loop uses it.
 	summaryDue time.Duration
+	// unreadable holds the jobs whose progress could not be decoded. They are not
+	// run.
+	unreadable map[string]bool
 	// waveDone holds, by the number of the wave, the VMs that had their upkeep
 	// under former owners.
 	waveDone map[int64][]string
@@ -98,7 +101,7 @@
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
-		orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		unreadable: map[string]bool{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
@@ -270,7 +273,11 @@
 		if id, ok := strings.CutPrefix(item.Key, jobstore.ProgressPrefix); ok {
 			var p job.Progress
 			if err := json.Unmarshal(item.Value, &p); err != nil {
-				return 0, 0, errors.Wrapf(err, "decode %s", item.Key)
+				// Without its record the job may have run, so that it is left alone. An
+				// error would end this term, and then that of each later owner.
+				t.options.Log.Error().Str("event", "progress_unreadable").Str("job", id).Err(err).Msg("")
+				t.unreadable[id] = true
+				continue
 			}
 			progress[id] = p
 		}
@@ -325,8 +332,15 @@
 			cancelled = append(cancelled, id)
 			continue
 		}
+		if t.unreadable[id] {
+			continue
+		}
 		j := &job.Job{ID: id}
-		if err := json.Unmarshal(item.Value, j); err != nil {
+		err := json.Unmarshal(item.Value, j)
+		if err == nil {
+			err = j.Check().Err()
+		}
+		if err != nil {
 			t.options.Log.Error().Str("event", "job_unreadable").Str("job", id).Err(err).Msg("")
 			continue
 		}
