Match the crashes of a suspect by the age of its run

An item that crashes its workers does so at about the same age of its run, whereas the others were in the middle of theirs.

--- a/job/progress.go
+++ b/job/progress.go
@@ -35,19 +35,27 @@
 	// from counting a failure twice: a worker reports the end of a run until it
 	// is acknowledged, so the end may have been counted by a former owner.
 	FailedRuns []int64 `json:"f,omitempty"`
-	// CrashedRuns are the numbers of the runs that were on workers when these
-	// crashed and may be the cause.
-	CrashedRuns []int64 `json:"c,omitempty"`
+	// Crashes are the crashes of workers that a run of the item may have caused.
+	Crashes []Crash `json:"c,omitempty"`
 	// LostRuns are the runs whose workers fell silent and that may be the cause.
 	LostRuns []LostRun `json:"l,omitempty"`
 	// Saved is the last checkpoint of an item that saves its progress.
 	Saved string `json:"s,omitempty"`
 }
 
+// Crash is a crash of a worker that a run may have caused.
+type Crash struct {
+	Run int64 `json:"r"`
+	// The run was at least MinAgeMillis and at most MaxAgeMillis old when the worker
+	// crashed.
+	MinAgeMillis int64 `json:"a,omitempty"`
+	MaxAgeMillis int64 `json:"b"`
+}
+
 // LostRun is a run on a worker that fell silent. If the worker has a later lifetime,
 // it has crashed.
 type LostRun struct {
-	Run int64 `json:"r"`
+	Crash
 	// Worker is the VM of the worker, or its ID if the VM is not known.
 	Worker string `json:"w"`
 	// StartMillis is the start of the worker's lifetime in Unix milliseconds.
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -157,7 +157,7 @@
 	for _, record := range p.Items {
 		if i := j.itemByNumber(record.Number, now); i != nil {
 			i.lastRun, i.failedRuns, i.saved = record.LastRun, record.FailedRuns, record.Saved
-			i.setCrashedRuns(record.CrashedRuns)
+			i.setCrashes(record.Crashes)
 			c.restoreLostRuns(i, record.LostRuns, now)
 		}
 	}
@@ -266,7 +266,7 @@
 func (c *Core) markItemDone(i *item, now Time) {
 	s := i.step
 	i.done = true
-	i.setCrashedRuns(nil)
+	i.setCrashes(nil)
 	s.itemsLeft--
 	if !s.done() {
 		return
@@ -410,10 +410,10 @@
 				switch {
 				case i.done:
 					p.Done = append(p.Done, i.recordNumber())
-				case len(i.failedRuns) > 0 || len(i.crashedRuns) > 0 || len(i.lostRuns) > 0 || i.saved != "":
+				case len(i.failedRuns) > 0 || len(i.crashes) > 0 || len(i.lostRuns) > 0 || i.saved != "":
 					p.Items = append(p.Items, job.ItemProgress{
 						Number: i.recordNumber(), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns),
-						CrashedRuns: slices.Clone(i.crashedRuns), LostRuns: slices.Clone(i.lostRuns), Saved: i.saved,
+						Crashes: slices.Clone(i.crashes), LostRuns: slices.Clone(i.lostRuns), Saved: i.saved,
 					})
 				}
 			}
--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -148,8 +148,8 @@
 		b.core.AddJob(oneStep(id, job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
 	}
 	b.play(40*time.Second, func(id job.ItemID) bool { return id == deadly })
-	if phase := b.core.jobs[jobA].phase; phase != job.Failed || b.crashes[deadly] != maxCrashes {
-		t.Errorf("job is %s after %d crashes, want failed after %d", phase, b.crashes[deadly], maxCrashes)
+	if phase := b.core.jobs[jobA].phase; phase != job.Failed || b.crashes[deadly] != crashesToGiveUp {
+		t.Errorf("job is %s after %d crashes, want failed after %d", phase, b.crashes[deadly], crashesToGiveUp)
 	}
 	for _, id := range others {
 		if phase := b.core.jobs[id].phase; phase != job.Completed {
@@ -233,7 +233,7 @@
 	w.VM = "vm1"
 	b.worker(w, Report{})
 	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	for range maxCrashes {
+	for range crashesToGiveUp {
 		former := w.ID
 		w = crashUnder(b, w)
 		b.core.WorkerGone(former)
@@ -241,7 +241,7 @@
 		b.worker(w, Report{})
 	}
 	if phase := b.core.jobs[jobA].phase; phase != job.Failed {
-		t.Errorf("job is %s after %d crashes, want failed", phase, maxCrashes)
+		t.Errorf("job is %s after %d crashes, want failed", phase, crashesToGiveUp)
 	}
 }
 
@@ -254,7 +254,7 @@
 	b.worker(w, Report{})
 	spec := oneStep(jobA, job.Step{})
 	b.core.AddJob(spec, job.Progress{}, false, wall, b.now)
-	for n := range maxCrashes {
+	for n := range crashesToGiveUp {
 		w = crashUnder(b, w)
 		writes := b.core.TakeWrites(1)
 		if len(writes) != 1 {
@@ -271,7 +271,7 @@
 		b.worker(w, Report{})
 	}
 	if phase := b.core.jobs[jobA].phase; phase != job.Failed {
-		t.Errorf("job is %s after %d crashes under as many owners, want failed", phase, maxCrashes)
+		t.Errorf("job is %s after %d crashes under as many owners, want failed", phase, crashesToGiveUp)
 	}
 }
 
@@ -338,7 +338,7 @@
 	for _, s := range normal {
 		b.core.StartDone(s, Started, b.now)
 	}
-	b.core.AddJob(onTrial, job.Progress{Phase: job.Running, Items: []job.ItemProgress{{LastRun: 2, CrashedRuns: []int64{1, 2}}}}, false, wall, b.now)
+	b.core.AddJob(onTrial, job.Progress{Phase: job.Running, Items: []job.ItemProgress{{LastRun: 2, Crashes: []job.Crash{{Run: 1, MaxAgeMillis: 20}, {Run: 2, MaxAgeMillis: 30}}}}}, false, wall, b.now)
 	b.core.AddJob(oneStep("00000000000000c1", job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
 	var reserved string
 	for _, s := range b.round().Starts {
@@ -371,6 +371,25 @@
 	}
 }
 
+// Items were blamed for crashes at which their runs had quite different ages. One that
+// crashes its workers does so at about the same age.
+func TestCrashesAtDifferentAgesDoNotMatch(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes []job.Crash
+		want    int
+	}{
+		{"right after the start, noticed early or late", []job.Crash{{MaxAgeMillis: 12}, {MaxAgeMillis: 700}, {MaxAgeMillis: 110}}, 3},
+		{"an innocent item: once in the middle of its run", []job.Crash{{MinAgeMillis: 300, MaxAgeMillis: 480}, {MaxAgeMillis: 15}, {MaxAgeMillis: 20}}, 2},
+		{"at half a second", []job.Crash{{MinAgeMillis: 420, MaxAgeMillis: 520}, {MinAgeMillis: 480, MaxAgeMillis: 900}, {MinAgeMillis: 100, MaxAgeMillis: 510}}, 3},
+	} {
+		i := item{crashes: c.crashes}
+		if got := i.matchingCrashes(); got != c.want {
+			t.Errorf("%s: %d matching crashes, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // A long-running item that failed on every worker was started again without a pause,
 // and each worker that it failed on got no work for a while: one item took the
 // workers of its queue out of use, one after the other.
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -9,34 +9,42 @@
 )
 
 // A worker that crashes lists no ends, so that the owner has to find out which of
-// its items made it crash. Every item that may be the cause is a suspect. Suspects
-// are kept apart, so that the next crash tells them from each other. One that was on
-// two workers that crashed runs on trial: only beside runs that have outlived their
-// start and are no suspects, and nothing is started beside it. An innocent item ends
-// its run; the job of one that crashes maxCrashes workers is given up.
+// its items made it crash. Every item that may be the cause is a suspect. What tells
+// the cause from the items beside it is the age of its runs when the workers crash:
+// it is about the same each time. Suspects are kept apart, so that the next crash
+// tells them from each other. One that is likely to be the cause runs on trial: only
+// beside runs that have outlived their start and are no suspects, and nothing is
+// started beside it. An innocent item ends its run; the job of one under which workers
+// go on to crash is given up.
 
 const (
-	// maxCrashes is the number of workers that may crash under an item before its
-	// job is given up. With three, the last run was on trial; five starts would
-	// be too many.
-	maxCrashes = 3
-	// trialCrashes is the number of crashes after which an item runs on trial.
-	trialCrashes = maxCrashes - 1
+	// crashesToGiveUp is the number of workers that crash under an item at the same
+	// age of its run before its job is given up. The last run was on trial.
+	crashesToGiveUp = 3
+	// maxCrashes is the number of workers that may crash under an item at any age.
+	// A sixth start would be one too many.
+	maxCrashes = 5
+	// An item runs on trial after trialMatchingCrashes workers have crashed under it
+	// at the same age of its run, or trialCrashes at any age.
+	trialMatchingCrashes = crashesToGiveUp - 1
+	trialCrashes         = 3
 	// maxTrialShare is the part of the workers of a service that trials may take,
 	// but at least one worker. The others keep taking new work.
 	maxTrialShare = 0.5
 )
 
-func (i *item) suspect() bool { return len(i.crashedRuns) > 0 }
+func (i *item) suspect() bool { return len(i.crashes) > 0 }
 
 // onTrial reports whether the item has to run alone. The items of a gang only work
 // together, so they never run on trial.
-func (i *item) onTrial() bool { return len(i.crashedRuns) >= trialCrashes && !i.step.spec.Gang }
+func (i *item) onTrial() bool {
+	return !i.step.spec.Gang && (len(i.crashes) >= trialCrashes || i.matchingCrashes() >= trialMatchingCrashes)
+}
 
-// setCrashedRuns replaces the runs of the item whose workers crashed.
-func (i *item) setCrashedRuns(runs []int64) {
+// setCrashes replaces the crashes that a run of the item may have caused.
+func (i *item) setCrashes(crashes []job.Crash) {
 	before := i.onTrial()
-	i.crashedRuns = runs
+	i.crashes = crashes
 	switch after := i.onTrial(); {
 	case after && !before:
 		i.step.trials++
@@ -45,26 +53,47 @@
 	}
 }
 
+// matchingCrashes returns the largest number of crashes at which the item's runs can
+// have had the same age.
+func (i *item) matchingCrashes() int {
+	most := 0
+	for _, c := range i.crashes {
+		n := 0
+		for _, o := range i.crashes {
+			if o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // suspects returns the copies that may have made their worker crash. Long-running
 // items that served their users did not crash the worker when they started, and a run
 // that has already crashed a former lifetime is looked for in this one, but hardly
-// there. Of the items that were suspects before, only those with the most crashes are
-// suspected again.
+// there. Of the items that were suspects before, only those with the most matching
+// crashes are suspected again.
 func (w *worker) suspects() []*itemCopy {
 	var suspects []*itemCopy
 	most := 0
 	for _, cp := range w.orderedCopies {
-		if cp.phase == starting || cp.item.step.job.final() || cp.served() || slices.Contains(cp.item.crashedRuns, cp.run) {
+		if cp.phase == starting || cp.item.step.job.final() || cp.served() || cp.item.crashed(cp.run) {
 			continue
 		}
 		suspects = append(suspects, cp)
-		most = max(most, len(cp.item.crashedRuns))
+		most = max(most, cp.item.matchingCrashes())
 	}
 	return slices.DeleteFunc(suspects, func(cp *itemCopy) bool {
-		return cp.item.suspect() && len(cp.item.crashedRuns) < most
+		return cp.item.suspect() && cp.item.matchingCrashes() < most
 	})
 }
 
+// crashed reports whether a worker has crashed under a run of the item.
+func (i *item) crashed(run int64) bool {
+	return slices.ContainsFunc(i.crashes, func(c job.Crash) bool { return c.Run == run })
+}
+
 // served reports whether the run is one of a long-running item that has served its
 // users.
 func (cp *itemCopy) served() bool { return cp.item.step.spec.LongRunning && cp.percent >= 100 }
@@ -72,13 +101,22 @@
 // suspectRuns records the runs on a worker that has fallen silent, or whose lifetime
 // has ended, and that may be the cause. It is not known yet whether the worker has
 // crashed. The record is durable, because the next owner may be the first to know.
-func (c *Core) suspectRuns(w *worker) {
+func (c *Core) suspectRuns(w *worker, now Time) {
 	for _, cp := range w.suspects() {
 		i := cp.item
 		if slices.ContainsFunc(i.lostRuns, func(l job.LostRun) bool { return l.Run == cp.run }) {
 			continue
 		}
-		i.lostRuns = append(i.lostRuns, job.LostRun{Run: cp.run, Worker: w.place(), StartMillis: w.StartMillis})
+		l := job.LostRun{Worker: w.place(), StartMillis: w.StartMillis, Crash: job.Crash{Run: cp.run}}
+		if cp.listed {
+			l.MinAgeMillis = max(w.clockAt-cp.startedAt, 0).Milliseconds()
+		}
+		l.MaxAgeMillis = (now - cp.startedAt).Milliseconds()
+		if cp.adopted {
+			// A former owner started the run; startedAt is when it was adopted.
+			l.MaxAgeMillis += maxJobAge.Milliseconds()
+		}
+		i.lostRuns = append(i.lostRuns, l)
 		c.lostAt[w.place()] = append(c.lostAt[w.place()], i)
 		if i.step.job.begun {
 			// A record would show a job as running of which nothing may run yet.
@@ -154,7 +192,7 @@
 		return
 	}
 	if len(w.orderedCopies) > 0 {
-		c.suspectRuns(w)
+		c.suspectRuns(w, now)
 		c.trace(Event{
 			Name: "worker_crashed", Worker: w.ID, VM: w.VM, Service: w.Service,
 			Detail: fmt.Sprintf("runs=%d suspects=%d", len(w.orderedCopies), len(c.lostAt[w.place()])),
@@ -181,19 +219,26 @@
 	return true
 }
 
-// countCrash counts a worker that crashed while a run of the item was on it, and
-// gives the job up after maxCrashes of them. It does not while another run of the
-// item is known to go on.
+// countCrash counts a worker that crashed under a run of the item, and gives the job
+// up if the item is the cause. It does not while another run of the item is known to
+// go on.
 func (c *Core) countCrash(i *item, lost job.LostRun, now Time) {
 	j := i.step.job
-	if j.final() || i.done || slices.Contains(i.crashedRuns, lost.Run) {
+	if j.final() || i.done || i.crashed(lost.Run) {
 		return
 	}
-	i.setCrashedRuns(append(slices.Clone(i.crashedRuns), lost.Run))
+	i.setCrashes(append(slices.Clone(i.crashes), lost.Crash))
 	i.avoid = lost.Worker
 	c.markDirty(j)
-	c.trace(Event{Name: "item_suspected", Item: i.id().String(), Run: lost.Run, VM: lost.Worker, Detail: fmt.Sprintf("crashes=%d", len(i.crashedRuns))})
-	if len(i.crashedRuns) >= maxCrashes && !slices.ContainsFunc(i.copies, func(cp *itemCopy) bool { return cp.listed && !cp.worker.silent }) {
+	matching := i.matchingCrashes()
+	c.trace(Event{
+		Name: "item_suspected", Item: i.id().String(), Run: lost.Run, VM: lost.Worker,
+		Detail: fmt.Sprintf("crashes=%d matching=%d age_ms=%d-%d", len(i.crashes), matching, lost.MinAgeMillis, lost.MaxAgeMillis),
+	})
+	if matching < crashesToGiveUp && len(i.crashes) < maxCrashes {
+		return
+	}
+	if !slices.ContainsFunc(i.copies, func(cp *itemCopy) bool { return cp.listed && !cp.worker.silent }) {
 		c.finish(j, job.Failed, "workers_crashed", now)
 	}
 }
@@ -201,29 +246,30 @@
 // clearRun forgets that a run may have crashed its worker: the worker lists it, so
 // that the start reached the worker's present lifetime.
 func (c *Core) clearRun(i *item, run int64) {
-	if n := slices.Index(i.crashedRuns, run); n >= 0 {
-		i.setCrashedRuns(slices.Delete(slices.Clone(i.crashedRuns), n, n+1))
+	if i.crashed(run) {
+		i.setCrashes(slices.DeleteFunc(slices.Clone(i.crashes), func(c job.Crash) bool { return c.Run == run }))
 		c.markDirty(i.step.job)
 	}
 }
 
 // clearSuspicion forgets the crashes of a long-running item that serves its users.
 func (c *Core) clearSuspicion(cp *itemCopy) {
-	if !cp.item.suspect() {
-		return
+	if cp.item.suspect() {
+		cp.item.setCrashes(nil)
+		cp.countSuspect(-1)
+		cp.suspect, cp.trial = false, false
+		c.markDirty(cp.item.step.job)
 	}
-	cp.item.setCrashedRuns(nil)
-	cp.worker.suspectRuns -= boolToInt(cp.suspect)
-	cp.worker.trialRuns -= boolToInt(cp.trial)
-	cp.suspect, cp.trial = false, false
-	c.markDirty(cp.item.step.job)
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
+// countSuspect adds n to the suspects on the copy's worker if the copy is one.
+func (cp *itemCopy) countSuspect(n int) {
+	if cp.suspect {
+		cp.worker.suspectRuns += n
+	}
+	if cp.trial {
+		cp.worker.trialRuns += n
 	}
-	return 0
 }
 
 // placeTrials starts the items of the candidates that run on trial. It takes the
@@ -278,18 +324,24 @@
 // it now, or else once some runs have ended, the one with the fewest runs that a trial
 // has to wait for, and not the one that crashed last if there is a choice.
 func trialWorker(i *item, workers []*worker, tickets map[string]string) *worker {
-	type score struct{ full, unsettled, crashedLast, runs int }
 	charge := i.step.spec.Charge()
 	var best *worker
-	var bestScore score
+	bestScore := 0
 	for _, w := range workers {
 		if !w.allows(i.step, tickets) || !charge.Fits(w.idleCapacity()) {
 			continue
 		}
-		s := score{boolToInt(!charge.Fits(w.free())), w.unsettledRuns(), boolToInt(w.place() == i.avoid), len(w.orderedCopies)}
-		if best == nil || cmp.Or(cmp.Compare(s.full, bestScore.full), cmp.Compare(s.unsettled, bestScore.unsettled),
-			cmp.Compare(s.crashedLast, bestScore.crashedLast), cmp.Compare(s.runs, bestScore.runs)) < 0 {
-			best, bestScore = w, s
+		// In the order of their weights; a worker has less than 1000 runs.
+		score := len(w.orderedCopies)
+		if w.place() == i.avoid {
+			score += 1000
+		}
+		score += 2000 * w.unsettledRuns()
+		if !charge.Fits(w.free()) {
+			score += 2000 * 1000
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
 		}
 	}
 	return best
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -119,7 +119,7 @@
 	for _, name := range order {
 		d := byService[name]
 		// Trials take up to maxTrialShare of the workers, one each.
-		d.RequiredVMs = max(d.RequiredVMs, int(math.Ceil(float64(trials[name])/maxTrialShare)))
+		d.RequiredVMs = max(d.RequiredVMs, min(int(math.Ceil(float64(trials[name])/maxTrialShare)), len(c.sortedWorkers)/2))
 		byService[name].ArrivalRate, byService[name].ArrivalGrowth = c.arrivalRate(name, now)
 		demands = append(demands, *byService[name])
 	}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -111,7 +111,7 @@
 		return
 	}
 	w.silent = true
-	c.suspectRuns(w)
+	c.suspectRuns(w, now)
 	if len(w.copies) > 0 {
 		c.trace(Event{Name: "worker_silent", Worker: id, VM: w.VM, Service: w.Service, Reason: reason, Took: now - w.clockAt})
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -69,11 +69,10 @@
 	saved   string
 	lastRun int64
 	copies  []*itemCopy
-	// crashedRuns are the runs whose workers crashed, each with the run as a
-	// possible cause.
-	crashedRuns []int64
-	// lostRuns are runs that may become crashedRuns: their workers fell silent, and
-	// it is not known yet whether they crashed.
+	// crashes are the crashes of workers that a run of the item may have caused.
+	// lostRuns may become crashes: the workers fell silent, and it is not known yet
+	// whether they crashed.
+	crashes  []job.Crash
 	lostRuns []job.LostRun
 	// notBefore is the earliest time of the next start after a failure.
 	notBefore Time
@@ -303,8 +302,7 @@
 	i.step.copies[w]++
 	w.copies[Run{i.id(), run}] = cp
 	w.orderedCopies = append(w.orderedCopies, cp)
-	w.suspectRuns += boolToInt(cp.suspect)
-	w.trialRuns += boolToInt(cp.trial)
+	cp.countSuspect(1)
 	w.reserve(i.step.spec, 1)
 	if i.step.firstStart == 0 {
 		i.step.firstStart = now
@@ -335,8 +333,7 @@
 	}
 	delete(cp.worker.copies, Run{i.id(), cp.run})
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
-	cp.worker.suspectRuns -= boolToInt(cp.suspect)
-	cp.worker.trialRuns -= boolToInt(cp.trial)
+	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
 	c.checkHoldersOf(cp.worker)
 	c.addPending(i.step)
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -28,7 +28,7 @@
 //     the worker's lease has lapsed.
 //   - An end is acknowledged to a worker only after the progress that follows
 //     from it has been committed to the store.
-//   - An item is not started again once maxCrashes workers have crashed under it.
+//   - An item is not started again once enough workers have crashed under it, see countCrash.
 package execution
 
 import (
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		if w.silent {
-			c.suspectRuns(w)
+			c.suspectRuns(w, now)
 		}
 		for _, cp := range copiesOf(w) {
 			c.requeueLost(cp, "lease_lapsed", now)
