Allow for the delivery of orders when the ages of crashes are compared

The age of a run counts from its order. Two crashes 10 ms after the start did not match if one order had taken 30 ms longer to arrive.

--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -381,6 +381,7 @@
 	}{
 		{"right after the start, noticed early or late", []job.Crash{{MaxAgeMillis: 12}, {MaxAgeMillis: 700}, {MaxAgeMillis: 110}}, 3},
 		{"an innocent item: once in the middle of its run", []job.Crash{{MinAgeMillis: 300, MaxAgeMillis: 480}, {MaxAgeMillis: 15}, {MaxAgeMillis: 20}}, 2},
+		{"right after the start, with an order that took longer", []job.Crash{{MaxAgeMillis: 11}, {MinAgeMillis: 40, MaxAgeMillis: 44}, {MaxAgeMillis: 12}}, 3},
 		{"at half a second", []job.Crash{{MinAgeMillis: 420, MaxAgeMillis: 520}, {MinAgeMillis: 480, MaxAgeMillis: 900}, {MinAgeMillis: 100, MaxAgeMillis: 510}}, 3},
 	} {
 		i := item{crashes: c.crashes}
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"dotterelhead.example/dotterelhead/job"
 )
@@ -28,6 +29,9 @@
 	// at the same age of its run, or trialCrashes at any age.
 	trialMatchingCrashes = crashesToGiveUp - 1
 	trialCrashes         = 3
+	// ageTolerance allows for the time that an order to start takes to arrive, from
+	// which on the age counts.
+	ageTolerance = 100 * time.Millisecond
 	// maxTrialShare is the part of the workers of a service that trials may take,
 	// but at least one worker. The others keep taking new work.
 	maxTrialShare = 0.5
@@ -54,13 +58,13 @@
 }
 
 // matchingCrashes returns the largest number of crashes at which the item's runs can
-// have had the same age.
+// have had the same age, give or take ageTolerance.
 func (i *item) matchingCrashes() int {
 	most := 0
 	for _, c := range i.crashes {
 		n := 0
 		for _, o := range i.crashes {
-			if o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis {
+			if o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis+ageTolerance.Milliseconds() {
 				n++
 			}
 		}
