--- a/scheduler/execution/core_test.go
+++ b/scheduler/execution/core_test.go
@@ -1,7 +1,6 @@
 package execution
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -204,35 +203,6 @@
 	}
 }
 
-// The record of possible lease holders kept workers whose VMs had been moved
-// away, so that each takeover waited for the leases of workers that no longer
-// existed.
-func TestTerminatedWorkerIsNoHolder(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.worker(testWorker("w2", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	start := b.round().Starts[0]
-	b.core.StartDone(start, Started, b.now)
-	b.core.Terminated(start.Worker.ID, start.Worker.StartMillis, b.now)
-	if ids, changed := b.core.HoldersToRecord(); len(ids) != 1 || !changed {
-		t.Fatalf("holders %v, changed %v; want only the other worker, and a changed record", ids, changed)
-	}
-	if o := b.round(); len(o.Starts) != 1 || o.Starts[0].Worker.ID == start.Worker.ID {
-		t.Fatalf("starts %v; the item of the terminated worker must start elsewhere at once", o.Starts)
-	}
-}
-
-func TestWorkerWithLapsedLeaseIsNoHolder(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.core.WorkerGone("w1")
-	b.roundAfter(2 * testHold)
-	if ids, changed := b.core.HoldersToRecord(); len(ids) != 0 || !changed {
-		t.Fatalf("holders %v, changed %v; want none, and a changed record", ids, changed)
-	}
-}
-
 // Right after a takeover, an owner had not contacted the worker of a VM yet and
 // counted the VM as empty. The maintenance of the VM then ended two long-running
 // items.
@@ -255,24 +225,6 @@
 	}
 }
 
-// A worker that a new owner had not contacted was removed from the record of
-// lease holders when its registry entry was deleted. The owner after that one
-// started the worker's item a second time. Found by TestNoItemRunsTwice.
-func TestUncontactedFormerHolderStaysRecorded(t *testing.T) {
-	b := newTestbed(t, 1)
-	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
-	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
-	b.core.WorkerGone("w1")
-	b.roundAfter(time.Second)
-	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
-		t.Fatalf("holders %v, want w1 until its lease has lapsed", ids)
-	}
-	b.roundAfter(testHold)
-	if ids, _ := b.core.HoldersToRecord(); len(ids) != 0 {
-		t.Fatalf("holders %v, want none after the lease", ids)
-	}
-}
-
 // Right after a planned change of owner, an item that the former owner had
 // ordered to stop was still reported as serving, and a second item of its step
 // was stopped.
@@ -295,28 +247,6 @@
 	}
 }
 
-// A worker that came back after its lease had lapsed never got work again. The
-// stored record of lease holders still named it, so the record was not written
-// again, and only a write marks a worker as recorded. A long-running item was
-// unavailable for 16 s.
-func TestReturningWorkerGetsWork(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.core.WorkerGone("w1")
-	b.roundAfter(2 * testHold)
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
-	b.report("w1", Report{})
-	ids, changed := b.core.HoldersToRecord()
-	if !changed {
-		t.Fatal("the record of holders is not to be written again for the returning worker")
-	}
-	b.core.HoldersRecorded(ids)
-	if o := b.round(); len(o.Starts) != 1 {
-		t.Fatalf("%d starts on the worker that returned, want 1", len(o.Starts))
-	}
-}
-
 // A burst brings more starts than the owner's CPU can send before they time out.
 // Those that can be sent have to go to the steps that rank first.
 func TestStartsAreLimited(t *testing.T) {
@@ -336,179 +266,3 @@
 		t.Errorf("%d starts, want the other 10", len(o.Starts))
 	}
 }
-
-// Entry VMs are restarted one after the other while other VMs are moved or under
-// maintenance. The next owner waited for the leases of workers that ran nothing
-// and no longer existed when it contacted them.
-func TestPlannedOwnerChangeDoesNotWaitForIdleWorkers(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.worker(testWorker("w2", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
-	for _, s := range b.round().Starts {
-		b.core.StartDone(s, Started, b.now)
-	}
-	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
-	b.core.MarkCommitted(b.core.TakeWrites(1))
-	holders := b.core.LeaseHolders(b.now)
-	if _, idle := holders["w1"]; idle || len(holders) != 1 {
-		t.Errorf("holders %v, want the worker that runs something", holders)
-	}
-}
-
-// Each planned change of owner restarted the wait for the lease of a silent
-// worker. With entry VMs restarted every 2 s, inherited work waited for 10 s.
-func TestPlannedOwnerChangePassesOnRemainingLease(t *testing.T) {
-	b := newTestbed(t, 1)
-	b.core.SetFormerHolders(map[string]time.Duration{"gone": 3 * time.Second}, b.now)
-	b.roundAfter(2 * time.Second)
-	left := b.core.LeaseHolders(b.now)
-	if left["gone"] > time.Second || left["gone"] < 900*time.Millisecond {
-		t.Fatalf("%v left of the lease, want 1 s", left["gone"])
-	}
-	next := New(b.core.options, 2)
-	next.SetFormerHolders(left, b.now)
-	next.Round(wall, b.now+1100*time.Millisecond)
-	if !next.TakeoverSettled() {
-		t.Error("the next owner waits longer than the lease lasts")
-	}
-}
-
-// A wave had 76 VMs down when the owner was lost. The record of lease holders
-// still named their workers, so the next owner waited 3.6 s for leases that had
-// ended with the workers, and started nothing of what it had inherited.
-func TestClosedEmptyWorkerIsNoHolder(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.worker(testWorker("w2", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	start := b.round().Starts[0]
-	b.core.StartDone(start, Started, b.now)
-	b.core.SetClosed("w1", true)
-	b.core.SetClosed("w2", true)
-	ids, changed := b.core.HoldersToRecord()
-	if !changed || len(ids) != 1 || ids[0] != start.Worker.ID {
-		t.Fatalf("holders %v, changed %v; want only %s, which runs something", ids, changed, start.Worker.ID)
-	}
-	b.core.HoldersRecorded(ids)
-	b.report(start.Worker.ID, Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
-	b.core.MarkCommitted(b.core.TakeWrites(1))
-	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 0 {
-		t.Errorf("holders %v, changed %v; want none once the item has ended", ids, changed)
-	}
-}
-
-// An end was processed but not committed when its worker, which ran nothing else,
-// was left out of the record of lease holders. The next owner did not ask that
-// worker, started the item again, and acknowledged the end later. Found by
-// TestNoItemRunsTwice.
-func TestWorkerWithUncommittedEndIsHolder(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	start := b.round().Starts[0]
-	b.core.StartDone(start, Started, b.now)
-	b.core.SetClosed("w1", true)
-	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
-	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
-		t.Errorf("holders %v before the end is committed, want w1", ids)
-	}
-	if holders := b.core.LeaseHolders(b.now); holders["w1"] == 0 {
-		t.Errorf("holders %v at a planned change of owner, want w1", holders)
-	}
-	b.core.MarkCommitted(b.core.TakeWrites(1))
-	if ids, changed := b.core.HoldersToRecord(); len(ids) != 0 || !changed {
-		t.Errorf("holders %v, changed %v once the end is committed; want none", ids, changed)
-	}
-	if holders := b.core.LeaseHolders(b.now); len(holders) != 0 {
-		t.Errorf("holders %v at a planned change of owner, want none", holders)
-	}
-}
-
-// A worker that takes work again has to be in the record before it gets any, also
-// if an older record that names it is confirmed only now.
-func TestReopenedWorkerIsRecordedBeforeItGetsWork(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	b.core.SetClosed("w1", true)
-	b.core.HoldersToRecord()
-	b.core.HoldersRecorded([]string{"w1"})
-	b.core.SetClosed("w1", false)
-	if o := b.round(); len(o.Starts) != 0 {
-		t.Fatalf("started %v before the store names the worker", o.Starts)
-	}
-	ids, changed := b.core.HoldersToRecord()
-	if !changed || len(ids) != 1 {
-		t.Fatalf("holders %v, changed %v; want w1 in a new record", ids, changed)
-	}
-	b.core.HoldersRecorded(ids)
-	if o := b.round(); len(o.Starts) != 1 {
-		t.Errorf("%d starts, want 1 once the store names the worker", len(o.Starts))
-	}
-}
-
-// Workers of a rack that had lost its connection stayed in the record of lease
-// holders, and each later takeover waited for their leases again.
-func TestSilentWorkerIsNoHolderOnceItsLeaseHasLapsed(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.core.HoldFailed("w1", "no_answer", b.now)
-	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
-		t.Errorf("holders %v, want w1 while its lease may be in force", ids)
-	}
-	b.roundAfter(2 * testHold)
-	ids, changed := b.core.HoldersToRecord()
-	if !changed || len(ids) != 0 {
-		t.Fatalf("holders %v, changed %v; want none after the lease", ids, changed)
-	}
-	b.core.HoldersRecorded(ids)
-	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
-	b.core.HoldDone(Hold{Worker: testWorker("w1", 1000)}, Report{Clock: b.now, StartMillis: 1}, b.now, b.now)
-	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 1 {
-		t.Errorf("holders %v, changed %v; want w1 again once it answers", ids, changed)
-	}
-}
-
-// A worker was cut off until its lease had lapsed, and then ran nothing. It was
-// not called again, so it counted as silent for the rest of the owner's term and
-// got no work, although it answered. Three items of a long-running step had no
-// other worker and were unavailable for 20 s.
-func TestSilentWorkerIsCalledUntilItAnswers(t *testing.T) {
-	b := newTestbed(t, 0)
-	b.worker(testWorker("w1", 1000), Report{})
-	b.core.AddJob(oneStep(jobA, job.Step{LongRunning: true}), job.Progress{}, false, wall, b.now)
-	start := b.round().Starts[0]
-	b.core.StartDone(start, Started, b.now)
-	b.core.HoldFailed("w1", "no_answer", b.now)
-	b.roundAfter(2 * testHold)
-	h, due := b.core.HoldFor("w1", b.now)
-	if !due || !slices.Contains(b.core.WorkersToHold(), "w1") {
-		t.Fatal("the silent worker is not to be called any more")
-	}
-	if h.LongPollTimeout > 0 || h.Deadline > 0 {
-		t.Errorf("hold %+v; want an immediate answer and no lease", h)
-	}
-	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndLapsed}}})
-	b.recordHolders()
-	if o := b.round(); len(o.Starts) != 1 {
-		t.Errorf("%d starts once the worker answers again, want 1", len(o.Starts))
-	}
-}
-
-// The registry still had the entry of a worker whose VM had been moved away when
-// it sent the worker again. The worker was recorded as a lease holder although
-// no owner had ever given it anything, and the next owner waited for its lease.
-func TestUncontactedWorkerIsNoHolder(t *testing.T) {
-	b := newTestbed(t, 1)
-	b.core.SetFormerHolders(map[string]time.Duration{"former": testHold}, b.now)
-	b.core.WorkerSeen(testWorker("former", 1000), b.now)
-	b.core.WorkerSeen(testWorker("new", 1000), b.now)
-	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 || ids[0] != "former" {
-		t.Errorf("holders %v, want only the worker to which a former owner may have given a lease", ids)
-	}
-	b.report("new", Report{})
-	if ids, changed := b.core.HoldersToRecord(); !changed || len(ids) != 2 {
-		t.Errorf("holders %v, changed %v; want the contacted worker too, before it gets work", ids, changed)
-	}
-}
--- /dev/null
+++ b/scheduler/execution/simulation_test.go
@@ -0,0 +1,480 @@
+package execution
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// simulation runs simulated workers with successive owners in virtual time.
+// Orders are lost or carried out late, workers restart, stop answering or lose
+// their registry entries, and owners are replaced or paused. It checks what the
+// workers see.
+type simulation struct {
+	t       *rapid.T
+	now     Time
+	term    int64
+	core    *Core
+	workers map[string]*simWorker
+	jobs    map[string]*job.Job
+	// deadly are the jobs whose items crash every worker that starts them.
+	deadly map[string]bool
+	// progress is the store's record of each job.
+	progress  map[string]job.Progress
+	cancelled map[string]bool
+	// holders is the store's record of possible lease holders. queuedHolders is
+	// the record that is to be written next, writtenHolders the one that the
+	// store is being asked to write; nil stands for none.
+	holders        map[string]time.Duration
+	queuedHolders  []string
+	writtenHolders []string
+	lateOrders     []lateOrder
+	items          map[job.ItemID]*simItem
+}
+
+// simItem is the history of an item: its ends in order, and for each start the
+// number of ends before it.
+type simItem struct {
+	ends   []*simEnd
+	starts []int
+	// crashes counts the workers that crashed while they ran the item, possibleCrashes
+	// also those that an owner has to suspect because the answer to a start was lost.
+	crashes, possibleCrashes int
+	// startsAfterCrashes counts the starts after simMaxCrashes crashes.
+	startsAfterCrashes int
+}
+
+// simEnd is an end. acknowledged is set once the owner has acknowledged it,
+// unless the worker's lease lapsed or the worker restarted in between.
+type simEnd struct {
+	how          End
+	acknowledged bool
+}
+
+func (i *simItem) done() bool {
+	return slices.ContainsFunc(i.ends, func(e *simEnd) bool { return e.how == EndDone })
+}
+
+type simWorker struct {
+	Worker
+	running map[Run]Time
+	ended   []EndedItem
+	lastEnd int64
+	// highest is the highest run of each item that has ended or was ordered to
+	// stop; only higher ones may start.
+	highest map[job.ItemID]int64
+	// deadline is the end of the lease, in the time of the simulation.
+	deadline Time
+	// fence is the highest fencing token that the worker has seen.
+	fence    int64
+	bootedAt Time
+	silent   bool
+	// unacknowledged are the ends that were not acknowledged yet, by number. It
+	// is cleared when the worker's lease lapses.
+	unacknowledged map[int64]unacknowledgedEnd
+	// unanswered are the items whose start got no answer in the worker's lifetime.
+	unanswered map[job.ItemID]bool
+	// crashAt is when a deadly item crashes the worker, backAt is when the worker
+	// is up again. Both are 0 otherwise.
+	crashAt, backAt Time
+	// capacities are the changes of the capacity. The registry shows the last one
+	// from registeredAt on, unless that is 0.
+	capacities   []simCapacity
+	registeredAt Time
+}
+
+// simCapacity is a capacity that is in force from a time on.
+type simCapacity struct {
+	from     Time
+	milliCPU int64
+}
+
+func (w *simWorker) unreachable() bool { return w.silent || w.backAt > 0 }
+
+// capacityLimit returns the largest capacity in force within a time before now.
+func (w *simWorker) capacityLimit(now Time, within time.Duration) int64 {
+	limit := w.Capacity.MilliCPU
+	for n, c := range w.capacities {
+		if n+1 == len(w.capacities) || w.capacities[n+1].from > now-within {
+			limit = max(limit, c.milliCPU)
+		}
+	}
+	return limit
+}
+
+type unacknowledgedEnd struct {
+	item job.ItemID
+	end  *simEnd
+}
+
+type lateOrder struct {
+	at          Time
+	start       Start
+	fence       int64
+	to          *simWorker
+	startMillis int64
+}
+
+const (
+	simRunTime  = 300 * time.Millisecond
+	simAttempts = 2
+	simMilliCPU = 4000
+	// A deadly item crashes its worker simCrashAfter after its start. The worker is
+	// back after simRestartTime.
+	simCrashAfter  = 10 * time.Millisecond
+	simRestartTime = 3 * time.Second
+	// After three crashes, an item may be started twice more.
+	simMaxCrashes         = 3
+	simStartsAfterCrashes = 2
+	// simCapacityKnown is how long after a change of a worker's capacity starts
+	// may still go by the former one, and simRegisteredWithin how long its registry
+	// entry may take to show the change.
+	simCapacityKnown    = 4500 * time.Millisecond
+	simRegisteredWithin = 4 * time.Second
+)
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{
+		t: t, now: time.Minute, workers: map[string]*simWorker{}, jobs: map[string]*job.Job{}, deadly: map[string]bool{},
+		progress: map[string]job.Progress{}, cancelled: map[string]bool{}, items: map[job.ItemID]*simItem{},
+	}
+	for n := range rapid.IntRange(1, 4).Draw(t, "workers") {
+		id := fmt.Sprintf("w%d", n)
+		s.workers[id] = &simWorker{Worker: testWorker(id, simMilliCPU)}
+		s.boot(s.workers[id])
+	}
+	s.takeOver()
+	return s
+}
+
+func (s *simulation) boot(w *simWorker) {
+	crashed := w.unanswered
+	for r := range w.running {
+		crashed[r.Item] = true
+		s.item(r.Item).crashes++
+	}
+	for id := range crashed {
+		s.item(id).possibleCrashes++
+	}
+	w.unanswered, w.crashAt = map[job.ItemID]bool{}, 0
+	w.running, w.ended, w.lastEnd, w.highest = map[Run]Time{}, nil, 0, map[job.ItemID]int64{}
+	w.deadline, w.fence, w.bootedAt, w.unacknowledged = 0, 0, s.now, map[int64]unacknowledgedEnd{}
+	w.StartMillis++
+}
+
+// takeOver replaces the owner by a new one that knows only what is in the store.
+func (s *simulation) takeOver() {
+	if s.writtenHolders != nil && rapid.Bool().Draw(s.t, "holders stored") {
+		s.storeHolders()
+	}
+	s.queuedHolders, s.writtenHolders = nil, nil
+	s.core = New(Options{LeaseDuration: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
+		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason)
+	}}, s.term)
+	s.term++
+	s.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testService, Attempts: simAttempts}}})
+	s.core.SetFormerHolders(s.holders, s.now)
+	for _, w := range s.workers {
+		if w.backAt == 0 {
+			s.core.WorkerSeen(w.Worker, s.now)
+		}
+	}
+	for _, id := range sortedKeys(s.jobs) {
+		s.core.AddJob(s.jobs[id], s.progress[id], true, wall, s.now)
+		if s.cancelled[id] {
+			s.core.Cancel(id, s.now)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *simulation) item(id job.ItemID) *simItem {
+	if s.items[id] == nil {
+		s.items[id] = &simItem{}
+	}
+	return s.items[id]
+}
+
+// clock is a worker's own clock.
+func (s *simulation) clock(w *simWorker) time.Duration { return s.now - w.bootedAt + time.Second }
+
+func (s *simulation) addJob() {
+	id := fmt.Sprintf("%016x", len(s.jobs))
+	step := job.Step{Count: rapid.IntRange(1, 4).Draw(s.t, "items"), Needs: job.Resources{MilliCPU: 1500, MemoryMB: 10}}
+	j := &job.Job{ID: id, Queue: testQueue, Service: testService, Steps: []job.Step{step}}
+	if rapid.Bool().Draw(s.t, "second step") {
+		second := step
+		second.After = []int{0}
+		j.Steps = append(j.Steps, second)
+	}
+	s.jobs[id] = j
+	s.deadly[id] = rapid.IntRange(0, 9).Draw(s.t, "deadly") == 0
+	s.core.AddJob(j, job.Progress{}, false, wall, s.now)
+}
+
+// start carries out a start on a worker and checks that the item may start there
+// now. late is set for an order that the worker carries out late.
+func (s *simulation) start(w *simWorker, st Start, fence int64, late bool) StartResult {
+	if fence < w.fence {
+		return NotStarted
+	}
+	w.fence = fence
+	if st.Deadline <= s.clock(w) {
+		return NotStarted
+	}
+	w.deadline = max(w.deadline, s.now+st.Deadline-s.clock(w))
+	if _, there := w.running[st.Run]; there {
+		return Started
+	}
+	if st.Run.Number <= w.highest[st.Item] {
+		return RejectedStale
+	}
+	i := s.item(st.Item)
+	for _, other := range s.workers {
+		for r := range other.running {
+			if r.Item == st.Item {
+				s.t.Fatalf("%v starts on %s while %v runs on %s", st.Run, w.ID, r, other.ID)
+			}
+		}
+	}
+	s.t.Logf("%v %s starts %v", s.now, w.ID, st.Run)
+	i.starts = append(i.starts, len(i.ends))
+	s.check(st.Item)
+	spec := s.jobs[st.Item.Job].Steps
+	for _, before := range spec[st.Item.Step].After {
+		for n := range spec[before].Count {
+			if !s.item(job.ItemID{Job: st.Item.Job, Step: before, Index: n}).done() {
+				s.t.Fatalf("%v starts before item %d of step %d is done", st.Run, n, before)
+			}
+		}
+	}
+	if i.crashes >= simMaxCrashes && s.deadly[st.Item.Job] && !late {
+		if i.startsAfterCrashes++; i.startsAfterCrashes > simStartsAfterCrashes {
+			s.t.Fatalf("%v starts although %d workers have crashed under it", st.Run, i.crashes)
+		}
+	}
+	used := spec[st.Item.Step].Needs.MilliCPU
+	for r := range w.running {
+		used += s.jobs[r.Item.Job].Steps[r.Item.Step].Needs.MilliCPU
+	}
+	limit := w.capacityLimit(s.now, simCapacityKnown)
+	if late {
+		limit = simMilliCPU
+	}
+	if used > limit {
+		s.t.Fatalf("%v takes %s over its capacity: %d of %d", st.Run, w.ID, used, limit)
+	}
+	w.running[st.Run] = s.now
+	if s.deadly[st.Item.Job] {
+		w.crashAt = s.now + simCrashAfter
+	}
+	return Started
+}
+
+func (s *simulation) end(w *simWorker, r Run, how End) {
+	delete(w.running, r)
+	w.highest[r.Item] = max(w.highest[r.Item], r.Number)
+	w.lastEnd++
+	w.ended = append(w.ended, EndedItem{Number: w.lastEnd, Run: r, Kind: how})
+	s.t.Logf("%v %s ends %v: %s", s.now, w.ID, r, how)
+	e := &simEnd{how: how}
+	i := s.item(r.Item)
+	i.ends = append(i.ends, e)
+	w.unacknowledged[w.lastEnd] = unacknowledgedEnd{r.Item, e}
+}
+
+// advance lets time pass on the workers.
+func (s *simulation) advance(d time.Duration) {
+	s.now += d
+	for _, id := range sortedKeys(s.workers) {
+		w := s.workers[id]
+		switch {
+		case w.crashAt > 0 && s.now >= w.crashAt:
+			s.t.Logf("%v %s crashes", s.now, w.ID)
+			s.boot(w)
+			w.backAt = s.now + simRestartTime
+		case w.backAt > 0 && s.now >= w.backAt:
+			w.backAt = 0
+			s.core.WorkerSeen(w.Worker, s.now)
+		case w.registeredAt > 0 && s.now >= w.registeredAt && w.backAt == 0:
+			w.registeredAt = 0
+			s.core.WorkerSeen(w.Worker, s.now)
+		}
+		if s.now > w.deadline {
+			w.unacknowledged = map[int64]unacknowledgedEnd{}
+		}
+		for _, r := range sortedRuns(w.running) {
+			switch {
+			case s.now > w.deadline:
+				s.end(w, r, EndLapsed)
+			case s.now-w.running[r] >= simRunTime:
+				how := EndDone
+				if rapid.IntRange(0, 9).Draw(s.t, "fails") == 0 {
+					how = EndFailed
+				}
+				s.end(w, r, how)
+			}
+		}
+	}
+	for len(s.lateOrders) > 0 && s.lateOrders[0].at <= s.now {
+		o := s.lateOrders[0]
+		s.lateOrders = s.lateOrders[1:]
+		// A start is not carried out by a later lifetime of the worker.
+		if o.startMillis == o.to.StartMillis {
+			s.start(o.to, o.start, o.fence, true)
+		}
+	}
+}
+
+func sortedRuns(runs map[Run]Time) []Run {
+	out := make([]Run, 0, len(runs))
+	for r := range runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Run) int {
+		if a.Item != b.Item {
+			return compareStrings(a.Item.String(), b.Item.String())
+		}
+		return int(a.Number - b.Number)
+	})
+	return out
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// step advances the time and runs one round of the owner.
+func (s *simulation) step() {
+	s.advance(time.Duration(rapid.IntRange(1, 100).Draw(s.t, "ms")) * time.Millisecond)
+	if ids, changed := s.core.HoldersToRecord(); changed {
+		s.queuedHolders = append([]string{}, ids...)
+	}
+	s.writeHolders()
+	orders := s.core.Round(wall.Add(s.now), s.now)
+	for _, st := range orders.Starts {
+		s.send(st)
+	}
+	for _, stop := range orders.Stops {
+		w := s.workers[stop.Worker.ID]
+		if w.unreachable() || s.term < w.fence {
+			s.core.StopDone(stop, false, s.now)
+			continue
+		}
+		w.fence = s.term
+		w.highest[stop.Item] = max(w.highest[stop.Item], stop.Run.Number)
+		if _, runs := w.running[stop.Run]; runs {
+			s.end(w, stop.Run, EndStopped)
+		}
+		s.core.StopDone(stop, true, s.now)
+	}
+	for _, id := range s.core.WorkersToHold() {
+		s.hold(s.workers[id])
+	}
+	if rapid.Bool().Draw(s.t, "commit") {
+		writes := s.core.TakeWrites(5)
+		for _, p := range writes {
+			s.progress[p.JobID] = p.Progress
+		}
+		s.core.MarkCommitted(writes)
+	}
+}
+
+// writeHolders carries on the writing of the records of possible lease holders:
+// one is written at a time, and a newer one replaces one that waits.
+func (s *simulation) writeHolders() {
+	if s.writtenHolders == nil {
+		s.writtenHolders, s.queuedHolders = s.queuedHolders, nil
+	}
+	if s.writtenHolders != nil && rapid.IntRange(0, 3).Draw(s.t, "holders confirmed") > 0 {
+		s.storeHolders()
+		s.core.HoldersRecorded(s.writtenHolders)
+		s.writtenHolders = nil
+	}
+}
+
+func (s *simulation) storeHolders() {
+	s.holders = map[string]time.Duration{}
+	for _, id := range s.writtenHolders {
+		s.holders[id] = s.core.RecordedLeaseTime()
+	}
+}
+
+func (s *simulation) send(st Start) {
+	w := s.workers[st.Worker.ID]
+	outcome := rapid.IntRange(0, 9).Draw(s.t, "outcome of a start")
+	switch {
+	case w.unreachable() || outcome == 0:
+		w.unanswered[st.Item] = true
+		s.core.StartDone(st, StartUnknown, s.now)
+	case outcome == 1:
+		w.unanswered[st.Item] = true
+		at := s.now + time.Duration(rapid.IntRange(100, 8000).Draw(s.t, "late by"))*time.Millisecond
+		s.lateOrders = append(s.lateOrders, lateOrder{at: at, start: st, fence: s.term, to: w, startMillis: w.StartMillis})
+		slices.SortStableFunc(s.lateOrders, func(a, b lateOrder) int { return int(a.at - b.at) })
+		s.core.StartDone(st, StartUnknown, s.now)
+	case outcome == 2:
+		s.start(w, st, s.term, false)
+		s.core.StartDone(st, StartUnknown, s.now)
+	default:
+		s.core.StartDone(st, s.start(w, st, s.term, false), s.now)
+	}
+}
+
+func (s *simulation) hold(w *simWorker) {
+	h, ok := s.core.HoldFor(w.ID, s.now)
+	if ok && w.backAt > 0 {
+		s.core.HoldFailed(w.ID, "connection_refused", s.now)
+	}
+	if !ok || w.unreachable() || s.term < w.fence {
+		return
+	}
+	w.fence = s.term
+	if h.Deadline > 0 {
+		w.deadline = max(w.deadline, s.now+h.Deadline-s.clock(w))
+	}
+	for number, u := range w.unacknowledged {
+		if number <= h.AcknowledgedEnd {
+			u.end.acknowledged = true
+			s.check(u.item)
+			delete(w.unacknowledged, number)
+		}
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedItem) bool { return e.Number <= h.AcknowledgedEnd })
+	report := Report{Clock: s.clock(w), StartMillis: w.StartMillis, Ended: slices.Clone(w.ended)}
+	for _, r := range sortedRuns(w.running) {
+		report.Running = append(report.Running, RunningItem{Run: r, Percent: int(s.now-w.running[r]) * 100 / int(simRunTime)})
+	}
+	sent := s.now
+	s.advance(time.Millisecond)
+	s.core.HoldDone(h, report, sent, s.now)
+}
+
+// setCapacity changes the capacity of a worker. Its registry entry shows the change
+// later.
+func (s *simulation) setCapacity(w *simWorker, milliCPU int64) {
+	if len(w.capacities) == 0 {
+		w.capacities = []simCapacity{{0, w.Capacity.MilliCPU}}
+	}
+	w.capacities = append(w.capacities, simCapacity{s.now, milliCPU})
+	w.Capacity.MilliCPU = milliCPU
+	w.registeredAt = s.now + time.Duration(rapid.IntRange(1, int(simRegisteredWithin/time.Millisecond)).Draw(s.t, "registered after"))*time.Millisecond
+}
