--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -277,7 +277,8 @@
 }
 
 // placeTrials starts the items of the candidates that run on trial. It takes the
-// workers of trials, and those that a trial waits for, from the eligible workers.
+// workers of trials, and those that a trial waits for, from the eligible workers. The
+// limit of starts does not apply, as trials are few.
 func (c *Core) placeTrials(o *Orders, candidates []candidate, eligible map[string]*eligibleWorkers, now Time) {
 	left := map[string]int{}
 	for _, cand := range candidates {
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -18,8 +18,8 @@
 
 // LeaseHolders returns the workers that may run something under a lease, with the
 // longest time that each lease can last from now, and those with ends that are not
-// committed. It is used when this owner
-// gives no more orders; the next owner has to wait no longer than these times.
+// committed. It is used when this owner gives no more orders; the next owner has to
+// wait no longer than these times.
 func (c *Core) LeaseHolders(now Time) map[string]time.Duration {
 	holders := map[string]time.Duration{}
 	for id, until := range c.formerHolders {
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -28,7 +28,8 @@
 //     the worker's lease has lapsed.
 //   - An end is acknowledged to a worker only after the progress that follows
 //     from it has been committed to the store.
-//   - An item is not started again once enough workers have crashed under it, see countCrash.
+//   - An item is not started again once crashesToGiveUp workers have crashed under
+//     it at the same age of its run, or maxCrashes at any age.
 package execution
 
 import (
