--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// Each crash takes the other runs on the worker with it. An innocent item that was
-// on several workers when they crashed must not be given up.
+// Each crash takes the other runs on the worker with it. An item that is not the
+// cause and was on several workers when they crashed must not be given up.
 func TestItemsBesideOneThatCrashesWorkersEnd(t *testing.T) {
 	b := newCrashbed(t, 4, 8000)
 	deadly := job.ItemID{Job: jobA, Index: 3}
@@ -158,7 +158,7 @@
 	}
 }
 
-// With many jobs that crash workers at once, innocent ones were beside several of
+// With many jobs that crash workers at once, other items were beside several of
 // them one after the other.
 func TestManyItemsThatCrashWorkers(t *testing.T) {
 	b := newCrashbed(t, 9, 32000)
@@ -318,9 +318,9 @@
 	}
 }
 
-// An item on trial shares its worker with serving items only, and nothing else is
-// started beside it: otherwise the next crash proves nothing and ends other work.
-func TestItemOnTrialRunsAlone(t *testing.T) {
+// An isolated item shares its worker only with runs that have outlived their start, and
+// nothing is started beside it: otherwise the next crash proves nothing.
+func TestIsolatedItemRunsAlone(t *testing.T) {
 	b := newTestbed(t, 0)
 	for _, id := range []string{"w1", "w2"} {
 		b.worker(testWorker(id, 4000), Report{})
@@ -332,46 +332,46 @@
 		serving[s.Worker.ID] = RunningItem{Run: s.Run, Percent: 100}
 		b.report(s.Worker.ID, Report{Running: []RunningItem{serving[s.Worker.ID]}})
 	}
-	onTrial := oneStep(jobB, job.Step{})
+	needsIsolation := oneStep(jobB, job.Step{})
 	b.core.AddJob(oneStep("00000000000000c0", job.Step{Count: 2, MaxPerWorker: 1}), job.Progress{}, false, wall, b.now)
 	normal := b.round().Starts
 	for _, s := range normal {
 		b.core.StartDone(s, Started, b.now)
 	}
-	b.core.AddJob(onTrial, job.Progress{Phase: job.Running, Items: []job.ItemProgress{{LastRun: 2, Crashes: []job.Crash{{Run: 1, MaxAgeMillis: 20}, {Run: 2, MaxAgeMillis: 30}}}}}, false, wall, b.now)
+	b.core.AddJob(needsIsolation, job.Progress{Phase: job.Running, Items: []job.ItemProgress{{LastRun: 2, Crashes: []job.Crash{{Run: 1, MaxAgeMillis: 20}, {Run: 2, MaxAgeMillis: 30}}}}}, false, wall, b.now)
 	b.core.AddJob(oneStep("00000000000000c1", job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
 	var reserved string
 	for _, s := range b.round().Starts {
 		if s.Item.Job == jobB {
-			t.Fatalf("the item on trial started beside a run that has to end")
+			t.Fatalf("the item started beside a run that is not known to go well")
 		}
 		reserved = s.Worker.ID
 		b.core.StartDone(s, Started, b.now)
 	}
 	// reserved is now the worker that takes other work; the other one gets free.
-	trial := "w1"
+	own := "w1"
 	if reserved == "w1" {
-		trial = "w2"
+		own = "w2"
 	}
 	for _, s := range normal {
-		if s.Worker.ID == trial {
-			b.report(trial, Report{Running: []RunningItem{serving[trial]}, Ended: []EndedItem{{Number: 1, Run: s.Run, Kind: EndDone}}})
+		if s.Worker.ID == own {
+			b.report(own, Report{Running: []RunningItem{serving[own]}, Ended: []EndedItem{{Number: 1, Run: s.Run, Kind: EndDone}}})
 		}
 	}
 	o := b.round()
-	if len(o.Starts) != 1 || o.Starts[0].Item.Job != jobB || o.Starts[0].Worker.ID != trial {
-		t.Fatalf("starts %v, want the item on trial on %s", o.Starts, trial)
+	if len(o.Starts) != 1 || o.Starts[0].Item.Job != jobB || o.Starts[0].Worker.ID != own {
+		t.Fatalf("starts %v, want the isolated item on %s", o.Starts, own)
 	}
 	b.core.StartDone(o.Starts[0], Started, b.now)
 	b.core.AddJob(oneStep("00000000000000c2", job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
 	for _, s := range b.round().Starts {
-		if s.Worker.ID == trial {
-			t.Errorf("%v starts beside the item on trial", s.Run)
+		if s.Worker.ID == own {
+			t.Errorf("%v starts beside the isolated item", s.Run)
 		}
 	}
 }
 
-// Items were blamed for crashes at which their runs had quite different ages. One that
+// Crashes counted against an item although their runs had quite different ages. One that
 // crashes its workers does so at about the same age.
 func TestCrashesAtDifferentAgesDoNotMatch(t *testing.T) {
 	for _, c := range []struct {
@@ -380,7 +380,7 @@
 		want    int
 	}{
 		{"right after the start, noticed early or late", []job.Crash{{MaxAgeMillis: 12}, {MaxAgeMillis: 700}, {MaxAgeMillis: 110}}, 3},
-		{"an innocent item: once in the middle of its run", []job.Crash{{MinAgeMillis: 300, MaxAgeMillis: 480}, {MaxAgeMillis: 15}, {MaxAgeMillis: 20}}, 2},
+		{"an item beside the cause: once in the middle of its run", []job.Crash{{MinAgeMillis: 300, MaxAgeMillis: 480}, {MaxAgeMillis: 15}, {MaxAgeMillis: 20}}, 2},
 		{"right after the start, with an order that took longer", []job.Crash{{MaxAgeMillis: 11}, {MinAgeMillis: 40, MaxAgeMillis: 44}, {MaxAgeMillis: 12}}, 3},
 		{"at half a second", []job.Crash{{MinAgeMillis: 420, MaxAgeMillis: 520}, {MinAgeMillis: 480, MaxAgeMillis: 900}, {MinAgeMillis: 100, MaxAgeMillis: 510}}, 3},
 	} {
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -13,47 +13,47 @@
 // its items made it crash. Every item that may be the cause is a suspect. What tells
 // the cause from the items beside it is the age of its runs when the workers crash:
 // it is about the same each time. Suspects are kept apart, so that the next crash
-// tells them from each other. One that is likely to be the cause runs on trial: only
+// tells them from each other. One that is likely to be the cause runs isolated: only
 // beside runs that have outlived their start and are no suspects, and nothing is
-// started beside it. An innocent item ends its run; the job of one under which workers
-// go on to crash is given up.
+// started beside it. An item that is not the cause ends its run; the job of one under
+// which workers go on to crash is given up.
 
 const (
 	// crashesToGiveUp is the number of workers that crash under an item at the same
-	// age of its run before its job is given up. The last run was on trial.
+	// age of its run before its job is given up. The last run was isolated.
 	crashesToGiveUp = 3
 	// maxCrashes is the number of workers that may crash under an item at any age.
 	// A sixth start would be one too many.
 	maxCrashes = 5
-	// An item runs on trial after trialMatchingCrashes workers have crashed under it
-	// at the same age of its run, or trialCrashes at any age.
-	trialMatchingCrashes = crashesToGiveUp - 1
-	trialCrashes         = 3
+	// An item is isolated after matchingCrashesToIsolate workers have crashed under
+	// it at the same age of its run, or crashesToIsolate at any age.
+	matchingCrashesToIsolate = crashesToGiveUp - 1
+	crashesToIsolate         = 3
 	// ageTolerance allows for the time that an order to start takes to arrive, from
 	// which on the age counts.
 	ageTolerance = 100 * time.Millisecond
-	// maxTrialShare is the part of the workers of a service that trials may take,
-	// but at least one worker. The others keep taking new work.
-	maxTrialShare = 0.5
+	// maxIsolationShare is the part of the workers of a service that isolated
+	// items may take, but at least one worker. The others keep taking new work.
+	maxIsolationShare = 0.5
 )
 
 func (i *item) suspect() bool { return len(i.crashes) > 0 }
 
-// onTrial reports whether the item has to run alone. The items of a gang only work
-// together, so they never run on trial.
-func (i *item) onTrial() bool {
-	return !i.step.spec.Gang && (len(i.crashes) >= trialCrashes || i.matchingCrashes() >= trialMatchingCrashes)
+// needsIsolation reports whether the item has to run alone. The items of a gang only work
+// together, so they are never isolated.
+func (i *item) needsIsolation() bool {
+	return !i.step.spec.Gang && (len(i.crashes) >= crashesToIsolate || i.matchingCrashes() >= matchingCrashesToIsolate)
 }
 
 // setCrashes replaces the crashes that a run of the item may have caused.
 func (i *item) setCrashes(crashes []job.Crash) {
-	before := i.onTrial()
+	before := i.needsIsolation()
 	i.crashes = crashes
-	switch after := i.onTrial(); {
+	switch after := i.needsIsolation(); {
 	case after && !before:
-		i.step.trials++
+		i.step.toIsolate++
 	case before && !after:
-		i.step.trials--
+		i.step.toIsolate--
 	}
 }
 
@@ -261,7 +261,7 @@
 	if cp.item.suspect() {
 		cp.item.setCrashes(nil)
 		cp.countSuspect(-1)
-		cp.suspect, cp.trial = false, false
+		cp.suspect, cp.isolated = false, false
 		c.markDirty(cp.item.step.job)
 	}
 }
@@ -271,18 +271,18 @@
 	if cp.suspect {
 		cp.worker.suspectRuns += n
 	}
-	if cp.trial {
-		cp.worker.trialRuns += n
+	if cp.isolated {
+		cp.worker.isolatedRuns += n
 	}
 }
 
-// placeTrials starts the items of the candidates that run on trial. It takes the
-// workers of trials, and those that a trial waits for, from the eligible workers. The
-// limit of starts does not apply, as trials are few.
-func (c *Core) placeTrials(o *Orders, candidates []candidate, eligible map[string]*eligibleWorkers, now Time) {
+// placeIsolated starts the items of the candidates that have to run isolated. It takes
+// their workers, and those that such an item waits for, from the eligible workers. The
+// limit of starts does not apply, as these items are few.
+func (c *Core) placeIsolated(o *Orders, candidates []candidate, eligible map[string]*eligibleWorkers, now Time) {
 	left := map[string]int{}
 	for _, cand := range candidates {
-		if cand.step.trials == 0 || cand.step.job.inherited && !c.settled {
+		if cand.step.toIsolate == 0 || cand.step.job.inherited && !c.settled {
 			continue
 		}
 		group := eligible[cand.queue.Service]
@@ -291,14 +291,14 @@
 			continue
 		}
 		if _, known := left[cand.queue.Service]; !known {
-			left[cand.queue.Service] = max(int(maxTrialShare*float64(len(group.workers)+group.trials)), 1) - group.trials
+			left[cand.queue.Service] = max(int(maxIsolationShare*float64(len(group.workers)+group.isolated)), 1) - group.isolated
 		}
 		for n := range cand.step.items {
 			i := &cand.step.items[n]
-			if !i.onTrial() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 {
+			if !i.needsIsolation() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 {
 				continue
 			}
-			w := trialWorker(i, group.workers, tickets)
+			w := isolationWorker(i, group.workers, tickets)
 			if w == nil {
 				continue
 			}
@@ -311,24 +311,25 @@
 	}
 }
 
-// waitingTrials returns the number of items that wait for a trial.
-func (s *step) waitingTrials() int {
-	if s.trials == 0 {
+// waitingForIsolation returns the number of items that wait to run isolated.
+func (s *step) waitingForIsolation() int {
+	if s.toIsolate == 0 {
 		return 0
 	}
 	n := 0
 	for k := range s.items {
-		if s.items[k].onTrial() && s.items[k].startable() {
+		if s.items[k].needsIsolation() && s.items[k].startable() {
 			n++
 		}
 	}
 	return n
 }
 
-// trialWorker returns the worker for an item on trial: among those that have room for
-// it now, or else once some runs have ended, the one with the fewest runs that a trial
-// has to wait for, and not the one that crashed last if there is a choice.
-func trialWorker(i *item, workers []*worker, tickets map[string]string) *worker {
+// isolationWorker returns the worker for an item that has to run isolated: among those
+// that have room for it now, or else once some runs have ended, the one with the fewest
+// runs that the item has to wait for, and not the one that crashed last if there is a
+// choice.
+func isolationWorker(i *item, workers []*worker, tickets map[string]string) *worker {
 	charge := i.step.spec.Charge()
 	var best *worker
 	bestScore := 0
@@ -352,8 +353,8 @@
 	return best
 }
 
-// unsettledRuns returns the number of runs on the worker that a trial has to wait
-// for: suspects, and runs that the worker has not listed yet.
+// unsettledRuns returns the number of runs on the worker that an isolated item has to
+// wait for: suspects, and runs that the worker has not listed yet.
 func (w *worker) unsettledRuns() int {
 	n := len(w.orphans)
 	for _, cp := range w.orderedCopies {
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -95,7 +95,7 @@
 			}
 		}
 	}
-	trials := map[string]int{}
+	isolated := map[string]int{}
 	for _, s := range c.pendingSteps {
 		d := byService[c.queueOf(s.job).Service]
 		if d == nil || s.job.final() {
@@ -110,7 +110,7 @@
 		if maxPerWorker := s.spec.MaxPerWorker; maxPerWorker > 0 && waiting > 0 {
 			d.RequiredVMs = max(d.RequiredVMs, (s.itemsLeft+maxPerWorker-1)/maxPerWorker)
 		}
-		trials[d.Pool] += s.waitingTrials()
+		isolated[d.Pool] += s.waitingForIsolation()
 		waitingCores := float64(waiting) * cores(s.spec.Charge().MilliCPU)
 		d.WaitingCores += waitingCores
 		d.BacklogCoreSeconds += waitingCores * c.runTime(s, now).Seconds()
@@ -118,8 +118,8 @@
 	demands := make([]capacity.CoreDemand, 0, len(order))
 	for _, name := range order {
 		d := byService[name]
-		// Trials take up to maxTrialShare of the workers, one each.
-		d.RequiredVMs = max(d.RequiredVMs, min(int(math.Ceil(float64(trials[name])/maxTrialShare)), len(c.sortedWorkers)/2))
+		// Isolated items take up to maxIsolationShare of the workers, one each.
+		d.RequiredVMs = max(d.RequiredVMs, min(int(math.Ceil(float64(isolated[name])/maxIsolationShare)), len(c.sortedWorkers)/2))
 		byService[name].ArrivalRate, byService[name].ArrivalGrowth = c.arrivalRate(name, now)
 		demands = append(demands, *byService[name])
 	}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -189,7 +189,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(a.rank.compare(b.rank), a.step.id().Compare(b.step.id()))
 	})
-	c.placeTrials(o, candidates, eligible, now)
+	c.placeIsolated(o, candidates, eligible, now)
 	for _, cand := range candidates {
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
 			break
@@ -229,9 +229,9 @@
 type eligibleWorkers struct {
 	workers []*worker
 	maxFree job.Resources
-	// trials is the number of workers that would be eligible but for an item on
-	// trial.
-	trials int
+	// isolated is the number of workers that would be eligible but for an isolated
+	// item.
+	isolated int
 }
 
 // eligibleByService returns the workers that may get work, by service.
@@ -244,8 +244,8 @@
 				p = &eligibleWorkers{}
 				byService[w.Service] = p
 			}
-			if w.trialRuns > 0 {
-				p.trials++
+			if w.isolatedRuns > 0 {
+				p.isolated++
 				continue
 			}
 			p.workers = append(p.workers, w)
@@ -280,7 +280,7 @@
 	}
 	for n := range s.items {
 		i := &s.items[n]
-		if !i.startable() || i.onTrial() || now < i.notBefore {
+		if !i.startable() || i.needsIsolation() || now < i.notBefore {
 			continue
 		}
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -42,9 +42,9 @@
 	// listed is set once a report showed the run in the current lifetime of
 	// the worker.
 	listed bool
-	// suspect and trial are set if the item was a suspect or on trial when the run
-	// started.
-	suspect, trial bool
+	// suspect and isolated are set if the item was a suspect, or had to run isolated,
+	// when the run started.
+	suspect, isolated bool
 	// percent is the progress, which last changed at progressedAt.
 	percent      int
 	progressedAt Time
@@ -121,8 +121,8 @@
 	readyAt Time
 	// copies is the number of copies on each worker.
 	copies map[*worker]int
-	// trials is the number of items on trial.
-	trials int
+	// toIsolate is the number of items that have to run isolated.
+	toIsolate int
 	// pending is set while the step is in Core.pendingSteps.
 	pending bool
 	// firstStart is when the first item was started; meanRunTime is the mean of
@@ -178,8 +178,8 @@
 	// largestMilliCPU is the largest CPU capacity in the worker's lifetime, in
 	// thousandths of a core.
 	largestMilliCPU int64
-	// suspectRuns and trialRuns count the copies with suspect and trial set.
-	suspectRuns, trialRuns int
+	// suspectRuns and isolatedRuns count the copies with suspect and isolated set.
+	suspectRuns, isolatedRuns int
 	// orderedCopies holds the copies in the order in which they were added.
 	orderedCopies []*itemCopy
 	// orphans are runs on the worker that are not wanted and belong to no copy.
@@ -296,7 +296,7 @@
 }
 
 func (c *Core) addCopy(i *item, w *worker, run int64, phase copyPhase, now Time) *itemCopy {
-	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100, suspect: i.suspect(), trial: i.onTrial()}
+	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100, suspect: i.suspect(), isolated: i.needsIsolation()}
 	i.copies = append(i.copies, cp)
 	i.lastRun = max(i.lastRun, run)
 	i.step.copies[w]++
