--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -37,10 +37,11 @@
 	maxIsolationShare = 0.5
 )
 
+// suspect reports whether a worker has crashed under the item, which may be the cause.
 func (i *item) suspect() bool { return len(i.crashes) > 0 }
 
-// needsIsolation reports whether the item has to run alone. The items of a gang only work
-// together, so they are never isolated.
+// needsIsolation reports whether the item has to run isolated. The items of a gang only
+// work together, so they are never isolated.
 func (i *item) needsIsolation() bool {
 	return !i.step.spec.Gang && (len(i.crashes) >= crashesToIsolate || i.matchingCrashes() >= matchingCrashesToIsolate)
 }
@@ -332,21 +333,21 @@
 func isolationWorker(i *item, workers []*worker, tickets map[string]string) *worker {
 	charge := i.step.spec.Charge()
 	var best *worker
-	bestScore := 0
+	var bestScore []int
 	for _, w := range workers {
 		if !w.allows(i.step, tickets) || !charge.Fits(w.idleCapacity()) {
 			continue
 		}
-		// In the order of their weights; a worker has less than 1000 runs.
-		score := len(w.orderedCopies)
-		if w.place() == i.avoid {
-			score += 1000
-		}
-		score += 2000 * w.unsettledRuns()
+		full, crashedLast := 0, 0
 		if !charge.Fits(w.free()) {
-			score += 2000 * 1000
+			full = 1
+		}
+		if w.place() == i.avoid {
+			crashedLast = 1
 		}
-		if best == nil || score < bestScore {
+		// Compared in this order; the smallest is best.
+		score := []int{full, w.unsettledRuns(), crashedLast, len(w.orderedCopies)}
+		if best == nil || slices.Compare(score, bestScore) < 0 {
 			best, bestScore = w, score
 		}
 	}
