Log the number and the effect of each end that a worker lists

The log could not tell an end that counts from one that is dropped and acknowledged all the same, and showed nothing for ends of unknown jobs or items. run_ended now names the number of the end and what it changed.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -339,6 +339,9 @@
 	if e.Reason != "" {
 		entry = entry.Str("reason", e.Reason)
 	}
+	if e.End > 0 {
+		entry = entry.Int64("end", e.End).Str("effect", e.Effect)
+	}
 	if e.Detail != "" {
 		entry = entry.Str("detail", e.Detail)
 	}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -198,6 +198,40 @@
 	}
 }
 
+// endEffect says what an end that a worker lists changes. Ends are acknowledged
+// whatever their effect.
+type endEffect string
+
+const (
+	// endCounted: the end is applied to its item.
+	endCounted endEffect = "counted"
+	// endOfDoneItem, endOfFinishedJob: the item is done already, or the job has
+	// ended.
+	endOfDoneItem    endEffect = "item_done"
+	endOfFinishedJob endEffect = "job_finished"
+	// endSuperseded: the owner knows another run of the item and waits for its end
+	// instead.
+	endSuperseded endEffect = "superseded"
+	// endOfUnknownItem: the owner has no such job, or the job no such item.
+	endOfUnknownItem endEffect = "unknown"
+)
+
+// effectOf returns the effect of an end of an item, which is nil if it is not known.
+// cp is the copy of the run, or nil.
+func effectOf(end End, i *item, cp *itemCopy) endEffect {
+	switch {
+	case i == nil:
+		return endOfUnknownItem
+	case i.step.job.final():
+		return endOfFinishedJob
+	case i.done:
+		return endOfDoneItem
+	case end == EndDone && cp == nil && len(i.copies) > 0:
+		return endSuperseded
+	}
+	return endCounted
+}
+
 // processEnd processes one end that a worker lists.
 func (c *Core) processEnd(w *worker, end EndedItem, now Time) {
 	w.processedEnd = end.Number
@@ -210,23 +244,26 @@
 		}
 		w.pendingEnds = append(w.pendingEnds, pending)
 	}()
-	cp := w.copies[end.Run]
-	if j == nil {
-		return
-	}
-	i := j.item(end.Item, now)
-	if i == nil {
-		return
+	var i *item
+	if j != nil {
+		i = j.item(end.Item, now)
 	}
-	i.lastRun = max(i.lastRun, end.Run.Number)
+	cp := w.copies[end.Run]
+	effect := effectOf(end.Kind, i, cp)
 	var took time.Duration
 	if cp != nil {
 		took = now - cp.startedAt
 		c.begin(j)
 		c.dropCopy(cp)
 	}
-	c.trace(Event{Name: "run_ended", Item: end.Item.String(), Run: end.Run.Number, Worker: w.ID, Reason: string(end.Kind), Took: took})
-	if j.final() || i.done {
+	c.trace(Event{
+		Name: "run_ended", Item: end.Item.String(), Run: end.Run.Number, Worker: w.ID, Reason: string(end.Kind),
+		End: end.Number, Effect: string(effect), Took: took,
+	})
+	if i != nil {
+		i.lastRun = max(i.lastRun, end.Run.Number)
+	}
+	if effect == endOfUnknownItem || effect == endOfFinishedJob || effect == endOfDoneItem {
 		return
 	}
 	if end.Saved != "" && i.step.spec.SavesProgress {
@@ -237,7 +274,7 @@
 	case EndDone:
 		// If the run was given up as lost and the item started again elsewhere,
 		// only the end of the new run counts.
-		if cp != nil || len(i.copies) == 0 {
+		if effect == endCounted {
 			w.failures = 0
 			if cp != nil {
 				c.learnRunTime(i.step, took)
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -207,6 +207,9 @@
 	Reason  string
 	// Detail holds the state that the decision was based on.
 	Detail string
+	// End is the number of an end in the worker's list, and Effect what it changed.
+	End    int64
+	Effect string
 	// VM is the VM of the worker, for events about a lifetime of a worker.
 	VM string
 	// Took is how long the run or the job took. For run_placed it is the time
