Add failing tests of an acknowledged end as done that has no effect

What callers saw: a work item that must run once ran again after its end had been acknowledged (TWICE), or their job ended seconds later than it could have.

--- /dev/null
+++ b/scheduler/execution/ends_test.go
@@ -0,0 +1,71 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// expectDone fails unless the job of one item is completed, nothing of it is started
+// and its progress is to be written before the end is acknowledged to the worker.
+func (b *testbed) expectDone(id, worker string) {
+	b.Helper()
+	if o := b.roundAfter(time.Second); len(o.Starts) > 0 {
+		b.Fatalf("started %v although the item is done", o.Starts[0].Run)
+	}
+	if h, ok := b.core.HoldFor(worker, b.now); ok && h.AcknowledgedEnd > 0 {
+		b.Fatalf("end %d is acknowledged before the progress that follows from it is committed", h.AcknowledgedEnd)
+	}
+	writes := b.core.TakeWrites(10)
+	if len(writes) != 1 || writes[0].JobID != id || writes[0].Progress.Phase != job.Completed {
+		b.Fatalf("writes %+v, want job %s as completed", writes, id)
+	}
+	b.core.MarkCommitted(writes)
+	if h, _ := b.core.HoldFor(worker, b.now); h.AcknowledgedEnd != 1 {
+		b.Fatalf("end %d is acknowledged after the commit, want 1", h.AcknowledgedEnd)
+	}
+}
+
+// Guards against an item that starts again after an acknowledged end: a new owner had
+// adopted one copy of a speculative item, dropped the end of the other one and
+// acknowledged it, and started the item again when the adopted copy was lost.
+func TestDoneEndCountsBesideAnAdoptedCopy(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold, "w2": testHold}, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{Speculative: true}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.worker(testWorker("w1", 1000), Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 10}}})
+	b.worker(testWorker("w2", 1000), Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 2), Kind: EndDone}}})
+	b.round()
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndLapsed}}})
+	b.expectDone(jobA, "w2")
+}
+
+// Guards against an item that starts again after an acknowledged end: the owner had
+// taken the lease of its worker to have lapsed and had started it elsewhere when the
+// worker listed its end as done, and started it a third time when the second run was
+// lost.
+func TestDoneEndCountsAfterTheItemWasStartedElsewhere(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	first := b.round().Starts[0]
+	b.core.StartDone(first, Started, b.now)
+	b.core.TakeWrites(10)
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	second := b.roundAfter(2 * testHold).Starts
+	if len(second) != 1 || second[0].Worker.ID != "w2" {
+		t.Fatalf("starts %v after the lease has lapsed, want one on w2", second)
+	}
+	b.core.StartDone(second[0], StartUnknown, b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first.Run, Kind: EndDone}}})
+	stops := b.round().Stops
+	if len(stops) != 1 || stops[0].Run != second[0].Run {
+		t.Fatalf("stops %v, want the second run to end, which is not needed any more", stops)
+	}
+	b.core.StopDone(stops[0], true, b.now)
+	b.now += time.Second
+	b.report("w2", Report{})
+	b.expectDone(jobA, "w1")
+}
