Count every end as done, whichever run of the item the owner knows

What callers saw: a work item that must run once ran again after its end had been acknowledged (TWICE), or their job ended seconds later than it could have.

Cause: processEnd dropped an end as done of a run that had no copy while the item had another copy, and acknowledged it all the same, because no change was left to commit. The worker forgot the end. When the other copy was lost, or its worker fell silent, the item started again. It takes two runs of an item: copies of a speculative step around a change of owner, or a run whose lease was taken to have lapsed. The class of fault: the only knowledge of an event is given up before its consequence is kept.

Fix: an end as done makes its item done, whichever runs are known; the copies of other runs are stopped, those of later runs of a gang too. Nothing is then left that could start the item, so that acknowledging the end is safe.

--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -69,3 +69,39 @@
 	b.report("w2", Report{})
 	b.expectDone(jobA, "w1")
 }
+
+// Guards against members of a gang that go on, or start again, after an end as done of
+// an earlier run of the gang, which the owner had taken to be lost.
+func TestDoneEndOfAnEarlierRunStopsTheGang(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, Gang: true}), job.Progress{}, false, wall, b.now)
+	first := b.round().Starts
+	if len(first) != 2 {
+		t.Fatalf("starts %v, want both members", first)
+	}
+	for _, s := range first {
+		b.core.StartDone(s, Started, b.now)
+		b.core.HoldFailed(s.Worker.ID, "no_answer", b.now)
+	}
+	b.core.TakeWrites(10)
+	b.worker(testWorker("w3", 2000), Report{})
+	second := b.roundAfter(2 * testHold).Starts
+	if len(second) != 2 {
+		t.Fatalf("starts %v after the leases have lapsed, want both members on w3", second)
+	}
+	for _, s := range second {
+		b.core.StartDone(s, Started, b.now)
+	}
+	done := first[0]
+	b.report(done.Worker.ID, Report{Ended: []EndedItem{{Number: 1, Run: done.Run, Kind: EndDone}}})
+	stops := b.round().Stops
+	if len(stops) != 2 || stops[0].Worker.ID != "w3" || stops[1].Worker.ID != "w3" {
+		t.Fatalf("stops %v, want both members of the later run on w3", stops)
+	}
+	b.report("w3", Report{Ended: []EndedItem{
+		{Number: 1, Run: second[0].Run, Kind: EndStopped}, {Number: 2, Run: second[1].Run, Kind: EndBroken},
+	}})
+	b.expectDone(jobA, done.Worker.ID)
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -209,16 +209,14 @@
 	// ended.
 	endOfDoneItem    endEffect = "item_done"
 	endOfFinishedJob endEffect = "job_finished"
-	// endSuperseded: the owner knows another run of the item and waits for its end
-	// instead.
-	endSuperseded endEffect = "superseded"
 	// endOfUnknownItem: the owner has no such job, or the job no such item.
 	endOfUnknownItem endEffect = "unknown"
 )
 
 // effectOf returns the effect of an end of an item, which is nil if it is not known.
-// cp is the copy of the run, or nil.
-func effectOf(end End, i *item, cp *itemCopy) endEffect {
+// It does not depend on whether the owner still has a copy of the run: once the end is
+// acknowledged, nothing but the item's progress tells that the run was done.
+func effectOf(i *item) endEffect {
 	switch {
 	case i == nil:
 		return endOfUnknownItem
@@ -226,8 +224,6 @@
 		return endOfFinishedJob
 	case i.done:
 		return endOfDoneItem
-	case end == EndDone && cp == nil && len(i.copies) > 0:
-		return endSuperseded
 	}
 	return endCounted
 }
@@ -249,13 +245,15 @@
 		i = j.item(end.Item, now)
 	}
 	cp := w.copies[end.Run]
-	effect := effectOf(end.Kind, i, cp)
+	effect := effectOf(i)
 	var took time.Duration
 	if cp != nil {
 		took = now - cp.startedAt
-		c.begin(j)
 		c.dropCopy(cp)
 	}
+	if cp != nil || effect == endCounted {
+		c.begin(j)
+	}
 	c.trace(Event{
 		Name: "run_ended", Item: end.Item.String(), Run: end.Run.Number, Worker: w.ID, Reason: string(end.Kind),
 		End: end.Number, Effect: string(effect), Took: took,
@@ -263,7 +261,7 @@
 	if i != nil {
 		i.lastRun = max(i.lastRun, end.Run.Number)
 	}
-	if effect == endOfUnknownItem || effect == endOfFinishedJob || effect == endOfDoneItem {
+	if effect != endCounted {
 		return
 	}
 	if end.Saved != "" && i.step.spec.SavesProgress {
@@ -272,15 +270,11 @@
 	}
 	switch end.Kind {
 	case EndDone:
-		// If the run was given up as lost and the item started again elsewhere,
-		// only the end of the new run counts.
-		if effect == endCounted {
-			w.failures = 0
-			if cp != nil {
-				c.learnRunTime(i.step, took)
-			}
-			c.handleDone(i, cp, now)
+		w.failures = 0
+		if cp != nil {
+			c.learnRunTime(i.step, took)
 		}
+		c.handleDone(i, end.Run.Number, now)
 	case EndFailed:
 		c.handleFailure(w, i, end.Run.Number, now)
 	case EndLapsed, EndAlone, EndBroken, EndStopped:
@@ -288,24 +282,28 @@
 	c.addPending(i.step)
 }
 
-// handleDone marks the item of a run with EndDone as done. One member that is
-// done completes the whole gang; the other copies of a speculative item are
-// stopped. A long-running item is never done: it starts again however it ended.
-func (c *Core) handleDone(i *item, cp *itemCopy, now Time) {
+// handleDone marks the item of a run with EndDone as done, or all items of its gang,
+// and marks the copies of other runs to be stopped. Those of the same run of a gang
+// have ended as well. A long-running item is never done: it starts again however it
+// ended.
+func (c *Core) handleDone(i *item, run int64, now Time) {
 	j := i.step.job
 	if i.step.spec.LongRunning {
 		return
 	}
+	items := []*item{i}
 	if i.step.spec.Gang {
+		items = nil
 		for n := range i.step.items {
-			if other := &i.step.items[n]; !other.done {
-				c.markItemDone(other, now)
-			}
+			items = append(items, &i.step.items[n])
+		}
+	}
+	for _, member := range items {
+		if !member.done {
+			c.markItemDone(member, now)
 		}
-	} else {
-		c.markItemDone(i, now)
-		for _, other := range i.copies {
-			other.stopWanted = true
+		for _, other := range member.copies {
+			other.stopWanted = other.stopWanted || other.run != run
 		}
 	}
 	if j.finishIfDone(now) {
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -28,6 +28,7 @@
 //     the worker's lease has lapsed.
 //   - An end is acknowledged to a worker only after the progress that follows
 //     from it has been committed to the store.
+//   - An end as done makes its item done, whichever runs of the item the owner knows.
 //   - An item is not started again once crashesToGiveUp workers have crashed under
 //     it at the same age of its run, or maxCrashes at any age.
 package execution
