Delete the records of a finished job in one transaction

What callers would see: a job that ended some minutes ago runs again (TWICE).

Cause: the inbox record, the cancellation and the progress of a finished job were deleted one by one, in any order and spread over transactions. An owner that takes over after its progress was deleted and before its inbox record was, finds an accepted job of which nothing has run. It is the class of fault of the acknowledged ends: the only knowledge of what is done is given up before what could start it again.

Fix: the three records of a job always share a transaction.

TestFinishedJobIsDeletedAtOnce failed before: forget_test.go:63: a transaction deletes only a part of the records of job: [progress/ inbox/job/ ... The values written last are also no longer kept for deleted keys, which grew with each job.

--- /dev/null
+++ b/owner/forget_test.go
@@ -0,0 +1,79 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/store"
+	"dotterelhead.example/dotterelhead/store/storetest"
+)
+
+// finishedTerm returns a term whose store and state machine have count jobs that have
+// been completed.
+func finishedTerm(t *testing.T, count int) *term {
+	t.Helper()
+	tm := testTerm(t, &fakeVMs{})
+	ctx := context.Background()
+	for n := range count {
+		id := fmt.Sprintf("%016x", n)
+		value, err := json.Marshal(job.Job{Queue: "q", Service: "a", Steps: []job.Step{{Count: 1}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		progress, err := json.Marshal(job.Progress{Phase: job.Completed})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tm.options.Store.Commit(ctx, store.Transaction{Writes: []store.Write{
+			{Key: jobstore.JobKey(id), Value: value}, {Key: jobstore.ProgressKey(id), Value: progress},
+		}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := tm.load(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return tm
+}
+
+// Guards against a finished job that runs again: its progress was deleted in one
+// transaction and its inbox record in a later one, and an owner that took over in
+// between found an accepted job of which nothing had run.
+func TestFinishedJobIsDeletedAtOnce(t *testing.T) {
+	const count = 3 * maxForgetBatch
+	tm := finishedTerm(t, count)
+	tm.mu.Lock()
+	tm.options.Store.(*storetest.Store).OutcomeOf = func(tx store.Transaction) storetest.Outcome {
+		for n := range count {
+			id := fmt.Sprintf("%016x", n)
+			if slices.Contains(tx.Deletes, jobstore.ProgressKey(id)) != slices.Contains(tx.Deletes, jobstore.JobKey(id)) {
+				t.Errorf("a transaction deletes only a part of the records of job %s: %v", id, tx.Deletes)
+			}
+		}
+		return storetest.Applied
+	}
+	// More records than fit into one transaction beside the deletions.
+	for n := range jobstore.NewWriter(nil, 0, nil).MaxRecords() {
+		tm.queuedRecords[fmt.Sprintf("%sload/%d", jobstore.OwnerPrefix, n)] = []byte("{}")
+	}
+	tm.mu.Unlock()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		tm.summarize()
+		tm.wakeWriter()
+		items, _, err := store.ReadAll(context.Background(), tm.options.Store, jobstore.InboxPrefix)
+		if err == nil && len(items) == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d inbox records are left of finished jobs (error %v)", len(items), err)
+		}
+		time.Sleep(writeGap)
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -63,9 +63,11 @@
 	manifest       *job.Manifest
 	holdLoops      map[string]*holdLoop
 	// queuedRecords holds, by key, the records that are to be written; nil
-	// deletes the key. written holds the values that were written last.
+	// deletes the key. written holds the values that were written last. deletions
+	// are the finished jobs whose records are to be deleted.
 	queuedRecords map[string][]byte
 	written       map[string]string
+	deletions     []string
 	// queuedHolders is the record of workers that may hold leases of runs, as it
 	// is queued or being written.
 	queuedHolders string
--- a/owner/write.go
+++ b/owner/write.go
@@ -24,8 +24,10 @@
 	// reserved for records other than the progress of jobs. Under load, progress
 	// alone would fill every transaction.
 	reservedRecords = 5
+	// recordsPerJob is the number of records that are deleted with a job.
+	recordsPerJob = 3
 	// maxForgetBatch bounds the number of finished jobs that are deleted at once.
-	// Each has three keys, so 15 deletions fill one transaction.
+	// Their records fill one transaction.
 	maxForgetBatch = 5
 )
 
@@ -56,11 +58,19 @@
 	defer t.mu.Unlock()
 	t.logPoolsLocked()
 	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
-	for _, id := range t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, boottime.Now()) {
-		for _, key := range []string{jobstore.JobKey(id), jobstore.CancelKey(id), jobstore.ProgressKey(id)} {
-			t.queuedRecords[key] = nil
-		}
-	}
+	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, boottime.Now()))
+}
+
+// forgetLocked queues the deletion of the records of finished jobs.
+func (t *term) forgetLocked(ids []string) {
+	t.deletions = append(t.deletions, ids...)
+}
+
+// deletionOf returns the deletion of all records of a job. They belong into one
+// transaction: an owner that found the job in the inbox without its progress would run
+// it again.
+func deletionOf(id string) []jobstore.Record {
+	return []jobstore.Record{{Key: jobstore.JobKey(id)}, {Key: jobstore.CancelKey(id)}, {Key: jobstore.ProgressKey(id)}}
 }
 
 // logPoolsLocked logs the demand and the VMs of each pool, and updates their
@@ -144,7 +154,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var b batch
-	for _, p := range t.core.TakeWrites(t.writer.MaxRecords() - min(len(t.queuedRecords), reservedRecords)) {
+	queued := len(t.queuedRecords) + recordsPerJob*len(t.deletions)
+	for _, p := range t.core.TakeWrites(t.writer.MaxRecords() - min(queued, reservedRecords)) {
 		value, err := json.Marshal(p.Progress)
 		if err != nil {
 			t.options.Log.Error().Str("event", "record_not_encoded").Str("job", p.JobID).Err(err).Msg("")
@@ -160,6 +171,10 @@
 		b.others = append(b.others, jobstore.Record{Key: key, Value: value})
 		delete(t.queuedRecords, key)
 	}
+	for len(t.deletions) > 0 && len(b.progress)+len(b.others)+recordsPerJob <= t.writer.MaxRecords() {
+		b.others = append(b.others, deletionOf(t.deletions[0])...)
+		t.deletions = t.deletions[1:]
+	}
 	return b
 }
 
@@ -210,7 +225,11 @@
 	t.core.MarkCommitted(b.progress)
 	t.wakeSettledLocked()
 	for _, r := range b.others {
-		t.written[r.Key] = string(r.Value)
+		if r.Value == nil {
+			delete(t.written, r.Key)
+		} else {
+			t.written[r.Key] = string(r.Value)
+		}
 		// An older record of the key may have been on its way when the one that is
 		// waited for was queued.
 		if p, waiting := t.onWritten[r.Key]; waiting && p.value == string(r.Value) {
