Keep finished jobs from coming back when the inbox is read anew

What callers would see: a job that ended some minutes ago runs again (TWICE).

Cause: a finished job is dropped from memory before its deletion is in the store. When the history of the inbox is compacted in between, the inbox is read anew and shows the job without its progress, so that it is added as a new one.

Fix: the jobs that were dropped are passed over until a reading or a change of the inbox shows that they are gone.

TestFinishedJobDoesNotComeBackFromTheInbox failed before: forget_test.go:107: 1 finished jobs wait to run again

--- a/owner/forget_test.go
+++ b/owner/forget_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
 	"dotterelhead.example/dotterelhead/store"
@@ -42,6 +43,12 @@
 	return tm
 }
 
+func (t *term) waitingJobs() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.core.Waiting()["q"]
+}
+
 // Guards against a finished job that runs again: its progress was deleted in one
 // transaction and its inbox record in a later one, and an owner that took over in
 // between found an accepted job of which nothing had run.
@@ -77,3 +84,30 @@
 		time.Sleep(writeGap)
 	}
 }
+
+// Guards against a finished job that runs again: the owner had dropped it from memory,
+// its deletion was not in the store yet, and the inbox was read anew after its history
+// had been compacted.
+func TestFinishedJobDoesNotComeBackFromTheInbox(t *testing.T) {
+	tm := finishedTerm(t, 1)
+	s := tm.options.Store.(*storetest.Store)
+	items, revision, err := store.ReadAll(context.Background(), s, jobstore.InboxPrefix)
+	if err != nil || len(items) != 1 {
+		t.Fatalf("%d inbox records, error %v", len(items), err)
+	}
+	tm.mu.Lock()
+	removed := tm.core.RemoveFinished(0, maxForgetBatch, boottime.Now()+time.Second)
+	tm.forgetLocked(removed)
+	tm.mu.Unlock()
+	if len(removed) != 1 {
+		t.Fatalf("removed %v, want the finished job", removed)
+	}
+	tm.resetInbox(items, revision)
+	if n := tm.waitingJobs(); n != 0 {
+		t.Errorf("%d finished jobs wait to run again", n)
+	}
+	tm.resetInbox(nil, revision+1)
+	if len(tm.forgotten) > 0 {
+		t.Errorf("%v are still remembered after the inbox was read without them", tm.forgotten)
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -85,6 +86,9 @@
 	// unreadable holds the jobs whose progress could not be decoded. They are not
 	// run.
 	unreadable map[string]bool
+	// forgotten are the finished jobs that the core has dropped, until the inbox does
+	// not hold them any more.
+	forgotten map[string]bool
 	// waveDone holds, by the number of the wave, the VMs that had their upkeep
 	// under former owners.
 	waveDone map[int64][]string
@@ -103,7 +107,7 @@
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
-		unreadable: map[string]bool{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		unreadable: map[string]bool{}, forgotten: map[string]bool{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
@@ -334,7 +338,7 @@
 			cancelled = append(cancelled, id)
 			continue
 		}
-		if t.unreadable[id] {
+		if t.unreadable[id] || t.forgotten[id] {
 			continue
 		}
 		j := &job.Job{ID: id}
@@ -355,20 +359,17 @@
 
 func (t *term) followInbox(ctx context.Context, revision int64) {
 	store.FollowFrom(ctx, t.options.Store, jobstore.InboxPrefix, revision, inboxWait, store.FollowHandler{
-		Reset: func(items []store.Item, _ int64) {
-			t.mu.Lock()
-			t.applyInbox(items, nil, false)
-			t.mu.Unlock()
-			t.wakeRounds()
-		},
+		Reset: t.resetInbox,
 		Changed: func(events []store.Event) {
+			t.mu.Lock()
 			var items []store.Item
 			for _, e := range events {
 				if !e.Deleted {
 					items = append(items, e.Item)
+				} else if id, cancel, ok := jobstore.ParseInboxKey(e.Key); ok && !cancel {
+					delete(t.forgotten, id)
 				}
 			}
-			t.mu.Lock()
 			t.applyInbox(items, nil, false)
 			t.mu.Unlock()
 			t.wakeRounds()
@@ -379,6 +380,19 @@
 	})
 }
 
+// resetInbox takes the contents of the inbox after its history was compacted.
+func (t *term) resetInbox(items []store.Item, _ int64) {
+	present := map[string]bool{}
+	for _, item := range items {
+		present[item.Key] = true
+	}
+	t.mu.Lock()
+	maps.DeleteFunc(t.forgotten, func(id string, _ bool) bool { return !present[jobstore.JobKey(id)] })
+	t.applyInbox(items, nil, false)
+	t.mu.Unlock()
+	t.wakeRounds()
+}
+
 func (t *term) resetWorkers(workers []execution.Worker) {
 	t.mu.Lock()
 	t.core.SetWorkers(workers, boottime.Now())
--- a/owner/write.go
+++ b/owner/write.go
@@ -61,9 +61,13 @@
 	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, boottime.Now()))
 }
 
-// forgetLocked queues the deletion of the records of finished jobs.
+// forgetLocked queues the deletion of the records of finished jobs. Until they are
+// gone, a new reading of the inbox shows the jobs without their progress.
 func (t *term) forgetLocked(ids []string) {
 	t.deletions = append(t.deletions, ids...)
+	for _, id := range ids {
+		t.forgotten[id] = true
+	}
 }
 
 // deletionOf returns the deletion of all records of a job. They belong into one
