--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -225,10 +225,11 @@
 }
 
 // newJob returns a job with two steps of three items each. The second step
-// depends on the first.
+// depends on the first. The steps are speculative if the spec says so.
 func (c *jobCluster) newJob(spec string) *job.Job {
 	c.lastJobID++
 	step := job.Step{Count: 3, Needs: job.Resources{MilliCPU: 2000, MemoryMB: 100}, Estimate: 50 * time.Millisecond}
+	step.Speculative = strings.Contains(spec, "speculative")
 	second := step
 	second.After = []int{0}
 	return &job.Job{ID: fmt.Sprintf("%016x", c.lastJobID), Spec: spec, Steps: []job.Step{step, second}}
--- a/processtest/soak_test.go
+++ b/processtest/soak_test.go
@@ -33,7 +33,8 @@
 // (long polls) without an answer;
 // connections to the store, to workers and from requesters are delayed, reset, or
 // lose the data of one direction; orders are carried out late, workers restart, and
-// their capacity shrinks and grows. Some jobs crash the workers that start them.
+// their capacity shrinks and grows. Some jobs are speculative, and some crash the
+// workers that start them.
 // Meanwhile, new manifests and a maintenance wave are published. The test guards
 // against accepted jobs that are lost, jobs that crash workers without an end, and
 // violations recorded by the workers. A seed fixes the choice of the faults, but not the timing of the processes
@@ -66,6 +67,7 @@
 			c.injectFault(random, fault, &version)
 		}
 		jobs = append(jobs, c.submitJobs(2+random.IntN(4), "work=120ms cpu=2000", 10*time.Millisecond)...)
+		jobs = append(jobs, c.submitJobs(1, "work=600ms cpu=2000 speculative", 0)...)
 		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
 	}
 	c.platform.SetFaults(jobplatform.Faults{})
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -76,11 +76,12 @@
 // words: work=50ms (duration), fail=0.1 (probability of failure), lasting (runs
 // until it is stopped), cpu=2000 (thousandths of a core that an item requests, for
 // the check of the worker's capacity), deadly (each item crashes the worker that
-// starts it).
+// starts it), speculative (copies of an item may run at the same time).
 type jobSpec struct {
 	work            time.Duration
 	failProbability float64
 	lasting, deadly bool
+	speculative     bool
 	milliCPU        int64
 }
 
@@ -101,6 +102,8 @@
 			parsed.lasting = true
 		case "deadly":
 			parsed.deadly = true
+		case "speculative":
+			parsed.speculative = true
 		case "cpu":
 			parsed.milliCPU = parseIntOrZero(value)
 		}
@@ -122,6 +125,8 @@
 	// LastSeen is the number of the last end of a run that the caller has seen.
 	LastSeen int64 `json:"lastSeen"`
 	WaitMs   int64 `json:"waitMs"`
+	// receivedAt is when the order arrived; it may be executed later.
+	receivedAt time.Time
 }
 
 // ServeHTTP implements the worker's side of the protocol.
@@ -130,7 +135,7 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	var body orderBody
+	body := orderBody{receivedAt: time.Now()}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
@@ -203,7 +208,7 @@
 		milliCPU: spec.milliCPU,
 	}
 	w.runs[key] = r
-	w.platform.history.started(w, key)
+	w.platform.history.started(w, key, spec.speculative, body.receivedAt)
 	w.checkCapacity(key)
 	if spec.deadly {
 		w.platform.history.deadlyStart(key)
