Log why a run is ordered to stop and what is known of it

run_stopped named the run and the worker only. For a long-running item that was ended while others of its step were unavailable, the log did not tell whether maintenance, a start without an answer or the end of the job was the reason, nor whether the run was known to serve. It now has the reason, the age of the worker's last report and the progress of the run. No decision changes.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -279,7 +279,7 @@
 	cancel()
 	t.endIfFenced(err)
 	t.options.Log.Info().Str("event", "run_stopped").Str("item", s.Item.String()).Int64("run", s.Run.Number).Str("worker", s.Worker.ID).
-		AnErr("error", err).Msg("")
+		Str("reason", s.Reason).Str("detail", s.Detail).AnErr("error", err).Msg("")
 	t.mu.Lock()
 	t.core.StopDone(s, err == nil, boottime.Now())
 	t.mu.Unlock()
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -360,8 +360,8 @@
 		case unresolved:
 			if cp.stopAnsweredAt > 0 && cp.stopAnsweredAt < sent {
 				c.requeueLost(cp, "never_started", now)
-			} else if cp.phaseSince < sent {
-				cp.stopWanted = true
+			} else if cp.phaseSince < sent && !cp.stopWanted {
+				cp.stopWanted, cp.inDoubt = true, true
 			}
 		case starting:
 		}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,7 +71,7 @@
 				continue
 			}
 			cp.stopOrderedAt, cp.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker})
+			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker, Reason: cp.stopReason(), Detail: cp.stopDetail(now)})
 		}
 		for _, r := range orphansOf(w) {
 			orphan := w.orphans[r]
@@ -78,11 +79,35 @@
 				continue
 			}
 			orphan.stopOrderedAt, orphan.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker})
+			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker, Reason: "unwanted"})
 		}
 	}
 }
 
+// stopReason says, for the log, why a run has to end.
+func (cp *itemCopy) stopReason() string {
+	switch {
+	case cp.item.step.job.final():
+		return "job_ended"
+	case cp.item.done:
+		return "item_done"
+	case cp.inDoubt:
+		return "in_doubt"
+	case cp.worker.closed || cp.worker.Draining:
+		return "planned"
+	}
+	return "other"
+}
+
+// stopDetail says, for the log, what is known of a run that has to end.
+func (cp *itemCopy) stopDetail(now Time) string {
+	detail := fmt.Sprintf("report_age_ms=%d", (now - cp.worker.clockAt).Milliseconds())
+	if cp.listed {
+		detail += fmt.Sprintf(",percent=%d", cp.percent)
+	}
+	return detail
+}
+
 // StopDone records the answer to an order to stop; answered is false when none
 // came.
 func (c *Core) StopDone(s Stop, answered bool, now Time) {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -33,7 +33,10 @@
 	// stopWanted is set once the run has to end. stopOrderedAt is when the run
 	// was last ordered to stop; stopAnsweredAt is when the worker last answered
 	// such an order, or zero. The run may go on for a while after the answer.
-	stopWanted     bool
+	stopWanted bool
+	// inDoubt is set if the run has to end because its start got no answer and may
+	// yet be carried out.
+	inDoubt        bool
 	stopOrderedAt  Time
 	stopInFlight   bool
 	stopAnsweredAt Time
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -93,6 +93,8 @@
 type Stop struct {
 	Run
 	Worker Worker
+	// Reason and Detail say, for the log, why the run has to end and what is known of it.
+	Reason, Detail string
 }
 
 // Pace tells a worker to let a run go on at a percentage of its full speed.
