Check the limit of a step at each order to stop one of its runs

Cause: a run of which it is in doubt whether its worker has it was marked to be stopped, and the mark stayed when the worker listed the run. orderStops repeats the order until one is answered, and never asked whether the step allows it. Planned stops had the same flaw: the limit was checked when the run was marked, not when an order without an answer was repeated. And the speed of a run counted from its order, so that one that was started late did not seem about to serve.

Each order to stop a run is now checked against the limit of its step, unless the job has ended. A run in doubt is stopped while it is known from a report of at most 0.3 s that the worker does not list it, or once its step allows it; until then it serves, and counts as unavailable for other stops, because an earlier order may yet end it. After 15 s without an order it is kept. Stalled runs are stopped as before, but only after a report of at most 0.3 s.

Failed before the fix: TestRunOfALateStartIsNotStoppedWhileOthersAreUnavailable stops [{... aa.0.0.1 1} in_doubt report_age_ms=1,percent=100], want [] TestRunOfALateStartIsNotStoppedOnASilentWorker stops [{... aa.0.0.1 1} in_doubt report_age_ms=1003], want [] TestRepeatedStopIsCheckedAgain stops [{... aa.0.0.1 1} planned report_age_ms=601,percent=100], want [] TestRunsOfLateStartsAreKeptInTheEnd, TestSpeedOfALateStartCountsFromItsFirstReport TestStalledRunsAreStoppedWhileOthersAreUnavailable guards the fix: without its exception for stalled runs, two of them would wait for each other.

--- /dev/null
+++ b/scheduler/execution/avail_test.go
@@ -0,0 +1,156 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// startWithoutAnswer adds a step of two long-running items, of which one may be
+// unavailable. The first serves on w1. The start of the second on w2 got no answer, w2
+// does not list it, and the order to stop it, so that it cannot begin late, got none
+// either.
+func startWithoutAnswer(b *testbed) (first, second Run) {
+	b.Helper()
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, wall, b.now)
+	first, second = testRun(jobA, 0, 1), testRun(jobA, 1, 1)
+	b.core.StartDone(b.round().Starts[0], Started, b.now)
+	b.report("w1", Report{Running: []RunningItem{{Run: first, Percent: 100}}})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.StartDone(b.round().Starts[0], StartUnknown, b.now)
+	b.now += time.Millisecond
+	b.report("w2", Report{})
+	b.failStops(b.round(), second)
+	return first, second
+}
+
+// failStops fails unless the orders stop exactly the given runs, and answers none of
+// these orders.
+func (b *testbed) failStops(o Orders, runs ...Run) {
+	b.Helper()
+	if len(o.Stops) != len(runs) {
+		b.Fatalf("stops %v, want %v", o.Stops, runs)
+	}
+	for n, s := range o.Stops {
+		if s.Run != runs[n] {
+			b.Fatalf("stops %v, want %v", o.Stops, runs)
+		}
+		b.core.StopDone(s, false, b.now)
+	}
+}
+
+// The start of a long-running item got no answer and was carried out late. The orders
+// to stop it got lost until it served its users. The next one ended it while another
+// item of its step was unavailable.
+func TestRunOfALateStartIsNotStoppedWhileOthersAreUnavailable(t *testing.T) {
+	b := newTestbed(t, 0)
+	first, second := startWithoutAnswer(b)
+	serving := Report{Running: []RunningItem{{Run: second, Percent: 100}}}
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	b.core.SetClosed("w1", true)
+	for range 10 {
+		b.now += stopRetryInterval
+		b.report("w2", serving)
+		b.failStops(b.round())
+	}
+	// An order to stop the run may still be on its way, so that the run is replaced as
+	// soon as its step allows it.
+	b.core.SetClosed("w1", false)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.report("w1", Report{Running: []RunningItem{{Run: start.Run, Percent: 100}}})
+	b.report("w2", serving)
+	b.failStops(b.round(), second)
+}
+
+// As TestRunOfALateStartIsNotStoppedWhileOthersAreUnavailable, but the worker does not
+// answer any more: the run may have begun to serve since the last report.
+func TestRunOfALateStartIsNotStoppedOnASilentWorker(t *testing.T) {
+	b := newTestbed(t, 0)
+	first, second := startWithoutAnswer(b)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	b.core.SetClosed("w1", true)
+	b.core.HoldFailed("w2", "no_answer", b.now)
+	b.failStops(b.roundAfter(time.Second))
+	b.report("w2", Report{})
+	b.failStops(b.round(), second)
+}
+
+// A planned stop of a long-running item was allowed as the other items of its step
+// served, and got no answer. By the time at which it was repeated, another item had
+// become unavailable.
+func TestRepeatedStopIsCheckedAgain(t *testing.T) {
+	b := newTestbed(t, 0)
+	startLongRunningPair(b)
+	first, second := testRun(jobA, 0, 1), testRun(jobA, 1, 1)
+	b.core.SetClosed("w2", true)
+	b.core.Evacuate("w2", false, b.now)
+	b.failStops(b.round(), second)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	b.report("w2", Report{Running: []RunningItem{{Run: second, Percent: 100}}})
+	b.failStops(b.roundAfter(2 * stopRetryInterval))
+}
+
+// Items of a step whose starts were all carried out late must not keep each other, and
+// the workers that they are on, from planned maintenance for ever.
+func TestRunsOfLateStartsAreKeptInTheEnd(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, wall, b.now)
+	runs := []Run{testRun(jobA, 0, 1), testRun(jobA, 1, 1)}
+	workers := []string{"w1", "w2"}
+	for n, id := range workers {
+		b.worker(testWorker(id, 1000), Report{})
+		b.core.StartDone(b.round().Starts[0], StartUnknown, b.now)
+		b.now += time.Millisecond
+		b.report(id, Report{})
+		b.failStops(b.round(), runs[n])
+	}
+	report := func() {
+		for n, id := range workers {
+			b.report(id, Report{Running: []RunningItem{{Run: runs[n], Percent: 100}}})
+		}
+	}
+	report()
+	for range 20 {
+		b.failStops(b.roundAfter(time.Second))
+		report()
+	}
+	b.core.SetClosed("w1", true)
+	b.core.Evacuate("w1", false, b.now)
+	b.failStops(b.round(), runs[0])
+}
+
+// A start got no answer and was carried out 2 s late. The speed at which the run
+// advanced counted from the order, so that the run did not seem to be about to serve.
+func TestSpeedOfALateStartCountsFromItsFirstReport(t *testing.T) {
+	b := newTestbed(t, 0)
+	first, second := startWithoutAnswer(b)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	b.core.SetClosed("w1", true)
+	b.now += 2 * time.Second
+	b.report("w2", Report{})
+	b.now += 100 * time.Millisecond
+	b.report("w2", Report{Running: []RunningItem{{Run: second, Percent: 30}}})
+	b.failStops(b.roundAfter(200 * time.Millisecond))
+}
+
+// Two items of a step that both stalled when almost ready must not wait for each other.
+func TestStalledRunsAreStoppedWhileOthersAreUnavailable(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, wall, b.now)
+	starts := b.round().Starts
+	for _, s := range starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	for range 30 {
+		b.now += 100 * time.Millisecond
+		for _, s := range starts {
+			b.report(s.Worker.ID, Report{Running: []RunningItem{{Run: s.Run, Percent: 60}}})
+		}
+	}
+	b.failStops(b.round(), starts[0].Run, starts[1].Run)
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -143,6 +143,25 @@
 	return notServing < s.spec.MaxUnavailable
 }
 
+// confirmStop reports whether the order to stop a run that is marked to be stopped may
+// be given now. The limit of its step is checked for each order: since the run was
+// marked, or since an order that got no answer, the run may have begun to serve its
+// users, or another item may have become unavailable. Once no former order to stop the
+// run can be carried out any more, it is kept if its step does not allow the stop, and
+// if it was only to end because it was in doubt whether the worker has it.
+func (c *Core) confirmStop(cp *itemCopy, now Time) bool {
+	if cp.item.step.job.final() || cp.item.done {
+		return true
+	}
+	mayBeStopping := cp.phase != running || cp.stopOrderedAt > 0 && now-cp.stopOrderedAt <= maxStopDelay
+	stalled := cp.stalled(now) && now-cp.worker.clockAt <= notServingMaxReportAge
+	allowed := (mayBeStopping || !cp.inDoubt) && (stalled || c.mayStop(cp, now))
+	if !allowed && !mayBeStopping {
+		cp.stopWanted, cp.inDoubt = false, false
+	}
+	return allowed
+}
+
 // mayBeStopping reports whether an adopted run may be stopping on the order of
 // a former owner. Reports would still show such a run as serving. lapseMargin is
 // added to the time that a worker takes to stop it.
@@ -166,6 +185,9 @@
 	mayServePercent = 50
 	// stopDeliveryTime is how long an order to stop may take to arrive.
 	stopDeliveryTime = 300 * time.Millisecond
+	// maxStopDelay is how long after an order to stop a run got no answer it may be
+	// carried out. Workers promise no bound; delays of up to 12 s have been seen.
+	maxStopDelay = 15 * time.Second
 	// maxSpeedup is the factor by which the item may at most progress faster
 	// than its average so far.
 	maxSpeedup = 2
@@ -175,10 +197,19 @@
 // have begun to serve its users when an order to stop arrives.
 func (cp *itemCopy) certainlyNotServing(now Time) bool {
 	age := now - cp.worker.clockAt
-	if cp.phase != running || cp.percent >= mayServePercent || age > notServingMaxReportAge {
+	if age > notServingMaxReportAge || cp.phase == starting {
+		return false
+	}
+	if cp.phase == unresolved {
+		// The last report did not list the run.
+		return true
+	}
+	if cp.percent >= mayServePercent {
 		return false
 	}
-	ran := max(cp.worker.clockAt-cp.startedAt, time.Millisecond)
+	// The order to start the run may have been carried out late, so that its speed
+	// counts from when it was first known to run.
+	ran := max(cp.worker.clockAt-cp.phaseSince, time.Millisecond)
 	ahead := maxSpeedup * float64(cp.percent) * float64(age+stopDeliveryTime) / float64(ran)
 	return float64(cp.percent)+ahead < 100
 }
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -38,15 +38,7 @@
 func (c *Core) stopStalledRuns(now Time) {
 	for _, w := range c.sortedWorkers {
 		for _, cp := range w.orderedCopies {
-			if cp.stopWanted || cp.phase != running || cp.pace < 100 || cp.item.step.spec.Filler {
-				continue
-			}
-			if cp.item.step.spec.LongRunning && cp.percent >= 100 {
-				continue
-			}
-			// Without a report from the second half of the timeout, it is not known
-			// that the run makes no progress.
-			if now-cp.progressedAt > stallTimeout && w.clockAt > cp.progressedAt+stallTimeout/2 {
+			if !cp.stopWanted && cp.stalled(now) {
 				cp.stopWanted = true
 				cp.item.avoid = w.place()
 				c.trace(Event{Name: "run_stalled", Item: cp.item.id().String(), Run: cp.run, Worker: w.ID, Took: now - cp.startedAt})
@@ -56,8 +48,22 @@
 	}
 }
 
-// orderStops orders the stop of every run that is marked to be stopped and of
-// every orphan.
+// stalled reports whether a run makes no progress although it should.
+func (cp *itemCopy) stalled(now Time) bool {
+	if cp.phase != running || cp.pace < 100 || cp.item.step.spec.Filler {
+		return false
+	}
+	if cp.item.step.spec.LongRunning && cp.percent >= 100 {
+		return false
+	}
+	// Without a report from the second half of the timeout, it is not known that the
+	// run makes no progress.
+	return now-cp.progressedAt > stallTimeout && cp.worker.clockAt > cp.progressedAt+stallTimeout/2
+}
+
+// orderStops orders the stop of every run that is marked to be stopped, as far as the
+// availability limit of its step allows it at the time of the order, and of every
+// orphan.
 func (c *Core) orderStops(o *Orders, now Time) {
 	for _, w := range c.sortedWorkers {
 		if !w.contacted {
@@ -70,8 +76,11 @@
 			if cp.stopOrderedAt > 0 && now-cp.stopOrderedAt < stopRetryInterval {
 				continue
 			}
+			if !c.confirmStop(cp, now) {
+				continue
+			}
 			cp.stopOrderedAt, cp.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker, Reason: cp.stopReason(), Detail: cp.stopDetail(now)})
+			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker, Reason: cp.stopReason(now), Detail: cp.stopDetail(now)})
 		}
 		for _, r := range orphansOf(w) {
 			orphan := w.orphans[r]
@@ -85,7 +94,7 @@
 }
 
 // stopReason says, for the log, why a run has to end.
-func (cp *itemCopy) stopReason() string {
+func (cp *itemCopy) stopReason(now Time) string {
 	switch {
 	case cp.item.step.job.final():
 		return "job_ended"
@@ -95,6 +104,8 @@
 		return "in_doubt"
 	case cp.worker.closed || cp.worker.Draining:
 		return "planned"
+	case cp.stalled(now):
+		return "stalled"
 	}
 	return "other"
 }
@@ -179,7 +190,7 @@
 func (c *Core) stopGang(s *step) {
 	for n := range s.items {
 		for _, cp := range s.items[n].copies {
-			cp.stopWanted = true
+			cp.stopWanted, cp.inDoubt = true, false
 		}
 	}
 }
