Add failing tests of jobs that are given up for crashes from outside

unrelated_crash_test.go:47: the job is given up after 3 workers that had been cut off have restarted unrelated_crash_test.go:74: the job is given up after its worker has crashed 3 times, each time together with 5 others

--- /dev/null
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -0,0 +1,77 @@
+package execution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// restartVM registers the next worker of a VM whose worker has ended.
+func restartVM(b *testbed, w Worker) Worker {
+	b.Helper()
+	b.now += restartTime
+	former := w.ID
+	w.ID, w.StartMillis = former+"'", w.StartMillis+1
+	b.worker(w, Report{})
+	b.core.WorkerGone(former)
+	return w
+}
+
+// startOnly starts the only waiting item.
+func startOnly(b *testbed) Start {
+	b.Helper()
+	o := b.round()
+	if len(o.Starts) != 1 {
+		b.Fatalf("%d starts, want 1", len(o.Starts))
+	}
+	b.core.StartDone(o.Starts[0], Started, b.now)
+	return o.Starts[0]
+}
+
+// A sound job was given up because its runs had been on workers that were cut off and
+// restarted behind the cut: the ages of such runs are hardly known, and matched.
+func TestCutOffWorkersThatRestartDoNotCondemnTheirItems(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 1000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	for n, age := range []time.Duration{400, 1900, 700, 1300} {
+		startOnly(b)
+		b.now += age * time.Millisecond
+		b.core.HoldFailed(w.ID, "no_answer", b.now)
+		w = restartVM(b, w)
+		if b.core.jobs[jobA].final() {
+			t.Fatalf("the job is given up after %d workers that had been cut off have restarted", n+1)
+		}
+	}
+}
+
+// A sound job was given up because its runs had been on workers that crashed together
+// with many others, which a single item cannot cause.
+func TestWorkersThatCrashTogetherDoNotCondemnTheirItems(t *testing.T) {
+	b := newTestbed(t, 0)
+	var workers []Worker
+	for n := range 6 {
+		w := testWorker(fmt.Sprintf("w%d", n), 1000)
+		w.VM = fmt.Sprintf("vm%d", n)
+		b.worker(w, Report{})
+		workers = append(workers, w)
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	for n, age := range []time.Duration{195, 102, 320, 260} {
+		startOnly(b)
+		b.now += age * time.Millisecond
+		for _, w := range workers {
+			b.core.HoldFailed(w.ID, "connection_closed", b.now)
+		}
+		for k, w := range workers {
+			workers[k] = restartVM(b, w)
+		}
+		if b.core.jobs[jobA].final() {
+			t.Fatalf("the job is given up after its worker has crashed %d times, each time together with %d others", n+1, len(workers)-1)
+		}
+	}
+}
