Take crashes from outside as weak evidence against an item

What callers saw: a job that could be done was shown as failed (LOST).

Cause: every crash of a worker counted against the items on it. Ages of their runs match if the ranges overlap, and a range is wide if the worker had been cut off or had not listed the run. Three such crashes ended the job. The absence of knowledge counted as agreement.

A crash is weak now if the worker had stopped answering before, or if five workers crashed within 0.1 s and the age is not known to 150 ms. Weak crashes match nothing, and do not count among the three that isolate an item or the five that end its job; ten crashes of all kinds end it. The record of a crash has a field for it. A crash that is noticed late for a run whose start was on its way now has the age at which the connection was closed.

--- a/job/progress.go
+++ b/job/progress.go
@@ -50,6 +50,9 @@
 	// crashed.
 	MinAgeMillis int64 `json:"a,omitempty"`
 	MaxAgeMillis int64 `json:"b"`
+	// Weak is set if the crash hardly tells whether the run is its cause: it is not known
+	// when the worker crashed, or many others crashed at the same time.
+	Weak bool `json:"k,omitempty"`
 }
 
 // LostRun is a run on a worker that fell silent. If the worker has a later lifetime,
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -216,9 +216,9 @@
 func failureReason(err error) string {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return "connection_refused"
+		return execution.ConnectionRefused
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF), errors.Is(err, syscall.EPIPE):
-		return "connection_closed"
+		return execution.ConnectionClosed
 	case errors.Is(err, context.DeadlineExceeded):
 		return "no_answer"
 	case errors.Is(err, ErrNotExecuted), errors.Is(err, ErrFenced):
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -22,6 +22,9 @@
 	workerOnVM map[string]*worker
 	// lostAt holds the items with lost runs, by the place of the worker.
 	lostAt map[string][]*item
+	// endedWorkers are the workers whose processes have ended lately, within
+	// crashTogetherTime.
+	endedWorkers []endedWorker
 	// pendingSteps are the steps that may have work to place.
 	pendingSteps []*step
 	// dirty are the jobs whose records have changed since they were last
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -17,21 +17,38 @@
 // beside runs that have outlived their start and are no suspects, and nothing is
 // started beside it. An item that is not the cause ends its run; the job of one under
 // which workers go on to crash is given up.
+//
+// Workers also crash from outside, many at once. A crash is weak evidence if the worker
+// had stopped answering before, so that it is not known when it crashed, or if many
+// workers crashed together and the age of the run is not closely known.
 
 const (
 	// crashesToGiveUp is the number of workers that crash under an item at the same
 	// age of its run before its job is given up. The last run was isolated.
 	crashesToGiveUp = 3
 	// maxCrashes is the number of workers that may crash under an item at any age.
-	// A sixth start would be one too many.
+	// A sixth start would be one too many. Weak crashes do not count.
 	maxCrashes = 5
+	// maxCrashesWithWeak is the number of workers that may crash under an item, weak
+	// crashes included. An item that takes its VM off the network leaves only those.
+	maxCrashesWithWeak = 10
 	// An item is isolated after matchingCrashesToIsolate workers have crashed under
-	// it at the same age of its run, or crashesToIsolate at any age.
+	// it at the same age of its run, or crashesToIsolate at any age, weak crashes
+	// left out, or crashesWithWeakToIsolate in all.
 	matchingCrashesToIsolate = crashesToGiveUp - 1
 	crashesToIsolate         = 3
+	crashesWithWeakToIsolate = 5
 	// ageTolerance allows for the time that an order to start takes to arrive, from
 	// which on the age counts.
 	ageTolerance = 100 * time.Millisecond
+	// maxAgeUncertainty is how closely the age of a run is known at a crash that is
+	// evidence even if many workers crash together. A crash closes the connections to
+	// the worker, so that the age is known closely if the item crashes it at its start.
+	maxAgeUncertainty = 150 * time.Millisecond
+	// Workers crash together if more than maxUnrelatedCrashes do within
+	// crashTogetherTime. A single item cannot cause that.
+	crashTogetherTime   = 100 * time.Millisecond
+	maxUnrelatedCrashes = 4
 	// maxIsolationShare is the part of the workers of a service that isolated
 	// items may take, but at least one worker. The others keep taking new work.
 	maxIsolationShare = 0.5
@@ -43,7 +60,21 @@
 // needsIsolation reports whether the item has to run isolated. The items of a gang only
 // work together, so they are never isolated.
 func (i *item) needsIsolation() bool {
-	return !i.step.spec.Gang && (len(i.crashes) >= crashesToIsolate || i.matchingCrashes() >= matchingCrashesToIsolate)
+	if i.step.spec.Gang {
+		return false
+	}
+	return i.matchingCrashes() >= matchingCrashesToIsolate || i.strongCrashes() >= crashesToIsolate || len(i.crashes) >= crashesWithWeakToIsolate
+}
+
+// strongCrashes returns the number of crashes that are not weak.
+func (i *item) strongCrashes() int {
+	n := 0
+	for _, c := range i.crashes {
+		if !c.Weak {
+			n++
+		}
+	}
+	return n
 }
 
 // setCrashes replaces the crashes that a run of the item may have caused.
@@ -59,13 +90,16 @@
 }
 
 // matchingCrashes returns the largest number of crashes at which the item's runs can
-// have had the same age, give or take ageTolerance.
+// have had the same age, give or take ageTolerance. Weak crashes are left out.
 func (i *item) matchingCrashes() int {
 	most := 0
 	for _, c := range i.crashes {
+		if c.Weak {
+			continue
+		}
 		n := 0
 		for _, o := range i.crashes {
-			if o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis+ageTolerance.Milliseconds() {
+			if !o.Weak && o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis+ageTolerance.Milliseconds() {
 				n++
 			}
 		}
@@ -104,9 +138,10 @@
 func (cp *itemCopy) served() bool { return cp.item.step.spec.LongRunning && cp.percent >= 100 }
 
 // suspectRuns records the runs on a worker that has fallen silent, or whose lifetime
-// has ended, and that may be the cause. It is not known yet whether the worker has
-// crashed. The record is durable, because the next owner may be the first to know.
-func (c *Core) suspectRuns(w *worker, now Time) {
+// has ended, and that may be the cause. at is the latest time at which the worker can
+// have crashed. It is not known yet whether the worker has crashed. The record is durable,
+// because the next owner may be the first to know.
+func (c *Core) suspectRuns(w *worker, at Time) {
 	for _, cp := range w.suspects() {
 		i := cp.item
 		if slices.ContainsFunc(i.lostRuns, func(l job.LostRun) bool { return l.Run == cp.run }) {
@@ -116,11 +151,12 @@
 		if cp.listed {
 			l.MinAgeMillis = max(w.clockAt-cp.startedAt, 0).Milliseconds()
 		}
-		l.MaxAgeMillis = (now - cp.startedAt).Milliseconds()
+		l.MaxAgeMillis = max(at-cp.startedAt, 0).Milliseconds()
 		if cp.adopted {
 			// A former owner started the run; startedAt is when it was adopted.
 			l.MaxAgeMillis += maxJobAge.Milliseconds()
 		}
+		l.Weak = w.endedAt == 0 || w.endedWithOthers && !ageKnown(l.Crash)
 		i.lostRuns = append(i.lostRuns, l)
 		c.lostAt[w.place()] = append(c.lostAt[w.place()], i)
 		if i.step.job.begun {
@@ -130,6 +166,54 @@
 	}
 }
 
+// ageKnown reports whether the age of the run at a crash is closely known.
+func ageKnown(c job.Crash) bool {
+	return c.MaxAgeMillis-c.MinAgeMillis <= maxAgeUncertainty.Milliseconds()
+}
+
+// endedWorker is a lifetime of a worker whose process is known to have ended.
+type endedWorker struct {
+	*worker
+	startMillis int64
+}
+
+// processEnded records that the process of a worker has ended by now and that the worker
+// had answered until then. If many end together, crashes at which the age of a run is not
+// closely known become weak.
+func (c *Core) processEnded(w *worker, now Time) {
+	w.endedAt = now
+	c.endedWorkers = slices.DeleteFunc(c.endedWorkers, func(e endedWorker) bool {
+		return e.StartMillis != e.startMillis || now-e.endedAt > crashTogetherTime
+	})
+	c.endedWorkers = append(c.endedWorkers, endedWorker{w, w.StartMillis})
+	if len(c.endedWorkers) <= maxUnrelatedCrashes {
+		return
+	}
+	for _, e := range c.endedWorkers {
+		if !e.endedWithOthers {
+			e.endedWithOthers = true
+			c.weakenLostRuns(e.worker)
+		}
+	}
+}
+
+// weakenLostRuns makes crashes of a worker weak at which the age of a run is not closely
+// known.
+func (c *Core) weakenLostRuns(w *worker) {
+	for _, i := range c.lostAt[w.place()] {
+		for n := range i.lostRuns {
+			l := &i.lostRuns[n]
+			if l.Worker != w.place() || l.StartMillis != w.StartMillis || l.Weak || ageKnown(l.Crash) {
+				continue
+			}
+			l.Weak = true
+			if i.step.job.begun {
+				c.markDirty(i.step.job)
+			}
+		}
+	}
+}
+
 // settleLostRuns decides about the lost runs at the place of a worker. Those of
 // earlier lifetimes have crashed it. Those of its present lifetime are dropped if
 // it is known that it has not crashed.
@@ -196,8 +280,11 @@
 		c.settleLostRuns(w.Worker, true, now)
 		return
 	}
+	if !w.silent {
+		c.processEnded(w, now)
+	}
 	if len(w.orderedCopies) > 0 {
-		c.suspectRuns(w, now)
+		c.suspectRuns(w, cmp.Or(w.endedAt, now))
 		c.trace(Event{
 			Name: "worker_crashed", Worker: w.ID, VM: w.VM, Service: w.Service,
 			Detail: fmt.Sprintf("runs=%d suspects=%d", len(w.orderedCopies), len(c.lostAt[w.place()])),
@@ -235,12 +322,12 @@
 	i.setCrashes(append(slices.Clone(i.crashes), lost.Crash))
 	i.avoid = lost.Worker
 	c.markDirty(j)
-	matching := i.matchingCrashes()
+	matching, strong := i.matchingCrashes(), i.strongCrashes()
 	c.trace(Event{
 		Name: "item_suspected", Item: i.id().String(), Run: lost.Run, VM: lost.Worker,
-		Detail: fmt.Sprintf("crashes=%d matching=%d age_ms=%d-%d", len(i.crashes), matching, lost.MinAgeMillis, lost.MaxAgeMillis),
+		Detail: fmt.Sprintf("crashes=%d weak=%d matching=%d age_ms=%d-%d", len(i.crashes), len(i.crashes)-strong, matching, lost.MinAgeMillis, lost.MaxAgeMillis),
 	})
-	if matching < crashesToGiveUp && len(i.crashes) < maxCrashes {
+	if matching < crashesToGiveUp && strong < maxCrashes && len(i.crashes) < maxCrashesWithWeak {
 		return
 	}
 	if !slices.ContainsFunc(i.copies, func(cp *itemCopy) bool { return cp.listed && !cp.worker.silent }) {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -78,6 +78,7 @@
 		w.StartMillis = r.StartMillis
 	}
 	w.silent, w.silentSinceLapse = false, false
+	w.endedAt, w.endedWithOthers = 0, false
 	c.settleLostRuns(w.Worker, true, now)
 	if !w.contacted {
 		w.contacted = true
@@ -103,6 +104,12 @@
 	c.checkHoldersOf(w)
 }
 
+// Reasons for which a call to a worker fails that tell that its process has ended.
+const (
+	ConnectionRefused = "connection_refused"
+	ConnectionClosed  = "connection_closed"
+)
+
 // HoldFailed records that a worker did not answer a hold, and why the call
 // failed. The worker gets no work until it answers one.
 func (c *Core) HoldFailed(id, reason string, now Time) {
@@ -111,6 +118,9 @@
 		return
 	}
 	w.silent = true
+	if reason == ConnectionRefused || reason == ConnectionClosed {
+		c.processEnded(w, now)
+	}
 	c.suspectRuns(w, now)
 	if len(w.copies) > 0 {
 		c.trace(Event{Name: "worker_silent", Worker: id, VM: w.VM, Service: w.Service, Reason: reason, Took: now - w.clockAt})
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -206,6 +206,10 @@
 	// silent is set when a hold gets no answer, until the next report.
 	// silentSinceLapse is set once the leases of a silent worker have lapsed.
 	silent, silentSinceLapse bool
+	// endedAt is when it was found that the worker's process had ended, without that it
+	// had been silent before, or zero. endedWithOthers is set if many ended together.
+	endedAt         Time
+	endedWithOthers bool
 	// closed is set before maintenance or a move of the VM: no new work is
 	// placed on the worker.
 	closed bool
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -75,3 +75,67 @@
 		}
 	}
 }
+
+// An item that crashes its workers at its start must be given up even if many workers
+// crash together: a new owner starts many such items at once.
+func TestItemsThatCrashManyWorkersTogetherAreGivenUp(t *testing.T) {
+	b := newTestbed(t, 0)
+	var workers []Worker
+	for n := range 8 {
+		w := testWorker(fmt.Sprintf("w%d", n), 1000)
+		w.VM = fmt.Sprintf("vm%d", n)
+		b.worker(w, Report{})
+		workers = append(workers, w)
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 6}), job.Progress{}, false, wall, b.now)
+	// At most half of the workers take isolated items, so that these crash in several
+	// rounds.
+	for n := 0; n < 2*crashesToGiveUp && !b.core.jobs[jobA].final(); n++ {
+		for _, s := range b.round().Starts {
+			b.core.StartDone(s, Started, b.now)
+			b.now += 10 * time.Millisecond
+			b.core.HoldFailed(s.Worker.ID, ConnectionClosed, b.now)
+		}
+		for k, w := range workers {
+			if b.core.workers[w.ID].silent {
+				workers[k] = restartVM(b, w)
+			}
+		}
+	}
+	if phase := b.core.jobs[jobA].phase; phase != job.Failed {
+		t.Errorf("job is %s, want failed", phase)
+	}
+	for n := range 6 {
+		if crashes := b.core.jobs[jobA].occurrences[0][0].items[n].crashes; len(crashes) > crashesToGiveUp {
+			t.Errorf("%d workers have crashed under item %d, want %d at most", len(crashes), n, crashesToGiveUp)
+		}
+	}
+}
+
+// An item that takes its VM off the network was only seen on workers that did not answer
+// any more; its starts have to be limited too. Owners change in between.
+func TestItemThatSilencesWorkersIsGivenUp(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 1000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	spec := oneStep(jobA, job.Step{})
+	b.core.AddJob(spec, job.Progress{}, false, wall, b.now)
+	for n := range maxCrashesWithWeak {
+		if b.core.jobs[jobA].final() {
+			t.Fatalf("the job is given up after %d crashes, want %d", n, maxCrashesWithWeak)
+		}
+		startOnly(b)
+		b.now += 300 * time.Millisecond
+		b.core.HoldFailed(w.ID, "no_answer", b.now)
+		progress := b.core.TakeWrites(1)[0].Progress
+		next := newTestbed(t, int64(n+1))
+		next.now = b.now
+		b = next
+		b.core.AddJob(spec, progress, true, wall, b.now)
+		w = restartVM(b, w)
+	}
+	if phase := b.core.jobs[jobA].phase; phase != job.Failed {
+		t.Errorf("job is %s after %d workers have fallen silent under it, want failed", phase, maxCrashesWithWeak)
+	}
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -61,6 +62,7 @@
 		c.dropOrphan(w, r)
 	}
 	w.contacted, w.clock, w.clockAt = false, 0, 0
+	w.endedAt, w.endedWithOthers = 0, false
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.failures, w.avoidUntil, w.largestMilliCPU = 0, 0, 0
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
@@ -120,7 +122,7 @@
 			continue
 		}
 		if w.silent {
-			c.suspectRuns(w, now)
+			c.suspectRuns(w, cmp.Or(w.endedAt, now))
 		}
 		for _, cp := range copiesOf(w) {
 			c.requeueLost(cp, "lease_lapsed", now)
