Count a worker once among those that crash together

A worker that closed its connection, answered and closed it again was counted each time among the workers that end together, as its former entry got the new time. Five of them made its crashes weak.

--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -183,7 +183,7 @@
 func (c *Core) processEnded(w *worker, now Time) {
 	w.endedAt = now
 	c.endedWorkers = slices.DeleteFunc(c.endedWorkers, func(e endedWorker) bool {
-		return e.StartMillis != e.startMillis || now-e.endedAt > crashTogetherTime
+		return e.worker == w || e.StartMillis != e.startMillis || now-e.endedAt > crashTogetherTime
 	})
 	c.endedWorkers = append(c.endedWorkers, endedWorker{w, w.StartMillis})
 	if len(c.endedWorkers) <= maxUnrelatedCrashes {
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -139,3 +139,26 @@
 		t.Errorf("job is %s after %d workers have fallen silent under it, want failed", phase, maxCrashesWithWeak)
 	}
 }
+
+// A worker that closed its connections again and again, and answered in between, was
+// taken for many workers that crash together. Its item was not given up in time.
+func TestWorkerThatClosesConnectionsOftenCountsOnce(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 1000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	for range crashesToGiveUp {
+		r := startOnly(b).Run
+		for range 2 * maxUnrelatedCrashes {
+			b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+			b.report(w.ID, Report{Running: []RunningItem{{Run: r, Percent: 1}}})
+		}
+		b.now += 2 * maxAgeUncertainty
+		b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+		w = restartVM(b, w)
+	}
+	if phase := b.core.jobs[jobA].phase; phase != job.Failed {
+		t.Errorf("job is %s after %d crashes, want failed", phase, crashesToGiveUp)
+	}
+}
