Add failing tests of calls that reach a later lifetime of a worker

A worker may start again under its ID, and then its clock, the numbers of its ends and the highest fencing token that it has seen start anew. Calls name the ID, so that one without an answer can be carried out by the later lifetime.

--- /dev/null
+++ b/scheduler/execution/lifetimes_test.go
@@ -0,0 +1,82 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"dotterelhead.example/dotterelhead/job"
+)
+
+// reborn registers a later lifetime of w1.
+func (b *testbed) reborn(startMillis int64) {
+	w := testWorker("w1", 1000)
+	w.StartMillis = startMillis
+	b.core.WorkerSeen(w, b.now)
+}
+
+// endOneItem runs an item on w1, whose first end it is, and commits its progress.
+func (b *testbed) endOneItem(id string) {
+	b.Helper()
+	b.core.AddJob(oneStep(id, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
+	b.core.MarkCommitted(b.core.TakeWrites(10))
+}
+
+// Guards against an item that runs again after it was done: a worker had fallen silent
+// and started again, carried out a start before the owner knew, and forgot the end of
+// that run, because the next hold acknowledged the ends of the former lifetime.
+func TestHoldOfASilentWorkerAcknowledgesNoEnd(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.endOneItem(jobA)
+	b.core.HoldFailed("w1", "connection_closed", b.now)
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.AcknowledgedEnd != 0 {
+		t.Fatalf("hold due: %v; it acknowledges ends up to %d, which may be of a later lifetime", ok, h.AcknowledgedEnd)
+	}
+	b.report("w1", Report{})
+	if h, _ := b.core.HoldFor("w1", b.now); h.AcknowledgedEnd != 1 {
+		t.Fatalf("ends up to %d are acknowledged once the worker has answered, want 1", h.AcknowledgedEnd)
+	}
+}
+
+// Guards against the same with a worker that starts again between two calls, while
+// nothing runs on it.
+func TestHoldAcknowledgesNoEndTwice(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.endOneItem(jobA)
+	b.report("w1", Report{})
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.AcknowledgedEnd != 0 {
+		t.Fatalf("hold due: %v; it acknowledges ends up to %d, which the worker has forgotten or which are of a later lifetime", ok, h.AcknowledgedEnd)
+	}
+}
+
+// Guards against an end that is never acknowledged: a hold that acknowledged an end of
+// the former lifetime was answered by the present one, whose end with the same number
+// then counted as acknowledged.
+func TestEndOfALaterLifetimeIsAcknowledged(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.endOneItem(jobA)
+	h, ok := b.core.HoldFor("w1", b.now)
+	if !ok {
+		t.Fatal("no hold is due")
+	}
+	sent := b.now
+	b.reborn(2)
+	b.now += time.Millisecond
+	b.core.HoldDone(h, Report{Clock: b.now, StartMillis: 2}, sent, b.now)
+	if b.core.Contacted("w1") {
+		b.report("w1", Report{Clock: b.now, StartMillis: 2})
+	}
+	b.recordHolders()
+	b.endOneItem(jobB)
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.AcknowledgedEnd != 1 {
+		t.Fatalf("hold due: %v; it acknowledges ends up to %d, want 1", ok, h.AcknowledgedEnd)
+	}
+}
