Acknowledge ends only to the lifetime of a worker that listed them

A hold that is sent to a worker whose restart the owner does not know of yet is answered by the later lifetime. Each hold repeated the number of the last end that was committed, so that the later lifetime forgot ends with numbers up to that one which nobody had processed: those of starts that it had carried out before the owner knew of it. The items started again after they were done (TWICE). The owner also took ends of the later lifetime as acknowledged, as it kept the number that it had sent to the former one.

A hold now acknowledges an end once: after an answer that listed it and until an answer to a hold that acknowledged it. A worker that has stopped answering is called without an acknowledgement first, because it may have started again. A lost answer costs one more hold before its ends are acknowledged.

--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -71,7 +71,7 @@
 	b.reborn(2)
 	b.now += time.Millisecond
 	b.core.HoldDone(h, Report{Clock: b.now, StartMillis: 2}, sent, b.now)
-	if b.core.Contacted("w1") {
+	if _, due := b.core.HoldFor("w1", b.now); due {
 		b.report("w1", Report{Clock: b.now, StartMillis: 2})
 	}
 	b.recordHolders()
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -32,7 +32,7 @@
 	if w == nil || !w.needsHold() {
 		return Hold{}, false
 	}
-	h := Hold{Worker: w.Worker, AcknowledgedEnd: w.committedEnd}
+	h := Hold{Worker: w.Worker, AcknowledgedEnd: w.endToAcknowledge()}
 	if w.contacted && len(w.copies) > 0 && now-w.clockAt < maxReportAge {
 		h.Deadline = w.clockNow(now) + c.options.LeaseDuration
 		w.grant(h.Deadline)
@@ -43,6 +43,17 @@
 	return h, true
 }
 
+// endToAcknowledge returns the number of the last end that the next hold acknowledges,
+// or zero. The worker may have started again since its last answer and number its ends
+// anew, so that a hold acknowledges only what the worker has not been told to forget,
+// and nothing once the worker has stopped answering.
+func (w *worker) endToAcknowledge() int64 {
+	if w.silent || w.committedEnd == w.acknowledgedEnd {
+		return 0
+	}
+	return w.committedEnd
+}
+
 // NeedsImmediateAnswer reports whether a worker is asked to answer the next
 // hold at once: ends wait to be committed, or it has orphans or unresolved
 // copies.
@@ -98,7 +109,9 @@
 		}
 	}
 	w.advanceCommittedEnd()
-	w.acknowledgedEnd = max(w.acknowledgedEnd, h.AcknowledgedEnd)
+	if h.Worker.StartMillis == w.StartMillis {
+		w.acknowledgedEnd = max(w.acknowledgedEnd, h.AcknowledgedEnd)
+	}
 	c.reconcile(w, listed, len(r.Ended) < maxEndsPerReport, sent, now)
 	c.checkHoldersOf(w)
 }
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -138,7 +138,7 @@
 type Hold struct {
 	Worker Worker
 	// AcknowledgedEnd acknowledges all ends up to this number; the worker may forget
-	// them.
+	// them. Zero acknowledges none.
 	AcknowledgedEnd int64
 	// Deadline is the end of the lease on the worker's clock; zero does not
 	// extend it.
