Give each lifetime of a worker its own fencing token

Calls to workers name the worker's ID and carried the owner's fencing token, so that a worker that had started again under its ID could not tell a late call for its former lifetime from one for the present one. A late hold made it forget ends that nobody had processed, and a late start that a stop had ruled out in the former lifetime ran beside the run that was started elsewhere (TWICE).

The token of a lifetime is now the revision of the owner's last write when the owner learns of the lifetime. Every write requires the owner's key to be unchanged, so that the token stays below that of any later owner. A later lifetime gets work only after one more write, of the possible lease holders, so that the tokens of lifetimes differ. It counts as contacted once it has answered a hold with its token, and from then on rejects calls for the former lifetimes. A call that is rejected for this reason does not end the ownership.

Before, with the owner's token for all calls:

--- FAIL: TestLateHoldDoesNotReachALaterLifetime the item was started again after it was done --- FAIL: TestLateStartDoesNotReachALaterLifetime 2 runs of the item at the same time

Without the early return for an answer of another lifetime, TestLifetimeIsContactedByItsOwnHold fails; without the check of the call's token, TestCallForAFormerLifetimeDoesNotEndTheTerm does. The fakes of owner and platform tests lose the parameter for the token, which is now part of the orders.

What remains: until its first answer, a later lifetime knows no token and can carry out a late start. Nothing in the protocol tells it that the start is old.

--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -31,12 +31,14 @@
 	// fence is the revision of the owner's key.
 	fence     int64
 	revisions map[string]int64
+	// revision is the store's revision after the last write.
+	revision int64
 }
 
 // NewWriter returns the writer of the owner whose key has the revision fence.
 // known are the records read after that key was written.
 func NewWriter(s store.Store, fence int64, known []store.Item) *Writer {
-	w := &Writer{store: s, fence: fence, revisions: map[string]int64{}}
+	w := &Writer{store: s, fence: fence, revisions: map[string]int64{}, revision: fence}
 	for _, i := range known {
 		w.revisions[i.Key] = i.Revision
 	}
@@ -46,6 +48,11 @@
 // MaxRecords returns the maximum number of records of one Write.
 func (w *Writer) MaxRecords() int { return recordsPerTransaction }
 
+// Revision returns the store's revision after the last write of this owner, or that of
+// the owner's key. Each write requires that key to be unchanged, so that the revision is
+// lower than the fence of any later owner.
+func (w *Writer) Revision() int64 { return w.revision }
+
 // Write writes records, each with a different key, in one transaction. Until ctx
 // ends it repeats a write whose answer was lost or that the store could not do.
 func (w *Writer) Write(ctx context.Context, records []Record) error {
@@ -61,6 +68,7 @@
 		}
 		revision, err := w.store.Commit(ctx, tx)
 		if err == nil {
+			w.revision = revision
 			for _, r := range records {
 				if r.Value == nil {
 					delete(w.revisions, r.Key)
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -15,7 +15,8 @@
 )
 
 // TestWritesKeepTheirOrder guards against a write without an answer that takes
-// effect after a later one, or after another owner took over.
+// effect after a later one, or after another owner took over, and against a fencing
+// token of an owner that is not higher than the revision of each write before it.
 func TestWritesKeepTheirOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := storetest.New()
@@ -25,6 +26,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		want := map[string]string{}
+		last := int64(0)
 		for owner := range rapid.IntRange(1, 3).Draw(t, "owners") {
 			s.OutcomeOf = nil
 			node := strconv.Itoa(owner)
@@ -32,6 +34,10 @@
 			if err != nil || held == nil {
 				t.Fatalf("owner %d: not acquired: %v", owner, err)
 			}
+			if held.Fence <= last {
+				t.Fatalf("owner %d has fence %d, not above the revision %d of a former owner's write", owner, held.Fence, last)
+			}
+			last = held.Fence
 			known, _, err := store.ReadAll(ctx, s, ProgressPrefix)
 			if err != nil {
 				t.Fatal(err)
@@ -52,6 +58,10 @@
 					t.Fatal(err)
 				}
 				want[key] = value
+				if w.Revision() <= last {
+					t.Fatalf("revision %d after a write, not above %d", w.Revision(), last)
+				}
+				last = w.Revision()
 				if rapid.Bool().Draw(t, "late writes arrive") {
 					s.ApplyDelayed()
 				}
--- a/owner/lifetimes_test.go
+++ b/owner/lifetimes_test.go
@@ -75,11 +75,11 @@
 	return errs
 }
 
-func (r *restartingWorkers) Start(_ context.Context, s execution.Start, fence int64) (execution.StartResult, error) {
+func (r *restartingWorkers) Start(_ context.Context, s execution.Start) (execution.StartResult, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result := execution.Started
-	err := r.do(s.Worker.ID, fence, s, func(w *restartingWorker) {
+	err := r.do(s.Worker.ID, s.Fence, s, func(w *restartingWorker) {
 		if s.Run.Number <= w.highest[s.Item] {
 			result = execution.RejectedStale
 			return
@@ -105,10 +105,10 @@
 	w.ended = append(w.ended, execution.EndedItem{Number: w.lastEnd, Run: run, Kind: kind})
 }
 
-func (r *restartingWorkers) Stop(_ context.Context, s execution.Stop, fence int64) error {
+func (r *restartingWorkers) Stop(_ context.Context, s execution.Stop) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.do(s.Worker.ID, fence, s, func(w *restartingWorker) {
+	return r.do(s.Worker.ID, s.Fence, s, func(w *restartingWorker) {
 		w.highest[s.Item] = max(w.highest[s.Item], s.Run.Number)
 		if w.running[s.Run] {
 			w.end(s.Run, execution.EndStopped)
@@ -116,13 +116,13 @@
 	})
 }
 
-func (r *restartingWorkers) Pace(context.Context, execution.Pace, int64) error { return nil }
+func (r *restartingWorkers) Pace(context.Context, execution.Pace) error { return nil }
 
-func (r *restartingWorkers) Hold(_ context.Context, h execution.Hold, fence int64) (execution.Report, error) {
+func (r *restartingWorkers) Hold(_ context.Context, h execution.Hold) (execution.Report, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var report execution.Report
-	err := r.do(h.Worker.ID, fence, h, func(w *restartingWorker) {
+	err := r.do(h.Worker.ID, h.Fence, h, func(w *restartingWorker) {
 		for len(w.ended) > 0 && w.ended[0].Number <= h.AcknowledgedEnd {
 			w.ended = w.ended[1:]
 		}
@@ -269,3 +269,31 @@
 		t.Fatalf("%d runs of the item at the same time", r.starts[item])
 	}
 }
+
+// Guards against an owner that gives up because a worker rejected a call that was meant
+// for its former lifetime.
+func TestCallForAFormerLifetimeDoesNotEndTheTerm(t *testing.T) {
+	tm, r := lifetimeTerm(t)
+	tm.addWorker(r, "w1", 1)
+	tm.contacted(t, r, "w1")
+	stop := execution.Stop{Run: execution.Run{Item: job.ItemID{Job: lifetimeJobB}, Number: 1}, Worker: execution.Worker{ID: "w1", StartMillis: 1}}
+	r.locked(func() bool { stop.Fence = r.workers["w1"].fence; return true })
+	r.endAtOnce = true
+	tm.addJob(lifetimeJobA)
+	r.eventually(t, "job A is completed", func() bool { return tm.completed(lifetimeJobA) })
+	tm.addWorker(r, "w1", 2)
+	tm.contacted(t, r, "w1")
+	tm.sendStop(context.Background(), stop)
+	reasons := make(chan error, 10)
+	tm.end = func(err error) { reasons <- err }
+	r.locked(func() bool { stop.Fence = r.workers["w1"].fence; r.workers["w1"].fence++; return true })
+	tm.sendStop(context.Background(), stop)
+	select {
+	case err := <-reasons:
+		if !errors.Is(err, ErrFenced) {
+			t.Errorf("term ended: %v, want %v", err, ErrFenced)
+		}
+	default:
+		t.Error("the term goes on although the worker has seen the token of another owner")
+	}
+}
--- a/owner/orders_test.go
+++ b/owner/orders_test.go
@@ -95,12 +95,12 @@
 	stops int
 }
 
-func (w *stopRecorder) Stop(context.Context, execution.Stop, int64) error {
+func (w *stopRecorder) Stop(context.Context, execution.Stop) error {
 	w.stops++
 	return nil
 }
 
-func (w *stopRecorder) Pace(context.Context, execution.Pace, int64) error {
+func (w *stopRecorder) Pace(context.Context, execution.Pace) error {
 	w.stops++
 	return nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -32,17 +32,17 @@
 
 // Workers sends orders to workers. Each call is meant for one process of a
 // worker, which Worker.StartMillis in its argument identifies, and carries the
-// owner's fence number.
+// fencing token of that process.
 type Workers interface {
 	// Start returns a result also if it fails. The error is ErrFenced if the
 	// worker has seen a higher fence number.
-	Start(ctx context.Context, s execution.Start, fence int64) (execution.StartResult, error)
-	Stop(ctx context.Context, s execution.Stop, fence int64) error
+	Start(ctx context.Context, s execution.Start) (execution.StartResult, error)
+	Stop(ctx context.Context, s execution.Stop) error
 	// Hold extends the leases of the runs on a worker and returns the worker's
 	// running and ended items.
-	Hold(ctx context.Context, h execution.Hold, fence int64) (execution.Report, error)
+	Hold(ctx context.Context, h execution.Hold) (execution.Report, error)
 	// Pace sets the speed of a run as a percentage of its full speed.
-	Pace(ctx context.Context, p execution.Pace, fence int64) error
+	Pace(ctx context.Context, p execution.Pace) error
 }
 
 // RegistryHandler receives the contents of the workers' registry (Reset) and
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -184,10 +184,10 @@
 func (t *term) hold(ctx context.Context, hold execution.Hold, l *holdLoop) {
 	sent := boottime.Now()
 	callCtx, cancel := context.WithTimeout(ctx, hold.LongPollTimeout+callTimeout)
-	report, err := t.options.Workers.Hold(callCtx, hold, t.ownership.Fence)
+	report, err := t.options.Workers.Hold(callCtx, hold)
 	cancel()
 	if err != nil {
-		t.endIfFenced(err)
+		t.endIfWorkerFenced(err, hold.Worker.ID, hold.Fence)
 		if ctx.Err() == nil {
 			t.mu.Lock()
 			t.core.HoldFailed(hold.Worker.ID, failureReason(err), boottime.Now())
@@ -247,16 +247,28 @@
 	}
 }
 
+// endIfWorkerFenced is endIfFenced for a call to a worker with the given fencing token.
+// A call that was meant for a former lifetime of the worker is rejected because of this
+// owner's own calls to the present one.
+func (t *term) endIfWorkerFenced(err error, worker string, fence int64) {
+	t.mu.Lock()
+	superseded := fence < t.core.FenceOf(worker)
+	t.mu.Unlock()
+	if !superseded {
+		t.endIfFenced(err)
+	}
+}
+
 func (t *term) sendStart(ctx context.Context, s execution.Start) {
 	result := execution.NotStarted
 	if t.authorized() {
 		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		var err error
-		result, err = t.options.Workers.Start(callCtx, s, t.ownership.Fence)
+		result, err = t.options.Workers.Start(callCtx, s)
 		cancel()
 		t.metrics.startCall.Record(time.Since(started))
-		t.endIfFenced(err)
+		t.endIfWorkerFenced(err, s.Worker.ID, s.Fence)
 	}
 	t.metrics.scope.Tagged(map[string]string{"result": result.String()}).Counter("starts_total").Inc(1)
 	t.mu.Lock()
@@ -275,9 +287,9 @@
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	err := t.options.Workers.Stop(callCtx, s, t.ownership.Fence)
+	err := t.options.Workers.Stop(callCtx, s)
 	cancel()
-	t.endIfFenced(err)
+	t.endIfWorkerFenced(err, s.Worker.ID, s.Fence)
 	t.options.Log.Info().Str("event", "run_stopped").Str("item", s.Item.String()).Int64("run", s.Run.Number).Str("worker", s.Worker.ID).
 		Str("reason", s.Reason).Str("detail", s.Detail).AnErr("error", err).Msg("")
 	t.mu.Lock()
@@ -291,8 +303,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := t.options.Workers.Pace(callCtx, p, t.ownership.Fence)
-	t.endIfFenced(err)
+	err := t.options.Workers.Pace(callCtx, p)
+	t.endIfWorkerFenced(err, p.Worker.ID, p.Fence)
 	t.options.Log.Info().Str("event", "run_paced").Str("item", p.Item.String()).Int64("run", p.Run.Number).Str("worker", p.Worker.ID).
 		Int("percent", p.Percent).AnErr("error", err).Msg("")
 }
--- a/owner/term.go
+++ b/owner/term.go
@@ -114,6 +114,7 @@
 	options := o.options.Execution
 	options.Trace = t.trace
 	t.core = execution.New(options, ownership.Term)
+	t.core.SetFence(ownership.Fence)
 	return t
 }
 
--- a/owner/write.go
+++ b/owner/write.go
@@ -226,6 +226,7 @@
 // committed updates the state after a batch was written.
 func (t *term) committed(b batch) {
 	t.mu.Lock()
+	t.core.SetFence(t.writer.Revision())
 	t.core.MarkCommitted(b.progress)
 	t.wakeSettledLocked()
 	for _, r := range b.others {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -33,6 +33,8 @@
 	// firstRun is the lowest run number that this owner gives to a run. It is
 	// above any number that a former owner can have used.
 	firstRun int64
+	// fence is the fencing token of lifetimes of workers that become known from now on.
+	fence int64
 	// formerHolders are the workers that may hold leases of a former owner and
 	// have not been contacted, with the time at which the leases will have
 	// lapsed.
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -80,3 +80,41 @@
 		t.Fatalf("hold due: %v; it acknowledges ends up to %d, want 1", ok, h.AcknowledgedEnd)
 	}
 }
+
+// Guards against a hold for a former lifetime whose answer shows the present one as it
+// is before it knows its fencing token: a late call can still change its lists.
+func TestLifetimeIsContactedByItsOwnHold(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.SetFence(1)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	h, _ := b.core.HoldFor("w1", b.now)
+	b.core.SetFence(2)
+	b.core.HoldDone(h, Report{Clock: time.Millisecond, StartMillis: 2}, b.now, b.now)
+	if b.core.Contacted("w1") {
+		t.Fatal("contacted by a hold with the fencing token of the former lifetime")
+	}
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.Fence != 2 || h.Worker.StartMillis != 2 {
+		t.Fatalf("hold due: %v, with fencing token %d for lifetime %d; want 2 and 2", ok, h.Fence, h.Worker.StartMillis)
+	}
+}
+
+// Guards against two lifetimes that have the same fencing token: the second one got work
+// before a write of the owner gave it a higher token for the next one.
+func TestLaterLifetimeGetsWorkAfterItIsRecorded(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.reborn(2)
+	b.report("w1", Report{Clock: time.Millisecond})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	if o := b.round(); len(o.Starts) > 0 {
+		t.Fatalf("started %v before the later lifetime is recorded as a lease holder", o.Starts[0].Run)
+	}
+	if _, changed := b.core.HoldersToRecord(); !changed {
+		t.Fatal("the record of possible lease holders is not written again")
+	}
+	b.recordHolders()
+	if o := b.round(); len(o.Starts) != 1 {
+		t.Fatalf("starts %v, want one", o.Starts)
+	}
+}
--- a/scheduler/execution/pace.go
+++ b/scheduler/execution/pace.go
@@ -41,7 +41,7 @@
 			}
 			if pace != cp.pace {
 				cp.pace, cp.overSince = pace, now
-				o.Paces = append(o.Paces, Pace{Run: cp.id(), Worker: w.Worker, Percent: pace})
+				o.Paces = append(o.Paces, Pace{Run: cp.id(), Worker: w.Worker, Percent: pace, Fence: w.fence})
 			}
 		}
 	}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -32,7 +32,7 @@
 	if w == nil || !w.needsHold() {
 		return Hold{}, false
 	}
-	h := Hold{Worker: w.Worker, AcknowledgedEnd: w.endToAcknowledge()}
+	h := Hold{Worker: w.Worker, Fence: w.fence, AcknowledgedEnd: w.endToAcknowledge()}
 	if w.contacted && len(w.copies) > 0 && now-w.clockAt < maxReportAge {
 		h.Deadline = w.clockNow(now) + c.options.LeaseDuration
 		w.grant(h.Deadline)
@@ -88,6 +88,11 @@
 		c.startLifetime(w, now)
 		w.StartMillis = r.StartMillis
 	}
+	if h.Worker.StartMillis != w.StartMillis {
+		// Until the worker has seen the fencing token of its present lifetime, calls for
+		// the former one can still change its lists.
+		return
+	}
 	w.silent, w.silentSinceLapse = false, false
 	c.settleLostRuns(w.Worker, true, now)
 	if !w.contacted {
@@ -109,9 +114,7 @@
 		}
 	}
 	w.advanceCommittedEnd()
-	if h.Worker.StartMillis == w.StartMillis {
-		w.acknowledgedEnd = max(w.acknowledgedEnd, h.AcknowledgedEnd)
-	}
+	w.acknowledgedEnd = max(w.acknowledgedEnd, h.AcknowledgedEnd)
 	c.reconcile(w, listed, len(r.Ended) < maxEndsPerReport, sent, now)
 	c.checkHoldersOf(w)
 }
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -80,7 +80,7 @@
 				continue
 			}
 			cp.stopOrderedAt, cp.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker, Reason: cp.stopReason(now), Detail: cp.stopDetail(now)})
+			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker, Fence: w.fence, Reason: cp.stopReason(now), Detail: cp.stopDetail(now)})
 		}
 		for _, r := range orphansOf(w) {
 			orphan := w.orphans[r]
@@ -88,7 +88,7 @@
 				continue
 			}
 			orphan.stopOrderedAt, orphan.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker, Reason: "unwanted"})
+			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker, Fence: w.fence, Reason: "unwanted"})
 		}
 	}
 }
@@ -339,7 +339,7 @@
 	w.grant(deadline)
 	return Start{
 		Run: Run{i.id(), run}, Worker: w.Worker, Spec: i.step.job.Spec, Saved: saved,
-		Ticket: tickets[w.ID], Deadline: deadline,
+		Ticket: tickets[w.ID], Deadline: deadline, Fence: w.fence,
 	}
 }
 
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -169,9 +169,11 @@
 	Worker
 	// present is set while the registry has an entry for the worker.
 	present bool
-	// contacted is set once the worker has answered a hold of this owner in its
-	// current lifetime, and so has seen the owner's fencing token.
+	// contacted is set once the worker has answered a hold that was meant for its
+	// current lifetime, and so has seen the fencing token of that lifetime.
 	contacted bool
+	// fence is the fencing token of the calls to the present lifetime.
+	fence int64
 	// used is the capacity that is reserved for copies and orphans. fillerCPU is
 	// the CPU that fillers request, in thousandths of a core; used leaves it
 	// out.
@@ -272,7 +274,7 @@
 func (c *Core) addWorker(id string) *worker {
 	// A worker that formerHolders does not name holds no lease of a former owner,
 	// because the store names every worker before it gets work. Its lapseAt is 0.
-	w := &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}, lapseAt: c.formerHolders[id]}
+	w := &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}, lapseAt: c.formerHolders[id], fence: c.fence}
 	c.workers[id] = w
 	at, _ := slices.BinarySearchFunc(c.sortedWorkers, id, func(w *worker, id string) int { return strings.Compare(w.ID, id) })
 	w.ID = id
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -88,12 +88,16 @@
 	Ticket string
 	// Deadline is the end of the lease on the worker's clock.
 	Deadline time.Duration
+	// Fence is the fencing token of the worker's lifetime for which the order is meant.
+	Fence int64
 }
 
 // Stop tells a worker to end a run.
 type Stop struct {
 	Run
 	Worker Worker
+	// Fence is the fencing token of the worker's lifetime for which the order is meant.
+	Fence int64
 	// Reason and Detail say, for the log, why the run has to end and what is known of it.
 	Reason, Detail string
 }
@@ -103,6 +107,8 @@
 	Run
 	Worker  Worker
 	Percent int
+	// Fence is the fencing token of the worker's lifetime for which the order is meant.
+	Fence int64
 }
 
 // Orders are the decisions of a round.
@@ -146,6 +152,8 @@
 	// LongPollTimeout is how long the worker may wait for a run to end before it
 	// answers (long polling).
 	LongPollTimeout time.Duration
+	// Fence is the fencing token of the worker's lifetime for which the hold is meant.
+	Fence int64
 }
 
 // Report is a worker's answer to a Hold.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -61,11 +61,30 @@
 		c.dropOrphan(w, r)
 	}
 	w.contacted, w.clock, w.clockAt = false, 0, 0
+	// The worker gets work after the next record of possible lease holders, and a
+	// lifetime after this one the higher fencing token that follows that write.
+	w.fence, w.holderRecorded, c.checkHolders = c.fence, false, true
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.failures, w.avoidUntil, w.largestMilliCPU = 0, 0, 0
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
 }
 
+// SetFence sets the fencing token of the lifetimes of workers that become known from now
+// on. The tokens of an owner grow, and are lower than those of any later owner. A worker
+// that starts again under its ID knows no token; the higher one of its new lifetime
+// makes it reject calls that were meant for the former one and had no answer. A token
+// has to be set before each HoldersRecorded that is higher than those before.
+func (c *Core) SetFence(fence int64) { c.fence = fence }
+
+// FenceOf returns the fencing token of the present lifetime of a worker, or the newest
+// token if the worker is not known.
+func (c *Core) FenceOf(id string) int64 {
+	if w := c.workers[id]; w != nil {
+		return w.fence
+	}
+	return c.fence
+}
+
 // copiesOf returns the copies on a worker, for loops that drop some.
 func copiesOf(w *worker) []*itemCopy { return slices.Clone(w.orderedCopies) }
 
