Assume the longest lease for a worker that has started again

The deadline of a hold or a start is a time on the worker's clock, which starts anew with each lifetime. One that was meant for a former lifetime extends the lease of the present one up to the worker's own limit, max_lease_ms, while the owner took it to lapse with the leases that it had granted itself. Runs of a worker that was cut off then could go on while their items were started elsewhere (TWICE).

Until a later lifetime has answered a call with its own fencing token, such calls can still reach it, so that its leases count as lapsed no earlier than the longest lease after that answer. Workers that have had no former lifetime under their ID are not affected.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -96,7 +96,7 @@
 		CPUShare: s.CPUShare, ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
 		OrdersPerSecond: s.Bounds.MachineOrdersPerSecond,
 		Execution: execution.Options{
-			LeaseDuration: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
+			LeaseDuration: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), MaxLease: milliseconds(s.Bounds.MaxLeaseMs), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
 		},
 	}
 	if s.MachinesAddress != "" {
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -81,6 +81,32 @@
 	}
 }
 
+// Guards against two runs of an item at the same time: a hold that was meant for a former
+// lifetime had extended the lease of the present one up to the worker's own limit, and
+// the owner took it to have lapsed before.
+func TestLeaseOfALaterLifetimeMayBeTheLongest(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	b.worker(testWorker("w1", 1000), Report{})
+	b.reborn(2)
+	b.report("w1", Report{Clock: time.Millisecond})
+	until := b.now + b.core.options.MaxLease
+	b.recordHolders()
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	for b.now+time.Millisecond <= until {
+		if o := b.roundAfter(100 * time.Millisecond); len(o.Starts) > 0 && b.now <= until {
+			t.Fatalf("started %v %v before the end of the lease that the worker may have", o.Starts[0].Run, until-b.now)
+		}
+	}
+	if o := b.roundAfter(time.Second); len(o.Starts) != 1 || o.Starts[0].Worker.ID != "w2" {
+		t.Fatalf("starts %v after the longest lease, want one on w2", o.Starts)
+	}
+}
+
 // Guards against a hold for a former lifetime whose answer shows the present one as it
 // is before it knows its fencing token: a late call can still change its lists.
 func TestLifetimeIsContactedByItsOwnHold(t *testing.T) {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -97,6 +97,9 @@
 	c.settleLostRuns(w.Worker, true, now)
 	if !w.contacted {
 		w.contacted = true
+		if w.restarted {
+			w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
+		}
 		delete(c.formerHolders, w.ID)
 		c.checkHolders = true
 	}
@@ -201,8 +204,18 @@
 
 // maxLeaseTime returns the longest time from now in which runs under a lease that
 // was granted up to now can go on, including lapseMargin.
-func (c *Core) maxLeaseTime() time.Duration {
-	return time.Duration(float64(c.options.LeaseDuration)/(1-workerClockError)) + lapseMargin
+func (c *Core) maxLeaseTime() time.Duration { return longestTime(c.options.LeaseDuration) }
+
+// longestLeaseTime is maxLeaseTime for a lease that a call for a former lifetime of the
+// worker may have granted. Its deadline is a time on the former lifetime's clock, so
+// that nothing but the worker's own limit bounds it.
+func (c *Core) longestLeaseTime() time.Duration {
+	return longestTime(max(c.options.LeaseDuration, c.options.MaxLease))
+}
+
+// longestTime returns how long runs under a lease can go on.
+func longestTime(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-workerClockError)) + lapseMargin
 }
 
 func (c *Core) dropOrphan(w *worker, r Run) {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -172,6 +172,8 @@
 	// contacted is set once the worker has answered a hold that was meant for its
 	// current lifetime, and so has seen the fencing token of that lifetime.
 	contacted bool
+	// restarted is set if the worker has had an earlier lifetime under this owner.
+	restarted bool
 	// fence is the fencing token of the calls to the present lifetime.
 	fence int64
 	// used is the capacity that is reserved for copies and orphans. fillerCPU is
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -234,6 +234,8 @@
 	// LeaseDuration is the duration of a lease: how long a worker may run items
 	// without hearing from the owner.
 	LeaseDuration time.Duration
+	// MaxLease is the longest lease that a worker accepts; 0 stands for LeaseDuration.
+	MaxLease time.Duration
 	// StopTimeout is how long a worker takes to stop a run.
 	StopTimeout time.Duration
 	// FirstComeFirstServed ranks the steps of one kind and priority by the
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -64,6 +64,8 @@
 	// The worker gets work after the next record of possible lease holders, and a
 	// lifetime after this one the higher fencing token that follows that write.
 	w.fence, w.holderRecorded, c.checkHolders = c.fence, false, true
+	w.restarted = true
+	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
 	w.failures, w.avoidUntil, w.largestMilliCPU = 0, 0, 0
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
