--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -32,7 +32,7 @@
 	if w == nil || !w.needsHold() {
 		return Hold{}, false
 	}
-	h := Hold{Worker: w.Worker, AcknowledgedEnd: w.committedEnd}
+	h := Hold{Worker: w.Worker, Fence: w.fence, AcknowledgedEnd: w.endToAcknowledge()}
 	if w.contacted && len(w.copies) > 0 && now-w.clockAt < maxReportAge {
 		h.Deadline = w.clockNow(now) + c.options.LeaseDuration
 		w.grant(h.Deadline)
@@ -43,6 +43,17 @@
 	return h, true
 }
 
+// endToAcknowledge returns the number of the last end that the next hold acknowledges,
+// or zero. The worker may have started again since its last answer and number its ends
+// anew, so that a hold acknowledges only what the worker has not been told to forget,
+// and nothing once the worker has stopped answering.
+func (w *worker) endToAcknowledge() int64 {
+	if w.silent || w.committedEnd == w.acknowledgedEnd {
+		return 0
+	}
+	return w.committedEnd
+}
+
 // NeedsImmediateAnswer reports whether a worker is asked to answer the next
 // hold at once: ends wait to be committed, or it has orphans or unresolved
 // copies.
@@ -77,11 +88,19 @@
 		c.startLifetime(w, now)
 		w.StartMillis = r.StartMillis
 	}
+	if h.Worker.StartMillis != w.StartMillis {
+		// Until the worker has seen the fencing token of its present lifetime, calls for
+		// the former one can still change its lists.
+		return
+	}
 	w.silent, w.silentSinceLapse = false, false
 	w.endedAt, w.endedWithOthers = 0, false
 	c.settleLostRuns(w.Worker, true, now)
 	if !w.contacted {
 		w.contacted = true
+		if w.restarted {
+			w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
+		}
 		delete(c.formerHolders, w.ID)
 		c.checkHolders = true
 	}
@@ -195,8 +214,18 @@
 
 // maxLeaseTime returns the longest time from now in which runs under a lease that
 // was granted up to now can go on, including lapseMargin.
-func (c *Core) maxLeaseTime() time.Duration {
-	return time.Duration(float64(c.options.LeaseDuration)/(1-workerClockError)) + lapseMargin
+func (c *Core) maxLeaseTime() time.Duration { return longestTime(c.options.LeaseDuration) }
+
+// longestLeaseTime is maxLeaseTime for a lease that a call for a former lifetime of the
+// worker may have granted. Its deadline is a time on the former lifetime's clock, so
+// that nothing but the worker's own limit bounds it.
+func (c *Core) longestLeaseTime() time.Duration {
+	return longestTime(max(c.options.LeaseDuration, c.options.MaxLease))
+}
+
+// longestTime returns how long runs under a lease can go on.
+func longestTime(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)/(1-workerClockError)) + lapseMargin
 }
 
 func (c *Core) dropOrphan(w *worker, r Run) {
