Record a stall of a run once

Since stops are checked against the limit of the step at each order, a stalled run that may not be stopped yet loses its mark, and each round found it stalled anew: the item had to wait up to 2 s after its next failure, its workers were blamed, and the log got a line for every round. A stall is now recorded once for each time at which the run last progressed.

TestStallIsRecordedOnce failed before: avail_test.go:187: one stall is recorded 11 times; the item's failures count 11 TestStallIsRecordedOnceBetweenReports guards the usual case. Found by review.

--- a/scheduler/execution/avail_test.go
+++ b/scheduler/execution/avail_test.go
@@ -154,3 +154,68 @@
 	}
 	b.failStops(b.round(), starts[0].Run, starts[1].Run)
 }
+
+// A stall was recorded in every round while the limit of the step did not allow the stop:
+// the item had to wait longer after its next failure, and the log got a line each time.
+func TestStallIsRecordedOnce(t *testing.T) {
+	b := newTestbed(t, 0)
+	stalls := 0
+	b.core.options.Trace = func(e Event) {
+		if e.Name == "run_stalled" {
+			stalls++
+		}
+	}
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, wall, b.now)
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	first, second := testRun(jobA, 0, 1), testRun(jobA, 1, 1)
+	b.core.SetClosed("w1", true)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	// The second item stays at 60 %. Its worker answers holds for 2.4 s, and then no
+	// more.
+	for range 6 {
+		b.now += 400 * time.Millisecond
+		b.report("w2", Report{Running: []RunningItem{{Run: second, Percent: 60}}})
+	}
+	for range 20 {
+		b.failStops(b.roundAfter(50 * time.Millisecond))
+	}
+	if stalls > 1 {
+		t.Errorf("one stall is recorded %d times; the item's failures count %d", stalls, b.core.jobs[jobA].item(second.Item, b.now).troubles)
+	}
+}
+
+// A stalled run whose worker answers holds every 400 ms has to be stopped once its limit
+// allows it, and its stall recorded once.
+func TestStallIsRecordedOnceBetweenReports(t *testing.T) {
+	b := newTestbed(t, 0)
+	stalls := 0
+	b.core.options.Trace = func(e Event) {
+		if e.Name == "run_stalled" {
+			stalls++
+		}
+	}
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, LongRunning: true, MaxUnavailable: 1}), job.Progress{}, false, wall, b.now)
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	b.core.SetClosed("w1", true)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndFailed}}})
+	for range 9 {
+		for range 8 {
+			if o := b.roundAfter(50 * time.Millisecond); len(o.Stops) > 0 {
+				if stalls != 1 {
+					t.Errorf("one stall is recorded %d times before the run is stopped", stalls)
+				}
+				return
+			}
+		}
+		b.report("w2", Report{Running: []RunningItem{{Run: testRun(jobA, 1, 1), Percent: 60}}})
+	}
+	t.Error("the stalled run is not stopped")
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -40,6 +40,10 @@
 		for _, cp := range w.orderedCopies {
 			if !cp.stopWanted && cp.stalled(now) {
 				cp.stopWanted = true
+				if cp.stalledAt == cp.progressedAt {
+					continue
+				}
+				cp.stalledAt = cp.progressedAt
 				cp.item.avoid = w.place()
 				c.trace(Event{Name: "run_stalled", Item: cp.item.id().String(), Run: cp.run, Worker: w.ID, Took: now - cp.startedAt})
 				c.recordFailure(w, cp.item, now)
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -51,6 +51,8 @@
 	// percent is the progress, which last changed at progressedAt.
 	percent      int
 	progressedAt Time
+	// stalledAt is the progressedAt of the last stall that was recorded.
+	stalledAt Time
 	// tailMillis is the tail latency of a long-running item in milliseconds.
 	// overSince has two meanings: for a long-running item it is when the item
 	// went over its target, or zero while it is within the target; for a filler
