Take a worker as settled or empty only when all its ends are known and kept

Cause: the first answer of a worker settled the takeover for it although its list of ends was cut off; the items of the other ends started again. A VM counted as empty while ends of its worker were not committed, and a worker without a registry entry was dropped with such ends. It is the class of fault of the acknowledged ends: the only knowledge of an event is given up too early.

--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -105,3 +105,53 @@
 	}})
 	b.expectDone(jobA, done.Worker.ID)
 }
+
+// A new owner took a worker that had listed its first 500 ends to be settled, and started
+// the items whose ends as done the worker had not listed yet.
+func TestTakeoverWaitsForAllEnds(t *testing.T) {
+	const count = maxEndsPerReport + 1
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{Count: count}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	var ends []EndedItem
+	for n := range count {
+		ends = append(ends, EndedItem{Number: int64(n + 1), Run: testRun(jobA, n, 1), Kind: EndDone})
+	}
+	b.worker(testWorker("w1", 100_000), Report{Ended: ends[:maxEndsPerReport]})
+	if o := b.round(); len(o.Starts) > 0 {
+		t.Fatalf("started %v, whose end as done is listed next", o.Starts[0].Run)
+	}
+	b.core.MarkCommitted(b.core.TakeWrites(1))
+	b.report("w1", Report{Ended: ends[maxEndsPerReport:]})
+}
+
+// A worker whose ends were not committed counted as empty, and its VM was taken for
+// maintenance. If the owner was lost before the commit, done work ran again.
+func TestWorkerWithUncommittedEndsIsNotEmpty(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	first := b.round().Starts[0]
+	b.core.StartDone(first, Started, b.now)
+	b.core.SetClosed("w1", true)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first.Run, Kind: EndDone}}})
+	if b.core.Empty("w1") {
+		t.Error("w1 counts as empty although it alone knows that an item is done")
+	}
+}
+
+// The next owner did not wait for a worker with ends that were not committed if the
+// worker had no registry entry and its lease had lapsed.
+func TestRemovedWorkerWithUncommittedEndsStaysRecorded(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	first := b.round().Starts[0]
+	b.core.StartDone(first, Started, b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first.Run, Kind: EndDone}}})
+	b.core.WorkerGone("w1")
+	b.roundAfter(2 * testHold)
+	if ids, _ := b.core.HoldersToRecord(); len(ids) != 1 {
+		t.Errorf("holders %v, want w1, whose end is not committed", ids)
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -35,13 +35,14 @@
 	return w.StartMillis, true
 }
 
-// RunCount returns the number of runs on a worker.
+// RunCount returns the number of runs on a worker and of ends that are not committed:
+// work that would have to be done again without the worker.
 func (c *Core) RunCount(id string) int {
 	w := c.workers[id]
 	if w == nil {
 		return 0
 	}
-	return len(w.copies) + len(w.orphans)
+	return len(w.copies) + len(w.orphans) + len(w.pendingEnds)
 }
 
 // HasLongRunning reports whether a long-running item is on a worker.
@@ -53,15 +54,15 @@
 	return slices.ContainsFunc(w.orderedCopies, func(cp *itemCopy) bool { return cp.item.step.spec.LongRunning })
 }
 
-// Empty reports whether it is certain that nothing runs on a worker: a known
-// worker has reported so, and an unknown one holds no lease of a former owner
-// any more.
+// Empty reports whether it is certain that nothing runs on a worker and that it knows
+// of no end that is not committed: a known worker has reported so, and an unknown one
+// holds no lease of a former owner any more.
 func (c *Core) Empty(id string) bool {
 	w := c.workers[id]
 	if w == nil {
 		return c.settled
 	}
-	return w.contacted && c.RunCount(id) == 0
+	return w.contacted && !w.endsCutOff && c.RunCount(id) == 0
 }
 
 // Evacuate marks the runs on a closed worker to be stopped as far as the
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -95,8 +95,10 @@
 }
 
 // hasUncommittedEnds reports whether the store may not have the consequences of an
-// end that the worker has listed.
-func (w *worker) hasUncommittedEnds() bool { return w.committedEnd != w.processedEnd }
+// end that the worker has listed, or is about to list if it still answers.
+func (w *worker) hasUncommittedEnds() bool {
+	return w.committedEnd != w.processedEnd || w.endsCutOff && !w.silentSinceLapse
+}
 
 // HoldersRecorded marks the workers as named in the store's record of possible
 // lease holders, unless a later record that does not name them is to be written.
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -96,11 +96,15 @@
 	w.silent, w.silentSinceLapse = false, false
 	w.endedAt, w.endedWithOthers = 0, false
 	c.settleLostRuns(w.Worker, true, now)
+	w.endsCutOff = len(r.Ended) >= maxEndsPerReport
 	if !w.contacted {
 		w.contacted = true
 		if w.restarted {
 			w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 		}
+		c.checkHolders = true
+	}
+	if _, former := c.formerHolders[w.ID]; former && !w.endsCutOff {
 		delete(c.formerHolders, w.ID)
 		c.checkHolders = true
 	}
@@ -119,7 +123,7 @@
 	}
 	w.advanceCommittedEnd()
 	w.acknowledgedEnd = max(w.acknowledgedEnd, h.AcknowledgedEnd)
-	c.reconcile(w, listed, len(r.Ended) < maxEndsPerReport, sent, now)
+	c.reconcile(w, listed, !w.endsCutOff, sent, now)
 	c.checkHoldersOf(w)
 }
 
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -207,8 +207,10 @@
 	// forget.
 	processedEnd, committedEnd, acknowledgedEnd int64
 	pendingEnds                                 []pendingEnd
-	failures                                    int
-	avoidUntil                                  Time
+	// endsCutOff is set if the last report may not have listed all ends.
+	endsCutOff bool
+	failures   int
+	avoidUntil Time
 	// silent is set when a hold gets no answer, until the next report.
 	// silentSinceLapse is set once the leases of a silent worker have lapsed.
 	silent, silentSinceLapse bool
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -68,7 +68,7 @@
 	w.fence, w.holderRecorded, c.checkHolders = c.fence, false, true
 	w.restarted = true
 	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
-	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds = 0, 0, 0, nil
+	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds, w.endsCutOff = 0, 0, 0, nil, false
 	w.failures, w.avoidUntil, w.largestMilliCPU = 0, 0, 0
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
 }
@@ -155,7 +155,9 @@
 			w.silentSinceLapse = true
 			c.checkHoldersOf(w)
 		}
-		if !w.present {
+		// A worker with ends that are not committed stays, because the record of possible
+		// lease holders has to name it.
+		if !w.present && !w.hasUncommittedEnds() {
 			if w.closed || w.Draining {
 				c.settleLostRuns(w.Worker, true, now)
 			}
