Play long-running items in the model of workers and owners

The model had no long-running items, so that it could not show a run that is stopped while its step allows it no more (AVAIL), nor an item that stays away. TestNoItemRunsTwice now adds jobs with such items, evacuates closed workers and loses orders to stop and their answers. It fails if a stop takes more items of a step from their users than MaxUnavailable, and if one does not serve again after the last fault.

It now passes over a job only if it has failed, and checks the cause of each failure:

- at the decision, and no longer only at the end of a history;
- failures are no cause for a job with long-running items, which may fail any number of times;
- simMaxCrashes crashes are needed instead of two.

--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -29,7 +29,7 @@
 			if e.how == EndDone {
 				s.t.Fatalf("%v started at %v after it was done, which is acknowledged", id, start.at)
 			}
-			if e.how == EndFailed {
+			if e.how == EndFailed && !s.longRunning(id) {
 				failures++
 			}
 		}
@@ -57,10 +57,11 @@
 // TestNoItemRunsTwice guards against two runs of an item at once unless it is
 // speculative, a start after an acknowledged end with EndDone or before the steps that
 // the item depends on, a start after too many acknowledged failures, a job that is
-// shown as failed or completed too early, an item that crashes worker after worker, and workers over their capacity,
-// which shrinks and grows. Orders are lost and late, workers restart, stop answering
-// and are closed, records of lease holders are confirmed late, and owners are
-// replaced.
+// shown as failed or completed too early, an item that crashes worker after worker, a
+// long-running item that is stopped while too many others of its step are unavailable
+// or that does not come back, and workers over their capacity, which shrinks and grows.
+// Orders are lost and late, workers restart, stop answering and are closed, records of
+// lease holders are confirmed late, and owners are replaced.
 func TestNoItemRunsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
@@ -95,6 +96,7 @@
 				}
 			case 11:
 				s.core.SetClosed(id, true)
+				s.core.Evacuate(id, rapid.Bool().Draw(t, "force"), s.now)
 			case 12:
 				s.core.SetClosed(id, false)
 			case 13:
@@ -110,26 +112,62 @@
 	})
 }
 
-// finishWithoutFaults ends all faults and fails unless every job then ends.
+// finishWithoutFaults ends all faults but the loss of orders and answers, and fails
+// unless all long-running items then serve their users and every job ends.
 func (s *simulation) finishWithoutFaults() {
+	s.healthy = true
 	for _, w := range s.workers {
 		w.silent = false
 		s.setCapacity(w, simMilliCPU)
 		s.core.WorkerSeen(w.Worker, s.now)
 		s.core.SetClosed(w.ID, false)
 	}
+	served := false
 	for range 3000 {
 		// Draws tend to be short; a job with a deadly item takes three restarts of its
 		// workers to end.
 		s.advance(50 * time.Millisecond)
 		s.step()
-		if s.allFinal() {
+		if !served && s.allServe() {
+			served = true
+			s.cancelLongRunning()
+		}
+		if served && s.allFinal() {
 			return
 		}
 	}
+	if !served {
+		s.t.Fatal("not all long-running items serve long after the last fault")
+	}
 	s.t.Fatal("not all jobs have ended long after the last fault")
 }
 
+// cancelLongRunning cancels the jobs with long-running items, which do not end otherwise.
+func (s *simulation) cancelLongRunning() {
+	for _, id := range sortedKeys(s.jobs) {
+		if s.jobs[id].Steps[0].LongRunning {
+			s.cancelled[id] = true
+			s.core.Cancel(id, s.now)
+		}
+	}
+}
+
+// allServe reports whether all long-running items of jobs that are neither cancelled nor
+// failed have lately served their users.
+func (s *simulation) allServe() bool {
+	for id, j := range s.jobs {
+		if !j.Steps[0].LongRunning || s.cancelled[id] || s.failed[id] {
+			continue
+		}
+		for n := range j.Steps[0].Count {
+			if i := s.item(job.ItemID{Job: id, Index: n}); s.now-i.servedAt > simRunTime {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (s *simulation) allFinal() bool {
 	for id := range s.jobs {
 		if !s.progress[id].Phase.Final() {
@@ -137,13 +175,23 @@
 		}
 	}
 	for id := range s.jobs {
-		if s.progress[id].Phase == job.Failed && s.maxItemFailures(id) < simAttempts && s.maxItemCrashes(id) < 2 {
-			s.t.Fatalf("job %s is shown as failed after %d failures and %d crashes of an item", id, s.maxItemFailures(id), s.maxItemCrashes(id))
+		if s.progress[id].Phase == job.Failed {
+			s.checkFailed(id)
 		}
 	}
 	return true
 }
 
+// checkFailed fails if a job has failed without a cause. The causes are an item that has
+// used up its attempts, of which long-running items have no limit, and one that may have
+// crashed simMaxCrashes workers.
+func (s *simulation) checkFailed(id string) {
+	failures, crashes := s.maxItemFailures(id), s.maxItemCrashes(id)
+	if (failures < simAttempts || s.jobs[id].Steps[0].LongRunning) && crashes < simMaxCrashes {
+		s.t.Fatalf("job %s has failed after %d failures and %d crashes of an item", id, failures, crashes)
+	}
+}
+
 // maxItemCrashes returns the largest number of workers that may have crashed under
 // an item of a job.
 func (s *simulation) maxItemCrashes(id string) int {
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -26,6 +26,8 @@
 	// progress is the store's record of each job.
 	progress  map[string]job.Progress
 	cancelled map[string]bool
+	// failed are the jobs that have failed for the present owner.
+	failed map[string]bool
 	// holders is the store's record of possible lease holders. queuedHolders is
 	// the record that is to be written next, writtenHolders the one that the
 	// store is being asked to write; nil stands for none.
@@ -33,7 +35,11 @@
 	queuedHolders  []string
 	writtenHolders []string
 	lateOrders     []lateOrder
-	items          map[job.ItemID]*simItem
+	// healthy is set once long-running items do not fail any more.
+	healthy bool
+	// longRunningItems is the number of long-running items of all jobs.
+	longRunningItems int
+	items            map[job.ItemID]*simItem
 }
 
 // speculative reports whether copies of an item may run at the same time.
@@ -46,10 +52,15 @@
 	ends   []*simEnd
 	starts []simStart
 	// crashes counts the workers that crashed while they ran the item, possibleCrashes
-	// also those that an owner has to suspect because the answer to a start was lost.
+	// also those that an owner has to suspect because the answer to a start was lost, or
+	// because the end of a run was not acknowledged.
 	crashes, possibleCrashes int
 	// startsAfterCrashes counts the starts after simMaxCrashes crashes.
 	startsAfterCrashes int
+	// servedAt is when a run of a long-running item last served its users. stopped is
+	// set while it does not serve because it was ordered to stop.
+	servedAt Time
+	stopped  bool
 }
 
 // simStart is a start. endsBefore is the number of ends before it. late is set if a
@@ -136,6 +147,8 @@
 	simRunTime  = 300 * time.Millisecond
 	simAttempts = 2
 	simMilliCPU = 4000
+	// simLongRunningMilliCPU is what a long-running item requests.
+	simLongRunningMilliCPU = 1000
 	// A deadly item crashes its worker simCrashAfter after its start. The worker is
 	// back after simRestartTime.
 	simCrashAfter  = 10 * time.Millisecond
@@ -148,6 +161,8 @@
 	// entry may take to show the change.
 	simCapacityKnown    = 4500 * time.Millisecond
 	simRegisteredWithin = 4 * time.Second
+	// An item that has not served its users for simNotice counts as unavailable.
+	simNotice = 4500 * time.Millisecond
 )
 
 func newSimulation(t *rapid.T) *simulation {
@@ -170,6 +185,9 @@
 		crashed[r.Item] = true
 		s.item(r.Item).crashes++
 	}
+	for _, e := range w.ended {
+		crashed[e.Item] = true
+	}
 	for id := range crashed {
 		s.item(id).possibleCrashes++
 	}
@@ -187,8 +205,13 @@
 	s.queuedHolders, s.writtenHolders = nil, nil
 	s.core = New(Options{LeaseDuration: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
 		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason)
+		if e.Name == "job_failed" {
+			s.failed[e.Job] = true
+			s.checkFailed(e.Job)
+		}
 	}}, s.term)
 	s.term++
+	s.failed = map[string]bool{}
 	s.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testService, Attempts: simAttempts}}})
 	s.core.SetFormerHolders(s.holders, s.now)
 	for _, w := range s.workers {
@@ -197,6 +220,7 @@
 		}
 	}
 	for _, id := range sortedKeys(s.jobs) {
+		s.failed[id] = s.progress[id].Phase == job.Failed
 		s.core.AddJob(s.jobs[id], s.progress[id], true, wall, s.now)
 		if s.cancelled[id] {
 			s.core.Cancel(id, s.now)
@@ -223,7 +247,70 @@
 // clock is a worker's own clock.
 func (s *simulation) clock(w *simWorker) time.Duration { return s.now - w.bootedAt + time.Second }
 
+// addLongRunningJob adds a job whose items run until it is cancelled. All such items
+// together take at most half of the workers' capacity.
+func (s *simulation) addLongRunningJob() {
+	count := rapid.IntRange(1, 3).Draw(s.t, "items")
+	if s.longRunningItems+count > len(s.workers)*simMilliCPU/2/simLongRunningMilliCPU {
+		return
+	}
+	s.longRunningItems += count
+	step := job.Step{
+		Count: count, Needs: job.Resources{MilliCPU: simLongRunningMilliCPU, MemoryMB: 10},
+		LongRunning: true, MaxUnavailable: 1,
+	}
+	j := &job.Job{ID: fmt.Sprintf("%016x", len(s.jobs)), Queue: testQueue, Service: testService, Steps: []job.Step{step}}
+	s.jobs[j.ID] = j
+	s.core.AddJob(j, job.Progress{}, false, wall, s.now)
+}
+
+func (s *simulation) longRunning(id job.ItemID) bool {
+	return s.jobs[id.Job].Steps[id.Step].LongRunning
+}
+
+// serves reports whether a run of a long-running item serves its users.
+func (s *simulation) serves(w *simWorker, r Run) bool {
+	startedAt, runs := w.running[r]
+	return runs && s.longRunning(r.Item) && s.now-startedAt >= simRunTime
+}
+
+// noteServing records which long-running items serve their users.
+func (s *simulation) noteServing() {
+	for _, w := range s.workers {
+		for r := range w.running {
+			if s.serves(w, r) {
+				i := s.item(r.Item)
+				i.servedAt, i.stopped = s.now, false
+			}
+		}
+	}
+}
+
+// checkStop fails if an order to stop a run that serves takes more items of its step
+// from their users than the step allows.
+func (s *simulation) checkStop(w *simWorker, r Run) {
+	if !s.serves(w, r) || s.cancelled[r.Item.Job] || s.failed[r.Item.Job] {
+		return
+	}
+	step, unavailable := s.jobs[r.Item.Job].Steps[r.Item.Step], 0
+	for n := range step.Count {
+		id := r.Item
+		id.Index = n
+		if i := s.item(id); id != r.Item && (i.stopped || s.now-i.servedAt > simNotice) {
+			unavailable++
+		}
+	}
+	if unavailable >= step.MaxUnavailable {
+		s.t.Fatalf("%v is stopped while it serves and %d others of its step are unavailable", r, unavailable)
+	}
+	s.item(r.Item).stopped = true
+}
+
 func (s *simulation) addJob() {
+	if rapid.IntRange(0, 4).Draw(s.t, "long-running") == 0 {
+		s.addLongRunningJob()
+		return
+	}
 	id := fmt.Sprintf("%016x", len(s.jobs))
 	step := job.Step{Count: rapid.IntRange(1, 4).Draw(s.t, "items"), Needs: job.Resources{MilliCPU: 1500, MemoryMB: 10}}
 	step.Speculative = rapid.IntRange(0, 2).Draw(s.t, "speculative") == 0
@@ -333,6 +420,10 @@
 			switch {
 			case s.now > w.deadline:
 				s.end(w, r, EndLapsed)
+			case s.longRunning(r.Item):
+				if !s.healthy && rapid.IntRange(0, 99).Draw(s.t, "fails") == 0 {
+					s.end(w, r, EndFailed)
+				}
 			case s.now-w.running[r] >= simRunTime:
 				how := EndDone
 				if rapid.IntRange(0, 9).Draw(s.t, "fails") == 0 {
@@ -342,6 +433,7 @@
 			}
 		}
 	}
+	s.noteServing()
 	for len(s.lateOrders) > 0 && s.lateOrders[0].at <= s.now {
 		o := s.lateOrders[0]
 		s.lateOrders = s.lateOrders[1:]
@@ -389,16 +481,18 @@
 	}
 	for _, stop := range orders.Stops {
 		w := s.workers[stop.Worker.ID]
-		if w.unreachable() || s.term < w.fence {
+		outcome := rapid.IntRange(0, 9).Draw(s.t, "outcome of a stop")
+		if w.unreachable() || s.term < w.fence || outcome == 0 {
 			s.core.StopDone(stop, false, s.now)
 			continue
 		}
 		w.fence = s.term
 		w.highest[stop.Item] = max(w.highest[stop.Item], stop.Run.Number)
 		if _, runs := w.running[stop.Run]; runs {
+			s.checkStop(w, stop.Run)
 			s.end(w, stop.Run, EndStopped)
 		}
-		s.core.StopDone(stop, true, s.now)
+		s.core.StopDone(stop, outcome > 1, s.now)
 	}
 	for _, id := range s.core.WorkersToHold() {
 		s.hold(s.workers[id])
@@ -437,7 +531,11 @@
 	w := s.workers[st.Worker.ID]
 	outcome := rapid.IntRange(0, 9).Draw(s.t, "outcome of a start")
 	switch {
-	case w.unreachable() || outcome == 0:
+	case w.backAt > 0:
+		// The worker has crashed already, but the owner cannot know this.
+		s.item(st.Item).possibleCrashes++
+		s.core.StartDone(st, StartUnknown, s.now)
+	case w.silent || outcome == 0:
 		w.unanswered[st.Item] = true
 		s.core.StartDone(st, StartUnknown, s.now)
 	case outcome == 1:
@@ -479,7 +577,7 @@
 	w.ended = slices.DeleteFunc(w.ended, func(e EndedItem) bool { return e.Number <= h.AcknowledgedEnd })
 	report := Report{Clock: s.clock(w), StartMillis: w.StartMillis, Ended: slices.Clone(w.ended)}
 	for _, r := range sortedRuns(w.running) {
-		report.Running = append(report.Running, RunningItem{Run: r, Percent: int(s.now-w.running[r]) * 100 / int(simRunTime)})
+		report.Running = append(report.Running, RunningItem{Run: r, Percent: min(int(s.now-w.running[r])*100/int(simRunTime), 100)})
 	}
 	sent := s.now
 	s.advance(time.Millisecond)
