Check a start again right before it is sent

A round decides on a start, and a goroutine sends it later. It checked only the owner's authority again. If the item had become done, the job had been cancelled or the worker had started again meanwhile, the start was sent all the same. Callers would see an item start after its end as done was acknowledged, or a job start something after its cancellation.

Cause: a permission that is checked once and used later. sendStart now asks the core under the lock, together with the authority, whether the copy is still there on that lifetime of the worker and need not end. A start that is not sent cannot be carried out, so its copy is dropped at once, also if the worker has started again, and the other members of its gang are stopped. NotStarted would do less: it leaves the copy of a restarted worker in doubt, and keeps work off a worker that did nothing wrong.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -260,8 +260,18 @@
 }
 
 func (t *term) sendStart(ctx context.Context, s execution.Start) {
+	t.mu.Lock()
+	authorized, wanted := t.authorizedLocked(), t.core.StartWanted(s)
+	if !wanted {
+		t.core.StartWithdrawn(s, boottime.Now())
+	}
+	t.mu.Unlock()
+	if !wanted {
+		t.wakeRounds()
+		return
+	}
 	result := execution.NotStarted
-	if t.authorized() {
+	if authorized {
 		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		var err error
--- /dev/null
+++ b/scheduler/execution/recheck.go
@@ -0,0 +1,40 @@
+package execution
+
+// StartWanted reports whether a start that a round has ordered is still to be sent: its
+// copy is on the lifetime of the worker for which the order is meant and does not have
+// to end.
+func (c *Core) StartWanted(s Start) bool {
+	w := c.workers[s.Worker.ID]
+	if w == nil || w.StartMillis != s.Worker.StartMillis {
+		return false
+	}
+	cp := w.copies[s.Run]
+	return cp != nil && cp.phase == starting && !cp.stopWanted && !cp.item.done && !cp.item.step.job.final()
+}
+
+// StartWithdrawn records that a start was not sent, because it was not wanted any more.
+// The worker cannot have the run, so that its copy is dropped. The other members of a
+// gang would wait for it in vain.
+func (c *Core) StartWithdrawn(s Start, now Time) {
+	if w := c.workers[s.Worker.ID]; w != nil {
+		if cp := w.copies[s.Run]; cp != nil && cp.phase != running {
+			c.dropCopy(cp)
+			c.trace(Event{Name: "start_withdrawn", Item: s.Item.String(), Run: s.Run.Number, Worker: w.ID})
+		}
+	}
+	j := c.jobs[s.Item.Job]
+	if j == nil {
+		return
+	}
+	i := j.item(s.Item, now)
+	if i == nil || !i.step.spec.Gang {
+		return
+	}
+	for n := range i.step.items {
+		for _, cp := range i.step.items[n].copies {
+			if cp.run == s.Run.Number {
+				cp.stopWanted, cp.inDoubt = true, false
+			}
+		}
+	}
+}
