Check the limit of a step again right before a stop is sent

A round checks that a step allows the stop of a run, and a goroutine sends the order later.

--- FAIL: TestStopThatItsStepAllowsNoMoreIsNotSent the last item that serves was ordered to stop

Cause: a permission that is checked once and used later. The check at the sending costs one pass over the items of the step. It reads the present state, in which runs that are marked to be stopped do not count as serving, so that several stops of one round do not forbid each other more than the limit says. A stop that is not sent is treated as one without an answer: the run counts as perhaps stopping, and the order is checked anew after the usual pause.

--- a/owner/recheck_test.go
+++ b/owner/recheck_test.go
@@ -140,3 +140,42 @@
 		t.Errorf("stops %v, want that of the member that was started", stops)
 	}
 }
+
+// Guards against a planned stop whose step has lost another item between the decision and
+// the sending of the order.
+func TestStopThatItsStepAllowsNoMoreIsNotSent(t *testing.T) {
+	tm, workers := termWithJob(t, job.Step{LongRunning: true, Count: 2, MaxUnavailable: 1})
+	tm.testWorker("w2")
+	ctx := context.Background()
+	run := map[string]execution.Run{}
+	for _, s := range tm.roundOrders().Starts {
+		tm.sendStart(ctx, s)
+		run[s.Worker.ID] = s.Run
+	}
+	if len(run) != 2 {
+		t.Fatalf("started %v, want both items", run)
+	}
+	report := func(worker string, percent int) {
+		tm.reported(worker, execution.Report{Running: []execution.RunningItem{{Run: run[worker], Percent: percent}}})
+	}
+	report("w1", 100)
+	report("w2", 100)
+	tm.mu.Lock()
+	tm.core.SetClosed("w1", true)
+	tm.core.Evacuate("w1", true, boottime.Now())
+	tm.mu.Unlock()
+	stops := tm.roundOrders().Stops
+	if len(stops) != 1 || stops[0].Run != run["w1"] {
+		t.Fatalf("stops %v, want that of the run on w1", stops)
+	}
+	report("w2", 10)
+	tm.sendStop(ctx, stops[0])
+	if len(workers.stops) > 0 {
+		t.Error("the last item that serves was ordered to stop")
+	}
+	report("w2", 100)
+	tm.sendStop(ctx, stops[0])
+	if len(workers.stops) != 1 {
+		t.Error("the stop was not sent although the other item serves")
+	}
+}
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -290,10 +290,14 @@
 }
 
 func (t *term) sendStop(ctx context.Context, s execution.Stop) {
-	if !t.authorized() {
-		t.mu.Lock()
-		t.core.StopDone(s, false, boottime.Now())
-		t.mu.Unlock()
+	t.mu.Lock()
+	now := boottime.Now()
+	send := t.authorizedLocked() && t.core.StopAllowed(s, now)
+	if !send {
+		t.core.StopDone(s, false, now)
+	}
+	t.mu.Unlock()
+	if !send {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -38,3 +38,20 @@
 		}
 	}
 }
+
+// StopAllowed reports whether an order to stop a run that a round has given may still be
+// sent. Since the round, the run may have begun to serve its users, or another item of
+// its step may have become unavailable. A stop that is not sent counts as one without
+// an answer.
+func (c *Core) StopAllowed(s Stop, now Time) bool {
+	w := c.workers[s.Worker.ID]
+	if w == nil {
+		return true
+	}
+	cp := w.copies[s.Run]
+	if cp == nil || cp.item.done || cp.item.step.job.final() {
+		return true
+	}
+	stalled := cp.stalled(now) && now-w.clockAt <= notServingMaxReportAge
+	return stalled || c.mayStop(cp, now)
+}
