Check again that a VM is empty once its order is recorded

An order for the upkeep or the move of a VM is decided on while nothing runs there. Then the record of the order is written, which takes up to a second, and the order was given without a second look. A run that a report showed meanwhile, or a new lifetime of the worker, was ended by it. Callers would see work end outside of its rules: LOST progress, or AVAIL for a long-running item.

Cause: a permission that is checked once and used later. After the record, the order needs the authority, an empty worker and the lifetime that was checked. Upkeep that is not ordered leaves the VM draining, so that its work is moved and it is tried again. A move that is not ordered is dropped and its worker takes work again; one without authority stayed pending, with its worker closed, for the time of a move and the list's lag.

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -49,6 +49,18 @@
 	return t.writeThrough(ctx, jobstore.Record{Key: jobstore.OrdersKey, Value: value}) && t.authorized()
 }
 
+// mayTakeDownLocked reports whether the VM of a worker may get an order that ends the
+// worker: this process still is the owner, nothing runs on the worker, and its lifetime
+// began at workerStart. The record of an order takes up to recordOrdersTimeout, so that
+// this is checked again after it.
+func (t *term) mayTakeDownLocked(worker string, workerStart int64) bool {
+	if !t.authorizedLocked() {
+		return false
+	}
+	start, _ := t.core.WorkerStartMillis(worker)
+	return worker == "" || t.core.Empty(worker) && start == workerStart
+}
+
 // pendingRecord is a record whose writer waits until the store has it.
 type pendingRecord struct {
 	value string
--- a/owner/rebalance.go
+++ b/owner/rebalance.go
@@ -174,7 +174,13 @@
 // move orders one move. An order without an answer may have been carried out:
 // the move stays pending until the list shows whether it was.
 func (t *term) move(ctx context.Context, rb *rebalancing, m capacity.Move) {
-	if !t.authorized() {
+	t.mu.Lock()
+	mv := rb.moves[m.VM]
+	allowed := t.mayTakeDownLocked(mv.worker, mv.workerStart)
+	t.mu.Unlock()
+	if !allowed {
+		t.options.Log.Info().Str("event", "move_cancelled").Str("vm", m.VM).Str("worker", mv.worker).Msg("")
+		t.dropMoves(rb, []string{m.VM})
 		return
 	}
 	err := t.options.VMs.Move(ctx, m.VM, m.To, t.ownership.Fence)
@@ -183,10 +189,6 @@
 	t.endIfFenced(err)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	mv := rb.moves[m.VM]
-	if mv == nil {
-		return
-	}
 	if err == nil {
 		t.core.Terminated(mv.worker, mv.workerStart, boottime.Now())
 	}
--- a/owner/recheck_test.go
+++ b/owner/recheck_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/jobstore"
 	"dotterelhead.example/dotterelhead/scheduler/execution"
+	"dotterelhead.example/dotterelhead/store"
+	"dotterelhead.example/dotterelhead/store/storetest"
 )
 
 // orderRecorder records the starts and stops that are sent.
@@ -179,3 +184,113 @@
 		t.Error("the stop was not sent although the other item serves")
 	}
 }
+
+// whileOrdersAreRecorded calls f once, when the record of orders is written.
+func (t *term) whileOrdersAreRecorded(f func()) {
+	var once sync.Once
+	t.options.Store.(*storetest.Store).OutcomeOf = func(tx store.Transaction) storetest.Outcome {
+		if slices.ContainsFunc(tx.Writes, func(w store.Write) bool { return w.Key == jobstore.OrdersKey }) {
+			once.Do(f)
+		}
+		return storetest.Applied
+	}
+}
+
+// Guards against maintenance that ends a run which was found, or a lifetime of the worker
+// which began, while the order was recorded, and against a VM that stays out of use
+// because it was not ordered at once.
+func TestUpkeepIsCheckedAgainAfterItsRecord(t *testing.T) {
+	run := execution.Run{Item: job.ItemID{Job: testJob}, Number: 1}
+	for name, report := range map[string]execution.Report{
+		"running":   {Running: []execution.RunningItem{{Run: run, Percent: 100}}},
+		"restarted": {StartMillis: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vms := &fakeVMs{}
+			tm := testTerm(t, vms)
+			tm.testWorker("w1")
+			tm.whileOrdersAreRecorded(func() { tm.restartIfNewer("w1", report); tm.reported("w1", report) })
+			ws := tm.newWaveState(Wave{Number: 1, VMs: []string{"m1"}, Duration: time.Minute, MaxConcurrent: 1, FirstSeenAt: time.Now()})
+			byID := map[string]VM{"m1": {ID: "m1", Pool: "a", Worker: "w1", Up: true}}
+			tm.selectVMs(ws, byID)
+			tm.drainSelected(context.Background(), ws, byID)
+			if len(vms.upkeeps) > 0 {
+				t.Fatalf("upkeep of %v ordered, which was decided on before", vms.upkeeps)
+			}
+			tm.reported("w1", execution.Report{StartMillis: report.StartMillis})
+			tm.drainSelected(context.Background(), ws, byID)
+			if len(vms.upkeeps) != 1 || ws.vms["m1"].state != upkeepDown {
+				t.Errorf("upkeeps %v, the VM is %s, want it down once it is empty", vms.upkeeps, ws.vms["m1"].state)
+			}
+		})
+	}
+}
+
+// restartIfNewer registers a new lifetime of a worker if the report is from one.
+func (t *term) restartIfNewer(id string, r execution.Report) {
+	if r.StartMillis > 1 {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.core.WorkerSeen(execution.Worker{ID: id, Service: "a", StartMillis: r.StartMillis, Capacity: job.Resources{MilliCPU: 1000, MemoryMB: 10}}, boottime.Now())
+	}
+}
+
+// Guards against a move of a VM that ends a run which was found, or a lifetime of the
+// worker which began, while the order was recorded, against a move without authority, and
+// against a worker that stays closed because its VM was not moved.
+func TestMoveIsCheckedAgainAfterItsRecord(t *testing.T) {
+	run := execution.Run{Item: job.ItemID{Job: testJob}, Number: 1}
+	for name, report := range map[string]execution.Report{
+		"running":   {Running: []execution.RunningItem{{Run: run, Percent: 100}}},
+		"restarted": {StartMillis: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vms := &fakeVMs{}
+			tm := testTerm(t, vms)
+			list := tm.poolThatNeedsAVM()
+			tm.whileOrdersAreRecorded(func() { tm.restartIfNewer("idle", report); tm.reported("idle", report) })
+			rb := newRebalancing(0)
+			tm.rebalance(context.Background(), rb, list, nil)
+			if len(vms.moves) > 0 {
+				t.Errorf("moves of %v ordered, which were decided on before", vms.moves)
+			}
+			if len(rb.moves) > 0 || !tm.core.Usable("idle") {
+				t.Errorf("%d moves pending, worker usable: %t; want the worker to take work again", len(rb.moves), tm.core.Usable("idle"))
+			}
+		})
+	}
+	t.Run("no authority", func(t *testing.T) {
+		vms := &fakeVMs{}
+		tm := testTerm(t, vms)
+		list := tm.poolThatNeedsAVM()
+		rb := newRebalancing(0)
+		moves := tm.planMoves(rb, list, nil)
+		if len(moves) != 1 {
+			t.Fatalf("moves %v, want 1", moves)
+		}
+		tm.mu.Lock()
+		tm.authorityUntil = boottime.Now()
+		tm.mu.Unlock()
+		tm.move(context.Background(), rb, moves[0])
+		if len(vms.moves) > 0 || len(rb.moves) > 0 || !tm.core.Usable("idle") {
+			t.Errorf("moves %v, %d pending, worker usable: %t; want no move", vms.moves, len(rb.moves), tm.core.Usable("idle"))
+		}
+	})
+}
+
+// poolThatNeedsAVM sets up a pool with more work than its VM can run, and returns the
+// list of VMs, with one of a spare pool whose worker is idle.
+func (t *term) poolThatNeedsAVM() []VM {
+	t.testWorker("busy")
+	t.testWorker("idle")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.SetManifest(&job.Manifest{
+		Services: []job.Service{{Name: "a"}, {Name: "spare", Spare: true}},
+		Queues:   []job.Queue{{Name: "q", Service: "a", Attempts: 1, LatencyFactor: 1}},
+	})
+	step := job.Step{Count: 1000, Needs: job.Resources{MilliCPU: 1000, MemoryMB: 1}}
+	t.core.AddJob(&job.Job{ID: "0000000000000001", Queue: "q", Steps: []job.Step{step}}, job.Progress{}, false, time.Now(), boottime.Now())
+	t.core.MarkDue(time.Now(), boottime.Now())
+	return []VM{{ID: "m1", Pool: "a", Worker: "busy", Up: true}, {ID: "s1", Pool: "spare", Worker: "idle", Up: true}}
+}
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -393,11 +393,18 @@
 }
 
 // orderUpkeep orders the upkeep of a VM and reports whether the VM is, or may
-// be, down.
+// be, down. A VM that may not be taken down any more is drained further.
 func (t *term) orderUpkeep(ctx context.Context, ws *waveState, id string, p *waveVM) bool {
 	if !t.recordOrders(ctx, []string{id}) {
 		return false
 	}
+	t.mu.Lock()
+	allowed := t.mayTakeDownLocked(p.worker, p.workerStart)
+	t.mu.Unlock()
+	if !allowed {
+		t.options.Log.Info().Str("event", "upkeep_postponed").Int64("wave", ws.Number).Str("vm", id).Str("worker", p.worker).Msg("")
+		return false
+	}
 	err := t.options.VMs.Upkeep(ctx, id, ws.Number, t.ownership.Fence)
 	t.options.Log.Info().Str("event", "upkeep_ordered").Int64("wave", ws.Number).Str("vm", id).Str("worker", p.worker).
 		Int64("fence", t.ownership.Fence).AnErr("error", err).Msg("")
