Repeat an interrupted write in the last writes of a term

A planned end of a term, by a stop of the process or a handover, breaks off the transaction that is being written. TakeWrites had marked its jobs as clean, and the other records and deletions had left their queues, so that the last writes of the term left all of them out. The next owner did not know the progress in it until workers listed the ends again, and never checkpoints and crashes that no worker lists; finished jobs whose deletion was in it stayed.

Cause: the only knowledge of a change is given up before the change is kept. A batch that was not written goes back into the queues, except for records of which a newer value is queued. No end was acknowledged without its record, as only the commit of a batch allows that.

--- a/owner/write.go
+++ b/owner/write.go
@@ -144,11 +144,13 @@
 }
 
 // batch is the content of one transaction: the progress of jobs, and other
-// records. progressRecords holds the records that encode progress.
+// records. progressRecords holds the records that encode progress. deletions are the
+// jobs whose deletion is among the others.
 type batch struct {
 	progress        []execution.ProgressWrite
 	progressRecords []jobstore.Record
 	others          []jobstore.Record
+	deletions       []string
 }
 
 func (b batch) records() []jobstore.Record { return slices.Concat(b.progressRecords, b.others) }
@@ -177,13 +179,28 @@
 	}
 	for len(t.deletions) > 0 && len(b.progress)+len(b.others)+recordsPerJob <= t.writer.MaxRecords() {
 		b.others = append(b.others, deletionOf(t.deletions[0])...)
+		b.deletions = append(b.deletions, t.deletions[0])
 		t.deletions = t.deletions[1:]
 	}
 	return b
 }
 
+// requeue puts a batch that was not written back into the queues. It keeps records that
+// were queued since.
+func (t *term) requeue(b batch) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.core.ReturnWrites(b.progress)
+	for _, r := range b.others {
+		if _, newer := t.queuedRecords[r.Key]; r.Value != nil && !newer {
+			t.queuedRecords[r.Key] = r.Value
+		}
+	}
+	t.deletions = append(b.deletions, t.deletions...)
+}
+
 // writeBatch writes one transaction. It returns false if there was nothing to
-// write or the write failed.
+// write or the write failed; the records stay queued then.
 func (t *term) writeBatch(ctx context.Context) bool {
 	b := t.nextBatch()
 	records := b.records()
@@ -194,6 +211,7 @@
 	err := t.writer.Write(ctx, records)
 	t.metrics.commit.Record(time.Since(started))
 	if err != nil {
+		t.requeue(b)
 		if ctx.Err() == nil {
 			// The two texts below also apply to batches without progress.
 			t.options.Log.Error().Str("event", "progress_not_written").Err(err).Msg("")
--- a/owner/write_test.go
+++ b/owner/write_test.go
@@ -1,17 +1,22 @@
 package owner
 
 import (
+	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
 	"dotterelhead.example/dotterelhead/store"
 	"dotterelhead.example/dotterelhead/store/storetest"
+	"dotterelhead.example/dotterelhead/telemetry"
 )
 
 // Load pattern: more jobs change than a transaction holds, all the time. Their
@@ -70,3 +75,44 @@
 		t.Errorf("the counts are not written within %v", 3*summaryEvery)
 	}
 }
+
+// Guards against records that a planned end of a term leaves unwritten: the write in
+// progress was broken off, and the last writes left its records out. The next owner
+// started what was done, and kept finished jobs.
+func TestInterruptedWriteIsRepeatedAtTheEndOfTheTerm(t *testing.T) {
+	ctx := context.Background()
+	s := storetest.New()
+	o := New(Options{Node: "entry-0", Store: s, Log: telemetry.Discard()})
+	ownership, err := jobstore.Acquire(ctx, s, o.claim(), time.Minute)
+	if err != nil || ownership == nil {
+		t.Fatalf("not acquired: %v", err)
+	}
+	tm := newTerm(o, ownership, boottime.Now())
+	tm.writer = jobstore.NewWriter(s, ownership.Fence, nil)
+	const finished = "00000000000000bb"
+	if _, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: jobstore.JobKey(finished), Value: []byte("{}")}}}); err != nil {
+		t.Fatal(err)
+	}
+	tm.core.AddJob(&job.Job{ID: testJob, Queue: "q", Service: "a", Steps: []job.Step{{Count: 1}}}, job.Progress{}, false, time.Now(), boottime.Now())
+	tm.core.Cancel(testJob, boottime.Now())
+	tm.queuedRecords["interrupted"] = []byte("1")
+	tm.queuedRecords["changed"] = []byte("old")
+	tm.forgetLocked([]string{finished})
+	s.OutcomeOf = func(store.Transaction) storetest.Outcome { return storetest.Refused }
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	if tm.writeBatch(ended) {
+		t.Fatal("written after the end")
+	}
+	s.OutcomeOf = nil
+	tm.queuedRecords["changed"] = []byte("new")
+	tm.flush()
+	for key, want := range map[string]string{jobstore.ProgressKey(testJob): `"cancelled"`, "interrupted": "1", "changed": "new"} {
+		if item, err := s.Get(ctx, key); err != nil || !strings.Contains(string(item.Value), want) {
+			t.Errorf("%s after the last writes: %q, %v; want %s", key, item.Value, err, want)
+		}
+	}
+	if _, err := s.Get(ctx, jobstore.JobKey(finished)); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("the finished job is not deleted: %v", err)
+	}
+}
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -55,3 +55,14 @@
 	stalled := cp.stalled(now) && now-w.clockAt <= notServingMaxReportAge
 	return stalled || c.mayStop(cp, now)
 }
+
+// ReturnWrites gives back records of TakeWrites that were not written, so that
+// TakeWrites returns their present state again.
+func (c *Core) ReturnWrites(writes []ProgressWrite) {
+	for _, w := range writes {
+		if j := c.jobs[w.JobID]; j != nil && !j.dirty {
+			j.dirty = true
+			c.dirty = append(c.dirty, j)
+		}
+	}
+}
