Log the ends of jobs whose progress cannot be read as discarded

A job whose progress record cannot be decoded was said to be left alone. In fact its runs are stopped, and their ends are acknowledged with effect=unknown, like those of a job that has long been deleted. An operator could not tell that something was lost.

The ends stay acknowledged. A worker forgets all ends up to a number, so that one end that is held back keeps every later end on that worker: it would be called without a pause, and once its list is cut off, at 500 ends, the owner could not tell any more which runs have ended. One unreadable record would so stop the workers of all jobs. Each such end now gets a warning with the item, the run and the kind of end, and the comments say what happens.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -345,6 +346,8 @@
 		t.metrics.placement.Record(e.Took)
 	case "job_completed":
 		t.metrics.job.Record(e.Took)
+	case "run_ended":
+		t.logIfDiscarded(e)
 	}
 	entry := t.options.Log.Info().Str("event", e.Name)
 	if e.Job != "" {
@@ -377,3 +380,12 @@
 	entry.Msg("")
 	t.metrics.scope.Tagged(map[string]string{"event": e.Name, "reason": e.Reason}).Counter("decisions_total").Inc(1)
 }
+
+// logIfDiscarded logs an end of a job whose progress cannot be read. Nothing keeps it once
+// it is acknowledged.
+func (t *term) logIfDiscarded(e execution.Event) {
+	if id, _, _ := strings.Cut(e.Item, "."); t.unreadable[id] {
+		t.options.Log.Warn().Str("event", "end_discarded").Str("item", e.Item).Int64("run", e.Run).Str("worker", e.Worker).
+			Str("reason", e.Reason).Int64("end", e.End).Msg("")
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -84,7 +84,7 @@
 	// write loop uses it.
 	summaryDue time.Duration
 	// unreadable holds the jobs whose progress could not be decoded. They are not
-	// run.
+	// run, and ends of their runs are discarded.
 	unreadable map[string]bool
 	// forgotten are the finished jobs that the core has dropped, until the inbox does
 	// not hold them any more.
@@ -280,8 +280,11 @@
 		if id, ok := strings.CutPrefix(item.Key, jobstore.ProgressPrefix); ok {
 			var p job.Progress
 			if err := json.Unmarshal(item.Value, &p); err != nil {
-				// Without its record the job may have run, so that it is left alone. An
-				// error would end this term, and then that of each later owner.
+				// Without its record the job may have run, so that it is not started. Its
+				// runs are stopped, as their resources are not known. Their ends are logged
+				// and acknowledged: workers forget ends in order, so that one that is kept
+				// would block all later ones. An error would end this term, and then that of
+				// each later owner.
 				t.options.Log.Error().Str("event", "progress_unreadable").Str("job", id).Err(err).Msg("")
 				t.unreadable[id] = true
 				continue
