Keep a new job when the deletion of a finished one is repeated

The deletion of a finished job is repeated if it gets no answer. After a conflict the writer took whatever revision it found. If the first attempt had been carried out and a job was accepted under the same ID meanwhile, the repeated deletion deleted the record of the new job, with its cancellation: its requester had an acknowledgement, and the job was gone.

Cause: a permission that is checked once and used later; it was given for one record and used for another one with the same key. The record of an accepted job never changes and only the owner deletes it. If it differs from the one that was to be deleted, an earlier attempt was carried out, which deleted the cancellation in the same transaction; both keys are left out from then on. A later write that repeats an interrupted one decides in the same way, because the writer keeps the revision of the deleted record until a write succeeds.

--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -56,9 +56,10 @@
 // Write writes records, each with a different key, in one transaction. Until ctx
 // ends it repeats a write whose answer was lost or that the store could not do.
 func (w *Writer) Write(ctx context.Context, records []Record) error {
+	left := records
 	for {
 		tx := store.Transaction{Conditions: []store.Condition{{Key: OwnerKey, Revision: w.fence}}}
-		for _, r := range records {
+		for _, r := range left {
 			tx.Conditions = append(tx.Conditions, store.Condition{Key: r.Key, Revision: w.revisions[r.Key]})
 			if r.Value == nil {
 				tx.Deletes = append(tx.Deletes, r.Key)
@@ -71,6 +72,7 @@
 			w.revision = revision
 			for _, r := range records {
 				if r.Value == nil {
+					// Another process may create a record of the same key.
 					delete(w.revisions, r.Key)
 				} else {
 					w.revisions[r.Key] = revision
@@ -80,7 +82,7 @@
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			if err := w.refreshRevisions(records, conflict.Items); err != nil {
+			if left, err = w.refreshRevisions(left, conflict.Items); err != nil {
 				return err
 			}
 			continue
@@ -102,20 +104,38 @@
 const writeRetryPause = 50 * time.Millisecond
 
 // refreshRevisions takes the current revisions of the records after a conflict,
-// which an earlier write without an answer has caused. It returns ErrDeposed if
-// the owner's key has changed.
-func (w *Writer) refreshRevisions(records []Record, items []store.Item) error {
+// which an earlier write without an answer has caused, and returns the records that
+// are still to be written. It returns ErrDeposed if the owner's key has changed.
+//
+// The record of an accepted job never changes, and only the owner deletes it. If it is
+// gone or is another one than was to be deleted, an earlier attempt has deleted it
+// together with its cancellation, and what is there now belongs to a new job. The revision
+// stays that of the deleted record until the write succeeds, so that a later write that
+// repeats the deletion leaves the new job alone, too.
+func (w *Writer) refreshRevisions(records []Record, items []store.Item) ([]Record, error) {
 	current := map[string]int64{}
 	for _, i := range items {
 		current[i.Key] = i.Revision
 	}
 	if current[OwnerKey] != w.fence {
-		return errors.WithStack(ErrDeposed)
+		return nil, errors.WithStack(ErrDeposed)
 	}
+	deleted := map[string]bool{}
 	for _, r := range records {
+		id, cancel, ok := ParseInboxKey(r.Key)
+		if seen := w.revisions[r.Key]; ok && !cancel && r.Value == nil && seen != 0 && seen != current[r.Key] {
+			deleted[id] = true
+		}
+	}
+	var left []Record
+	for _, r := range records {
+		if id, _, ok := ParseInboxKey(r.Key); ok && deleted[id] {
+			continue
+		}
 		w.revisions[r.Key] = current[r.Key]
+		left = append(left, r)
 	}
-	return nil
+	return left, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
