--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -260,8 +261,18 @@
 }
 
 func (t *term) sendStart(ctx context.Context, s execution.Start) {
+	t.mu.Lock()
+	authorized, wanted := t.authorizedLocked(), t.core.StartWanted(s)
+	if !wanted {
+		t.core.StartWithdrawn(s, boottime.Now())
+	}
+	t.mu.Unlock()
+	if !wanted {
+		t.wakeRounds()
+		return
+	}
 	result := execution.NotStarted
-	if t.authorized() {
+	if authorized {
 		started := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		var err error
@@ -280,10 +291,14 @@
 }
 
 func (t *term) sendStop(ctx context.Context, s execution.Stop) {
-	if !t.authorized() {
-		t.mu.Lock()
-		t.core.StopDone(s, false, boottime.Now())
-		t.mu.Unlock()
+	t.mu.Lock()
+	now := boottime.Now()
+	send := t.authorizedLocked() && t.core.StopAllowed(s, now)
+	if !send {
+		t.core.StopDone(s, false, now)
+	}
+	t.mu.Unlock()
+	if !send {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -331,6 +346,8 @@
 		t.metrics.placement.Record(e.Took)
 	case "job_completed":
 		t.metrics.job.Record(e.Took)
+	case "run_ended":
+		t.logIfDiscarded(e)
 	}
 	entry := t.options.Log.Info().Str("event", e.Name)
 	if e.Job != "" {
@@ -363,3 +380,12 @@
 	entry.Msg("")
 	t.metrics.scope.Tagged(map[string]string{"event": e.Name, "reason": e.Reason}).Counter("decisions_total").Inc(1)
 }
+
+// logIfDiscarded logs an end of a job whose progress cannot be read. Nothing keeps it once
+// it is acknowledged.
+func (t *term) logIfDiscarded(e execution.Event) {
+	if id, _, _ := strings.Cut(e.Item, "."); t.unreadable[id] {
+		t.options.Log.Warn().Str("event", "end_discarded").Str("item", e.Item).Int64("run", e.Run).Str("worker", e.Worker).
+			Str("reason", e.Reason).Int64("end", e.End).Msg("")
+	}
+}
