Let late orders of the stand-in outlive the restart of a worker

The stand-in of the platform carries out orders late, holds and stops among them, but dropped those of a worker that had started again. With the fault OrdersOutliveRestarts, the process that then has the worker's ID carries them out, as nothing in a call tells the lifetimes apart. It is off by default: until its first call with its own fencing token, a later lifetime carries out any late start, which no owner can prevent.

--- a/standin/jobplatform/platform.go
+++ b/standin/jobplatform/platform.go
@@ -46,9 +46,11 @@
 	// only a second later; the others take effect at once.
 	LostResponseShare, DelayedWriteShare float64
 	// DelayedOrderShare is the share of orders to workers whose connection is closed
-	// without a response, and which are executed after OrderDelay.
-	DelayedOrderShare float64
-	OrderDelay        time.Duration
+	// without a response, and which are executed after OrderDelay. With
+	// OrdersOutliveRestarts, the process that then has the worker's ID executes them.
+	DelayedOrderShare     float64
+	OrderDelay            time.Duration
+	OrdersOutliveRestarts bool
 }
 
 // Platform is the stand-in of the platform that runs the users' jobs.
@@ -287,16 +289,32 @@
 
 // delayOrder decides whether an order is delayed. If so, it schedules the order and
 // closes the connection.
-func (p *Platform) delayOrder(rw http.ResponseWriter, order func() (int, any)) bool {
+func (p *Platform) delayOrder(rw http.ResponseWriter, w *worker, path string, body orderBody) bool {
 	f := p.currentFaults()
 	if rand.Float64() >= f.DelayedOrderShare {
 		return false
 	}
-	time.AfterFunc(f.OrderDelay, func() { order() })
+	time.AfterFunc(f.OrderDelay, func() {
+		executor := w
+		if f.OrdersOutliveRestarts {
+			executor = p.process(w)
+		}
+		executor.executeOrder(path, body)
+	})
 	closeWithoutResponse(rw)
 	return true
 }
 
+// process returns the process that has the ID of w at present, or w if there is none.
+func (p *Platform) process(w *worker) *worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.machines[w.machine]; m != nil && m.worker != nil && m.worker.id == w.id {
+		return m.worker
+	}
+	return w
+}
+
 // closeWithoutResponse closes the connection of a request.
 func closeWithoutResponse(rw http.ResponseWriter) {
 	if h, ok := rw.(http.Hijacker); ok {
--- a/standin/jobplatform/worker.go
+++ b/standin/jobplatform/worker.go
@@ -140,11 +140,10 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	order := func() (int, any) { return w.executeOrder(r.URL.Path, body) }
-	if w.platform.delayOrder(rw, order) {
+	if w.platform.delayOrder(rw, w, r.URL.Path, body) {
 		return
 	}
-	status, response := order()
+	status, response := w.executeOrder(r.URL.Path, body)
 	if r.URL.Path == "/dotterelhead/hold" && status == http.StatusOK {
 		response = w.holdResponse(body)
 	}
