--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -80,3 +80,67 @@
 		t.Fatalf("hold due: %v; it acknowledges ends up to %d, want 1", ok, h.AcknowledgedEnd)
 	}
 }
+
+// Guards against two runs of an item at the same time: a hold that was meant for a former
+// lifetime had extended the lease of the present one up to the worker's own limit, and
+// the owner took it to have lapsed before.
+func TestLeaseOfALaterLifetimeMayBeTheLongest(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	b.worker(testWorker("w1", 1000), Report{})
+	b.reborn(2)
+	b.report("w1", Report{Clock: time.Millisecond})
+	until := b.now + b.core.options.MaxLease
+	b.recordHolders()
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	for b.now+time.Millisecond <= until {
+		if o := b.roundAfter(100 * time.Millisecond); len(o.Starts) > 0 && b.now <= until {
+			t.Fatalf("started %v %v before the end of the lease that the worker may have", o.Starts[0].Run, until-b.now)
+		}
+	}
+	if o := b.roundAfter(time.Second); len(o.Starts) != 1 || o.Starts[0].Worker.ID != "w2" {
+		t.Fatalf("starts %v after the longest lease, want one on w2", o.Starts)
+	}
+}
+
+// Guards against a hold for a former lifetime whose answer shows the present one as it
+// is before it knows its fencing token: a late call can still change its lists.
+func TestLifetimeIsContactedByItsOwnHold(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.SetFence(1)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	h, _ := b.core.HoldFor("w1", b.now)
+	b.core.SetFence(2)
+	b.core.HoldDone(h, Report{Clock: time.Millisecond, StartMillis: 2}, b.now, b.now)
+	if b.core.Contacted("w1") {
+		t.Fatal("contacted by a hold with the fencing token of the former lifetime")
+	}
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.Fence != 2 || h.Worker.StartMillis != 2 {
+		t.Fatalf("hold due: %v, with fencing token %d for lifetime %d; want 2 and 2", ok, h.Fence, h.Worker.StartMillis)
+	}
+}
+
+// Guards against two lifetimes that have the same fencing token: the second one got work
+// before a write of the owner gave it a higher token for the next one.
+func TestLaterLifetimeGetsWorkAfterItIsRecorded(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.reborn(2)
+	b.report("w1", Report{Clock: time.Millisecond})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	if o := b.round(); len(o.Starts) > 0 {
+		t.Fatalf("started %v before the later lifetime is recorded as a lease holder", o.Starts[0].Run)
+	}
+	if _, changed := b.core.HoldersToRecord(); !changed {
+		t.Fatal("the record of possible lease holders is not written again")
+	}
+	b.recordHolders()
+	if o := b.round(); len(o.Starts) != 1 {
+		t.Fatalf("starts %v, want one", o.Starts)
+	}
+}
