Require a closed worker for an order that takes its VM down

A worker is closed when its VM is selected for upkeep or a move. If it lost its registry entry and its lease lapsed, the owner dropped it, and with it the mark. A worker that registered again under its ID was open, and could get work between the check that it was empty and the upkeep that ends it.

--- FAIL: TestUpkeepNeedsAWorkerThatIsStillClosed upkeep of [m1] ordered while the worker takes work

Cause: a permission that is checked once and used later. The check before the order now needs the worker to be closed, and a draining worker is closed in each iteration, so that its VM does not wait for ever.

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -50,15 +50,15 @@
 }
 
 // mayTakeDownLocked reports whether the VM of a worker may get an order that ends the
-// worker: this process still is the owner, nothing runs on the worker, and its lifetime
-// began at workerStart. The record of an order takes up to recordOrdersTimeout, so that
-// this is checked again after it.
+// worker: this process still is the owner, nothing runs on the worker, which is closed to
+// new work, and its lifetime began at workerStart. The record of an order takes up to
+// recordOrdersTimeout, so that this is checked again after it.
 func (t *term) mayTakeDownLocked(worker string, workerStart int64) bool {
 	if !t.authorizedLocked() {
 		return false
 	}
 	start, _ := t.core.WorkerStartMillis(worker)
-	return worker == "" || t.core.Empty(worker) && start == workerStart
+	return worker == "" || t.core.Empty(worker) && !t.core.Usable(worker) && start == workerStart
 }
 
 // pendingRecord is a record whose writer waits until the store has it.
--- a/owner/recheck_test.go
+++ b/owner/recheck_test.go
@@ -294,3 +294,33 @@
 	t.core.MarkDue(time.Now(), boottime.Now())
 	return []VM{{ID: "m1", Pool: "a", Worker: "busy", Up: true}, {ID: "s1", Pool: "spare", Worker: "idle", Up: true}}
 }
+
+// Guards against a start on a VM that is about to be taken down: its worker was dropped and
+// registered again while the order was recorded, and was open to new work then.
+func TestUpkeepNeedsAWorkerThatIsStillClosed(t *testing.T) {
+	vms := &fakeVMs{}
+	tm := testTerm(t, vms)
+	tm.testWorker("w1")
+	tm.whileOrdersAreRecorded(func() {
+		tm.mu.Lock()
+		tm.core.WorkerGone("w1")
+		tm.core.Round(time.Now(), boottime.Now()+time.Hour)
+		dropped := !tm.core.HasWorker("w1")
+		tm.mu.Unlock()
+		if !dropped {
+			t.Error("the worker is still known")
+		}
+		tm.testWorker("w1")
+	})
+	ws := tm.newWaveState(Wave{Number: 1, VMs: []string{"m1"}, Duration: time.Minute, MaxConcurrent: 1, FirstSeenAt: time.Now()})
+	byID := map[string]VM{"m1": {ID: "m1", Pool: "a", Worker: "w1", Up: true}}
+	tm.selectVMs(ws, byID)
+	tm.drainSelected(context.Background(), ws, byID)
+	if len(vms.upkeeps) > 0 {
+		t.Fatalf("upkeep of %v ordered while the worker takes work", vms.upkeeps)
+	}
+	tm.drainSelected(context.Background(), ws, byID)
+	if len(vms.upkeeps) != 1 || tm.core.Usable("w1") {
+		t.Errorf("upkeeps %v, worker takes work: %t; want the VM down", vms.upkeeps, tm.core.Usable("w1"))
+	}
+}
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -358,6 +358,8 @@
 		}
 		now := boottime.Now()
 		t.mu.Lock()
+		// A worker that was dropped and has registered again is open.
+		t.core.SetClosed(p.worker, true)
 		t.core.Evacuate(p.worker, now-p.since > forceEvacuateAfter, now)
 		empty := p.worker == "" || t.core.Empty(p.worker)
 		p.workerStart, _ = t.core.WorkerStartMillis(p.worker)
