Log stops that are not sent because of the limit of their step

A stop that sendStop withholds left no line, so that a VM that takes long to drain could not be told from one whose runs do not end. event=stop_postponed names the run, the worker and why it was to be stopped.

--- a/owner/recheck_test.go
+++ b/owner/recheck_test.go
@@ -1,18 +1,23 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
 	"dotterelhead.example/dotterelhead/scheduler/execution"
 	"dotterelhead.example/dotterelhead/store"
 	"dotterelhead.example/dotterelhead/store/storetest"
+	"dotterelhead.example/dotterelhead/telemetry"
 )
 
 // orderRecorder records the starts and stops that are sent.
@@ -174,9 +179,16 @@
 		t.Fatalf("stops %v, want that of the run on w1", stops)
 	}
 	report("w2", 10)
+	var lines bytes.Buffer
+	tm.mu.Lock()
+	tm.options.Log = &telemetry.Logger{Writer: log.IOWriter{Writer: &lines}}
+	tm.mu.Unlock()
 	tm.sendStop(ctx, stops[0])
 	if len(workers.stops) > 0 {
-		t.Error("the last item that serves was ordered to stop")
+		t.Fatal("the last item that serves was ordered to stop")
+	}
+	if !strings.Contains(lines.String(), `"stop_postponed"`) {
+		t.Errorf("the stop that was not sent is not logged: %s", lines.String())
 	}
 	report("w2", 100)
 	tm.sendStop(ctx, stops[0])
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -293,12 +293,16 @@
 func (t *term) sendStop(ctx context.Context, s execution.Stop) {
 	t.mu.Lock()
 	now := boottime.Now()
-	send := t.authorizedLocked() && t.core.StopAllowed(s, now)
-	if !send {
+	authorized, allowed := t.authorizedLocked(), t.core.StopAllowed(s, now)
+	if !authorized || !allowed {
 		t.core.StopDone(s, false, now)
 	}
 	t.mu.Unlock()
-	if !send {
+	if !allowed {
+		t.options.Log.Info().Str("event", "stop_postponed").Str("item", s.Item.String()).Int64("run", s.Run.Number).Str("worker", s.Worker.ID).
+			Str("reason", s.Reason).Str("detail", s.Detail).Msg("")
+	}
+	if !authorized || !allowed {
 		return
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
