--- a/owner/recheck_test.go
+++ b/owner/recheck_test.go
@@ -1,18 +1,23 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
 	"dotterelhead.example/dotterelhead/scheduler/execution"
 	"dotterelhead.example/dotterelhead/store"
 	"dotterelhead.example/dotterelhead/store/storetest"
+	"dotterelhead.example/dotterelhead/telemetry"
 )
 
 // orderRecorder records the starts and stops that are sent.
@@ -174,9 +179,16 @@
 		t.Fatalf("stops %v, want that of the run on w1", stops)
 	}
 	report("w2", 10)
+	var lines bytes.Buffer
+	tm.mu.Lock()
+	tm.options.Log = &telemetry.Logger{Writer: log.IOWriter{Writer: &lines}}
+	tm.mu.Unlock()
 	tm.sendStop(ctx, stops[0])
 	if len(workers.stops) > 0 {
-		t.Error("the last item that serves was ordered to stop")
+		t.Fatal("the last item that serves was ordered to stop")
+	}
+	if !strings.Contains(lines.String(), `"stop_postponed"`) {
+		t.Errorf("the stop that was not sent is not logged: %s", lines.String())
 	}
 	report("w2", 100)
 	tm.sendStop(ctx, stops[0])
@@ -294,3 +306,33 @@
 	t.core.MarkDue(time.Now(), boottime.Now())
 	return []VM{{ID: "m1", Pool: "a", Worker: "busy", Up: true}, {ID: "s1", Pool: "spare", Worker: "idle", Up: true}}
 }
+
+// Guards against a start on a VM that is about to be taken down: its worker was dropped and
+// registered again while the order was recorded, and was open to new work then.
+func TestUpkeepNeedsAWorkerThatIsStillClosed(t *testing.T) {
+	vms := &fakeVMs{}
+	tm := testTerm(t, vms)
+	tm.testWorker("w1")
+	tm.whileOrdersAreRecorded(func() {
+		tm.mu.Lock()
+		tm.core.WorkerGone("w1")
+		tm.core.Round(time.Now(), boottime.Now()+time.Hour)
+		dropped := !tm.core.HasWorker("w1")
+		tm.mu.Unlock()
+		if !dropped {
+			t.Error("the worker is still known")
+		}
+		tm.testWorker("w1")
+	})
+	ws := tm.newWaveState(Wave{Number: 1, VMs: []string{"m1"}, Duration: time.Minute, MaxConcurrent: 1, FirstSeenAt: time.Now()})
+	byID := map[string]VM{"m1": {ID: "m1", Pool: "a", Worker: "w1", Up: true}}
+	tm.selectVMs(ws, byID)
+	tm.drainSelected(context.Background(), ws, byID)
+	if len(vms.upkeeps) > 0 {
+		t.Fatalf("upkeep of %v ordered while the worker takes work", vms.upkeeps)
+	}
+	tm.drainSelected(context.Background(), ws, byID)
+	if len(vms.upkeeps) != 1 || tm.core.Usable("w1") {
+		t.Errorf("upkeeps %v, worker takes work: %t; want the VM down", vms.upkeeps, tm.core.Usable("w1"))
+	}
+}
