--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -83,66 +83,6 @@
 	return slices.ContainsFunc(i.ends, func(e *simEnd) bool { return e.how == EndDone })
 }
 
-type simWorker struct {
-	Worker
-	running map[Run]Time
-	ended   []EndedItem
-	lastEnd int64
-	// highest is the highest run of each item that has ended or was ordered to
-	// stop; only higher ones may start.
-	highest map[job.ItemID]int64
-	// deadline is the end of the lease, in the time of the simulation.
-	deadline Time
-	// fence is the highest fencing token that the worker has seen.
-	fence    int64
-	bootedAt Time
-	silent   bool
-	// unacknowledged are the ends that were not acknowledged yet, by number. It
-	// is cleared when the worker's lease lapses.
-	unacknowledged map[int64]unacknowledgedEnd
-	// unanswered are the items whose start got no answer in the worker's lifetime.
-	unanswered map[job.ItemID]bool
-	// crashAt is when a deadly item crashes the worker, backAt is when the worker
-	// is up again. Both are 0 otherwise.
-	crashAt, backAt Time
-	// capacities are the changes of the capacity. The registry shows the last one
-	// from registeredAt on, unless that is 0.
-	capacities   []simCapacity
-	registeredAt Time
-}
-
-// simCapacity is a capacity that is in force from a time on.
-type simCapacity struct {
-	from     Time
-	milliCPU int64
-}
-
-func (w *simWorker) unreachable() bool { return w.silent || w.backAt > 0 }
-
-// capacityLimit returns the largest capacity in force within a time before now.
-func (w *simWorker) capacityLimit(now Time, within time.Duration) int64 {
-	limit := w.Capacity.MilliCPU
-	for n, c := range w.capacities {
-		if n+1 == len(w.capacities) || w.capacities[n+1].from > now-within {
-			limit = max(limit, c.milliCPU)
-		}
-	}
-	return limit
-}
-
-type unacknowledgedEnd struct {
-	item job.ItemID
-	end  *simEnd
-}
-
-type lateOrder struct {
-	at          Time
-	start       Start
-	fence       int64
-	to          *simWorker
-	startMillis int64
-}
-
 const (
 	simRunTime  = 300 * time.Millisecond
 	simAttempts = 2
@@ -247,65 +187,6 @@
 // clock is a worker's own clock.
 func (s *simulation) clock(w *simWorker) time.Duration { return s.now - w.bootedAt + time.Second }
 
-// addLongRunningJob adds a job whose items run until it is cancelled. All such items
-// together take at most half of the workers' capacity.
-func (s *simulation) addLongRunningJob() {
-	count := rapid.IntRange(1, 3).Draw(s.t, "items")
-	if s.longRunningItems+count > len(s.workers)*simMilliCPU/2/simLongRunningMilliCPU {
-		return
-	}
-	s.longRunningItems += count
-	step := job.Step{
-		Count: count, Needs: job.Resources{MilliCPU: simLongRunningMilliCPU, MemoryMB: 10},
-		LongRunning: true, MaxUnavailable: 1,
-	}
-	j := &job.Job{ID: fmt.Sprintf("%016x", len(s.jobs)), Queue: testQueue, Service: testService, Steps: []job.Step{step}}
-	s.jobs[j.ID] = j
-	s.core.AddJob(j, job.Progress{}, false, wall, s.now)
-}
-
-func (s *simulation) longRunning(id job.ItemID) bool {
-	return s.jobs[id.Job].Steps[id.Step].LongRunning
-}
-
-// serves reports whether a run of a long-running item serves its users.
-func (s *simulation) serves(w *simWorker, r Run) bool {
-	startedAt, runs := w.running[r]
-	return runs && s.longRunning(r.Item) && s.now-startedAt >= simRunTime
-}
-
-// noteServing records which long-running items serve their users.
-func (s *simulation) noteServing() {
-	for _, w := range s.workers {
-		for r := range w.running {
-			if s.serves(w, r) {
-				i := s.item(r.Item)
-				i.servedAt, i.stopped = s.now, false
-			}
-		}
-	}
-}
-
-// checkStop fails if an order to stop a run that serves takes more items of its step
-// from their users than the step allows.
-func (s *simulation) checkStop(w *simWorker, r Run) {
-	if !s.serves(w, r) || s.cancelled[r.Item.Job] || s.failed[r.Item.Job] {
-		return
-	}
-	step, unavailable := s.jobs[r.Item.Job].Steps[r.Item.Step], 0
-	for n := range step.Count {
-		id := r.Item
-		id.Index = n
-		if i := s.item(id); id != r.Item && (i.stopped || s.now-i.servedAt > simNotice) {
-			unavailable++
-		}
-	}
-	if unavailable >= step.MaxUnavailable {
-		s.t.Fatalf("%v is stopped while it serves and %d others of its step are unavailable", r, unavailable)
-	}
-	s.item(r.Item).stopped = true
-}
-
 func (s *simulation) addJob() {
 	if rapid.IntRange(0, 4).Draw(s.t, "long-running") == 0 {
 		s.addLongRunningJob()
@@ -587,14 +468,3 @@
 	}
 	s.core.HoldDone(h, report, sent, s.now)
 }
-
-// setCapacity changes the capacity of a worker. Its registry entry shows the change
-// later.
-func (s *simulation) setCapacity(w *simWorker, milliCPU int64) {
-	if len(w.capacities) == 0 {
-		w.capacities = []simCapacity{{0, w.Capacity.MilliCPU}}
-	}
-	w.capacities = append(w.capacities, simCapacity{s.now, milliCPU})
-	w.Capacity.MilliCPU = milliCPU
-	w.registeredAt = s.now + time.Duration(rapid.IntRange(1, int(simRegisteredWithin/time.Millisecond)).Draw(s.t, "registered after"))*time.Millisecond
-}
