Settle a takeover once a worker that answers has listed all its ends

What callers see: a new owner starts items again that are done.

Cause: a worker that may hold leases of a former owner and that has listed the first 500 of its ends keeps the takeover open, but only until the lease of the former owner would have lapsed. If the commits are slow, so that the ends are not acknowledged by then, inherited jobs start although the worker has more ends to list. The lease on the worker has not lapsed, as the new owner extends it.

Why it works: the takeover is settled only once the list of each worker that answers is complete. A worker that stops answering holds it up until its lease has lapsed, as before.

--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -155,3 +155,29 @@
 		t.Errorf("holders %v, want w1, whose end is not committed", ids)
 	}
 }
+
+// A new owner went on once the former lease had lapsed, although the worker still answered
+// and had not listed all of its ends: done items started again.
+func TestTakeoverWaitsForAllEndsOfAWorkerThatAnswers(t *testing.T) {
+	const count = maxEndsPerReport + 1
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{Count: count}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	r := Report{Running: []RunningItem{{Run: testRun(jobB, 0, 1), Percent: 10}}}
+	for n := range maxEndsPerReport {
+		r.Ended = append(r.Ended, EndedItem{Number: int64(n + 1), Run: testRun(jobA, n, 1), Kind: EndDone})
+	}
+	b.worker(testWorker("w1", 100_000), r)
+	for until := b.now + testHold + time.Second; b.now < until; {
+		// The store is slow, so that no end is committed and acknowledged.
+		b.report("w1", r)
+		if o := b.roundAfter(500 * time.Millisecond); len(o.Starts) > 0 {
+			t.Fatalf("started %v, whose end as done is listed next", o.Starts[0].Run)
+		}
+	}
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	if b.roundAfter(2 * testHold); !b.core.TakeoverSettled() {
+		t.Fatal("not settled although the lease of the worker, which does not answer, has lapsed")
+	}
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -171,10 +171,12 @@
 }
 
 // settleTakeover lets inherited jobs start items once no lease of a former owner
-// can be in force on a worker that was not contacted.
+// can be in force on a worker that was not contacted, and no worker that was contacted
+// and still answers has ends left to list.
 func (c *Core) settleTakeover(now Time) {
-	for _, until := range c.formerHolders {
-		if now < until {
+	for id, until := range c.formerHolders {
+		w := c.workers[id]
+		if now < until || w != nil && w.endsCutOff && !w.silentSinceLapse {
 			return
 		}
 	}
