Acknowledge no end under a fencing token that the next lifetime would share

What callers see: an item that was done runs again. A worker that started again under its ID forgets the ends of its new runs.

Cause: a lifetime gets work only after a write of the owner, so that the next one has a higher fencing token. Holds did not wait for that write. A new owner that contacts a worker acknowledges ends at once if nothing has to be written for them: the items or jobs were done already, or are not known. If that hold gets no answer and the worker starts again before the owner's first write, the next lifetime has the same token. It carries out the late hold even after it has got work, and forgets ends up to the acknowledged number.

Why it works: a hold acknowledges an end only once the owner has written since it learned of the lifetime. The next lifetime then has a higher token and rejects the hold.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -371,7 +371,8 @@
 }
 
 // MarkCommitted marks the writes as committed to the store. The ends whose
-// consequences they hold may then be acknowledged to the workers.
+// consequences they hold may then be acknowledged to the workers. It has to be called
+// after each write of the owner, even if it holds no progress.
 func (c *Core) MarkCommitted(writes []ProgressWrite) {
 	for _, w := range writes {
 		if j := c.jobs[w.JobID]; j != nil {
@@ -379,6 +380,7 @@
 		}
 	}
 	for _, w := range c.sortedWorkers {
+		w.fenceSuperseded = true
 		w.advanceCommittedEnd()
 		c.checkHoldersOf(w)
 	}
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -144,3 +144,26 @@
 		t.Fatalf("starts %v, want one", o.Starts)
 	}
 }
+
+// Guards against a lifetime that forgets its ends: an owner that had written nothing yet
+// acknowledged an end to the former lifetime, and the late hold reached the next one,
+// which had the same fencing token.
+func TestAcknowledgingHoldHasALowerTokenThanTheNextLifetime(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFence(1)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Completed}, true, wall, b.now)
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
+	h, _ := b.core.HoldFor("w1", b.now)
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	b.reborn(2)
+	if next := b.core.FenceOf("w1"); h.AcknowledgedEnd > 0 && next <= h.Fence {
+		t.Fatalf("a hold with token %d acknowledges ends up to %d, and the next lifetime has token %d", h.Fence, h.AcknowledgedEnd, next)
+	}
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
+	b.core.SetFence(2)
+	b.core.MarkCommitted(nil)
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.AcknowledgedEnd != 1 {
+		t.Fatalf("hold due: %v; it acknowledges ends up to %d after a write, want 1", ok, h.AcknowledgedEnd)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -46,9 +46,10 @@
 // endToAcknowledge returns the number of the last end that the next hold acknowledges,
 // or zero. The worker may have started again since its last answer and number its ends
 // anew, so that a hold acknowledges only what the worker has not been told to forget,
-// and nothing once the worker has stopped answering.
+// and nothing once the worker has stopped answering. The next lifetime has to have a
+// higher fencing token than the hold, which may be carried out late.
 func (w *worker) endToAcknowledge() int64 {
-	if w.silent || w.committedEnd == w.acknowledgedEnd {
+	if w.silent || !w.fenceSuperseded || w.committedEnd == w.acknowledgedEnd {
 		return 0
 	}
 	return w.committedEnd
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -176,8 +176,10 @@
 	contacted bool
 	// restarted is set if the worker has had an earlier lifetime under this owner.
 	restarted bool
-	// fence is the fencing token of the calls to the present lifetime.
-	fence int64
+	// fence is the fencing token of the calls to the present lifetime. fenceSuperseded is
+	// set once the owner has written since, so that a later lifetime gets a higher one.
+	fence           int64
+	fenceSuperseded bool
 	// used is the capacity that is reserved for copies and orphans. fillerCPU is
 	// the CPU that fillers request, in thousandths of a core; used leaves it
 	// out.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -65,7 +65,7 @@
 	w.endedAt, w.endedWithOthers = 0, false
 	// The worker gets work after the next record of possible lease holders, and a
 	// lifetime after this one the higher fencing token that follows that write.
-	w.fence, w.holderRecorded, c.checkHolders = c.fence, false, true
+	w.fence, w.fenceSuperseded, w.holderRecorded, c.checkHolders = c.fence, false, false, true
 	w.restarted = true
 	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds, w.endsCutOff = 0, 0, 0, nil, false
@@ -77,7 +77,8 @@
 // on. The tokens of an owner grow, and are lower than those of any later owner. A worker
 // that starts again under its ID knows no token; the higher one of its new lifetime
 // makes it reject calls that were meant for the former one and had no answer. A token
-// has to be set before each HoldersRecorded that is higher than those before.
+// has to be set before each MarkCommitted and HoldersRecorded that is higher than those
+// before.
 func (c *Core) SetFence(fence int64) { c.fence = fence }
 
 // FenceOf returns the fencing token of the present lifetime of a worker, or the newest
