Record the longest lease that a later lifetime may have

What callers see: two runs of one item at the same time after a change of owner.

Cause: a worker that has started again under its ID may hold the longest lease that workers accept, because a late call for its former lifetime names a time on another clock. The owner waits for that lease itself, but the record of lease holders names the usual time for every worker. If the owner is lost, the next one starts the items of such a worker, if it does not answer, before the lease has lapsed.

Why it works: the record names the longest lease for a worker whose lease may outlast the usual one, also if it comes from a former owner's record. It is written again after the first answer of a later lifetime, from which on that lease counts, before the worker gets work. Records without such workers are as before.

--- a/owner/write.go
+++ b/owner/write.go
@@ -114,8 +114,9 @@
 		return false
 	}
 	left := map[string]time.Duration{}
+	now := boottime.Now()
 	for _, id := range holders {
-		left[id] = t.core.RecordedLeaseTime()
+		left[id] = t.core.RecordedLeaseTime(id, now)
 	}
 	t.recordHoldersLocked(left)
 	return true
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -30,7 +30,7 @@
 	for _, w := range c.sortedWorkers {
 		switch {
 		case w.hasUncommittedEnds():
-			holders[w.ID] = c.RecordedLeaseTime()
+			holders[w.ID] = c.RecordedLeaseTime(w.ID, now)
 		case !w.lapsed(now) && c.RunCount(w.ID) > 0:
 			holders[w.ID] = w.lapseAt - now
 		}
@@ -40,8 +40,19 @@
 
 // RecordedLeaseTime returns the longest time that a possible lease holder has
 // to be recorded with in the store: maxLeaseTime plus lapseMargin, which
-// maxLeaseTime already includes once.
-func (c *Core) RecordedLeaseTime() time.Duration { return c.maxLeaseTime() + lapseMargin }
+// maxLeaseTime already includes once. A worker whose lease may last longer is recorded
+// with longestLeaseTime instead; the time that is left would change the record in each
+// round.
+func (c *Core) RecordedLeaseTime(id string, now Time) time.Duration {
+	until := c.formerHolders[id]
+	if w := c.workers[id]; w != nil {
+		until = max(until, w.lapseAt)
+	}
+	if until-now > c.maxLeaseTime() {
+		return c.longestLeaseTime() + lapseMargin
+	}
+	return c.maxLeaseTime() + lapseMargin
+}
 
 // HoldersToRecord returns the workers that have to be in the record of possible
 // lease holders, and whether the record in the store has to be replaced. A
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -167,3 +167,34 @@
 		t.Fatalf("hold due: %v; it acknowledges ends up to %d after a write, want 1", ok, h.AcknowledgedEnd)
 	}
 }
+
+// Guards against two runs of an item at the same time: the record of lease holders named
+// less than the longest lease that a later lifetime may have, and the next owner did not
+// wait for the rest.
+func TestNextOwnerWaitsForTheLongestLeaseOfALaterLifetime(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.StartDone(b.round().Starts[0], StartUnknown, b.now)
+	b.reborn(2)
+	ids, _ := b.core.HoldersToRecord()
+	b.now += time.Second
+	b.report("w1", Report{Clock: time.Millisecond, Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 1}}})
+	until := b.now + b.core.options.MaxLease
+	b.core.HoldersRecorded(ids)
+	if _, changed := b.core.HoldersToRecord(); !changed {
+		t.Error("the record of lease holders is not written again, although the lease may last longer")
+	}
+	left := map[string]time.Duration{"w1": b.core.RecordedLeaseTime("w1", b.now)}
+	b.core = New(b.core.options, 1)
+	b.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testService, Attempts: 2}}})
+	b.core.SetFormerHolders(left, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	for b.now+time.Millisecond <= until {
+		if o := b.roundAfter(100 * time.Millisecond); len(o.Starts) > 0 && b.now <= until {
+			t.Fatalf("started %v %v before the end of the lease that w1 may have", o.Starts[0].Run, until-b.now)
+		}
+	}
+}
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -404,7 +404,7 @@
 func (s *simulation) storeHolders() {
 	s.holders = map[string]time.Duration{}
 	for _, id := range s.writtenHolders {
-		s.holders[id] = s.core.RecordedLeaseTime()
+		s.holders[id] = s.core.RecordedLeaseTime(id, s.now)
 	}
 }
 
