Take a new job that has the ID of a finished one whose deletion was compacted

What callers see: a job that was accepted stays queued until the owner changes.

Cause: an owner that has dropped a finished job passes over its inbox record until the inbox does not hold it any more. If the ID is handed in again after the deletion, and the inbox is read anew because its history was compacted, the record of the new job counts as that of the finished one.

Evidence: TestNewJobWithTheIDOfAForgottenOneIsTaken failed before: "0 jobs wait to run, want the new job".

Why it works: an inbox record never changes, so that a higher revision is that of a new job. Only records up to the revision of the finished one are passed over.

--- a/owner/forget_test.go
+++ b/owner/forget_test.go
@@ -111,3 +111,41 @@
 		t.Errorf("%v are still remembered after the inbox was read without them", tm.forgotten)
 	}
 }
+
+// Guards against an accepted job that is never run: its ID is that of a finished job, and
+// the inbox was read anew after the history with the deletion of that one was compacted.
+func TestNewJobWithTheIDOfAForgottenOneIsTaken(t *testing.T) {
+	tm := finishedTerm(t, 1)
+	ctx := context.Background()
+	former, _, err := store.ReadAll(ctx, tm.options.Store, jobstore.InboxPrefix)
+	if err != nil || len(former) != 1 {
+		t.Fatalf("%d inbox records, error %v", len(former), err)
+	}
+	tm.mu.Lock()
+	tm.forgetLocked(tm.core.RemoveFinished(0, maxForgetBatch, boottime.Now()+time.Second))
+	tm.mu.Unlock()
+	tm.wakeWriter()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(writeGap) {
+		if _, err := tm.options.Store.Get(ctx, former[0].Key); err != nil {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the finished job is not deleted")
+		}
+	}
+	if _, err := tm.options.Store.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: former[0].Key, Value: former[0].Value}}}); err != nil {
+		t.Fatal(err)
+	}
+	items, revision, err := store.ReadAll(ctx, tm.options.Store, jobstore.InboxPrefix)
+	if err != nil || len(items) != 1 || items[0].Revision == former[0].Revision {
+		t.Fatalf("inbox records %v, error %v; want the new job", items, err)
+	}
+	tm.resetInbox(former, former[0].Revision)
+	if n := tm.waitingJobs(); n != 0 {
+		t.Errorf("%d finished jobs wait to run again", n)
+	}
+	tm.resetInbox(items, revision)
+	if n := tm.waitingJobs(); n != 1 {
+		t.Errorf("%d jobs wait to run, want the new job", n)
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -86,9 +86,11 @@
 	// unreadable holds the jobs whose progress could not be decoded. They are not
 	// run, and ends of their runs are discarded.
 	unreadable map[string]bool
-	// forgotten are the finished jobs that the core has dropped, until the inbox does
-	// not hold them any more.
-	forgotten map[string]bool
+	// inboxRevisions holds the revision of the inbox record of each job in the core.
+	inboxRevisions map[string]int64
+	// forgotten holds the same of the finished jobs that the core has dropped, until the
+	// inbox does not hold them any more. A record of a higher revision is of a new job.
+	forgotten map[string]int64
 	// waveDone holds, by the number of the wave, the VMs that had their upkeep
 	// under former owners.
 	waveDone map[int64][]string
@@ -107,7 +109,7 @@
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
-		unreadable: map[string]bool{}, forgotten: map[string]bool{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, forgotten: map[string]int64{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
@@ -342,7 +344,7 @@
 			cancelled = append(cancelled, id)
 			continue
 		}
-		if t.unreadable[id] || t.forgotten[id] {
+		if t.unreadable[id] || item.Revision <= t.forgotten[id] {
 			continue
 		}
 		j := &job.Job{ID: id}
@@ -355,6 +357,7 @@
 			continue
 		}
 		t.core.AddJob(j, progress[id], inherited, wall, now)
+		t.inboxRevisions[id] = item.Revision
 	}
 	for _, id := range cancelled {
 		t.core.Cancel(id, now)
@@ -391,7 +394,7 @@
 		present[item.Key] = true
 	}
 	t.mu.Lock()
-	maps.DeleteFunc(t.forgotten, func(id string, _ bool) bool { return !present[jobstore.JobKey(id)] })
+	maps.DeleteFunc(t.forgotten, func(id string, _ int64) bool { return !present[jobstore.JobKey(id)] })
 	t.applyInbox(items, nil, false)
 	t.mu.Unlock()
 	t.wakeRounds()
--- a/owner/write.go
+++ b/owner/write.go
@@ -66,7 +66,8 @@
 func (t *term) forgetLocked(ids []string) {
 	t.deletions = append(t.deletions, ids...)
 	for _, id := range ids {
-		t.forgotten[id] = true
+		t.forgotten[id] = t.inboxRevisions[id]
+		delete(t.inboxRevisions, id)
 	}
 }
 
