Let a dropped worker that starts again hold the longest lease

What callers see: two runs of one item at the same time.

Cause: a late call for a former lifetime of a worker may have given the present one the longest lease that workers accept, because its deadline is a time on another clock. This was taken into account only if the owner still knew the worker when it started again. A worker that is away for longer than its lease and its registry entry is dropped, and counted as new when it came back.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -20,6 +20,9 @@
 	sortedWorkers []*worker
 	// workerOnVM holds the worker of each VM that has one.
 	workerOnVM map[string]*worker
+	// droppedLifetimes holds the last lifetimes of workers that were dropped, as long as
+	// late calls for them may reach a later lifetime.
+	droppedLifetimes map[string]droppedLifetime
 	// lostAt holds the items with lost runs, by the place of the worker.
 	lostAt map[string][]*item
 	// endedWorkers are the workers whose processes have ended lately, within
@@ -71,15 +74,16 @@
 	return &Core{
 		options: options, manifest: &job.Manifest{},
 		jobs: map[string]*jobState{}, workers: map[string]*worker{},
-		workerOnVM:    map[string]*worker{},
-		lostAt:        map[string][]*item{},
-		scheduled:     map[*jobState]struct{}{},
-		firstRun:      term*runsPerTerm + 1,
-		formerHolders: map[string]Time{},
-		advice:        map[ticketKey]*advice{},
-		learner:       runtimes.NewLearner(),
-		meanQueueWork: map[string]float64{},
-		arrivals:      map[string][]arrival{},
+		workerOnVM:       map[string]*worker{},
+		droppedLifetimes: map[string]droppedLifetime{},
+		lostAt:           map[string][]*item{},
+		scheduled:        map[*jobState]struct{}{},
+		firstRun:         term*runsPerTerm + 1,
+		formerHolders:    map[string]Time{},
+		advice:           map[ticketKey]*advice{},
+		learner:          runtimes.NewLearner(),
+		meanQueueWork:    map[string]float64{},
+		arrivals:         map[string][]arrival{},
 	}
 }
 
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -307,7 +307,7 @@
 	for _, cp := range copiesOf(former) {
 		c.requeueLost(cp, "vm_restarted", now)
 	}
-	c.removeWorker(former)
+	c.removeWorker(former, now)
 	return true
 }
 
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -89,6 +89,26 @@
 	b.core.options.MaxLease = testHold + 2*time.Second
 	b.worker(testWorker("w1", 1000), Report{})
 	b.reborn(2)
+	b.expectLongestLease()
+}
+
+// Guards against the same with a worker that was dropped before it started again.
+func TestLeaseOfAWorkerThatWasDroppedMayBeTheLongest(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.WorkerGone("w1")
+	if b.roundAfter(2 * testHold); b.core.HasWorker("w1") {
+		t.Fatal("w1 is not dropped")
+	}
+	b.reborn(2)
+	b.expectLongestLease()
+}
+
+// expectLongestLease fails if an item of w1, a later lifetime that answers now for the
+// first time, is started elsewhere before the longest lease has lapsed.
+func (b *testbed) expectLongestLease() {
+	t := b.T
 	b.report("w1", Report{Clock: time.Millisecond})
 	until := b.now + b.core.options.MaxLease
 	b.recordHolders()
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -303,8 +304,16 @@
 	}
 }
 
-func (c *Core) removeWorker(w *worker) {
+// droppedLifetime is a lifetime of a worker that was dropped at a time.
+type droppedLifetime struct {
+	startMillis int64
+	at          Time
+}
+
+func (c *Core) removeWorker(w *worker, now Time) {
 	delete(c.workers, w.ID)
+	maps.DeleteFunc(c.droppedLifetimes, func(_ string, d droppedLifetime) bool { return now-d.at > maxStopDelay })
+	c.droppedLifetimes[w.ID] = droppedLifetime{w.StartMillis, now}
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
 	if c.workerOnVM[w.VM] == w {
 		delete(c.workerOnVM, w.VM)
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -32,6 +32,8 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info.ID)
+		former, dropped := c.droppedLifetimes[info.ID]
+		w.restarted = dropped && info.StartMillis > former.startMillis
 	} else if info.StartMillis < w.StartMillis {
 		return
 	} else if info.StartMillis > w.StartMillis {
@@ -162,7 +164,7 @@
 			if w.closed || w.Draining {
 				c.settleLostRuns(w.Worker, true, now)
 			}
-			c.removeWorker(w)
+			c.removeWorker(w, now)
 			c.trace(Event{Name: "worker_gone", Worker: w.ID, VM: w.VM, Service: w.Service})
 		}
 	}
@@ -230,7 +232,7 @@
 		c.requeueLost(cp, "vm_taken", now)
 	}
 	c.settleLostRuns(w.Worker, true, now)
-	c.removeWorker(w)
+	c.removeWorker(w, now)
 }
 
 // HasWorker reports whether the owner still keeps state of a worker: the registry
