Settle a takeover before a job is given up because of crashes

What callers see: a job is shown as failed although its work item is done or goes on.

Cause: the job of an item under which workers crashed is not given up while another run of the item is known to go on. A new owner knows of no run before it has contacted the workers. It counted the crash of a worker that had restarted when it read the registry, and gave the job up at once. The end as done of another run, listed a moment later, had no effect then.

Evidence: TestNewOwnerAsksForOtherRunsBeforeItGivesUp failed before: "job is failed although its item is done, want completed".

Why it works: until each worker that may have a run of a former owner was contacted, or its lease has lapsed, the decision is put off. No inherited item starts before, so that no further worker can crash under it.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -25,6 +25,9 @@
 	droppedLifetimes map[string]droppedLifetime
 	// lostAt holds the items with lost runs, by the place of the worker.
 	lostAt map[string][]*item
+	// inheritedCauses are the items of which giveUpIfCause has to be called again once the
+	// takeover is settled.
+	inheritedCauses []*item
 	// endedWorkers are the workers whose processes have ended lately, within
 	// crashTogetherTime.
 	endedWorkers []endedWorker
--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -426,3 +426,32 @@
 		t.Errorf("%d of 4 workers get no work because of one item", avoided)
 	}
 }
+
+// A new owner that found the restart of a third worker gave the job up before it had
+// called the worker on which the item went on, or had ended as done.
+func TestNewOwnerAsksForOtherRunsBeforeItGivesUp(t *testing.T) {
+	crash := job.Crash{Run: 1, MaxAgeMillis: 100}
+	item := job.ItemProgress{LastRun: 4, Crashes: []job.Crash{crash, {Run: 2, MaxAgeMillis: 100}}}
+	item.LostRuns = []job.LostRun{{Crash: job.Crash{Run: 3, MaxAgeMillis: 100}, Worker: "w1", StartMillis: 1}}
+	for _, done := range []bool{true, false} {
+		b := newTestbed(t, 1)
+		b.core.SetFormerHolders(map[string]time.Duration{"w2": testHold}, b.now)
+		b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running, Items: []job.ItemProgress{item}}, true, wall, b.now)
+		restarted := testWorker("w1", 1000)
+		restarted.StartMillis = 2
+		b.worker(restarted, Report{})
+		b.round()
+		if !done {
+			b.core.WorkerSeen(testWorker("w2", 1000), b.now)
+			b.roundAfter(2 * testHold)
+			if p := b.core.jobs[jobA].phase; p != job.Failed {
+				t.Errorf("job is %s once no former run can go on, want failed", p)
+			}
+			continue
+		}
+		b.worker(testWorker("w2", 1000), Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 4), Kind: EndDone}}})
+		if b.round(); b.core.jobs[jobA].phase != job.Completed {
+			t.Errorf("job is %s although its item is done, want completed", b.core.jobs[jobA].phase)
+		}
+	}
+}
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -312,8 +312,7 @@
 }
 
 // countCrash counts a worker that crashed under a run of the item, and gives the job
-// up if the item is the cause. It does not while another run of the item is known to
-// go on.
+// up if the item is the cause.
 func (c *Core) countCrash(i *item, lost job.LostRun, now Time) {
 	j := i.step.job
 	if j.final() || i.done || i.crashed(lost.Run) {
@@ -327,7 +326,19 @@
 		Name: "item_suspected", Item: i.id().String(), Run: lost.Run, VM: lost.Worker,
 		Detail: fmt.Sprintf("crashes=%d weak=%d matching=%d age_ms=%d-%d", len(i.crashes), len(i.crashes)-strong, matching, lost.MinAgeMillis, lost.MaxAgeMillis),
 	})
-	if matching < crashesToGiveUp && strong < maxCrashes && len(i.crashes) < maxCrashesWithWeak {
+	c.giveUpIfCause(i, now)
+}
+
+// giveUpIfCause gives the job of an item up if the item is the cause of crashes. It does
+// not while another run of the item is known to go on, or while a worker that was not
+// contacted may have a run of a former owner.
+func (c *Core) giveUpIfCause(i *item, now Time) {
+	j := i.step.job
+	if j.final() || i.done || i.matchingCrashes() < crashesToGiveUp && i.strongCrashes() < maxCrashes && len(i.crashes) < maxCrashesWithWeak {
+		return
+	}
+	if j.inherited && !c.settled && len(c.formerHolders) > 0 {
+		c.inheritedCauses = append(c.inheritedCauses, i)
 		return
 	}
 	if !slices.ContainsFunc(i.copies, func(cp *itemCopy) bool { return cp.listed && !cp.worker.silent }) {
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -190,6 +190,10 @@
 		reason = "leases_lapsed"
 	}
 	c.trace(Event{Name: "takeover_settled", Reason: reason, Detail: c.uncontactedDetail()})
+	for _, i := range c.inheritedCauses {
+		c.giveUpIfCause(i, now)
+	}
+	c.inheritedCauses = nil
 	for _, j := range c.jobs {
 		c.addPendingSteps(j)
 	}
