Place nothing on a worker whose ends a takeover still waits for

What callers see: jobs from before a change of owner do not start while new ones do.

Cause: a takeover waits until each worker that answers has listed all its ends. New jobs may start before, also on such a worker. If their items end faster than ends are committed and acknowledged, the list stays cut off and the takeover is never settled.

Why it works: the list of a worker that gets no work only gets shorter.

--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -181,3 +181,23 @@
 		t.Fatal("not settled although the lease of the worker, which does not answer, has lapsed")
 	}
 }
+
+// Guards against inherited jobs that never start: new jobs kept the list of ends of a
+// worker cut off for which the takeover waited.
+func TestWorkerThatTheTakeoverWaitsForGetsNoWork(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
+	var ends []EndedItem
+	for n := range maxEndsPerReport {
+		ends = append(ends, EndedItem{Number: int64(n + 1), Run: testRun(jobA, n, 1), Kind: EndDone})
+	}
+	b.worker(testWorker("w1", 1000), Report{Ended: ends})
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, wall, b.now)
+	if o := b.round(); len(o.Starts) > 0 {
+		t.Errorf("started %v on the worker", o.Starts[0].Run)
+	}
+	b.report("w1", Report{})
+	if o := b.round(); len(o.Starts) != 1 {
+		t.Errorf("%d starts once all ends are listed, want 1", len(o.Starts))
+	}
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -274,11 +274,12 @@
 	isolated int
 }
 
-// eligibleByService returns the workers that may get work, by service.
+// eligibleByService returns the workers that may get work, by service. One that has more
+// ends to list gets none until the takeover, which waits for them, is settled.
 func (c *Core) eligibleByService(now Time) map[string]*eligibleWorkers {
 	byService := map[string]*eligibleWorkers{}
 	for _, w := range c.sortedWorkers {
-		if w.present && w.contacted && !w.silent && w.holderRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < maxClockAge {
+		if w.present && w.contacted && !w.silent && w.holderRecorded && !w.Draining && !w.closed && now >= w.avoidUntil && now-w.clockAt < maxClockAge && (c.settled || !w.endsCutOff) {
 			p := byService[w.Service]
 			if p == nil {
 				p = &eligibleWorkers{}
