--- a/owner/write.go
+++ b/owner/write.go
@@ -66,7 +66,8 @@
 func (t *term) forgetLocked(ids []string) {
 	t.deletions = append(t.deletions, ids...)
 	for _, id := range ids {
-		t.forgotten[id] = true
+		t.forgotten[id] = t.inboxRevisions[id]
+		delete(t.inboxRevisions, id)
 	}
 }
 
@@ -114,8 +115,9 @@
 		return false
 	}
 	left := map[string]time.Duration{}
+	now := boottime.Now()
 	for _, id := range holders {
-		left[id] = t.core.RecordedLeaseTime()
+		left[id] = t.core.RecordedLeaseTime(id, now)
 	}
 	t.recordHoldersLocked(left)
 	return true
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -20,8 +20,14 @@
 	sortedWorkers []*worker
 	// workerOnVM holds the worker of each VM that has one.
 	workerOnVM map[string]*worker
+	// droppedLifetimes holds the last lifetimes of workers that were dropped, as long as
+	// late calls for them may reach a later lifetime.
+	droppedLifetimes map[string]droppedLifetime
 	// lostAt holds the items with lost runs, by the place of the worker.
 	lostAt map[string][]*item
+	// inheritedCauses are the items of which giveUpIfCause has to be called again once the
+	// takeover is settled.
+	inheritedCauses []*item
 	// endedWorkers are the workers whose processes have ended lately, within
 	// crashTogetherTime.
 	endedWorkers []endedWorker
@@ -71,15 +77,16 @@
 	return &Core{
 		options: options, manifest: &job.Manifest{},
 		jobs: map[string]*jobState{}, workers: map[string]*worker{},
-		workerOnVM:    map[string]*worker{},
-		lostAt:        map[string][]*item{},
-		scheduled:     map[*jobState]struct{}{},
-		firstRun:      term*runsPerTerm + 1,
-		formerHolders: map[string]Time{},
-		advice:        map[ticketKey]*advice{},
-		learner:       runtimes.NewLearner(),
-		meanQueueWork: map[string]float64{},
-		arrivals:      map[string][]arrival{},
+		workerOnVM:       map[string]*worker{},
+		droppedLifetimes: map[string]droppedLifetime{},
+		lostAt:           map[string][]*item{},
+		scheduled:        map[*jobState]struct{}{},
+		firstRun:         term*runsPerTerm + 1,
+		formerHolders:    map[string]Time{},
+		advice:           map[ticketKey]*advice{},
+		learner:          runtimes.NewLearner(),
+		meanQueueWork:    map[string]float64{},
+		arrivals:         map[string][]arrival{},
 	}
 }
 
@@ -371,7 +378,8 @@
 }
 
 // MarkCommitted marks the writes as committed to the store. The ends whose
-// consequences they hold may then be acknowledged to the workers.
+// consequences they hold may then be acknowledged to the workers. It has to be called
+// after each write of the owner, even if it holds no progress.
 func (c *Core) MarkCommitted(writes []ProgressWrite) {
 	for _, w := range writes {
 		if j := c.jobs[w.JobID]; j != nil {
@@ -379,6 +387,7 @@
 		}
 	}
 	for _, w := range c.sortedWorkers {
+		w.fenceSuperseded = true
 		w.advanceCommittedEnd()
 		c.checkHoldersOf(w)
 	}
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -89,6 +89,26 @@
 	b.core.options.MaxLease = testHold + 2*time.Second
 	b.worker(testWorker("w1", 1000), Report{})
 	b.reborn(2)
+	b.expectLongestLease()
+}
+
+// Guards against the same with a worker that was dropped before it started again.
+func TestLeaseOfAWorkerThatWasDroppedMayBeTheLongest(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.WorkerGone("w1")
+	if b.roundAfter(2 * testHold); b.core.HasWorker("w1") {
+		t.Fatal("w1 is not dropped")
+	}
+	b.reborn(2)
+	b.expectLongestLease()
+}
+
+// expectLongestLease fails if an item of w1, a later lifetime that answers now for the
+// first time, is started elsewhere before the longest lease has lapsed.
+func (b *testbed) expectLongestLease() {
+	t := b.T
 	b.report("w1", Report{Clock: time.Millisecond})
 	until := b.now + b.core.options.MaxLease
 	b.recordHolders()
@@ -144,3 +164,57 @@
 		t.Fatalf("starts %v, want one", o.Starts)
 	}
 }
+
+// Guards against a lifetime that forgets its ends: an owner that had written nothing yet
+// acknowledged an end to the former lifetime, and the late hold reached the next one,
+// which had the same fencing token.
+func TestAcknowledgingHoldHasALowerTokenThanTheNextLifetime(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFence(1)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Completed}, true, wall, b.now)
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
+	h, _ := b.core.HoldFor("w1", b.now)
+	b.core.HoldFailed("w1", "no_answer", b.now)
+	b.reborn(2)
+	if next := b.core.FenceOf("w1"); h.AcknowledgedEnd > 0 && next <= h.Fence {
+		t.Fatalf("a hold with token %d acknowledges ends up to %d, and the next lifetime has token %d", h.Fence, h.AcknowledgedEnd, next)
+	}
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
+	b.core.SetFence(2)
+	b.core.MarkCommitted(nil)
+	if h, ok := b.core.HoldFor("w1", b.now); !ok || h.AcknowledgedEnd != 1 {
+		t.Fatalf("hold due: %v; it acknowledges ends up to %d after a write, want 1", ok, h.AcknowledgedEnd)
+	}
+}
+
+// Guards against two runs of an item at the same time: the record of lease holders named
+// less than the longest lease that a later lifetime may have, and the next owner did not
+// wait for the rest.
+func TestNextOwnerWaitsForTheLongestLeaseOfALaterLifetime(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.StartDone(b.round().Starts[0], StartUnknown, b.now)
+	b.reborn(2)
+	ids, _ := b.core.HoldersToRecord()
+	b.now += time.Second
+	b.report("w1", Report{Clock: time.Millisecond, Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 1}}})
+	until := b.now + b.core.options.MaxLease
+	b.core.HoldersRecorded(ids)
+	if _, changed := b.core.HoldersToRecord(); !changed {
+		t.Error("the record of lease holders is not written again, although the lease may last longer")
+	}
+	left := map[string]time.Duration{"w1": b.core.RecordedLeaseTime("w1", b.now)}
+	b.core = New(b.core.options, 1)
+	b.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testService, Attempts: 2}}})
+	b.core.SetFormerHolders(left, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	for b.now+time.Millisecond <= until {
+		if o := b.roundAfter(100 * time.Millisecond); len(o.Starts) > 0 && b.now <= until {
+			t.Fatalf("started %v %v before the end of the lease that w1 may have", o.Starts[0].Run, until-b.now)
+		}
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -46,9 +46,10 @@
 // endToAcknowledge returns the number of the last end that the next hold acknowledges,
 // or zero. The worker may have started again since its last answer and number its ends
 // anew, so that a hold acknowledges only what the worker has not been told to forget,
-// and nothing once the worker has stopped answering.
+// and nothing once the worker has stopped answering. The next lifetime has to have a
+// higher fencing token than the hold, which may be carried out late.
 func (w *worker) endToAcknowledge() int64 {
-	if w.silent || w.committedEnd == w.acknowledgedEnd {
+	if w.silent || !w.fenceSuperseded || w.committedEnd == w.acknowledgedEnd {
 		return 0
 	}
 	return w.committedEnd
@@ -101,6 +102,8 @@
 		w.contacted = true
 		if w.restarted {
 			w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
+			// A record that is on its way names the time before the answer.
+			w.holder, w.holderRecorded = false, false
 		}
 		c.checkHolders = true
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -176,8 +177,10 @@
 	contacted bool
 	// restarted is set if the worker has had an earlier lifetime under this owner.
 	restarted bool
-	// fence is the fencing token of the calls to the present lifetime.
-	fence int64
+	// fence is the fencing token of the calls to the present lifetime. fenceSuperseded is
+	// set once the owner has written since, so that a later lifetime gets a higher one.
+	fence           int64
+	fenceSuperseded bool
 	// used is the capacity that is reserved for copies and orphans. fillerCPU is
 	// the CPU that fillers request, in thousandths of a core; used leaves it
 	// out.
@@ -301,8 +304,16 @@
 	}
 }
 
-func (c *Core) removeWorker(w *worker) {
+// droppedLifetime is a lifetime of a worker that was dropped at a time.
+type droppedLifetime struct {
+	startMillis int64
+	at          Time
+}
+
+func (c *Core) removeWorker(w *worker, now Time) {
 	delete(c.workers, w.ID)
+	maps.DeleteFunc(c.droppedLifetimes, func(_ string, d droppedLifetime) bool { return now-d.at > maxStopDelay })
+	c.droppedLifetimes[w.ID] = droppedLifetime{w.StartMillis, now}
 	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
 	if c.workerOnVM[w.VM] == w {
 		delete(c.workerOnVM, w.VM)
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -32,6 +32,8 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		w = c.addWorker(info.ID)
+		former, dropped := c.droppedLifetimes[info.ID]
+		w.restarted = dropped && info.StartMillis > former.startMillis
 	} else if info.StartMillis < w.StartMillis {
 		return
 	} else if info.StartMillis > w.StartMillis {
@@ -65,7 +67,7 @@
 	w.endedAt, w.endedWithOthers = 0, false
 	// The worker gets work after the next record of possible lease holders, and a
 	// lifetime after this one the higher fencing token that follows that write.
-	w.fence, w.holderRecorded, c.checkHolders = c.fence, false, true
+	w.fence, w.fenceSuperseded, w.holderRecorded, c.checkHolders = c.fence, false, false, true
 	w.restarted = true
 	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds, w.endsCutOff = 0, 0, 0, nil, false
@@ -77,7 +79,8 @@
 // on. The tokens of an owner grow, and are lower than those of any later owner. A worker
 // that starts again under its ID knows no token; the higher one of its new lifetime
 // makes it reject calls that were meant for the former one and had no answer. A token
-// has to be set before each HoldersRecorded that is higher than those before.
+// has to be set before each MarkCommitted and HoldersRecorded that is higher than those
+// before.
 func (c *Core) SetFence(fence int64) { c.fence = fence }
 
 // FenceOf returns the fencing token of the present lifetime of a worker, or the newest
@@ -161,7 +164,7 @@
 			if w.closed || w.Draining {
 				c.settleLostRuns(w.Worker, true, now)
 			}
-			c.removeWorker(w)
+			c.removeWorker(w, now)
 			c.trace(Event{Name: "worker_gone", Worker: w.ID, VM: w.VM, Service: w.Service})
 		}
 	}
@@ -171,10 +174,12 @@
 }
 
 // settleTakeover lets inherited jobs start items once no lease of a former owner
-// can be in force on a worker that was not contacted.
+// can be in force on a worker that was not contacted, and no worker that was contacted
+// and still answers has ends left to list.
 func (c *Core) settleTakeover(now Time) {
-	for _, until := range c.formerHolders {
-		if now < until {
+	for id, until := range c.formerHolders {
+		w := c.workers[id]
+		if now < until || w != nil && w.endsCutOff && !w.silentSinceLapse {
 			return
 		}
 	}
@@ -185,6 +190,10 @@
 		reason = "leases_lapsed"
 	}
 	c.trace(Event{Name: "takeover_settled", Reason: reason, Detail: c.uncontactedDetail()})
+	for _, i := range c.inheritedCauses {
+		c.giveUpIfCause(i, now)
+	}
+	c.inheritedCauses = nil
 	for _, j := range c.jobs {
 		c.addPendingSteps(j)
 	}
@@ -227,7 +236,7 @@
 		c.requeueLost(cp, "vm_taken", now)
 	}
 	c.settleLostRuns(w.Worker, true, now)
-	c.removeWorker(w)
+	c.removeWorker(w, now)
 }
 
 // HasWorker reports whether the owner still keeps state of a worker: the registry
