--- a/scheduler/execution/simulation_worker_test.go
+++ b/scheduler/execution/simulation_worker_test.go
@@ -14,6 +14,8 @@
 	running map[Run]Time
 	ended   []EndedItem
 	lastEnd int64
+	// listed are the runs that the worker has listed to the present owner.
+	listed map[Run]bool
 	// highest is the highest run of each item that has ended or was ordered to
 	// stop; only higher ones may start.
 	highest map[job.ItemID]int64
