Count the age of a report from when it can have been made

AVAIL: an owner that was paused between the arrival of an answer to a hold and its processing could stop a long-running item that had begun to serve since, while another item of its step was unavailable.

Cause: the age of a report counted from when it was processed. A report of before a pause of seconds passed as new, so that its progress proved for another 0.3 s that the run did not serve yet, and for 2 s that the others of its step did. A pause that is shorter than the owner's lease leaves its authority in force, and a suspended machine does not run down the timeout of the call, as the steady clock stands still. The run could also be taken to have stalled.

Evidence: execution.TestAnswerThatWaitedIsNotANewReport failed before: "stops [... in_doubt report_age_ms=1,percent=10], want []" 2 s after the call.

An answer that is processed later than its call may take counts as made when the call was sent. Leases still count from when it was processed, which is the safe side for them.

--- a/owner/term.go
+++ b/owner/term.go
@@ -31,7 +31,7 @@
 	roundPauseFactor = 4
 	// callTimeout bounds a call to a worker, which answers within the network
 	// delay of a zone.
-	callTimeout = 300 * time.Millisecond
+	callTimeout = execution.AnswerTimeout
 	// releaseTimeout bounds, at the end of a term, the time for all last writes
 	// together, and then that for the release of the lease.
 	releaseTimeout = time.Second
--- a/scheduler/execution/avail_test.go
+++ b/scheduler/execution/avail_test.go
@@ -219,3 +219,28 @@
 	}
 	t.Error("the stalled run is not stopped")
 }
+
+// An owner that was paused before it processed an answer took the answer for a new report.
+// It stopped a run that had begun to serve since, while another item of its step was
+// unavailable.
+func TestAnswerThatWaitedIsNotANewReport(t *testing.T) {
+	const pause = 2 * time.Second
+	b := newTestbed(t, 0)
+	first, second := startWithoutAnswer(b)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	b.core.SetClosed("w1", true)
+	b.report("w2", Report{Running: []RunningItem{{Run: second, Percent: 10}}})
+	h, _ := b.core.HoldFor("w2", b.now)
+	sent, clock := b.now, b.now+time.Millisecond
+	b.now += pause
+	b.core.HoldDone(h, Report{Clock: clock, StartMillis: h.Worker.StartMillis, Running: []RunningItem{{Run: second, Percent: 10}}}, sent, b.now)
+	b.core.SetClosed("w2", true)
+	b.core.Evacuate("w2", true, b.now)
+	b.failStops(b.round())
+	if b.core.StopAllowed(Stop{Run: second, Worker: h.Worker}, b.now) {
+		t.Error("the run may be stopped although its last report is 2 s old")
+	}
+	b.report("w2", Report{Running: []RunningItem{{Run: second, Percent: 10}}})
+	b.core.Evacuate("w2", true, b.now)
+	b.failStops(b.round(), second)
+}
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -149,7 +149,7 @@
 		}
 		l := job.LostRun{Worker: w.place(), StartMillis: w.StartMillis, Crash: job.Crash{Run: cp.run}}
 		if cp.listed {
-			l.MinAgeMillis = max(w.clockAt-cp.startedAt, 0).Milliseconds()
+			l.MinAgeMillis = max(w.reportedAt-cp.startedAt, 0).Milliseconds()
 		}
 		l.MaxAgeMillis = max(at-cp.startedAt, 0).Milliseconds()
 		if cp.adopted {
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -99,7 +99,7 @@
 	var b strings.Builder
 	for n := range s.items {
 		for _, cp := range s.items[n].copies {
-			fmt.Fprintf(&b, "%d:%d%%:%dms,", n, cp.percent, (now - cp.worker.clockAt).Milliseconds())
+			fmt.Fprintf(&b, "%d:%d%%:%dms,", n, cp.percent, (now - cp.worker.reportedAt).Milliseconds())
 		}
 	}
 	return strings.TrimSuffix(b.String(), ",")
@@ -155,7 +155,7 @@
 		return true
 	}
 	mayBeStopping := cp.phase != running || cp.stopOrderedAt > 0 && now-cp.stopOrderedAt <= maxStopDelay
-	stalled := cp.stalled(now) && now-cp.worker.clockAt <= notServingMaxReportAge
+	stalled := cp.stalled(now) && now-cp.worker.reportedAt <= notServingMaxReportAge
 	allowed := (mayBeStopping || !cp.inDoubt) && (stalled || c.mayStop(cp, now))
 	if !allowed && !mayBeStopping {
 		cp.stopWanted, cp.inDoubt = false, false
@@ -173,7 +173,7 @@
 // serving reports whether a long-running item serves its users, according to a
 // recent report of its worker.
 func (cp *itemCopy) serving(now Time) bool {
-	return cp.phase == running && !cp.stopWanted && cp.percent >= 100 && now-cp.worker.clockAt < maxReportAge
+	return cp.phase == running && !cp.stopWanted && cp.percent >= 100 && now-cp.worker.reportedAt < maxReportAge
 }
 
 const (
@@ -197,7 +197,7 @@
 // certainlyNotServing reports whether a long-running item will certainly not
 // have begun to serve its users when an order to stop arrives.
 func (cp *itemCopy) certainlyNotServing(now Time) bool {
-	age := now - cp.worker.clockAt
+	age := now - cp.worker.reportedAt
 	if age > notServingMaxReportAge || cp.phase == starting {
 		return false
 	}
@@ -210,7 +210,7 @@
 	}
 	// The order to start the run may have been carried out late, so that its speed
 	// counts from when it was first known to run.
-	ran := max(cp.worker.clockAt-cp.phaseSince, time.Millisecond)
+	ran := max(cp.worker.reportedAt-cp.phaseSince, time.Millisecond)
 	ahead := maxSpeedup * float64(cp.percent) * float64(age+stopDeliveryTime) / float64(ran)
 	return float64(cp.percent)+ahead < 100
 }
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -52,7 +52,7 @@
 	if cp == nil || cp.item.done || cp.item.step.job.final() {
 		return true
 	}
-	stalled := cp.stalled(now) && now-w.clockAt <= notServingMaxReportAge
+	stalled := cp.stalled(now) && now-w.reportedAt <= notServingMaxReportAge
 	return stalled || c.mayStop(cp, now)
 }
 
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -12,6 +12,9 @@
 	// a hold. A worker that stops answering is detected after this time plus the
 	// timeout of a call.
 	holdWait = 400 * time.Millisecond
+	// AnswerTimeout is how long a call to a worker may take, apart from the time that the
+	// worker is asked to wait.
+	AnswerTimeout = 300 * time.Millisecond
 	// maxEndsPerReport is the number of ends at which a worker may cut off its
 	// list; a shorter list is complete.
 	maxEndsPerReport = 500
@@ -109,7 +112,10 @@
 		c.checkHolders = true
 	}
 	if r.Clock >= w.clock {
-		w.clock, w.clockAt = r.Clock, now
+		w.clock, w.clockAt, w.reportedAt = r.Clock, now, now
+		if now-sent > h.LongPollTimeout+AnswerTimeout {
+			w.reportedAt = sent
+		}
 	}
 	listed := make(map[Run]bool, len(r.Running))
 	for _, row := range r.Running {
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -62,7 +62,7 @@
 	}
 	// Without a report from the second half of the timeout, it is not known that the
 	// run makes no progress.
-	return now-cp.progressedAt > stallTimeout && cp.worker.clockAt > cp.progressedAt+stallTimeout/2
+	return now-cp.progressedAt > stallTimeout && cp.worker.reportedAt > cp.progressedAt+stallTimeout/2
 }
 
 // orderStops orders the stop of every run that is marked to be stopped, as far as the
@@ -116,7 +116,7 @@
 
 // stopDetail says, for the log, what is known of a run that has to end.
 func (cp *itemCopy) stopDetail(now Time) string {
-	detail := fmt.Sprintf("report_age_ms=%d", (now - cp.worker.clockAt).Milliseconds())
+	detail := fmt.Sprintf("report_age_ms=%d", (now - cp.worker.reportedAt).Milliseconds())
 	if cp.listed {
 		detail += fmt.Sprintf(",percent=%d", cp.percent)
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -198,6 +198,9 @@
 	// clock is the worker's clock as read at clockAt.
 	clock   time.Duration
 	clockAt Time
+	// reportedAt is how old the last report may be: the worker made it then or later. It
+	// is clockAt, unless the owner was paused before it processed the report.
+	reportedAt Time
 	// lapseAt is when all leases that the worker may hold, of this owner or a
 	// former one, have certainly lapsed.
 	lapseAt Time
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -61,7 +61,7 @@
 	for _, r := range orphansOf(w) {
 		c.dropOrphan(w, r)
 	}
-	w.contacted, w.clock, w.clockAt = false, 0, 0
+	w.contacted, w.clock, w.clockAt, w.reportedAt = false, 0, 0, 0
 	w.endedAt, w.endedWithOthers = 0, false
 	// The worker gets work after the next record of possible lease holders, and a
 	// lifetime after this one the higher fencing token that follows that write.
