Suspect items with weak crashes only like items without crashes

An item that crashes its workers took one worker after the other and its job was not given up, if its first crash was weak and a sound item with a crash that is not weak ran beside it. The sound items were blamed instead.

Cause: of the items on a crashed worker that were suspects before, only those with the most matching crashes are suspected. A weak crash matches nothing, not even itself, but made the item a suspect, so that it counted less than an item that no worker had crashed under.

TestItemWithAWeakCrashIsSuspectedBesideOthers failed before: "the item with a weak crash has 1 crashes after the next one, want 2".

An item is left out only if it has matching crashes, and fewer than another one.

--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -111,7 +111,7 @@
 // suspects returns the copies that may have made their worker crash. Long-running
 // items that served their users did not crash the worker when they started, and a run
 // that has already crashed a former lifetime is looked for in this one, but hardly
-// there. Of the items that were suspects before, only those with the most matching
+// there. Of the items with crashes that are not weak, only those with the most matching
 // crashes are suspected again.
 func (w *worker) suspects() []*itemCopy {
 	var suspects []*itemCopy
@@ -124,7 +124,8 @@
 		most = max(most, cp.item.matchingCrashes())
 	}
 	return slices.DeleteFunc(suspects, func(cp *itemCopy) bool {
-		return cp.item.suspect() && cp.item.matchingCrashes() < most
+		matching := cp.item.matchingCrashes()
+		return matching > 0 && matching < most
 	})
 }
 
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -162,3 +162,28 @@
 		t.Errorf("job is %s after %d crashes, want failed", phase, crashesToGiveUp)
 	}
 }
+
+// An item that crashes its workers was not suspected any more after a weak crash, as long
+// as a sound item with a crash that is not weak ran beside it each time.
+func TestItemWithAWeakCrashIsSuspectedBesideOthers(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 2000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2}), job.Progress{}, false, wall, b.now)
+	starts := b.round().Starts
+	if len(starts) != 2 {
+		t.Fatalf("starts %v, want both items", starts)
+	}
+	items := b.core.jobs[jobA].occurrences[0][0].items
+	items[0].setCrashes([]job.Crash{{Run: -1, Weak: true}})
+	items[1].setCrashes([]job.Crash{{Run: -1}})
+	for _, s := range starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	b.core.HoldFailed(w.ID, ConnectionRefused, b.now)
+	restartVM(b, w)
+	if n := len(items[0].crashes); n != 2 {
+		t.Errorf("the item with a weak crash has %d crashes after the next one, want 2", n)
+	}
+}
