--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -155,3 +155,19 @@
 		t.Errorf("holders %v, want w1, whose end is not committed", ids)
 	}
 }
+
+// A new owner that gave a run the number of one that it did not know of would take the
+// failures of both for the same and start the item once more than it has attempts.
+func TestFailureOfARunOfAFormerOwnerCounts(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, true, wall, b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	start := b.roundAfter(2 * testHold).Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.report("w2", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndFailed}}})
+	b.worker(testWorker("w1", 1000), Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndFailed}}})
+	if o := b.roundAfter(time.Second); len(o.Starts) > 0 {
+		t.Errorf("started %v after as many failures as there are attempts", o.Starts[0].Run)
+	}
+}
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -148,7 +148,7 @@
 	s.queuedHolders, s.writtenHolders = nil, nil
 	s.forgetCrashes()
 	s.core = New(Options{LeaseDuration: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
-		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason)
+		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason, e.Detail)
 		if e.Name == "job_failed" {
 			s.failed[e.Job] = true
 			s.checkFailed(e.Job)
