Take no VM down by a list that shows its former worker

Callers see long-running items end during a wave while others of their step are unavailable (AVAIL), and work that is done twice.

A VM's worker crashes and the VM registers another one, which gets work. The platform's list of VMs is up to 2 s old and still shows the former worker, of which the owner has dropped all state. A worker that is not known counted as empty, its lifetime as unchanged, so that the upkeep was ordered at once and ended the runs on the new worker. The same held for a VM that the list shows up and without a worker, for moves too. The wave then took the new worker, once listed, as the proof that the VM was back.

owner.TestVMWithANewerWorkerIsNotTakenDown failed before: upkeep and move were ordered with a run at 100 % on the VM.

The owner knows from the registry which worker a VM has. A VM that has another worker than the list shows, or one that may still have work, is neither moved nor taken down until the list shows that worker; then it is drained as usual.

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -49,12 +49,12 @@
 	return t.writeThrough(ctx, jobstore.Record{Key: jobstore.OrdersKey, Value: value}) && t.authorized()
 }
 
-// mayTakeDownLocked reports whether the VM of a worker may get an order that ends the
-// worker: this process still is the owner, nothing runs on the worker, which is closed to
-// new work, and its lifetime began at workerStart. The record of an order takes up to
-// recordOrdersTimeout, so that this is checked again after it.
-func (t *term) mayTakeDownLocked(worker string, workerStart int64) bool {
-	if !t.authorizedLocked() {
+// mayTakeDownLocked reports whether a VM may get an order that ends its worker: this
+// process still is the owner, nothing runs on the worker, which is closed to new work, its
+// lifetime began at workerStart, and the VM has no newer worker. The record of an order
+// takes up to recordOrdersTimeout, so that this is checked again after it.
+func (t *term) mayTakeDownLocked(vm, worker string, workerStart int64) bool {
+	if !t.authorizedLocked() || t.core.HasOtherWorker(vm, worker) {
 		return false
 	}
 	start, _ := t.core.WorkerStartMillis(worker)
--- a/owner/rebalance.go
+++ b/owner/rebalance.go
@@ -121,9 +121,10 @@
 			// The worker takes no work. It is expected back if its VM is moving or
 			// not up.
 			vm.OutOfService = !vm.MovingIn
-		case m.Worker != "" && !t.core.Contacted(m.Worker), t.formerlyOrdered(m.ID):
-			// The worker has not answered this owner yet, or the VM may be down by
-			// the order of a former owner: it is expected to take work soon.
+		case m.Worker != "" && !t.core.Contacted(m.Worker), t.core.HasOtherWorker(m.ID, m.Worker), t.formerlyOrdered(m.ID):
+			// The worker has not answered this owner yet, the list does not show the
+			// VM's newest worker yet, or the VM may be down by the order of a former
+			// owner: it is expected to take work soon.
 			vm.MovingIn = true
 		}
 		vms = append(vms, vm)
@@ -176,7 +177,7 @@
 func (t *term) move(ctx context.Context, rb *rebalancing, m capacity.Move) {
 	t.mu.Lock()
 	mv := rb.moves[m.VM]
-	allowed := t.mayTakeDownLocked(mv.worker, mv.workerStart)
+	allowed := t.mayTakeDownLocked(m.VM, mv.worker, mv.workerStart)
 	t.mu.Unlock()
 	if !allowed {
 		t.options.Log.Info().Str("event", "move_cancelled").Str("vm", m.VM).Str("worker", mv.worker).Msg("")
--- a/owner/recheck_test.go
+++ b/owner/recheck_test.go
@@ -336,3 +336,31 @@
 		t.Errorf("upkeeps %v, worker takes work: %t; want the VM down", vms.upkeeps, tm.core.Usable("w1"))
 	}
 }
+
+// Guards against an order that ends work on a VM whose worker has crashed and been replaced,
+// while the list of VMs, which lags, still shows the former worker or none.
+func TestVMWithANewerWorkerIsNotTakenDown(t *testing.T) {
+	for name, listed := range map[string]string{"former worker": "w1", "no worker": ""} {
+		t.Run(name, func(t *testing.T) {
+			vms := &fakeVMs{}
+			tm := testTerm(t, vms)
+			list := tm.poolThatNeedsAVM()
+			tm.mu.Lock()
+			for n, id := range []string{"w1", "w2"} {
+				tm.core.WorkerSeen(execution.Worker{ID: id, VM: "s1", Service: "a", StartMillis: int64(n + 1), Capacity: job.Resources{MilliCPU: 1000, MemoryMB: 10}}, boottime.Now())
+			}
+			tm.core.Round(time.Now(), boottime.Now())
+			tm.mu.Unlock()
+			tm.reported("w2", execution.Report{StartMillis: 2, Running: []execution.RunningItem{{Run: execution.Run{Item: job.ItemID{Job: testJob}, Number: 1}, Percent: 100}}})
+			list[1].Worker = listed
+			ws := tm.newWaveState(Wave{Number: 1, VMs: []string{"s1"}, Duration: time.Minute, MaxConcurrent: 1, FirstSeenAt: time.Now()})
+			byID := map[string]VM{"s1": list[1]}
+			tm.selectVMs(ws, byID)
+			tm.drainSelected(context.Background(), ws, byID)
+			tm.rebalance(context.Background(), newRebalancing(0), list, nil)
+			if len(vms.upkeeps)+len(vms.moves) > 0 {
+				t.Errorf("upkeeps %v and moves %v ordered of a VM whose worker runs an item", vms.upkeeps, vms.moves)
+			}
+		})
+	}
+}
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -361,7 +361,7 @@
 		// A worker that was dropped and has registered again is open.
 		t.core.SetClosed(p.worker, true)
 		t.core.Evacuate(p.worker, now-p.since > forceEvacuateAfter, now)
-		empty := p.worker == "" || t.core.Empty(p.worker)
+		empty := (p.worker == "" || t.core.Empty(p.worker)) && !t.core.HasOtherWorker(id, p.worker)
 		p.workerStart, _ = t.core.WorkerStartMillis(p.worker)
 		t.mu.Unlock()
 		t.wakeRounds()
@@ -401,7 +401,7 @@
 		return false
 	}
 	t.mu.Lock()
-	allowed := t.mayTakeDownLocked(p.worker, p.workerStart)
+	allowed := t.mayTakeDownLocked(id, p.worker, p.workerStart)
 	t.mu.Unlock()
 	if !allowed {
 		t.options.Log.Info().Str("event", "upkeep_postponed").Int64("wave", ws.Number).Str("vm", id).Str("worker", p.worker).Msg("")
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -65,6 +65,14 @@
 	return w.contacted && !w.endsCutOff && c.RunCount(id) == 0
 }
 
+// HasOtherWorker reports whether a VM has, or may have work on, another worker than the
+// given one, which may be empty. The platform's list of VMs lags and may show a former
+// worker, of which nothing is known any more.
+func (c *Core) HasOtherWorker(vm, id string) bool {
+	w := c.workerOnVM[vm]
+	return w != nil && w.ID != id && (w.present || c.RunCount(w.ID) > 0)
+}
+
 // Evacuate marks the runs on a closed worker to be stopped as far as the
 // availability limits of their steps allow: those of long-running items and of
 // items that resume from a checkpoint, or with force all of them.
