Match no crash at which the age of the run is hardly known

Callers see a sound job as failed (LOST) with reason=workers_crashed.

A run that a former owner started has an age between the time since it was adopted and an hour more, and a run whose worker crashed while the owner stood still one of seconds. Such a range overlaps with any other, so that the crash matched all others: two crashes at the same age, which beside long runs is common, and one such crash ended the job.

execution.TestCrashAtAnUnknownAgeMatchesNoOthers failed before for both cases.

Crashes whose age is not known to 1 s match none. They still count among the five that end a job at any age, so that an item that crashes its workers gets no more starts than before.

--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -45,6 +45,10 @@
 	// evidence even if many workers crash together. A crash closes the connections to
 	// the worker, so that the age is known closely if the item crashes it at its start.
 	maxAgeUncertainty = 150 * time.Millisecond
+	// maxComparableUncertainty is how closely the age of a run at a crash has to be known
+	// to be compared with others. Workers report several times a second; it is wider for
+	// a run of a former owner, and after the owner has stood still.
+	maxComparableUncertainty = time.Second
 	// Workers crash together if more than maxUnrelatedCrashes do within
 	// crashTogetherTime. A single item cannot cause that.
 	crashTogetherTime   = 100 * time.Millisecond
@@ -90,16 +94,17 @@
 }
 
 // matchingCrashes returns the largest number of crashes at which the item's runs can
-// have had the same age, give or take ageTolerance. Weak crashes are left out.
+// have had the same age, give or take ageTolerance. Weak crashes are left out, and those
+// at which the age of the run is hardly known.
 func (i *item) matchingCrashes() int {
 	most := 0
 	for _, c := range i.crashes {
-		if c.Weak {
+		if !hasComparableAge(c) {
 			continue
 		}
 		n := 0
 		for _, o := range i.crashes {
-			if !o.Weak && o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis+ageTolerance.Milliseconds() {
+			if hasComparableAge(o) && o.MinAgeMillis <= c.MinAgeMillis && c.MinAgeMillis <= o.MaxAgeMillis+ageTolerance.Milliseconds() {
 				n++
 			}
 		}
@@ -108,11 +113,16 @@
 	return most
 }
 
+// hasComparableAge reports whether the age of the run at a crash can be compared with others.
+func hasComparableAge(c job.Crash) bool {
+	return !c.Weak && c.MaxAgeMillis-c.MinAgeMillis <= maxComparableUncertainty.Milliseconds()
+}
+
 // suspects returns the copies that may have made their worker crash. Long-running
 // items that served their users did not crash the worker when they started, and a run
 // that has already crashed a former lifetime is looked for in this one, but hardly
 // there. Of the items that were suspects before, only those with the most matching
-// crashes are suspected again.
+// crashes are suspected again; a crash at an unknown age may match one.
 func (w *worker) suspects() []*itemCopy {
 	var suspects []*itemCopy
 	most := 0
@@ -124,7 +134,7 @@
 		most = max(most, cp.item.matchingCrashes())
 	}
 	return slices.DeleteFunc(suspects, func(cp *itemCopy) bool {
-		return cp.item.suspect() && cp.item.matchingCrashes() < most
+		return cp.item.suspect() && max(cp.item.matchingCrashes(), min(cp.item.strongCrashes(), 1)) < most
 	})
 }
 
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -162,3 +162,64 @@
 		t.Errorf("job is %s after %d crashes, want failed", phase, crashesToGiveUp)
 	}
 }
+
+// A sound job was given up after two crashes at the same age of its runs and one of a run
+// whose age was not known: a former owner had started it, or the owner had stood still.
+// The third crash matched any age.
+func TestCrashAtAnUnknownAgeMatchesNoOthers(t *testing.T) {
+	for _, adopted := range []bool{true, false} {
+		b := newTestbed(t, 0)
+		w := testWorker("w", 1000)
+		w.VM = "vm1"
+		b.worker(w, Report{})
+		spec := oneStep(jobA, job.Step{})
+		b.core.AddJob(spec, job.Progress{}, false, wall, b.now)
+		for _, age := range []time.Duration{300, 320} {
+			startOnly(b)
+			b.now += age * time.Millisecond
+			b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+			w = restartVM(b, w)
+		}
+		progress := b.core.TakeWrites(1)[0].Progress
+		listed := Report{Running: []RunningItem{{Run: startOnly(b).Run, Percent: 10}}}
+		if adopted {
+			now := b.now + 10*time.Second
+			b = newTestbed(t, 1)
+			b.now = now
+			b.core.AddJob(spec, progress, true, wall, b.now)
+			b.worker(w, listed)
+		} else {
+			b.report(w.ID, listed)
+			b.now += 3 * time.Second
+		}
+		b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+		restartVM(b, w)
+		if b.core.jobs[jobA].final() {
+			t.Errorf("adopted %t: the job is given up after two matching crashes and one at an unknown age", adopted)
+		}
+	}
+}
+
+// An item that had crashed a worker at an unknown age was not suspected of the next crash,
+// because another item on that worker had crashed one at a known age.
+func TestItemWithACrashAtAnUnknownAgeIsSuspectedAgain(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 2000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	for id, age := range map[string]int64{jobA: maxJobAge.Milliseconds(), jobB: 20} {
+		b.core.AddJob(oneStep(id, job.Step{}), job.Progress{Phase: job.Running, Items: []job.ItemProgress{
+			{LastRun: 1, Crashes: []job.Crash{{Run: 1, MaxAgeMillis: age}}},
+		}}, false, wall, b.now)
+	}
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+	restartVM(b, w)
+	for _, id := range []string{jobA, jobB} {
+		if n := len(b.core.jobs[id].occurrences[0][0].items[0].crashes); n != 2 {
+			t.Errorf("%d crashes are counted against the item of job %s, want 2", n, id)
+		}
+	}
+}
