Count a stop that was not sent as not ordered

Callers see a wave that is late: VMs whose long-running items may be stopped keep their work for up to 15 s.

An order to stop that is checked again and not sent counted as one without an answer, which may be carried out within 15 s. Until then the item counted as unavailable for the others of its step. Two items whose stops were postponed together, because a third one had become unavailable, kept each other from being stopped, though the limit of their step allowed one of them at once.

execution.TestStopsThatAreNotSentDoNotBlockEachOther failed before, with the call that the owner made then (StopDone without an answer): no stop within a second.

An order that was not sent cannot be carried out. The run counts as ordered to stop only by earlier orders now, so that it is kept, and the other one stopped, if its step does not allow both.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -292,10 +292,9 @@
 
 func (t *term) sendStop(ctx context.Context, s execution.Stop) {
 	t.mu.Lock()
-	now := boottime.Now()
-	authorized, allowed := t.authorizedLocked(), t.core.StopAllowed(s, now)
+	authorized, allowed := t.authorizedLocked(), t.core.StopAllowed(s, boottime.Now())
 	if !authorized || !allowed {
-		t.core.StopDone(s, false, now)
+		t.core.StopPostponed(s)
 	}
 	t.mu.Unlock()
 	if !allowed {
--- a/scheduler/execution/avail_test.go
+++ b/scheduler/execution/avail_test.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -219,3 +220,49 @@
 	}
 	t.Error("the stalled run is not stopped")
 }
+
+// Stops of two items that their step allowed together were not sent, as a third item had
+// become unavailable. They then kept each other from being stopped for 15 s, though one of
+// them was allowed at once.
+func TestStopsThatAreNotSentDoNotBlockEachOther(t *testing.T) {
+	b := newTestbed(t, 0)
+	runs := map[string]Run{}
+	for n := range 3 {
+		b.worker(testWorker(fmt.Sprintf("w%d", n), 1000), Report{})
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 3, LongRunning: true, MaxUnavailable: 2}), job.Progress{}, false, wall, b.now)
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+		runs[s.Worker.ID] = s.Run
+	}
+	evacuate := func() Orders {
+		for _, id := range []string{"w0", "w1"} {
+			b.report(id, Report{Running: []RunningItem{{Run: runs[id], Percent: 100}}})
+			b.core.SetClosed(id, true)
+			b.core.Evacuate(id, false, b.now)
+		}
+		return b.round()
+	}
+	b.report("w2", Report{Running: []RunningItem{{Run: runs["w2"], Percent: 100}}})
+	o := evacuate()
+	if len(o.Stops) != 2 {
+		t.Fatalf("stops %v, want both", o.Stops)
+	}
+	b.core.SetClosed("w2", true)
+	b.report("w2", Report{Ended: []EndedItem{{Number: 1, Run: runs["w2"], Kind: EndFailed}}})
+	for _, s := range o.Stops {
+		if b.core.StopAllowed(s, b.now) {
+			t.Fatalf("the stop of %v is allowed while two others are unavailable", s.Run)
+		}
+		b.core.StopPostponed(s)
+	}
+	for range 3 {
+		b.now += stopRetryInterval
+		if o = evacuate(); len(o.Stops) > 0 {
+			break
+		}
+	}
+	if len(o.Stops) != 1 {
+		t.Errorf("stops %v after a second, want one", o.Stops)
+	}
+}
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -41,8 +41,7 @@
 
 // StopAllowed reports whether an order to stop a run that a round has given may still be
 // sent. Since the round, the run may have begun to serve its users, or another item of
-// its step may have become unavailable. A stop that is not sent counts as one without
-// an answer.
+// its step may have become unavailable.
 func (c *Core) StopAllowed(s Stop, now Time) bool {
 	w := c.workers[s.Worker.ID]
 	if w == nil {
@@ -56,6 +55,21 @@
 	return stalled || c.mayStop(cp, now)
 }
 
+// StopPostponed records that an order to stop a run was not sent. It cannot be carried
+// out, so that the run counts as ordered to stop only by earlier orders.
+func (c *Core) StopPostponed(s Stop) {
+	w := c.workers[s.Worker.ID]
+	if w == nil {
+		return
+	}
+	if orphan := w.orphans[s.Run]; orphan != nil {
+		orphan.stopInFlight, orphan.stopOrderedAt = false, s.orderedBefore
+	}
+	if cp := w.copies[s.Run]; cp != nil {
+		cp.stopInFlight, cp.stopOrderedAt = false, s.orderedBefore
+	}
+}
+
 // ReturnWrites gives back records of TakeWrites that were not written, so that
 // TakeWrites returns their present state again.
 func (c *Core) ReturnWrites(writes []ProgressWrite) {
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -83,16 +83,18 @@
 			if !c.confirmStop(cp, now) {
 				continue
 			}
+			o.Stops = append(o.Stops, Stop{
+				Run: cp.id(), Worker: w.Worker, Fence: w.fence, Reason: cp.stopReason(now), Detail: cp.stopDetail(now), orderedBefore: cp.stopOrderedAt,
+			})
 			cp.stopOrderedAt, cp.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: cp.id(), Worker: w.Worker, Fence: w.fence, Reason: cp.stopReason(now), Detail: cp.stopDetail(now)})
 		}
 		for _, r := range orphansOf(w) {
 			orphan := w.orphans[r]
 			if orphan.stopInFlight || orphan.stopOrderedAt > 0 && now-orphan.stopOrderedAt < c.options.StopTimeout+stopRetryInterval {
 				continue
 			}
+			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker, Fence: w.fence, Reason: "unwanted", orderedBefore: orphan.stopOrderedAt})
 			orphan.stopOrderedAt, orphan.stopInFlight = now, true
-			o.Stops = append(o.Stops, Stop{Run: r, Worker: w.Worker, Fence: w.fence, Reason: "unwanted"})
 		}
 	}
 }
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -100,6 +100,8 @@
 	Fence int64
 	// Reason and Detail say, for the log, why the run has to end and what is known of it.
 	Reason, Detail string
+	// orderedBefore is when the run was last ordered to stop before, or zero.
+	orderedBefore Time
 }
 
 // Pace tells a worker to let a run go on at a percentage of its full speed.
