Take no worker that registers late for one that is back from upkeep

Callers see more VMs of a wave down at a time than its cap (LIMIT).

The registry entry of a worker may be missing when its VM is ordered down, as after an outage of the store. The start of its lifetime was recorded as zero then, although the owner knew it. If the entry was read again while the list of VMs, which is up to 2 s old, showed the VM up as before, the start differed from zero: the worker counted as a new one, the VM as back, and the next VM was ordered down beside it. The same happened for a worker that the owner had dropped.

owner.TestWorkerThatRegistersLateIsNotTakenForANewOne failed before in both cases: the VM was done right after its order.

The start of a lifetime is returned whether the worker is registered or not, and a lifetime that is not known proves nothing: the VM then counts as back after the time of an upkeep and the lag of the list.

--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -108,7 +108,7 @@
 	// since is when the state began.
 	since time.Duration
 	// worker and workerStart identify the worker process that the upkeep ends;
-	// workerStart is its start time in Unix milliseconds.
+	// workerStart is its start time in Unix milliseconds, or zero if it is not known.
 	worker      string
 	workerStart int64
 }
@@ -250,10 +250,11 @@
 		case p.state == upkeepDown && m.Up:
 			// The list lags, so it may show the VM as it was before the upkeep. A
 			// new worker process proves that the VM is back. There is none if the
-			// VM is off, or had its upkeep from a former owner; then the VM counts
-			// as back after some time.
+			// VM is off, or had its upkeep from a former owner, and nothing to compare
+			// if the former process was not known; then the VM counts as back after
+			// some time.
 			workerStart, registered := t.core.WorkerStartMillis(m.Worker)
-			renewed := registered && (m.Worker != p.worker || workerStart != p.workerStart)
+			renewed := registered && (m.Worker != p.worker || p.workerStart != 0 && workerStart != p.workerStart)
 			lasted := boottime.Now() - p.since
 			// VMs of a spare pool are off and have no worker. since is when the
 			// platform confirmed the order.
--- a/owner/upkeep_test.go
+++ b/owner/upkeep_test.go
@@ -163,3 +163,34 @@
 		t.Error("the worker after the upkeep takes no work")
 	}
 }
+
+// A worker whose registry entry was missing when its VM was taken down counted as a new one
+// when the entry was read again, so that the next VM went down beside more than allowed.
+func TestWorkerThatRegistersLateIsNotTakenForANewOne(t *testing.T) {
+	for name, dropped := range map[string]bool{"unregistered": false, "dropped": true} {
+		t.Run(name, func(t *testing.T) {
+			vms := &fakeVMs{}
+			tm := testTerm(t, vms)
+			tm.options.UpkeepTime = time.Minute
+			tm.testWorker("w1")
+			tm.mu.Lock()
+			tm.core.WorkerGone("w1")
+			if dropped {
+				tm.core.Round(time.Now(), boottime.Now()+time.Hour)
+			}
+			tm.mu.Unlock()
+			ws := tm.newWaveState(Wave{Number: 1, VMs: []string{"m1"}, Duration: time.Minute, MaxConcurrent: 1, FirstSeenAt: time.Now()})
+			byID := map[string]VM{"m1": {ID: "m1", Pool: "a", Worker: "w1", Up: true}}
+			tm.selectVMs(ws, byID)
+			tm.drainSelected(context.Background(), ws, byID)
+			if len(vms.upkeeps) != 1 {
+				t.Fatalf("upkeeps %v, want m1", vms.upkeeps)
+			}
+			tm.testWorker("w1")
+			tm.markReturned(ws, byID)
+			if s := ws.vms["m1"].state; s != upkeepDown {
+				t.Errorf("the VM is %s right after its order, want down", s)
+			}
+		})
+	}
+}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -25,14 +25,14 @@
 	}
 }
 
-// WorkerStartMillis returns the start of a worker's lifetime; ok is false if the
-// registry has no entry for the worker.
-func (c *Core) WorkerStartMillis(id string) (startMillis int64, ok bool) {
+// WorkerStartMillis returns the start of a worker's lifetime, or zero if the worker is
+// not known; registered is false if the registry has no entry for it.
+func (c *Core) WorkerStartMillis(id string) (startMillis int64, registered bool) {
 	w := c.workers[id]
-	if w == nil || !w.present {
+	if w == nil {
 		return 0, false
 	}
-	return w.StartMillis, true
+	return w.StartMillis, w.present
 }
 
 // RunCount returns the number of runs on a worker and of ends that are not committed:
