Count crashes as simultaneous if they are noticed within 0.2 s

Callers see a sound job as failed (LOST) with reason=workers_crashed.

Crashes at which the age of a run is not closely known are no evidence if five workers or more crash within 0.1 s. But the hold loop of a worker with ends that wait for the store, or with runs that are not resolved, pauses for 0.1 s before it calls the worker again. Such a crash was noticed after the others that happened at the same moment, and counted as one by itself.

execution.TestCrashThatIsNoticedAfterTheOthersDoesNotCondemnItsItem failed before: the job was given up after three crashes, each together with five others.

The time within which crashes count as simultaneous is twice that pause.

--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -50,8 +50,10 @@
 	// a run of a former owner, and after the owner has stood still.
 	maxComparableUncertainty = time.Second
 	// Workers crash together if more than maxUnrelatedCrashes do within
-	// crashTogetherTime. A single item cannot cause that.
-	crashTogetherTime   = 100 * time.Millisecond
+	// crashTogetherTime. A single item cannot cause that. The owner may pause for 100 ms
+	// before it calls a worker again, so that it learns of some crashes later than of
+	// others.
+	crashTogetherTime   = 200 * time.Millisecond
 	maxUnrelatedCrashes = 4
 	// maxIsolationShare is the part of the workers of a service that isolated
 	// items may take, but at least one worker. The others keep taking new work.
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -76,6 +76,37 @@
 	}
 }
 
+// A sound job was given up because its worker, which was asked for no report just then, was
+// found to have crashed 0.11 s after the others that had crashed with it.
+func TestCrashThatIsNoticedAfterTheOthersDoesNotCondemnItsItem(t *testing.T) {
+	b := newTestbed(t, 0)
+	var workers []Worker
+	for n := range maxUnrelatedCrashes + 2 {
+		w := testWorker(fmt.Sprintf("w%d", n), 1000)
+		w.VM = fmt.Sprintf("vm%d", n)
+		b.worker(w, Report{})
+		workers = append(workers, w)
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	for n, age := range []time.Duration{195, 102, 220, 160} {
+		own := startOnly(b).Worker.ID
+		b.now += age * time.Millisecond
+		for _, w := range workers {
+			if w.ID != own {
+				b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+			}
+		}
+		b.now += 110 * time.Millisecond
+		b.core.HoldFailed(own, ConnectionRefused, b.now)
+		for k, w := range workers {
+			workers[k] = restartVM(b, w)
+		}
+		if b.core.jobs[jobA].final() {
+			t.Fatalf("the job is given up after its worker has crashed %d times, each time together with %d others", n+1, len(workers)-1)
+		}
+	}
+}
+
 // An item that crashes its workers at its start must be given up even if many workers
 // crash together: a new owner starts many such items at once.
 func TestItemsThatCrashManyWorkersTogetherAreGivenUp(t *testing.T) {
