Know nothing of a run's speed at its first report

Callers see a long-running item end while others of its step are unavailable (AVAIL).

An item that does not serve yet may be stopped whatever the limit of its step, if it cannot serve by the time at which the order arrives. That is extrapolated from its progress so far. A run that its worker lists for the first time at 0 % seemed to stand still, so that it was stopped up to 0.3 s later, when it served: the start had been carried out late and the repeated order to stop the run in doubt was the one that arrived. The class of fault: missing knowledge is taken as agreement.

Progress is rounded down, so that it counts as one percent more: in the first report the run may be as fast as can be. A later report bounds its speed.

--- a/scheduler/execution/avail_test.go
+++ b/scheduler/execution/avail_test.go
@@ -137,6 +137,21 @@
 	b.failStops(b.roundAfter(200 * time.Millisecond))
 }
 
+// A run that its worker listed for the first time, at 0 %, did not seem to advance at all. It
+// served by the time at which it was stopped, 0.3 s later, while another item of its step
+// was unavailable. Seen in TestNoItemRunsTwice with -rapid.seed=9155372.
+func TestSpeedOfARunIsNotKnownAtItsFirstReport(t *testing.T) {
+	b := newTestbed(t, 0)
+	first, second := startWithoutAnswer(b)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first, Kind: EndFailed}}})
+	b.core.SetClosed("w1", true)
+	b.now += 2 * time.Second
+	b.report("w2", Report{Running: []RunningItem{{Run: second}}})
+	b.failStops(b.roundAfter(298 * time.Millisecond))
+	b.report("w2", Report{Running: []RunningItem{{Run: second, Percent: 5}}})
+	b.failStops(b.round(), second)
+}
+
 // Two items of a step that both stalled when almost ready must not wait for each other.
 func TestStalledRunsAreStoppedWhileOthersAreUnavailable(t *testing.T) {
 	b := newTestbed(t, 0)
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -217,10 +217,12 @@
 		return false
 	}
 	// The order to start the run may have been carried out late, so that its speed
-	// counts from when it was first known to run.
+	// counts from when it was first known to run. Its progress is rounded down: at 0 %
+	// in its first report, nothing is known of its speed.
 	ran := max(cp.worker.clockAt-cp.phaseSince, time.Millisecond)
-	ahead := maxSpeedup * float64(cp.percent) * float64(age+stopDeliveryTime) / float64(ran)
-	return float64(cp.percent)+ahead < 100
+	progress := float64(cp.percent + 1)
+	ahead := maxSpeedup * progress * float64(age+stopDeliveryTime) / float64(ran)
+	return progress+ahead < 100
 }
 
 // Contacted reports whether a worker has answered this owner.
