Stop a gang one of whose members is in doubt

If the start of a member gets no answer and its worker does not list it, the run is ordered to stop, so that it cannot begin late. The other members were left to wait for it until the worker's limit for gangs. A member whose start is rejected or not sent stops its gang at once; one in doubt did not.

execution.TestGangIsStoppedIfAMemberIsInDoubt failed before: one stop, of the member in doubt.

The member has to end before it has begun, so that its gang cannot work under this run number. All members are ordered to stop with it, and start again together.

--- a/scheduler/execution/placement_test.go
+++ b/scheduler/execution/placement_test.go
@@ -272,3 +272,21 @@
 		t.Errorf("the job is %s after two failures of two", p)
 	}
 }
+
+// The start of a gang member got no answer, and its worker did not list it. It was stopped, so
+// that it could not begin late, while the other members waited for it until they ended alone.
+func TestGangIsStoppedIfAMemberIsInDoubt(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 2, Gang: true}), job.Progress{}, false, wall, b.now)
+	starts := b.round().Starts
+	b.core.StartDone(starts[0], Started, b.now)
+	b.core.StartDone(starts[1], StartUnknown, b.now)
+	b.now += time.Millisecond
+	b.report(starts[0].Worker.ID, Report{Running: []RunningItem{{Run: starts[0].Run}}})
+	b.report(starts[1].Worker.ID, Report{})
+	if o := b.round(); len(o.Stops) != 2 {
+		t.Errorf("stops %v, want the whole gang", o.Stops)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -440,6 +440,9 @@
 				c.requeueLost(cp, "never_started", now)
 			} else if cp.phaseSince < sent && !cp.stopWanted {
 				cp.stopWanted, cp.inDoubt = true, true
+				if cp.item.step.spec.Gang {
+					c.stopGang(cp.item.step)
+				}
 			}
 		case starting:
 		}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -192,7 +192,7 @@
 }
 
 // stopGang marks all members of a gang to be stopped after one of them could not
-// start: the others would wait for it in vain.
+// start, or has to end before it has: the others would wait for it in vain.
 func (c *Core) stopGang(s *step) {
 	for n := range s.items {
 		for _, cp := range s.items[n].copies {
