--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -108,7 +108,7 @@
 	// since is when the state began.
 	since time.Duration
 	// worker and workerStart identify the worker process that the upkeep ends;
-	// workerStart is its start time in Unix milliseconds.
+	// workerStart is its start time in Unix milliseconds, or zero if it is not known.
 	worker      string
 	workerStart int64
 }
@@ -250,10 +250,11 @@
 		case p.state == upkeepDown && m.Up:
 			// The list lags, so it may show the VM as it was before the upkeep. A
 			// new worker process proves that the VM is back. There is none if the
-			// VM is off, or had its upkeep from a former owner; then the VM counts
-			// as back after some time.
+			// VM is off, or had its upkeep from a former owner, and nothing to compare
+			// if the former process was not known; then the VM counts as back after
+			// some time.
 			workerStart, registered := t.core.WorkerStartMillis(m.Worker)
-			renewed := registered && (m.Worker != p.worker || workerStart != p.workerStart)
+			renewed := registered && (m.Worker != p.worker || p.workerStart != 0 && workerStart != p.workerStart)
 			lasted := boottime.Now() - p.since
 			// VMs of a spare pool are off and have no worker. since is when the
 			// platform confirmed the order.
@@ -361,7 +362,7 @@
 		// A worker that was dropped and has registered again is open.
 		t.core.SetClosed(p.worker, true)
 		t.core.Evacuate(p.worker, now-p.since > forceEvacuateAfter, now)
-		empty := p.worker == "" || t.core.Empty(p.worker)
+		empty := (p.worker == "" || t.core.Empty(p.worker)) && !t.core.HasOtherWorker(id, p.worker)
 		p.workerStart, _ = t.core.WorkerStartMillis(p.worker)
 		t.mu.Unlock()
 		t.wakeRounds()
@@ -401,7 +402,7 @@
 		return false
 	}
 	t.mu.Lock()
-	allowed := t.mayTakeDownLocked(p.worker, p.workerStart)
+	allowed := t.mayTakeDownLocked(id, p.worker, p.workerStart)
 	t.mu.Unlock()
 	if !allowed {
 		t.options.Log.Info().Str("event", "upkeep_postponed").Int64("wave", ws.Number).Str("vm", id).Str("worker", p.worker).Msg("")
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -25,14 +25,14 @@
 	}
 }
 
-// WorkerStartMillis returns the start of a worker's lifetime; ok is false if the
-// registry has no entry for the worker.
-func (c *Core) WorkerStartMillis(id string) (startMillis int64, ok bool) {
+// WorkerStartMillis returns the start of a worker's lifetime, or zero if the worker is
+// not known; registered is false if the registry has no entry for it.
+func (c *Core) WorkerStartMillis(id string) (startMillis int64, registered bool) {
 	w := c.workers[id]
-	if w == nil || !w.present {
+	if w == nil {
 		return 0, false
 	}
-	return w.StartMillis, true
+	return w.StartMillis, w.present
 }
 
 // RunCount returns the number of runs on a worker and of ends that are not committed:
@@ -65,6 +65,14 @@
 	return w.contacted && !w.endsCutOff && c.RunCount(id) == 0
 }
 
+// HasOtherWorker reports whether a VM has, or may have work on, another worker than the
+// given one, which may be empty. The platform's list of VMs lags and may show a former
+// worker, of which nothing is known any more.
+func (c *Core) HasOtherWorker(vm, id string) bool {
+	w := c.workerOnVM[vm]
+	return w != nil && w.ID != id && (w.present || c.RunCount(w.ID) > 0)
+}
+
 // Evacuate marks the runs on a closed worker to be stopped as far as the
 // availability limits of their steps allow: those of long-running items and of
 // items that resume from a checkpoint, or with force all of them.
@@ -209,10 +217,12 @@
 		return false
 	}
 	// The order to start the run may have been carried out late, so that its speed
-	// counts from when it was first known to run.
+	// counts from when it was first known to run. Its progress is rounded down: at 0 %
+	// in its first report, nothing is known of its speed.
 	ran := max(cp.worker.reportedAt-cp.phaseSince, time.Millisecond)
-	ahead := maxSpeedup * float64(cp.percent) * float64(age+stopDeliveryTime) / float64(ran)
-	return float64(cp.percent)+ahead < 100
+	progress := float64(cp.percent + 1)
+	ahead := maxSpeedup * progress * float64(age+stopDeliveryTime) / float64(ran)
+	return progress+ahead < 100
 }
 
 // Contacted reports whether a worker has answered this owner.
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -76,6 +76,37 @@
 	}
 }
 
+// A sound job was given up because its worker, which was asked for no report just then, was
+// found to have crashed 0.11 s after the others that had crashed with it.
+func TestCrashThatIsNoticedAfterTheOthersDoesNotCondemnItsItem(t *testing.T) {
+	b := newTestbed(t, 0)
+	var workers []Worker
+	for n := range maxUnrelatedCrashes + 2 {
+		w := testWorker(fmt.Sprintf("w%d", n), 1000)
+		w.VM = fmt.Sprintf("vm%d", n)
+		b.worker(w, Report{})
+		workers = append(workers, w)
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	for n, age := range []time.Duration{195, 102, 220, 160} {
+		own := startOnly(b).Worker.ID
+		b.now += age * time.Millisecond
+		for _, w := range workers {
+			if w.ID != own {
+				b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+			}
+		}
+		b.now += 110 * time.Millisecond
+		b.core.HoldFailed(own, ConnectionRefused, b.now)
+		for k, w := range workers {
+			workers[k] = restartVM(b, w)
+		}
+		if b.core.jobs[jobA].final() {
+			t.Fatalf("the job is given up after its worker has crashed %d times, each time together with %d others", n+1, len(workers)-1)
+		}
+	}
+}
+
 // An item that crashes its workers at its start must be given up even if many workers
 // crash together: a new owner starts many such items at once.
 func TestItemsThatCrashManyWorkersTogetherAreGivenUp(t *testing.T) {
@@ -163,6 +194,67 @@
 	}
 }
 
+// A sound job was given up after two crashes at the same age of its runs and one of a run
+// whose age was not known: a former owner had started it, or the owner had stood still.
+// The third crash matched any age.
+func TestCrashAtAnUnknownAgeMatchesNoOthers(t *testing.T) {
+	for _, adopted := range []bool{true, false} {
+		b := newTestbed(t, 0)
+		w := testWorker("w", 1000)
+		w.VM = "vm1"
+		b.worker(w, Report{})
+		spec := oneStep(jobA, job.Step{})
+		b.core.AddJob(spec, job.Progress{}, false, wall, b.now)
+		for _, age := range []time.Duration{300, 320} {
+			startOnly(b)
+			b.now += age * time.Millisecond
+			b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+			w = restartVM(b, w)
+		}
+		progress := b.core.TakeWrites(1)[0].Progress
+		listed := Report{Running: []RunningItem{{Run: startOnly(b).Run, Percent: 10}}}
+		if adopted {
+			now := b.now + 10*time.Second
+			b = newTestbed(t, 1)
+			b.now = now
+			b.core.AddJob(spec, progress, true, wall, b.now)
+			b.worker(w, listed)
+		} else {
+			b.report(w.ID, listed)
+			b.now += 3 * time.Second
+		}
+		b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+		restartVM(b, w)
+		if b.core.jobs[jobA].final() {
+			t.Errorf("adopted %t: the job is given up after two matching crashes and one at an unknown age", adopted)
+		}
+	}
+}
+
+// An item that had crashed a worker at an unknown age was not suspected of the next crash,
+// because another item on that worker had crashed one at a known age.
+func TestItemWithACrashAtAnUnknownAgeIsSuspectedAgain(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 2000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	for id, age := range map[string]int64{jobA: maxJobAge.Milliseconds(), jobB: 20} {
+		b.core.AddJob(oneStep(id, job.Step{}), job.Progress{Phase: job.Running, Items: []job.ItemProgress{
+			{LastRun: 1, Crashes: []job.Crash{{Run: 1, MaxAgeMillis: age}}},
+		}}, false, wall, b.now)
+	}
+	for _, s := range b.round().Starts {
+		b.core.StartDone(s, Started, b.now)
+	}
+	b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+	restartVM(b, w)
+	for _, id := range []string{jobA, jobB} {
+		if n := len(b.core.jobs[id].occurrences[0][0].items[0].crashes); n != 2 {
+			t.Errorf("%d crashes are counted against the item of job %s, want 2", n, id)
+		}
+	}
+}
+
 // An item that crashes its workers was not suspected any more after a weak crash, as long
 // as a sound item with a crash that is not weak ran beside it each time.
 func TestItemWithAWeakCrashIsSuspectedBesideOthers(t *testing.T) {
