Record former lease holders with the time that was left to them

What callers see: after each change of owner, inherited work waits longer for workers that do not answer, 6.2 s instead of 3.5 s.

Cause: a worker whose lease may outlast the usual one is recorded with the longest lease. The time that the record itself names for a usual lease is a margin longer than the lease, so that a new owner took each former holder for one with a longer lease.

Evidence: TestRecordOfFormerHoldersKeepsTheirLeaseTime failed before: "recorded with 6.522448979s, want 4.481632653s".

Only a lease that may outlast the recorded usual time counts as longer.

--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -48,10 +48,11 @@
 	if w := c.workers[id]; w != nil {
 		until = max(until, w.lapseAt)
 	}
-	if until-now > c.maxLeaseTime() {
+	usual := c.maxLeaseTime() + lapseMargin
+	if until-now > usual {
 		return c.longestLeaseTime() + lapseMargin
 	}
-	return c.maxLeaseTime() + lapseMargin
+	return usual
 }
 
 // HoldersToRecord returns the workers that have to be in the record of possible
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -218,3 +218,16 @@
 		}
 	}
 }
+
+// Guards against work that waits longer after each change of owner: a new owner recorded
+// the lease holders that it knew from the record with the longest lease.
+func TestRecordOfFormerHoldersKeepsTheirLeaseTime(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.core.options.MaxLease = testHold + 2*time.Second
+	want := b.core.RecordedLeaseTime("w1", b.now)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": want}, b.now)
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	if got := b.core.RecordedLeaseTime("w1", b.now); got != want {
+		t.Errorf("recorded with %v, want %v", got, want)
+	}
+}
