Pause the owner in the model of workers and owners

In half of the histories of TestNoItemRunsTwice the owner now stands still for up to 2.4 s, as long as its lease allows, at moments drawn at random: between a decision and its orders, before a hold is sent, and before an answer is processed. After a pause it checks its orders again, as package owner does. The other histories are as before.

In histories with pauses a long-running item takes 0.7 s instead of 0.3 s to serve. The owner takes it that a run needs more than 0.6 s, the age of a report that it still trusts and the time that an order takes to arrive. The protocol only speaks of a short startup.

--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -61,7 +61,7 @@
 // long-running item that is stopped while too many others of its step are unavailable
 // or that does not come back, and workers over their capacity, which shrinks and grows.
 // Orders are lost and late, workers restart, stop answering and are closed, records of
-// lease holders are confirmed late, and owners are replaced.
+// lease holders are confirmed late, and owners are replaced or paused.
 func TestNoItemRunsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
@@ -160,7 +160,7 @@
 			continue
 		}
 		for n := range j.Steps[0].Count {
-			if i := s.item(job.ItemID{Job: id, Index: n}); s.now-i.servedAt > simRunTime {
+			if i := s.item(job.ItemID{Job: id, Index: n}); s.now-i.servedAt > s.startup {
 				return false
 			}
 		}
--- a/scheduler/execution/simulation_serving_test.go
+++ b/scheduler/execution/simulation_serving_test.go
@@ -32,7 +32,7 @@
 // serves reports whether a run of a long-running item serves its users.
 func (s *simulation) serves(w *simWorker, r Run) bool {
 	startedAt, runs := w.running[r]
-	return runs && s.longRunning(r.Item) && s.now-startedAt >= simRunTime
+	return runs && s.longRunning(r.Item) && s.now-startedAt >= s.startup
 }
 
 // noteServing records which long-running items serve their users.
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -35,6 +35,10 @@
 	queuedHolders  []string
 	writtenHolders []string
 	lateOrders     []lateOrder
+	// pauses is set if the owner is paused at times, and startup is how long a run of a
+	// long-running item takes to serve its users.
+	pauses  bool
+	startup time.Duration
 	// healthy is set once long-running items do not fail any more.
 	healthy bool
 	// longRunningItems is the number of long-running items of all jobs.
@@ -103,6 +107,10 @@
 	// entry may take to show the change.
 	simCapacityKnown    = 4500 * time.Millisecond
 	simRegisteredWithin = 4 * time.Second
+	// simMaxPause is the longest pause of an owner that keeps its authority. An owner that
+	// is paused takes it that a run does not serve within simStartup.
+	simMaxPause = 2400 * time.Millisecond
+	simStartup  = notServingMaxReportAge + stopDeliveryTime + 100*time.Millisecond
 	// An item that has not served its users for simNotice counts as unavailable.
 	simNotice = 4500 * time.Millisecond
 )
@@ -112,6 +120,10 @@
 		t: t, now: time.Minute, workers: map[string]*simWorker{}, jobs: map[string]*job.Job{}, deadly: map[string]bool{},
 		progress: map[string]job.Progress{}, cancelled: map[string]bool{}, items: map[job.ItemID]*simItem{},
 	}
+	s.pauses, s.startup = rapid.Bool().Draw(t, "pauses"), simRunTime
+	if s.pauses {
+		s.startup = simStartup
+	}
 	for n := range rapid.IntRange(1, 4).Draw(t, "workers") {
 		id := fmt.Sprintf("w%d", n)
 		s.workers[id] = &simWorker{Worker: testWorker(id, simMilliCPU)}
@@ -211,8 +223,9 @@
 }
 
 // start carries out a start on a worker and checks that the item may start there
-// now. late is set for an order that the worker carries out late.
-func (s *simulation) start(w *simWorker, st Start, fence int64, late bool) StartResult {
+// now. late is set for an order that the worker carries out late, ago is how long ago it
+// was given.
+func (s *simulation) start(w *simWorker, st Start, fence int64, late bool, ago time.Duration) StartResult {
 	if fence < w.fence {
 		return NotStarted
 	}
@@ -253,7 +266,7 @@
 	for r := range w.running {
 		used += s.jobs[r.Item.Job].Steps[r.Item.Step].Needs.MilliCPU
 	}
-	limit := w.capacityLimit(s.now, simCapacityKnown)
+	limit := w.capacityLimit(s.now, simCapacityKnown+ago)
 	if late {
 		limit = simMilliCPU
 	}
@@ -322,7 +335,7 @@
 		s.lateOrders = s.lateOrders[1:]
 		// A start is not carried out by a later lifetime of the worker.
 		if o.startMillis == o.to.StartMillis {
-			s.start(o.to, o.start, o.fence, true)
+			s.start(o.to, o.start, o.fence, true, 0)
 		}
 	}
 }
@@ -359,10 +372,15 @@
 	}
 	s.writeHolders()
 	orders := s.core.Round(wall.Add(s.now), s.now)
+	paused := s.pause("before orders")
 	for _, st := range orders.Starts {
-		s.send(st)
+		s.send(st, paused)
 	}
 	for _, stop := range orders.Stops {
+		if paused > 0 && !s.core.StopAllowed(stop, s.now) {
+			s.core.StopDone(stop, false, s.now)
+			continue
+		}
 		w := s.workers[stop.Worker.ID]
 		outcome := rapid.IntRange(0, 9).Draw(s.t, "outcome of a stop")
 		if w.unreachable() || s.term < w.fence || outcome == 0 {
@@ -410,7 +428,23 @@
 	}
 }
 
-func (s *simulation) send(st Start) {
+// pause lets the owner stand still for some time, and returns how long.
+func (s *simulation) pause(point string) time.Duration {
+	if !s.pauses || s.healthy || rapid.IntRange(0, 19).Draw(s.t, "pause "+point) < 19 {
+		return 0
+	}
+	d := time.Duration(rapid.IntRange(1, int(simMaxPause/time.Millisecond)).Draw(s.t, "pause")) * time.Millisecond
+	s.advance(d)
+	return d
+}
+
+// send sends a start that was ordered some time ago. The owner checks orders again before
+// it sends them, which matters after a pause.
+func (s *simulation) send(st Start, ago time.Duration) {
+	if ago > 0 && !s.core.StartWanted(st) {
+		s.core.StartWithdrawn(st, s.now)
+		return
+	}
 	w := s.workers[st.Worker.ID]
 	outcome := rapid.IntRange(0, 9).Draw(s.t, "outcome of a start")
 	switch {
@@ -428,15 +462,18 @@
 		slices.SortStableFunc(s.lateOrders, func(a, b lateOrder) int { return int(a.at - b.at) })
 		s.core.StartDone(st, StartUnknown, s.now)
 	case outcome == 2:
-		s.start(w, st, s.term, false)
+		s.start(w, st, s.term, false, ago)
 		s.core.StartDone(st, StartUnknown, s.now)
 	default:
-		s.core.StartDone(st, s.start(w, st, s.term, false), s.now)
+		s.core.StartDone(st, s.start(w, st, s.term, false, ago), s.now)
 	}
 }
 
 func (s *simulation) hold(w *simWorker) {
 	h, ok := s.core.HoldFor(w.ID, s.now)
+	if ok {
+		s.pause("before a hold")
+	}
 	switch {
 	case ok && w.backAt > 0:
 		s.core.HoldFailed(w.ID, "connection_refused", s.now)
@@ -461,10 +498,15 @@
 	report := Report{Clock: s.clock(w), StartMillis: w.StartMillis, Ended: slices.Clone(w.ended)}
 	for _, r := range sortedRuns(w.running) {
 		w.listed[r] = true
-		report.Running = append(report.Running, RunningItem{Run: r, Percent: min(int(s.now-w.running[r])*100/int(simRunTime), 100)})
+		takes := simRunTime
+		if s.longRunning(r.Item) {
+			takes = s.startup
+		}
+		report.Running = append(report.Running, RunningItem{Run: r, Percent: min(int(s.now-w.running[r])*100/int(takes), 100)})
 	}
 	sent := s.now
 	s.advance(time.Millisecond)
+	s.pause("after a hold")
 	if rapid.IntRange(0, 19).Draw(s.t, "answer to a hold") == 0 {
 		s.core.HoldFailed(w.ID, "connection_closed", s.now)
 		return
