Take a lease to have lapsed only after a call without an answer

An owner that is paused, or too short of processor time to call its workers, started items elsewhere whose workers had answered: the end of the run as done waited to be processed. The item ran again, and the end was acknowledged afterwards.

Cause: once the time of a lease was over, the next round dropped the runs of the worker, before it was known whether the worker answers. The owner's lease may outlast those of its workers then: its renewals are few, the calls to its workers many.

The runs on a worker are now dropped only if its last call got no answer. A worker that has runs is called without a break, so that one that does not answer is found by then: a call takes 0.7 s at most, a lease over 3 s. What an answer lists is certain, also of runs that have lapsed.

--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -171,3 +171,23 @@
 		t.Errorf("started %v after as many failures as there are attempts", o.Starts[0].Run)
 	}
 }
+
+// An owner that was paused, or short of processor time, took the lease of a worker to have
+// lapsed before it had read the worker's answer, which listed the end of the run, and
+// started the item elsewhere.
+func TestLeaseHasNotLapsedWhileTheWorkerAnswers(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	first := b.round().Starts[0]
+	b.core.StartDone(first, Started, b.now)
+	b.core.TakeWrites(10)
+	b.worker(testWorker("w2", 1000), Report{})
+	h, _ := b.core.HoldFor("w1", b.now)
+	sent := b.now
+	if o := b.roundAfter(2 * testHold); len(o.Starts) > 0 {
+		t.Fatalf("started %v although the worker of its last run has not failed to answer", o.Starts[0].Run)
+	}
+	b.core.HoldDone(h, Report{Clock: sent, StartMillis: 1, Ended: []EndedItem{{Number: 1, Run: first.Run, Kind: EndDone}}}, sent, b.now)
+	b.expectDone(jobA, "w1")
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -139,7 +139,9 @@
 // workers themselves if the registry has no entry for them.
 func (c *Core) dropLapsed(now Time) {
 	for _, w := range slices.Clone(c.sortedWorkers) {
-		if !w.lapsed(now) {
+		// A worker whose last call did not fail may have answered one that is not processed
+		// yet. What it lists is certain.
+		if !w.lapsed(now) || !w.silent && w.needsHold() {
 			continue
 		}
 		if w.silent {
