--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -378,7 +378,7 @@
 	}
 	for _, stop := range orders.Stops {
 		if paused > 0 && !s.core.StopAllowed(stop, s.now) {
-			s.core.StopDone(stop, false, s.now)
+			s.core.StopPostponed(stop)
 			continue
 		}
 		w := s.workers[stop.Worker.ID]
