Count the age of a run that is not listed from the last report

What callers saw: a job that could be done was shown as failed with reason=workers_crashed.

Cause: a run whose start got no answer counted as started at its order until the worker crashed, although the worker had been asked since and did not list it.

18.842 run 2 placed on i-b560c304f5, 19.143 event=start_unanswered 20.180 the worker answers and does not list the run, which is to be stopped 20.283 event=worker_silent reason=connection_refused 20.855 event=item_suspected "crashes=1 weak=0 matching=1 age_ms=0-1440" 21.308 run 3, which was listed: "crashes=2 weak=0 matching=2 age_ms=98-256" 24.479 run 4, as run 2, 322 ms after a report: "matching=3 age_ms=0-1339"

Such a range matches any other one. The worker answered between the start and the crash, so that the crash was not weak either.

The age counts from the last call after which the worker did not list the run. An item that crashes its worker after a late start is still found, as its age is in that range. If the range is wider than 150 ms, the crash is weak.

--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -19,8 +19,9 @@
 // which workers go on to crash is given up.
 //
 // Workers also crash from outside, many at once. A crash is weak evidence if the worker
-// had stopped answering before, so that it is not known when it crashed, or if many
-// workers crashed together and the age of the run is not closely known.
+// had stopped answering before, so that it is not known when it crashed. So it is if the
+// age of the run is not closely known and many workers crashed together or the run,
+// whose start got no answer, was not in the last report.
 
 const (
 	// crashesToGiveUp is the number of workers that crash under an item at the same
@@ -42,8 +43,9 @@
 	// which on the age counts.
 	ageTolerance = 100 * time.Millisecond
 	// maxAgeUncertainty is how closely the age of a run is known at a crash that is
-	// evidence even if many workers crash together. A crash closes the connections to
-	// the worker, so that the age is known closely if the item crashes it at its start.
+	// evidence even if many workers crash together or the run may not have started. A
+	// crash closes the connections to the worker, so that the age is known closely if
+	// the item crashes it at its start.
 	maxAgeUncertainty = 150 * time.Millisecond
 	// Workers crash together if more than maxUnrelatedCrashes do within
 	// crashTogetherTime. A single item cannot cause that.
@@ -151,12 +153,12 @@
 		if cp.listed {
 			l.MinAgeMillis = max(w.clockAt-cp.startedAt, 0).Milliseconds()
 		}
-		l.MaxAgeMillis = max(at-cp.startedAt, 0).Milliseconds()
+		l.MaxAgeMillis = max(at-max(cp.startedAt, cp.absentAt), 0).Milliseconds()
 		if cp.adopted {
 			// A former owner started the run; startedAt is when it was adopted.
 			l.MaxAgeMillis += maxJobAge.Milliseconds()
 		}
-		l.Weak = w.endedAt == 0 || w.endedWithOthers && !ageKnown(l.Crash)
+		l.Weak = w.endedAt == 0 || (w.endedWithOthers || cp.absentAt > 0) && !ageKnown(l.Crash)
 		i.lostRuns = append(i.lostRuns, l)
 		c.lostAt[w.place()] = append(c.lostAt[w.place()], i)
 		if i.step.job.begun {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -158,7 +158,7 @@
 		if cp.phase != running {
 			c.confirm(cp, now)
 		}
-		cp.listed = true
+		cp.listed, cp.absentAt = true, 0
 		c.clearRun(cp.item, cp.run)
 		if row.Percent != cp.percent {
 			cp.percent, cp.progressedAt = row.Percent, now
@@ -436,6 +436,9 @@
 				c.requeueLost(cp, "not_listed", now)
 			}
 		case unresolved:
+			if cp.phaseSince < sent {
+				cp.absentAt = sent
+			}
 			if cp.stopAnsweredAt > 0 && cp.stopAnsweredAt < sent {
 				c.requeueLost(cp, "never_started", now)
 			} else if cp.phaseSince < sent && !cp.stopWanted {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -43,8 +43,10 @@
 	// adopted is set for runs that a former owner started.
 	adopted bool
 	// listed is set once a report showed the run in the current lifetime of
-	// the worker.
-	listed bool
+	// the worker. Until then, absentAt is when the worker was last asked and had not
+	// carried out a start that got no answer, or zero.
+	listed   bool
+	absentAt Time
 	// suspect and isolated are set if the item was a suspect, or had to run isolated,
 	// when the run started.
 	suspect, isolated bool
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -76,6 +76,57 @@
 	}
 }
 
+// A sound job was given up because its starts had got no answer on workers that crashed
+// from outside long after a report that did not list the run.
+func TestStartsThatWorkersDoNotListDoNotCondemnTheirItems(t *testing.T) {
+	for sinceReport, want := range map[time.Duration]bool{10 * time.Millisecond: true, 2 * maxAgeUncertainty: false} {
+		b := newTestbed(t, 0)
+		w := testWorker("w", 1000)
+		w.VM = "vm1"
+		b.worker(w, Report{})
+		b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+		for range crashesToGiveUp {
+			w = b.crashAfterUnansweredStart(w, sinceReport)
+		}
+		if final := b.core.jobs[jobA].final(); final != want {
+			t.Errorf("job given up after crashes %v after the last report: %v, want %v", sinceReport, final, want)
+		}
+	}
+}
+
+// A run that was not listed had any age up to that of its order, and so matched the
+// crashes of all other runs of its item.
+func TestAgeOfAnUnlistedRunCountsFromTheLastReport(t *testing.T) {
+	b := newTestbed(t, 0)
+	w := testWorker("w", 1000)
+	w.VM = "vm1"
+	b.worker(w, Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	for range matchingCrashesToIsolate {
+		w = b.crashAfterUnansweredStart(w, 10*time.Millisecond)
+	}
+	r := startOnly(b).Run
+	b.now += 500 * time.Millisecond
+	b.report(w.ID, Report{Running: []RunningItem{{Run: r, Percent: 50}}})
+	b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+	restartVM(b, w)
+	if b.core.jobs[jobA].final() {
+		t.Error("the job is given up, although its runs cannot have had the same age")
+	}
+}
+
+// crashAfterUnansweredStart starts the only item without an answer, and crashes the
+// worker some time after a report that does not list the run, 600 ms after the order.
+func (b *testbed) crashAfterUnansweredStart(w Worker, sinceReport time.Duration) Worker {
+	b.Helper()
+	b.core.StartDone(b.roundAfter(failedStartPause).Starts[0], StartUnknown, b.now)
+	b.now += 600*time.Millisecond - sinceReport
+	b.report(w.ID, Report{})
+	b.now += sinceReport
+	b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
+	return restartVM(b, w)
+}
+
 // An item that crashes its workers at its start must be given up even if many workers
 // crash together: a new owner starts many such items at once.
 func TestItemsThatCrashManyWorkersTogetherAreGivenUp(t *testing.T) {
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -56,7 +56,7 @@
 			c.requeueLost(cp, "worker_restarted", now)
 			continue
 		}
-		cp.phase, cp.phaseSince, cp.stopAnsweredAt = unresolved, now, 0
+		cp.phase, cp.phaseSince, cp.stopAnsweredAt, cp.absentAt = unresolved, now, 0, 0
 	}
 	for _, r := range orphansOf(w) {
 		c.dropOrphan(w, r)
