Don't take workers to be silent after a pause of the owner

After a pause of seconds an owner took all workers to be silent whose answers it had not read in time. They got no work until the next answer, and the runs of those whose leases were over by then were dropped and started elsewhere, although the next call, 0.2 s later, would have listed them or their ends.

Cause: a call whose time limit passed during the pause failed as one without an answer.

Evidence: owner.TestWorkerIsNotSilentBecauseTheOwnerWasPaused failed before: "starts [], want one on the worker, which counts as silent".

A call that fails by its time limit, and more than 1 s after it, tells nothing of the worker and is repeated at once. An owner that is always as late as that loses its own lease, whose calls have to be in time.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -22,6 +22,10 @@
 	unsettledWait = 100 * time.Millisecond
 	// retryWait is the pause after a call that a worker did not answer.
 	retryWait = 200 * time.Millisecond
+	// pauseNoticed is how long after its time limit a call to a worker may fail and still
+	// tell that the worker does not answer. After that, this process did not run, or could
+	// not read the answer for lack of processor time.
+	pauseNoticed = time.Second
 	// maxPendingStarts bounds the starts that wait for their answers. A worker
 	// answers within a few milliseconds; when the CPU cannot keep up, more starts
 	// would only time out, and the holds with them.
@@ -187,6 +191,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, hold.LongPollTimeout+callTimeout)
 	report, err := t.options.Workers.Hold(callCtx, hold)
 	cancel()
+	if errors.Is(err, context.DeadlineExceeded) && boottime.Now()-sent > hold.LongPollTimeout+callTimeout+pauseNoticed {
+		t.options.Log.Debug().Str("event", "hold_interrupted").Str("worker", hold.Worker.ID).Dur("took", boottime.Now()-sent).Msg("")
+		return
+	}
 	if err != nil {
 		t.endIfWorkerFenced(err, hold.Worker.ID, hold.Fence)
 		if ctx.Err() == nil {
--- a/owner/rounds_test.go
+++ b/owner/rounds_test.go
@@ -5,8 +5,12 @@
 	"io"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"dotterelhead.example/dotterelhead/job"
+	"dotterelhead.example/dotterelhead/scheduler/execution"
 )
 
 // A crash of a worker and a network cut looked the same in the log.
@@ -27,3 +31,24 @@
 		}
 	}
 }
+
+// pausedCalls stand for calls during which the process is paused: it learns of their time
+// limit much later.
+type pausedCalls struct{ Workers }
+
+func (pausedCalls) Hold(ctx context.Context, _ execution.Hold) (execution.Report, error) {
+	<-ctx.Done()
+	time.Sleep(pauseNoticed + 100*time.Millisecond)
+	return execution.Report{}, ctx.Err()
+}
+
+// An owner that was paused took all workers to be silent whose answers it had not read in
+// time, dropped the runs of those whose leases were over by then and started them elsewhere.
+func TestWorkerIsNotSilentBecauseTheOwnerWasPaused(t *testing.T) {
+	tm, _ := termWithJob(t, job.Step{})
+	tm.options.Workers = pausedCalls{}
+	tm.hold(context.Background(), execution.Hold{Worker: execution.Worker{ID: "w1", StartMillis: 1}}, &holdLoop{})
+	if starts := tm.roundOrders().Starts; len(starts) != 1 {
+		t.Errorf("starts %v, want one on the worker, which counts as silent", starts)
+	}
+}
