Let the next owner give up a job whose giving up was put off

What callers see: an item that crashes workers starts a sixth time, and its job is shown as running for longer.

Cause: an owner that counts the deciding crash before its takeover is settled puts the decision off, in memory only. The crashes are in the store; if the owner is replaced before the takeover is settled, the next one restores them and starts the item, because it decides only when it counts another crash.

Evidence: TestNextOwnerGivesUpWhatTheFormerOwnerPutOff failed before.

Why it works: each item with crashes in its record is decided on once the takeover is settled, by the same rule.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -170,6 +170,10 @@
 		if i := j.itemByNumber(record.Number, now); i != nil {
 			i.lastRun, i.failedRuns, i.saved = record.LastRun, record.FailedRuns, record.Saved
 			i.setCrashes(record.Crashes)
+			if i.suspect() {
+				// The former owner may have put the decision off.
+				c.inheritedCauses = append(c.inheritedCauses, i)
+			}
 			c.restoreLostRuns(i, record.LostRuns, now)
 		}
 	}
--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -455,3 +455,20 @@
 		}
 	}
 }
+
+// Guards against a sixth start of an item that crashes workers: the former owner had
+// counted the last crash, put the decision off until its takeover was settled and was
+// replaced before that.
+func TestNextOwnerGivesUpWhatTheFormerOwnerPutOff(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
+	item := job.ItemProgress{LastRun: 3}
+	for run := range int64(crashesToGiveUp) {
+		item.Crashes = append(item.Crashes, job.Crash{Run: run + 1, MaxAgeMillis: 100})
+	}
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running, Items: []job.ItemProgress{item}}, true, wall, b.now)
+	b.worker(testWorker("w1", 1000), Report{})
+	if o := b.round(); len(o.Starts) > 0 || b.core.jobs[jobA].phase != job.Failed {
+		t.Errorf("starts %v, job is %s, want no start and failed", o.Starts, b.core.jobs[jobA].phase)
+	}
+}
