Take from the worker's clock how long it can have waited with a report

What callers see: a run of a long-running item is stopped while it serves and its step allows no stop (AVAIL), if the owner was paused for less than 0.7 s.

Cause: an answer to a hold counted as made when it was read, unless the call took longer than the worker was asked to wait and 0.3 s more. A worker that has an end to list does not wait. An owner that stood still for 0.6 s took such a report to be new, and the run in it not to serve yet.

Evidence: TestReportThatIsReadLateDespiteAnAnswerAtOnceIsOld failed before.

Why it works: the worker's clock is at most 2 % slow, so that its advance since the last report, which was made before it was read, bounds how long the worker waited. A call that took over 0.3 s more than that is one whose answer was read late.

--- a/scheduler/execution/avail_test.go
+++ b/scheduler/execution/avail_test.go
@@ -306,3 +306,21 @@
 		t.Errorf("stops %v after a second, want one", o.Stops)
 	}
 }
+
+// Guards against a stop of a run that serves: the owner read a report late that the worker
+// had made at once, and took the report to be as new as if the worker had waited.
+func TestReportThatIsReadLateDespiteAnAnswerAtOnceIsOld(t *testing.T) {
+	b := newTestbed(t, 0)
+	startLongRunningPair(b)
+	b.roundAfter(1500 * time.Millisecond)
+	b.report("w1", Report{Running: []RunningItem{{Run: testRun(jobA, 0, 1), Percent: 20}}})
+	h, _ := b.core.HoldFor("w2", b.now)
+	sent := b.now
+	b.now += holdWait + AnswerTimeout - 100*time.Millisecond
+	b.core.HoldDone(h, Report{Clock: sent, StartMillis: 1, Running: []RunningItem{{Run: testRun(jobA, 1, 1), Percent: 10}}}, sent, b.now)
+	b.core.SetClosed("w2", true)
+	b.core.Evacuate("w2", true, b.now)
+	if o := b.round(); len(o.Stops) > 0 {
+		t.Errorf("stopped %v, which may serve since a report that is %v old", o.Stops[0].Run, b.now-sent)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -115,8 +115,12 @@
 		c.checkHolders = true
 	}
 	if r.Clock >= w.clock {
+		// A worker that has an end to list does not wait. Its clock tells how long after the
+		// last report, which was read at clockAt, it can have made this one.
+		made := w.clockAt + time.Duration(float64(r.Clock-w.clock)/(1-workerClockError))
+		waited := max(min(made-sent, h.LongPollTimeout), 0)
 		w.clock, w.clockAt, w.reportedAt = r.Clock, now, now
-		if now-sent > h.LongPollTimeout+AnswerTimeout {
+		if now-sent > waited+AnswerTimeout {
 			w.reportedAt = sent
 		}
 	}
