Pause between holds while ends may not be acknowledged yet

What callers see: nothing but processor time. An owner calls a worker again and again without a pause.

An end whose consequences were committed before (of a finished job, or a run that was stopped) then needs no commit, so that the hold loop did not wait before the next hold, and a worker that lists an end answers at once. With a store that is slow or down at a takeover, this goes on until the first write.

Evidence: TestWorkerWithEndsThatMayNotBeAcknowledgedYetIsNotCalledAtOnce failed before.

Why it works: such ends count as unsettled, as those that wait for a commit do.

--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -237,3 +237,20 @@
 	b.core.HoldDone(h, Report{Clock: sent, StartMillis: 1, Ended: []EndedItem{{Number: 1, Run: first.Run, Kind: EndDone}}}, sent, b.now)
 	b.expectDone(jobA, "w1")
 }
+
+// Guards against holds that follow each other without a pause: a worker answers at once
+// while it lists an end, and an end whose consequences were committed before is not
+// acknowledged until the owner has written something.
+func TestWorkerWithEndsThatMayNotBeAcknowledgedYetIsNotCalledAtOnce(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Completed}, true, wall, b.now)
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}})
+	if h, due := b.core.HoldFor("w1", b.now); due && h.AcknowledgedEnd == 0 && !b.core.NeedsImmediateAnswer("w1") {
+		t.Error("the next hold is due at once, acknowledges nothing and so is answered at once")
+	}
+	b.core.MarkCommitted(nil)
+	if h, _ := b.core.HoldFor("w1", b.now); h.AcknowledgedEnd != 1 || b.core.NeedsImmediateAnswer("w1") {
+		t.Errorf("ends up to %d are acknowledged after a write, want 1 without a pause", h.AcknowledgedEnd)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -59,15 +59,15 @@
 }
 
 // NeedsImmediateAnswer reports whether a worker is asked to answer the next
-// hold at once: ends wait to be committed, or it has orphans or unresolved
-// copies.
+// hold at once: ends wait to be committed or for a write after which they may be
+// acknowledged, or it has orphans or unresolved copies.
 func (c *Core) NeedsImmediateAnswer(id string) bool {
 	w := c.workers[id]
 	return w != nil && w.needsImmediateAnswer()
 }
 
 func (w *worker) needsImmediateAnswer() bool {
-	return w.committedEnd != w.processedEnd || len(w.orphans) > 0 || w.hasUnresolved()
+	return w.committedEnd != w.processedEnd || !w.fenceSuperseded && w.acknowledgedEnd != w.processedEnd || len(w.orphans) > 0 || w.hasUnresolved()
 }
 
 func (w *worker) hasUnresolved() bool {
