Count crashes under runs that the store has as lost in the model

The model of workers and owners left out each crash under a run that the present owner had neither started nor seen listed. If a former owner has recorded the run as lost, the owner restores it and counts the crash once the worker is back, so that it has to count for the check as well.

--- a/scheduler/execution/simulation_crashes_test.go
+++ b/scheduler/execution/simulation_crashes_test.go
@@ -13,10 +13,10 @@
 }
 
 // noteCrash adds a crash of a worker under a run. The present owner can only know of it
-// if it has started the run or the worker has listed the run to it: no start is recorded
-// in the store before its run is lost.
+// if it has started the run, the worker has listed the run to it or a former owner has
+// recorded the run as lost: no start is recorded in the store before its run is lost.
 func (s *simulation) noteCrash(w *simWorker, r Run) {
-	if i := s.item(r.Item); r.Number > (s.term-1)*runsPerTerm || w.listed[r] {
+	if i := s.item(r.Item); r.Number > (s.term-1)*runsPerTerm || w.listed[r] || s.recorded(r.Item, r.Number) {
 		i.crashes = append(i.crashes, simCrash{r.Number, len(i.starts)})
 	}
 }
