Acknowledge no end after a hold during which the owner was paused

What callers see: an item whose end a restarted worker has forgotten runs again.

Cause: a hold acknowledges an end once, and none once the worker has stopped answering: it may have started again and number its ends anew. Since, a hold whose answer was not read because of a pause does not make the worker silent, so that the next hold, more than a second later, acknowledged the same ends again. A lifetime that began in between knows no fencing token yet and may have run what a late order started.

Evidence: TestInterruptedHoldIsNotFollowedByAnAcknowledgement failed before: "after the pause up to 1".

Why it works: the hold after such a one acknowledges nothing. Its answer tells the lifetime.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -192,6 +192,9 @@
 	report, err := t.options.Workers.Hold(callCtx, hold)
 	cancel()
 	if errors.Is(err, context.DeadlineExceeded) && boottime.Now()-sent > hold.LongPollTimeout+callTimeout+pauseNoticed {
+		t.mu.Lock()
+		t.core.HoldInterrupted(hold.Worker.ID)
+		t.mu.Unlock()
 		t.options.Log.Debug().Str("event", "hold_interrupted").Str("worker", hold.Worker.ID).Dur("took", boottime.Now()-sent).Msg("")
 		return
 	}
--- a/owner/rounds_test.go
+++ b/owner/rounds_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/scheduler/execution"
 )
@@ -52,3 +53,21 @@
 		t.Errorf("starts %v, want one on the worker, which counts as silent", starts)
 	}
 }
+
+// Guards against a later lifetime that forgets its ends: after a pause of the owner, in
+// which the worker may have started again, the next hold acknowledged ends once more.
+func TestInterruptedHoldIsNotFollowedByAnAcknowledgement(t *testing.T) {
+	tm, _ := termWithJob(t, job.Step{})
+	tm.reported("w1", execution.Report{Ended: []execution.EndedItem{{Number: 1, Run: execution.Run{Item: job.ItemID{Job: "unknown"}, Number: 1}}}})
+	tm.core.MarkCommitted(nil)
+	hold, _ := tm.core.HoldFor("w1", boottime.Now())
+	tm.options.Workers = pausedCalls{}
+	tm.hold(context.Background(), hold, &holdLoop{})
+	if next, _ := tm.core.HoldFor("w1", boottime.Now()); hold.AcknowledgedEnd != 1 || next.AcknowledgedEnd != 0 {
+		t.Errorf("ends up to %d are acknowledged, and after the pause up to %d, want 1 and 0", hold.AcknowledgedEnd, next.AcknowledgedEnd)
+	}
+	tm.reported("w1", execution.Report{})
+	if next, _ := tm.core.HoldFor("w1", boottime.Now()); next.AcknowledgedEnd != 1 {
+		t.Errorf("ends up to %d are acknowledged once the worker has answered, want 1", next.AcknowledgedEnd)
+	}
+}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -49,10 +49,10 @@
 // endToAcknowledge returns the number of the last end that the next hold acknowledges,
 // or zero. The worker may have started again since its last answer and number its ends
 // anew, so that a hold acknowledges only what the worker has not been told to forget,
-// and nothing once the worker has stopped answering. The next lifetime has to have a
+// and nothing after a hold whose answer was not read. The next lifetime has to have a
 // higher fencing token than the hold, which may be carried out late.
 func (w *worker) endToAcknowledge() int64 {
-	if w.silent || !w.fenceSuperseded || w.committedEnd == w.acknowledgedEnd {
+	if w.silent || w.interrupted || !w.fenceSuperseded || w.committedEnd == w.acknowledgedEnd {
 		return 0
 	}
 	return w.committedEnd
@@ -97,7 +97,7 @@
 		// the former one can still change its lists.
 		return
 	}
-	w.silent, w.silentSinceLapse = false, false
+	w.silent, w.silentSinceLapse, w.interrupted = false, false, false
 	w.endedAt, w.endedWithOthers = 0, false
 	c.settleLostRuns(w.Worker, true, now)
 	w.endsCutOff = len(r.Ended) >= maxEndsPerReport
@@ -166,6 +166,14 @@
 	}
 }
 
+// HoldInterrupted records that the owner was paused during a hold, so that it is not known
+// whether the worker has answered it.
+func (c *Core) HoldInterrupted(id string) {
+	if w := c.workers[id]; w != nil {
+		w.interrupted = true
+	}
+}
+
 func (c *Core) processRunning(w *worker, row RunningItem, now Time) {
 	if cp := w.copies[row.Run]; cp != nil {
 		if cp.phase != running {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -221,7 +221,8 @@
 	avoidUntil Time
 	// silent is set when a hold gets no answer, until the next report.
 	// silentSinceLapse is set once the leases of a silent worker have lapsed.
-	silent, silentSinceLapse bool
+	// interrupted is set when the owner is paused during a hold, until the next report.
+	silent, silentSinceLapse, interrupted bool
 	// endedAt is when it was found that the worker's process had ended, without that it
 	// had been silent before, or zero. endedWithOthers is set if many ended together.
 	endedAt         Time
