Keep lapsed workers whose answers are not read in the last record of a term

What callers see: a done item starts again after a planned change of owner.

The record of lease holders at the planned end of a term left such a worker out, so that the next owner did not wait for its report before it started inherited items.

Evidence: TestWorkerWhoseAnswerIsNotReadStaysALeaseHolder failed before.

Why it works: the worker is recorded with the usual time, as one with ends that are not committed.

--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -18,8 +18,8 @@
 
 // LeaseHolders returns the workers that may run something under a lease, with the
 // longest time that each lease can last from now, and those with ends that are not
-// committed. It is used when this owner gives no more orders; the next owner has to
-// wait no longer than these times.
+// committed or may be in an answer that is not read yet. It is used when this owner gives
+// no more orders; the next owner has to wait no longer than these times.
 func (c *Core) LeaseHolders(now Time) map[string]time.Duration {
 	holders := map[string]time.Duration{}
 	for id, until := range c.formerHolders {
@@ -29,7 +29,7 @@
 	}
 	for _, w := range c.sortedWorkers {
 		switch {
-		case w.hasUncommittedEnds():
+		case w.hasUncommittedEnds(), w.lapsed(now) && !w.silent && len(w.copies) > 0:
 			holders[w.ID] = c.RecordedLeaseTime(w.ID, now)
 		case !w.lapsed(now) && c.RunCount(w.ID) > 0:
 			holders[w.ID] = w.lapseAt - now
--- a/scheduler/execution/holders_test.go
+++ b/scheduler/execution/holders_test.go
@@ -252,3 +252,17 @@
 		t.Errorf("holders %v, changed %v; want the contacted worker too, before it gets work", ids, changed)
 	}
 }
+
+// Guards against a done item that the next owner starts again: after a pause, the planned
+// end of a term left out a worker whose lease was over and whose answer was not read yet.
+func TestWorkerWhoseAnswerIsNotReadStaysALeaseHolder(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	b.core.StartDone(b.round().Starts[0], Started, b.now)
+	b.core.HoldFor("w1", b.now)
+	b.roundAfter(2 * testHold)
+	if left := b.core.LeaseHolders(b.now)["w1"]; left == 0 {
+		t.Error("w1 is left out although it may list the run as done")
+	}
+}
