owner: Run TestSmallOwnerHandsOver on a fake clock

What was seen: "the owner did not hand over" once, beside other work on the machine, although the owner was challenged; the test passed when repeated.

Cause: the limit of 1.5 s of real time consists of the pause of 1 s before the check for a challenge (challengeEvery) and 0.5 s for the test process to be given a processor three times: to start the goroutine, to fire its timer, and to resume the test. The store is in memory, and the code waits for nothing else.

Why it works: on the fake clock of testing/synctest, time passes only while all goroutines wait, so the limit covers every wait of the code and no lack of processor time. The limit is unchanged. The changed test fails when the pause is 1.6 s or 2 s, when the check is delayed by another second, and when any challenger is accepted. It no longer counts processor time used by the check itself, which reads one key from memory.

--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,28 +24,31 @@
 		challenger float64
 		handsOver  bool
 	}{{"larger", 0.8, true}, {"slightly larger", 0.25, false}, {"not limited", 0, true}} {
+		// On the fake clock a starved test process does not count as a slow owner.
 		t.Run(c.name, func(t *testing.T) {
-			tm := testTerm(t, &fakeVMs{})
-			tm.ownership.CPUShare = 0.2
-			ended := make(chan error, 1)
-			tm.end = func(err error) { ended <- err }
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			challenger := jobstore.Claim{Node: "entry-1", Process: "p", CPUShare: c.challenger}
-			if err := jobstore.Challenge(ctx, tm.options.Store, challenger, time.Minute); err != nil {
-				t.Fatal(err)
-			}
-			go tm.watchChallenges(ctx)
-			select {
-			case err := <-ended:
-				if !c.handsOver || !errors.Is(err, errHandedOver) {
-					t.Errorf("the term ended: %v", err)
+			synctest.Test(t, func(t *testing.T) {
+				tm := testTerm(t, &fakeVMs{})
+				tm.ownership.CPUShare = 0.2
+				ended := make(chan error, 1)
+				tm.end = func(err error) { ended <- err }
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				challenger := jobstore.Claim{Node: "entry-1", Process: "p", CPUShare: c.challenger}
+				if err := jobstore.Challenge(ctx, tm.options.Store, challenger, time.Minute); err != nil {
+					t.Fatal(err)
 				}
-			case <-time.After(3 * challengeEvery / 2):
-				if c.handsOver {
-					t.Error("the owner did not hand over")
+				go tm.watchChallenges(ctx)
+				select {
+				case err := <-ended:
+					if !c.handsOver || !errors.Is(err, errHandedOver) {
+						t.Errorf("the term ended: %v", err)
+					}
+				case <-time.After(3 * challengeEvery / 2):
+					if c.handsOver {
+						t.Error("the owner did not hand over")
+					}
 				}
-			}
+			})
 		})
 	}
 }
