Settle no takeover before the first call to a worker has failed

What callers see: a done item starts again, or a second run of an item starts, after a change of owner.

Cause: a takeover was settled once the recorded time of each worker that was not contacted was over.

Evidence: TestTakeoverIsNotSettledWhileAWorkerAnswers failed before.

TestNewOwnerAsksForOtherRunsBeforeItGivesUp let the lease of a registered worker lapse that was never called; the call fails there now. What it expects is unchanged.

--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -443,6 +443,7 @@
 		b.round()
 		if !done {
 			b.core.WorkerSeen(testWorker("w2", 1000), b.now)
+			b.core.HoldFailed("w2", "no_answer", b.now)
 			b.roundAfter(2 * testHold)
 			if p := b.core.jobs[jobA].phase; p != job.Failed {
 				t.Errorf("job is %s once no former run can go on, want failed", p)
--- a/scheduler/execution/ends_test.go
+++ b/scheduler/execution/ends_test.go
@@ -254,3 +254,21 @@
 		t.Errorf("ends up to %d are acknowledged after a write, want 1 without a pause", h.AcknowledgedEnd)
 	}
 }
+
+// Guards against the same after a change of owner: the new owner took a takeover to be
+// settled before it had read the first answer of a worker whose former lease was over.
+func TestTakeoverIsNotSettledWhileAWorkerAnswers(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold}, b.now)
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
+	h, _ := b.core.HoldFor("w1", b.now)
+	sent := b.now
+	if o := b.roundAfter(2 * testHold); len(o.Starts) > 0 {
+		t.Fatalf("started %v although the worker of its last run has not failed to answer", o.Starts[0].Run)
+	}
+	b.core.HoldDone(h, Report{Clock: sent, StartMillis: 1, Ended: []EndedItem{{Number: 1, Run: testRun(jobA, 0, 1), Kind: EndDone}}}, sent, b.now)
+	b.core.MarkCommitted(nil)
+	b.expectDone(jobA, "w1")
+}
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -177,11 +177,12 @@
 
 // settleTakeover lets inherited jobs start items once no lease of a former owner
 // can be in force on a worker that was not contacted, and no worker that was contacted
-// and still answers has ends left to list.
+// and still answers has ends left to list. A registered worker to which no call has failed
+// may have answered one that is not processed yet.
 func (c *Core) settleTakeover(now Time) {
 	for id, until := range c.formerHolders {
 		w := c.workers[id]
-		if now < until || w != nil && w.endsCutOff && !w.silentSinceLapse {
+		if now < until || w != nil && (w.endsCutOff && !w.silentSinceLapse || w.present && !w.contacted && !w.silent) {
 			return
 		}
 	}
