--- a/owner/rounds_test.go
+++ b/owner/rounds_test.go
@@ -59,15 +59,21 @@
 func TestInterruptedHoldIsNotFollowedByAnAcknowledgement(t *testing.T) {
 	tm, _ := termWithJob(t, job.Step{})
 	tm.reported("w1", execution.Report{Ended: []execution.EndedItem{{Number: 1, Run: execution.Run{Item: job.ItemID{Job: "unknown"}, Number: 1}}}})
-	tm.core.MarkCommitted(nil)
-	hold, _ := tm.core.HoldFor("w1", boottime.Now())
+	nextHold := func() execution.Hold {
+		tm.mu.Lock()
+		defer tm.mu.Unlock()
+		tm.core.MarkCommitted(nil)
+		h, _ := tm.core.HoldFor("w1", boottime.Now())
+		return h
+	}
+	hold := nextHold()
 	tm.options.Workers = pausedCalls{}
 	tm.hold(context.Background(), hold, &holdLoop{})
-	if next, _ := tm.core.HoldFor("w1", boottime.Now()); hold.AcknowledgedEnd != 1 || next.AcknowledgedEnd != 0 {
+	if next := nextHold(); hold.AcknowledgedEnd != 1 || next.AcknowledgedEnd != 0 {
 		t.Errorf("ends up to %d are acknowledged, and after the pause up to %d, want 1 and 0", hold.AcknowledgedEnd, next.AcknowledgedEnd)
 	}
 	tm.reported("w1", execution.Report{})
-	if next, _ := tm.core.HoldFor("w1", boottime.Now()); next.AcknowledgedEnd != 1 {
+	if next := nextHold(); next.AcknowledgedEnd != 1 {
 		t.Errorf("ends up to %d are acknowledged once the worker has answered, want 1", next.AcknowledgedEnd)
 	}
 }
