--- a/job/progress.go
+++ b/job/progress.go
@@ -50,8 +50,8 @@
 	// crashed.
 	MinAgeMillis int64 `json:"a,omitempty"`
 	MaxAgeMillis int64 `json:"b"`
-	// Weak is set if the crash hardly tells whether the run is its cause: it is not known
-	// when the worker crashed, or many others crashed at the same time.
+	// Weak is set if the crash is weak evidence against the item: it is hardly known when
+	// the worker crashed or whether it had the run, or many others crashed at the same time.
 	Weak bool `json:"k,omitempty"`
 }
 
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -25,7 +25,7 @@
 	droppedLifetimes map[string]droppedLifetime
 	// lostAt holds the items with lost runs, by the place of the worker.
 	lostAt map[string][]*item
-	// inheritedCauses are the items of which giveUpIfCause has to be called again once the
+	// inheritedCauses are the items for which giveUpIfCause has to be called once the
 	// takeover is settled.
 	inheritedCauses []*item
 	// endedWorkers are the workers whose processes have ended lately, within
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -203,8 +203,8 @@
 	// clock is the worker's clock as read at clockAt.
 	clock   time.Duration
 	clockAt Time
-	// reportedAt is how old the last report may be: the worker made it then or later. It
-	// is clockAt, unless the owner was paused before it processed the report.
+	// reportedAt is the earliest time at which the worker can have made the last report.
+	// It is clockAt, unless the owner was paused before it processed the report.
 	reportedAt Time
 	// lapseAt is when all leases that the worker may hold, of this owner or a
 	// former one, have certainly lapsed.
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -30,7 +30,7 @@
 //     from it has been committed to the store.
 //   - An end as done makes its item done, whichever runs of the item the owner knows.
 //   - An item is not started again once crashesToGiveUp workers have crashed under
-//     it at the same age of its run, or maxCrashes at any age.
+//     it at the same age of its run, or maxCrashes at any age, most of them not weak.
 package execution
 
 import (
