--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -85,7 +85,8 @@
 	return n
 }
 
-// likelyCause reports whether workers crash because of the item.
+// likelyCause reports whether workers crash because of the item. With mostly weak crashes it
+// takes more of them, as workers that crash from outside leave such.
 func (i *item) likelyCause() bool {
 	crashes := len(i.crashes)
 	return i.matchingCrashes() >= crashesToGiveUp || crashes >= maxCrashes && 2*i.strongCrashes() > crashes || crashes >= maxCrashesWithWeak
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -105,7 +105,8 @@
 		w.contacted = true
 		if w.restarted {
 			w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
-			// A record that is on its way names the time before the answer.
+			// The record of lease holders that is being written names the usual time, which is
+			// too short from now on.
 			w.holder, w.holderRecorded = false, false
 		}
 		c.checkHolders = true
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -142,8 +142,8 @@
 // workers themselves if the registry has no entry for them.
 func (c *Core) dropLapsed(now Time) {
 	for _, w := range slices.Clone(c.sortedWorkers) {
-		// A worker whose last call did not fail may have answered one that is not processed
-		// yet. What it lists is certain.
+		// After a pause of this process, the worker's answer may wait to be processed. It lists
+		// which runs have ended, so that they are lost only once a call has failed.
 		if !w.lapsed(now) || !w.silent && w.needsHold() {
 			continue
 		}
@@ -177,8 +177,8 @@
 
 // settleTakeover lets inherited jobs start items once no lease of a former owner
 // can be in force on a worker that was not contacted, and no worker that was contacted
-// and still answers has ends left to list. A registered worker to which no call has failed
-// may have answered one that is not processed yet.
+// and still answers has ends left to list. As in dropLapsed, the first answer of a registered
+// worker may wait to be processed until a call to it has failed.
 func (c *Core) settleTakeover(now Time) {
 	for id, until := range c.formerHolders {
 		w := c.workers[id]
