--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -49,6 +49,8 @@
 	leaseEnd time.Time
 	changed  chan struct{}
 	seq      int64
+	// held is set once the present lifetime has answered a hold, and so has told its start.
+	held bool
 }
 
 type runID struct {
@@ -85,6 +87,7 @@
 	w.kind, w.alive, w.started = kind, true, time.Now()
 	w.lifetime++
 	w.fence, w.runs, w.highest, w.ended, w.lastEnd, w.leaseEnd = 0, map[runID]*run{}, map[string]int64{}, nil, 0, time.Time{}
+	w.held = false
 	w.changed = make(chan struct{})
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
 	go func(s *http.Server) { _ = s.Serve(l) }(w.server)
@@ -127,9 +130,16 @@
 	return w.kind
 }
 
+// Held reports whether the present lifetime has answered a hold.
+func (w *Worker) Held() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.held
+}
+
 // live writes the entry at each heartbeat and ends runs whose lease has lapsed.
 func (w *Worker) live(lifetime int, checkIn time.Duration) {
-	next := time.Now().Add(checkIn)
+	next, checkedIn := time.Now().Add(checkIn), false
 	for {
 		w.mu.Lock()
 		if !w.alive || w.lifetime != lifetime {
@@ -151,9 +161,9 @@
 				"machine": w.Machine, "born": w.started.UnixMilli(), "labels": []string{w.kind, w.Rack},
 				"capacity": map[string]int64{"cpu": 16000, "memMb": 65536, "gpu": 0},
 			}
-			if w.seq == 1 || entry["born"] != nil && checkIn >= 0 {
+			if !checkedIn {
+				checkedIn = true
 				w.record.Printf("worker %s checks in: kind %s, born %d", w.ID, w.kind, w.started.UnixMilli())
-				checkIn = -1
 			}
 		}
 		w.mu.Unlock()
@@ -197,6 +207,10 @@
 	if status == http.StatusOK && r.URL.Path == "/dotterelhead/hold" {
 		w.waitLocked(min(time.Duration(o.WaitMs)*time.Millisecond, maxHoldWait))
 		body = w.listsLocked()
+		if !w.held && w.alive {
+			w.held = true
+			w.record.Printf("worker %s answers the first hold of this lifetime: born %d", w.ID, w.started.UnixMilli())
+		}
 	}
 	w.mu.Unlock()
 	rw.Header().Set("Content-Type", "application/json")
