Review case 1: a long-running job is ended after crashes of workers from outside

Cause: crashes at the same age of a run count as the work item's own fault; the sound runs of the job are stopped with it.

--- a/review/cases/kind.go
+++ b/review/cases/kind.go
@@ -33,7 +33,7 @@
 			}
 		}
 	}
-	if err := s.publish(1, route{"nest", "/nest/", 2}); err != nil {
+	if err := s.publish(1, route{name: "nest", prefix: "/nest/", attempts: 2}); err != nil {
 		return notRun, err
 	}
 	if err := s.startEntries(); err != nil {
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -30,6 +30,8 @@
 	workers []*kit.Worker
 	// machines is the API for machines, or nil if the store serves it.
 	machines *kit.Machines
+	// advisor is the advice service, or nil if the store serves it.
+	advisor *kit.Advisor
 	// dir holds the settings and logs of the entry VMs.
 	dir string
 	// trouble is false if the case is played without its disruption.
@@ -38,8 +40,10 @@
 
 // cases are the plays by their names.
 var cases = map[string]func(s *site) (int, error){
+	"advice":        advice,
 	"crashes":       crashes,
 	"dropped-route": droppedRoute,
+	"lasting":       lasting,
 	"late-upkeep":   lateUpkeep,
 	"other-kind":    otherKind,
 }
@@ -93,6 +97,9 @@
 	if s.machines != nil {
 		s.machines.Close()
 	}
+	if s.advisor != nil {
+		s.advisor.Close()
+	}
 	if s.store != nil {
 		s.store.Close()
 	}
@@ -118,6 +125,8 @@
 type route struct {
 	name, prefix string
 	attempts     int
+	// decide and perItem are the times of the queue's advice, or zero if it has none.
+	decide, perItem time.Duration
 }
 
 // publish puts a manifest into the store, as the operator does.
@@ -125,10 +134,14 @@
 	rows := []map[string]any{}
 	var names []string
 	for _, r := range routes {
-		rows = append(rows, map[string]any{
+		row := map[string]any{
 			"name": r.name, "host": host, "prefix": r.prefix, "service": "artwork", "kind": "unsafe", "timeoutMs": 3000,
 			"targetLatencyMs": 600, "priority": 0, "attempts": r.attempts, "stretch": 1.6,
-		})
+		}
+		if r.decide > 0 {
+			row["advice"] = map[string]int64{"decideMs": r.decide.Milliseconds(), "perItemMs": r.perItem.Milliseconds(), "validityMs": 3000}
+		}
+		rows = append(rows, row)
 		names = append(names, fmt.Sprintf("%s (attempts %d)", r.prefix, r.attempts))
 	}
 	s.record.Printf("operator: manifest %d with the routes %s", version, strings.Join(names, ", "))
@@ -145,12 +158,15 @@
 		return err
 	}
 	s.dir = dir
-	machines := s.store.Addr()
+	machines, adviceAddr := s.store.Addr(), s.store.Addr()
+	if s.advisor != nil {
+		adviceAddr = s.advisor.Addr()
+	}
 	if s.machines != nil {
 		machines = s.machines.Addr()
 	}
 	for n := range 3 {
-		e, err := kit.StartEntry(program, dir, fmt.Sprintf("edge-%d", n+1), s.store.Addr(), machines)
+		e, err := kit.StartEntry(program, dir, fmt.Sprintf("edge-%d", n+1), s.store.Addr(), machines, adviceAddr)
 		if err != nil {
 			return err
 		}
@@ -202,6 +218,9 @@
 	MemMB      int    `json:"memMb"`
 	EstimateMs int    `json:"estimateMs"`
 	Requires   string `json:"requires,omitempty"`
+
+	LongRunning    bool `json:"longRunning,omitempty"`
+	MaxUnavailable int  `json:"maxUnavailable,omitempty"`
 }
 
 type submission struct {
--- a/review/cases/route.go
+++ b/review/cases/route.go
@@ -15,7 +15,7 @@
 		attempts = 3
 		failures = 2
 	)
-	nest, cut := route{"nest", "/nest/", attempts}, route{"cut", "/cut/", 2}
+	nest, cut := route{name: "nest", prefix: "/nest/", attempts: attempts}, route{name: "cut", prefix: "/cut/", attempts: 2}
 	var runs, failed atomic.Int64
 	behave := func(string, string, int64) (time.Duration, string) {
 		if runs.Add(1) <= failures {
--- a/review/cases/wave.go
+++ b/review/cases/wave.go
@@ -27,7 +27,7 @@
 		return notRun, err
 	}
 	s.machines = api
-	if err := s.publish(1, route{"nest", "/nest/", 2}); err != nil {
+	if err := s.publish(1, route{name: "nest", prefix: "/nest/", attempts: 2}); err != nil {
 		return notRun, err
 	}
 	if err := s.startEntries(); err != nil {
--- a/review/kit/entry.go
+++ b/review/kit/entry.go
@@ -46,7 +46,7 @@
 `
 
 // StartEntry starts an entry VM; its log goes to a file in dir.
-func StartEntry(program, dir, node, store, machines string) (*Entry, error) {
+func StartEntry(program, dir, node, store, machines, advice string) (*Entry, error) {
 	e := &Entry{Node: node, config: filepath.Join(dir, node+".toml")}
 	var addresses []string
 	for range 3 {
@@ -58,7 +58,7 @@
 		addresses = append(addresses, l.Addr().String())
 	}
 	e.Callers = addresses[0]
-	text := fmt.Sprintf(settings, node, addresses[0], addresses[1], addresses[2], store, machines, store)
+	text := fmt.Sprintf(settings, node, addresses[0], addresses[1], addresses[2], store, machines, advice)
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -17,10 +17,12 @@
 	stopTime    = 50 * time.Millisecond
 	heartbeat   = 1500 * time.Millisecond
 	maxHoldWait = 2 * time.Second
+	// startup is how long a work item that lasts takes until it is at work.
+	startup = 900 * time.Millisecond
 )
 
 // Behaviour says how a run ends by itself and after which time. A zero duration stands for
-// a run that lasts.
+// a run that lasts; it is at work after startup.
 type Behaviour func(spec, item string, run int64) (time.Duration, string)
 
 // Worker is a worker of the users' platform. It may crash and start again under its ID
@@ -30,6 +32,8 @@
 	Behave                     Behaviour
 	// OnStart, if set, is called after each run that begins.
 	OnStart func(w *Worker, item string, run int64)
+	// OnStop, if set, is called for each order to stop a work item that lasts and is at work.
+	OnStop func(w *Worker, item string)
 
 	record *Record
 	store  *jobplatform.Platform
@@ -64,6 +68,13 @@
 	saved   string
 }
 
+func (r *run) percent() int64 {
+	if r.lasts == 0 {
+		return min(100, 100*int64(time.Since(r.started))/int64(startup))
+	}
+	return min(99, 100*int64(time.Since(r.started))/int64(r.lasts))
+}
+
 type end struct {
 	number int64
 	runID
@@ -230,7 +241,11 @@
 		w.record.Printf("worker %s: start of run %d of %s, answer %d %s", w.ID, o.Run, o.Task, status, reason)
 		return status, reason
 	case "/dotterelhead/run-stop":
-		w.record.Printf("worker %s: stop of run %d of %s", w.ID, o.Run, o.Task)
+		atWork := w.runs[id] != nil && w.runs[id].lasts == 0 && w.runs[id].percent() == 100
+		w.record.Printf("worker %s: stop of run %d of %s, at work: %t", w.ID, o.Run, o.Task, atWork)
+		if atWork && w.OnStop != nil {
+			go w.OnStop(w, o.Task)
+		}
 		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
 		if w.runs[id] != nil {
 			lifetime := w.lifetime
@@ -318,11 +333,7 @@
 func (w *Worker) listsLocked() map[string]any {
 	running, ended := [][]any{}, [][]any{}
 	for id, r := range w.runs {
-		percent := int64(100)
-		if r.lasts > 0 {
-			percent = min(99, 100*int64(time.Since(r.started))/int64(r.lasts))
-		}
-		running = append(running, []any{id.item, id.run, r.saved, percent, 0})
+		running = append(running, []any{id.item, id.run, r.saved, r.percent(), 0})
 	}
 	for _, e := range w.ended[:min(len(w.ended), 500)] {
 		ended = append(ended, []any{e.number, e.item, e.run, e.how, e.saved})
