--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -41,6 +41,7 @@
 // cases are the plays by their names.
 var cases = map[string]func(s *site) (int, error){
 	"advice":        advice,
+	"clock":         clock,
 	"crashes":       crashes,
 	"dropped-route": droppedRoute,
 	"lasting":       lasting,
@@ -218,6 +219,7 @@
 	MemMB      int    `json:"memMb"`
 	EstimateMs int    `json:"estimateMs"`
 	Requires   string `json:"requires,omitempty"`
+	After      []int  `json:"after,omitempty"`
 
 	LongRunning    bool `json:"longRunning,omitempty"`
 	MaxUnavailable int  `json:"maxUnavailable,omitempty"`
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -30,6 +30,9 @@
 type Worker struct {
 	ID, Machine, Service, Rack string
 	Behave                     Behaviour
+	// ClockAhead is by how much the time of day on the worker's machine is ahead when a
+	// lifetime starts.
+	ClockAhead time.Duration
 	// OnStart, if set, is called after each run that begins.
 	OnStart func(w *Worker, item string, run int64)
 	// OnStop, if set, is called for each order to stop a work item that lasts and is at work.
@@ -44,11 +47,14 @@
 	alive    bool
 	lifetime int
 	started  time.Time
+	born     int64
+	holds    int
 	server   *http.Server
 	fence    int64
 	runs     map[runID]*run
 	highest  map[string]int64
 	ended    []end
+	outcomes map[string]string
 	lastEnd  int64
 	leaseEnd time.Time
 	changed  chan struct{}
@@ -96,13 +102,14 @@
 	}
 	w.address = l.Addr().String()
 	w.kind, w.alive, w.started = kind, true, time.Now()
+	w.born = w.started.Add(w.ClockAhead).UnixMilli()
 	w.lifetime++
 	w.fence, w.runs, w.highest, w.ended, w.lastEnd, w.leaseEnd = 0, map[runID]*run{}, map[string]int64{}, nil, 0, time.Time{}
-	w.held = false
+	w.held, w.outcomes = false, map[string]string{}
 	w.changed = make(chan struct{})
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
 	go func(s *http.Server) { _ = s.Serve(l) }(w.server)
-	w.record.Printf("worker %s (machine %s) starts: kind %s, born %d", w.ID, w.Machine, kind, w.started.UnixMilli())
+	w.record.Printf("worker %s (machine %s) starts: kind %s, born %d", w.ID, w.Machine, kind, w.born)
 	go w.live(w.lifetime, checkIn)
 	return nil
 }
@@ -134,6 +141,14 @@
 	return false
 }
 
+// Ended returns how the last run of a work item that ended by itself in the present lifetime
+// did, or an empty string.
+func (w *Worker) Ended(item string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.outcomes[item]
+}
+
 // Kind returns the kind of the present lifetime.
 func (w *Worker) Kind() string {
 	w.mu.Lock()
@@ -141,6 +156,13 @@
 	return w.kind
 }
 
+// Holds returns the number of holds that the worker has answered.
+func (w *Worker) Holds() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holds
+}
+
 // Held reports whether the present lifetime has answered a hold.
 func (w *Worker) Held() bool {
 	w.mu.Lock()
@@ -169,12 +191,12 @@
 			w.seq++
 			entry = map[string]any{
 				"service": w.Service, "addr": w.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": w.seq,
-				"machine": w.Machine, "born": w.started.UnixMilli(), "labels": []string{w.kind, w.Rack},
+				"machine": w.Machine, "born": w.born, "labels": []string{w.kind, w.Rack},
 				"capacity": map[string]int64{"cpu": 16000, "memMb": 65536, "gpu": 0},
 			}
 			if !checkedIn {
 				checkedIn = true
-				w.record.Printf("worker %s checks in: kind %s, born %d", w.ID, w.kind, w.started.UnixMilli())
+				w.record.Printf("worker %s checks in: kind %s, born %d", w.ID, w.kind, w.born)
 			}
 		}
 		w.mu.Unlock()
@@ -211,7 +233,7 @@
 	}
 	w.mu.Lock()
 	status, reason := w.executeLocked(r.URL.Path, o)
-	body := map[string]any{"clockMs": time.Since(w.started).Milliseconds(), "born": w.started.UnixMilli()}
+	body := map[string]any{"clockMs": time.Since(w.started).Milliseconds(), "born": w.born}
 	if reason != "" {
 		body["reason"] = reason
 	}
@@ -220,7 +242,7 @@
 		body = w.listsLocked()
 		if !w.held && w.alive {
 			w.held = true
-			w.record.Printf("worker %s answers the first hold of this lifetime: born %d", w.ID, w.started.UnixMilli())
+			w.record.Printf("worker %s answers the first hold of this lifetime: born %d", w.ID, w.born)
 		}
 	}
 	w.mu.Unlock()
@@ -252,6 +274,7 @@
 			time.AfterFunc(stopTime, func() { w.endLater(lifetime, id, "stopped") })
 		}
 	case "/dotterelhead/hold":
+		w.holds++
 		w.extendLocked(o.DeadlineMs)
 		for len(w.ended) > 0 && w.ended[0].number <= o.LastSeen {
 			w.ended = w.ended[1:]
@@ -308,6 +331,7 @@
 
 func (w *Worker) endLocked(id runID, how, saved string) {
 	delete(w.runs, id)
+	w.outcomes[id.item] = how
 	w.highest[id.item] = max(w.highest[id.item], id.run)
 	w.lastEnd++
 	w.ended = append(w.ended, end{w.lastEnd, id, how, saved})
@@ -338,5 +362,5 @@
 	for _, e := range w.ended[:min(len(w.ended), 500)] {
 		ended = append(ended, []any{e.number, e.item, e.run, e.how, e.saved})
 	}
-	return map[string]any{"clockMs": time.Since(w.started).Milliseconds(), "born": w.started.UnixMilli(), "running": running, "ended": ended}
+	return map[string]any{"clockMs": time.Since(w.started).Milliseconds(), "born": w.born, "running": running, "ended": ended}
 }
