--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -44,6 +44,7 @@
 	"clock":         clock,
 	"crashes":       crashes,
 	"dropped-route": droppedRoute,
+	"foreign-entry": foreignEntry,
 	"lasting":       lasting,
 	"late-upkeep":   lateUpkeep,
 	"other-kind":    otherKind,
