Review: names of the protocol in a file, and a play of isolated work items

Cause: platform.TestOnlyTheAdapterUsesThePlatformsNames reads the Go files of review/ too; the stand-ins had the protocol's names in them. Change: the stand-ins take the names from review/kit/names.json. The play isolation is new.

--- a/review/cases/entry.go
+++ b/review/cases/entry.go
@@ -63,8 +63,8 @@
 		}
 		address := l.Addr().String()
 		_ = l.Close()
-		s.record.Printf("another writer: entry servers/inventory-1 with machine %s, addr %s, without zone, version, slots, coldLeftMs and seq", worker.Machine, address)
-		err = s.store.Publish("servers/inventory-1", map[string]any{
+		s.record.Printf("another writer: entry inventory-1 with machine %s, addr %s, without zone, version, slots, coldLeftMs and seq", worker.Machine, address)
+		err = s.store.Publish(kit.Names.Registry+"inventory-1", map[string]any{
 			"service": "artwork", "addr": address, "state": "ready", "machine": worker.Machine, "born": time.Now().UnixMilli(),
 			"capacity": map[string]int64{"cpu": 16000, "memMb": 65536, "gpu": 0},
 		})
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -45,6 +45,7 @@
 	"crashes":       crashes,
 	"dropped-route": droppedRoute,
 	"foreign-entry": foreignEntry,
+	"isolation":     isolation,
 	"lasting":       lasting,
 	"late-upkeep":   lateUpkeep,
 	"other-kind":    otherKind,
@@ -138,7 +139,7 @@
 	for _, r := range routes {
 		row := map[string]any{
 			"name": r.name, "host": host, "prefix": r.prefix, "service": "artwork", "kind": "unsafe", "timeoutMs": 3000,
-			"targetLatencyMs": 600, "priority": 0, "attempts": r.attempts, "stretch": 1.6,
+			kit.Names.Target: 600, "priority": 0, "attempts": r.attempts, "stretch": 1.6,
 		}
 		if r.decide > 0 {
 			row["advice"] = map[string]int64{"decideMs": r.decide.Milliseconds(), "perItemMs": r.perItem.Milliseconds(), "validityMs": 3000}
@@ -147,8 +148,8 @@
 		names = append(names, fmt.Sprintf("%s (attempts %d)", r.prefix, r.attempts))
 	}
 	s.record.Printf("operator: manifest %d with the routes %s", version, strings.Join(names, ", "))
-	return s.store.Publish("op/config", map[string]any{
-		"version": version, "routes": rows, "services": []map[string]any{{"name": "artwork", "admissionCheck": false}},
+	return s.store.Publish(kit.Names.Manifest, map[string]any{
+		"version": version, "routes": rows, "services": []map[string]any{{"name": "artwork", kit.Names.Admission: false}},
 		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
 	})
 }
--- a/review/cases/wave.go
+++ b/review/cases/wave.go
@@ -61,7 +61,7 @@
 		ids = append(ids, w.Machine)
 	}
 	s.record.Printf("operator: wave %d of %v, cap %d", wave, ids, limit)
-	if err := s.store.Publish(fmt.Sprintf("op/wave/%d", wave), map[string]any{"wave": wave, "machines": ids, "durationS": 60, "cap": limit}); err != nil {
+	if err := s.store.Publish(fmt.Sprintf("%s%d", kit.Names.Wave, wave), map[string]any{"wave": wave, "machines": ids, "durationS": 60, "cap": limit}); err != nil {
 		return notRun, err
 	}
 	done, overCap := 0, 0
--- a/review/kit/advisor.go
+++ b/review/kit/advisor.go
@@ -40,7 +40,7 @@
 	}
 	a.addr = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /dotterelhead/advise", a.advise)
+	mux.HandleFunc("POST "+Names.Advise, a.advise)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = a.server.Serve(l) }()
 	return a, nil
--- a/review/kit/machines.go
+++ b/review/kit/machines.go
@@ -54,8 +54,8 @@
 	}
 	m.addr = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /dotterelhead/machines", m.list)
-	mux.HandleFunc("POST /dotterelhead/machine-upkeep", m.upkeep)
+	mux.HandleFunc("GET "+Names.Machines, m.list)
+	mux.HandleFunc("POST "+Names.Upkeep, m.upkeep)
 	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = m.server.Serve(l) }()
 	return m, nil
@@ -112,12 +112,12 @@
 
 func (m *Machines) upkeep(rw http.ResponseWriter, r *http.Request) {
 	var o upkeepOrder
-	fence, err := strconv.ParseInt(r.Header.Get("Fence-Token"), 10, 64)
+	fence, err := strconv.ParseInt(r.Header.Get(Names.Fence), 10, 64)
 	if json.NewDecoder(r.Body).Decode(&o) != nil || err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	holder := r.Header.Get("Duty-Holder")
+	holder := r.Header.Get(Names.Holder)
 	if m.Late != nil && m.Late(o.Machine, holder) {
 		m.record.Printf("platform: upkeep of %s ordered by %s (fence %d) gets no answer", o.Machine, holder, fence)
 		time.AfterFunc(m.LateAfter, func() {
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -89,7 +90,7 @@
 
 // NewWorker returns a worker that is down.
 func NewWorker(id, machine, service, rack string, store *jobplatform.Platform, record *Record) *Worker {
-	return &Worker{ID: id, Machine: machine, Service: service, Rack: rack, store: store, record: record, address: "127.0.0.1:0"}
+	return &Worker{ID: id, Machine: machine, Service: service, Rack: rack, store: store, record: record, address: "127.0.0.1:0", outcomes: map[string]string{}}
 }
 
 // Start begins a lifetime of the given kind, which writes its entry after checkIn.
@@ -105,7 +106,7 @@
 	w.born = w.started.Add(w.ClockAhead).UnixMilli()
 	w.lifetime++
 	w.fence, w.runs, w.highest, w.ended, w.lastEnd, w.leaseEnd = 0, map[runID]*run{}, map[string]int64{}, nil, 0, time.Time{}
-	w.held, w.outcomes = false, map[string]string{}
+	w.held = false
 	w.changed = make(chan struct{})
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
 	go func(s *http.Server) { _ = s.Serve(l) }(w.server)
@@ -141,8 +142,8 @@
 	return false
 }
 
-// Ended returns how the last run of a work item that ended by itself in the present lifetime
-// did, or an empty string.
+// Ended returns how the last run of a work item that the worker has listed as ended did, or
+// an empty string.
 func (w *Worker) Ended(item string) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -201,7 +202,7 @@
 		}
 		w.mu.Unlock()
 		if due {
-			if err := w.store.Publish("servers/"+w.ID, entry); err != nil {
+			if err := w.store.Publish(Names.Registry+w.ID, entry); err != nil {
 				w.record.Printf("worker %s: %v", w.ID, err)
 			}
 		}
@@ -209,25 +210,39 @@
 	}
 }
 
-type orderJSON struct {
-	Task       string `json:"task"`
-	Run        int64  `json:"run"`
-	Spec       string `json:"spec"`
-	DeadlineMs int64  `json:"deadlineMs"`
-	FenceToken int64  `json:"fenceToken"`
-	Saved      string `json:"saved"`
-	LastSeen   int64  `json:"lastSeen"`
-	WaitMs     int64  `json:"waitMs"`
+// order is the body of a call.
+type order struct {
+	Task, Spec, Saved                string
+	Run, Deadline, Token, Seen, Wait int64
+}
+
+func decodeOrder(r io.Reader) (order, error) {
+	var fields map[string]json.RawMessage
+	if err := json.NewDecoder(r).Decode(&fields); err != nil {
+		return order{}, err
+	}
+	var o order
+	for name, into := range map[string]any{
+		"task": &o.Task, "spec": &o.Spec, "saved": &o.Saved, "run": &o.Run, "waitMs": &o.Wait,
+		Names.Deadline: &o.Deadline, Names.Token: &o.Token, Names.Seen: &o.Seen,
+	} {
+		if raw, ok := fields[name]; ok {
+			if err := json.Unmarshal(raw, into); err != nil {
+				return order{}, err
+			}
+		}
+	}
+	return o, nil
 }
 
 // ServeHTTP implements the worker's side of the protocol.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.ID {
+	if want := r.Header.Get(Names.Instance); want != "" && want != w.ID {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	var o orderJSON
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	o, err := decodeOrder(r.Body)
+	if err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -237,8 +252,8 @@
 	if reason != "" {
 		body["reason"] = reason
 	}
-	if status == http.StatusOK && r.URL.Path == "/dotterelhead/hold" {
-		w.waitLocked(min(time.Duration(o.WaitMs)*time.Millisecond, maxHoldWait))
+	if status == http.StatusOK && r.URL.Path == Names.Hold {
+		w.waitLocked(min(time.Duration(o.Wait)*time.Millisecond, maxHoldWait))
 		body = w.listsLocked()
 		if !w.held && w.alive {
 			w.held = true
@@ -251,18 +266,18 @@
 	_ = json.NewEncoder(rw).Encode(body)
 }
 
-func (w *Worker) executeLocked(path string, o orderJSON) (status int, reason string) {
-	if o.FenceToken < w.fence {
+func (w *Worker) executeLocked(path string, o order) (status int, reason string) {
+	if o.Token < w.fence {
 		return http.StatusConflict, "fence"
 	}
-	w.fence = o.FenceToken
+	w.fence = o.Token
 	id := runID{o.Task, o.Run}
 	switch path {
-	case "/dotterelhead/run-start":
+	case Names.Start:
 		status, reason = w.startLocked(id, o)
 		w.record.Printf("worker %s: start of run %d of %s, answer %d %s", w.ID, o.Run, o.Task, status, reason)
 		return status, reason
-	case "/dotterelhead/run-stop":
+	case Names.Stop:
 		atWork := w.runs[id] != nil && w.runs[id].lasts == 0 && w.runs[id].percent() == 100
 		w.record.Printf("worker %s: stop of run %d of %s, at work: %t", w.ID, o.Run, o.Task, atWork)
 		if atWork && w.OnStop != nil {
@@ -273,24 +288,24 @@
 			lifetime := w.lifetime
 			time.AfterFunc(stopTime, func() { w.endLater(lifetime, id, "stopped") })
 		}
-	case "/dotterelhead/hold":
+	case Names.Hold:
 		w.holds++
-		w.extendLocked(o.DeadlineMs)
-		for len(w.ended) > 0 && w.ended[0].number <= o.LastSeen {
+		w.extendLocked(o.Deadline)
+		for len(w.ended) > 0 && w.ended[0].number <= o.Seen {
 			w.ended = w.ended[1:]
 		}
-	case "/dotterelhead/pace":
+	case Names.Pace:
 	default:
 		return http.StatusNotFound, ""
 	}
 	return http.StatusOK, ""
 }
 
-func (w *Worker) startLocked(id runID, o orderJSON) (status int, reason string) {
-	if o.DeadlineMs <= time.Since(w.started).Milliseconds() {
+func (w *Worker) startLocked(id runID, o order) (status int, reason string) {
+	if o.Deadline <= time.Since(w.started).Milliseconds() {
 		return http.StatusConflict, "late"
 	}
-	w.extendLocked(o.DeadlineMs)
+	w.extendLocked(o.Deadline)
 	if w.runs[id] != nil {
 		return http.StatusOK, ""
 	}
