--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -49,6 +49,7 @@
 	"lasting":       lasting,
 	"late-upkeep":   lateUpkeep,
 	"other-kind":    otherKind,
+	"restart-cut":   restartCut,
 }
 
 func main() {
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -60,6 +60,8 @@
 	leaseEnd time.Time
 	changed  chan struct{}
 	seq      int64
+	// cutUntil is until when nothing gets through to the worker or from it.
+	cutUntil time.Time
 	// held is set once the present lifetime has answered a hold, and so has told its start.
 	held bool
 }
@@ -130,6 +132,20 @@
 	_ = w.server.Close()
 }
 
+// Cut keeps everything from getting through to the worker or from it for d. It runs on.
+func (w *Worker) Cut(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutUntil = time.Now().Add(d)
+	w.record.Printf("worker %s is cut off for %v and runs on", w.ID, d)
+}
+
+func (w *Worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.cutUntil)
+}
+
 // Running returns whether a run is in progress.
 func (w *Worker) Running(item string) bool {
 	w.mu.Lock()
@@ -185,7 +201,7 @@
 				w.endLocked(id, "lapsed", "")
 			}
 		}
-		due := !time.Now().Before(next)
+		due := !time.Now().Before(next) && !time.Now().Before(w.cutUntil)
 		var entry map[string]any
 		if due {
 			next = time.Now().Add(heartbeat)
@@ -241,6 +257,10 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.isCut() {
+		<-r.Context().Done()
+		return
+	}
 	o, err := decodeOrder(r.Body)
 	if err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
@@ -261,6 +281,10 @@
 		}
 	}
 	w.mu.Unlock()
+	if r.URL.Path == Names.Hold && w.isCut() {
+		<-r.Context().Done()
+		return
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(status)
 	_ = json.NewEncoder(rw).Encode(body)
