Say in job_failed which item and which number of attempts decided

The log had only reason=attempts_used_up, so that a wrong count of failures and a wrong limit looked alike. The line now names the item, its failed runs, the attempts that were allowed, the manifest, and whether it has the queue; for workers_crashed it names the item.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -315,15 +315,16 @@
 	if j == nil || j.final() {
 		return
 	}
-	c.finish(j, job.Cancelled, "", now)
+	c.finish(j, job.Cancelled, "", "", now)
 }
 
-// finish puts a job into a final phase and marks its copies to be stopped.
-func (c *Core) finish(j *jobState, phase job.Phase, reason string, now Time) {
+// finish puts a job into a final phase and marks its copies to be stopped. reason and
+// detail are for the log.
+func (c *Core) finish(j *jobState, phase job.Phase, reason, detail string, now Time) {
 	j.phase, j.finishedAt = phase, now
 	c.markDirty(j)
 	c.stopCopies(j)
-	c.trace(Event{Name: "job_" + string(phase), Job: j.ID, Reason: reason, Took: now - j.acceptedAt})
+	c.trace(Event{Name: "job_" + string(phase), Job: j.ID, Reason: reason, Detail: detail, Took: now - j.acceptedAt})
 }
 
 func (c *Core) stopCopies(j *jobState) {
--- a/scheduler/execution/crashes.go
+++ b/scheduler/execution/crashes.go
@@ -329,7 +329,7 @@
 		return
 	}
 	if !slices.ContainsFunc(i.copies, func(cp *itemCopy) bool { return cp.listed && !cp.worker.silent }) {
-		c.finish(j, job.Failed, "workers_crashed", now)
+		c.finish(j, job.Failed, "workers_crashed", "item="+i.id().String(), now)
 	}
 }
 
--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,7 +41,9 @@
 	i.failedRuns = append(i.failedRuns, run)
 	c.recordHistory(i)
 	if attempts := max(c.queueOf(j).Attempts, 1); len(i.failedRuns) >= attempts {
-		c.finish(j, job.Failed, "attempts_used_up", now)
+		detail := fmt.Sprintf("item=%s failed_runs=%d attempts=%d queue=%s manifest=%d in_manifest=%t",
+			i.id(), len(i.failedRuns), attempts, j.Queue, c.manifest.Version, c.manifest.Queue(j.Queue) != nil)
+		c.finish(j, job.Failed, "attempts_used_up", detail, now)
 	}
 }
 
