Keep the settings of its queue with an accepted job

Cause: the record of a job held the name of its queue and the service alone. A queue that the owner's manifest did not have was made up, with two attempts, the highest priority and no advice.

Fix: the record holds the settings and the version of the manifest under which the job was accepted, and each process remembers removed queues. The newest manifest that is known to have the queue decides, so that neither a removal nor a manifest of the owner that is older than the one of the accepting entry VM changes what a job was promised. Records without settings, which earlier versions have written, no longer get a made-up number: an item that has failed waits until a manifest has its queue.

--- a/job/job.go
+++ b/job/job.go
@@ -108,9 +108,12 @@
 	ID string `json:"-"`
 	// Queue is the name of the queue that the request's host and path selected.
 	Queue string `json:"q"`
-	// Service is the queue's service when the job was accepted. It is used once
-	// the queue is no longer in the manifest.
+	// Service is the queue's service when the job was accepted.
 	Service string `json:"s"`
+	// Settings are those of the queue when the job was accepted, without its name and
+	// service. They are nil in records that were written by versions of the program
+	// that did not keep them. AcceptedQueue returns them together with Service.
+	Settings *VersionedQueue `json:"qs,omitempty"`
 	// Accepted is the wall-clock time at the entry VM that accepted the job.
 	Accepted time.Time `json:"at,omitzero"`
 	// Spec is the requester's description of the work, which is passed to the
@@ -124,6 +127,23 @@
 	Interval    time.Duration `json:"every,omitempty"`
 }
 
+// SetQueue sets the queue of a job that is accepted under a manifest of the given version.
+func (j *Job) SetQueue(q *Queue, manifestVersion int64) {
+	j.Queue, j.Service = q.Name, q.Service
+	j.Settings = &VersionedQueue{manifestVersion, *q}
+}
+
+// AcceptedQueue returns the queue as it was when the job was accepted; ok is false if the
+// record of the job does not have it.
+func (j *Job) AcceptedQueue() (q VersionedQueue, ok bool) {
+	if j.Settings == nil {
+		return VersionedQueue{}, false
+	}
+	q = *j.Settings
+	q.Name, q.Service = j.Queue, j.Service
+	return q, true
+}
+
 // OccurrenceCount returns the number of occurrences, at least one.
 func (j *Job) OccurrenceCount() int { return max(j.Occurrences, 1) }
 
--- a/job/manifest.go
+++ b/job/manifest.go
@@ -6,33 +6,41 @@
 )
 
 // Queue is a route of the manifest. Jobs whose requests match its host and path
-// prefix run on the workers of its service.
+// prefix run on the workers of its service. The settings that an accepted job needs
+// are kept in its record; see Job.Settings.
 type Queue struct {
-	Name   string
-	Host   string
-	Prefix string
+	Name   string `json:"-"`
+	Host   string `json:"-"`
+	Prefix string `json:"-"`
 	// Service is the name of a pool of VMs.
-	Service string
+	Service string `json:"-"`
 	// Priority 0 is the highest.
-	Priority int
+	Priority int `json:"p,omitempty"`
 	// Attempts is how many runs of a work item may fail; at that number its job
-	// fails.
-	Attempts int
+	// fails. It is at least 1, or 0 if it is not known.
+	Attempts int `json:"a"`
 	// A job should finish within LatencyFactor times the time of its longest chain
 	// of steps, plus TargetLatency.
-	LatencyFactor float64
-	TargetLatency time.Duration
+	LatencyFactor float64       `json:"f,omitempty"`
+	TargetLatency time.Duration `json:"t,omitempty"`
 	// Timeout is how long a requester's call may take.
-	Timeout time.Duration
-	Advice  *Advice
+	Timeout time.Duration `json:"-"`
+	Advice  *Advice       `json:"advice,omitempty"`
+}
+
+// VersionedQueue is a queue as a manifest had it.
+type VersionedQueue struct {
+	// ManifestVersion is the version of that manifest.
+	ManifestVersion int64 `json:"v"`
+	Queue
 }
 
 // Advice describes the advisor, which decides which workers may run a step, and
 // how long its answers are valid.
 type Advice struct {
-	Decide   time.Duration
-	PerItem  time.Duration
-	Validity time.Duration
+	Decide   time.Duration `json:"d,omitempty"`
+	PerItem  time.Duration `json:"i,omitempty"`
+	Validity time.Duration `json:"v,omitempty"`
 }
 
 // Service is a pool of VMs; other packages call it a pool.
@@ -49,6 +57,9 @@
 	Version  int64
 	Queues   []Queue
 	Services []Service
+	// Former holds the queues that the manifest does not have and earlier ones had, as
+	// the last of them had them, the last removed queues first.
+	Former []VersionedQueue
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
 }
@@ -77,3 +88,40 @@
 	}
 	return nil
 }
+
+// LastKnown returns the queue with the given name from this manifest, or else from the
+// last one before it that is known to have it.
+func (m *Manifest) LastKnown(name string) (q VersionedQueue, ok bool) {
+	if q := m.Queue(name); q != nil {
+		return VersionedQueue{m.Version, *q}, true
+	}
+	for _, q := range m.Former {
+		if q.Name == name {
+			return q, true
+		}
+	}
+	return VersionedQueue{}, false
+}
+
+// maxFormerQueues bounds the queues that are remembered after their removal. With 700
+// changes of the manifest a day, they are remembered for more than a day.
+const maxFormerQueues = 1000
+
+// KeepFormerQueues sets Former after the manifest that was in force until now, which may
+// be nil. Accepted jobs of a queue outlive its removal.
+func (m *Manifest) KeepFormerQueues(before *Manifest) {
+	if before == nil {
+		return
+	}
+	keep := func(q VersionedQueue) {
+		if m.Queue(q.Name) == nil && len(m.Former) < maxFormerQueues {
+			m.Former = append(m.Former, q)
+		}
+	}
+	for _, q := range before.Queues {
+		keep(VersionedQueue{before.Version, q})
+	}
+	for _, q := range before.Former {
+		keep(q)
+	}
+}
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -61,6 +62,8 @@
 	learner      *runtimes.Learner
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
+	// attemptsUnknown are the items that have it set.
+	attemptsUnknown []*item
 	// startLimit bounds the starts of a round; nil means no bound.
 	startLimit *int
 	// arrivals are the new jobs of each service within two arrival windows.
@@ -106,17 +109,23 @@
 	}
 }
 
-// queueOf returns the queue of a job. If the manifest no longer has the queue,
-// the job keeps its service and gets the default number of attempts.
+// queueOf returns the queue of a job from the newest manifest that is known to have it:
+// one that this process has seen, or the one under which the job was accepted. The owner's
+// manifest may lack the queue because the operator has removed it since, or because the
+// owner's manifest is the older one. If no such manifest is known, Attempts is 0 and the job
+// comes after those of all other queues.
 func (c *Core) queueOf(j *jobState) job.Queue {
-	if q := c.manifest.Queue(j.Queue); q != nil {
-		return *q
+	known, ok := c.manifest.LastKnown(j.Queue)
+	if accepted, recorded := j.AcceptedQueue(); recorded && (!ok || accepted.ManifestVersion > known.ManifestVersion) {
+		return accepted.Queue
 	}
-	return job.Queue{Name: j.Queue, Service: j.Service, Attempts: defaultAttempts, LatencyFactor: 1}
+	if ok {
+		return known.Queue
+	}
+	return job.Queue{Name: j.Queue, Service: j.Service, Priority: lowestPriority, LatencyFactor: 1}
 }
 
-// defaultAttempts applies to jobs whose queue is no longer in the manifest.
-const defaultAttempts = 2
+const lowestPriority = math.MaxInt
 
 // AddJob adds an accepted job with its durable progress. inherited is set for a
 // job that a former owner may have started. wall is the time of day.
@@ -175,6 +184,7 @@
 				c.inheritedCauses = append(c.inheritedCauses, i)
 			}
 			c.restoreLostRuns(i, record.LostRuns, now)
+			c.endIfAttemptsUsedUp(i, now)
 		}
 	}
 }
--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -31,7 +31,6 @@
 // as failed once the item has used up its attempts. Long-running items have no
 // limit of attempts.
 func (c *Core) handleFailure(w *worker, i *item, run int64, now Time) {
-	j := i.step.job
 	i.avoid = w.place()
 	i.notBefore = now + i.backoff()
 	c.recordFailure(w, i, now)
@@ -40,10 +39,42 @@
 	}
 	i.failedRuns = append(i.failedRuns, run)
 	c.recordHistory(i)
-	if attempts := max(c.queueOf(j).Attempts, 1); len(i.failedRuns) >= attempts {
-		detail := fmt.Sprintf("item=%s failed_runs=%d attempts=%d queue=%s manifest=%d in_manifest=%t",
-			i.id(), len(i.failedRuns), attempts, j.Queue, c.manifest.Version, c.manifest.Queue(j.Queue) != nil)
+	c.endIfAttemptsUsedUp(i, now)
+}
+
+// endIfAttemptsUsedUp ends the job of an item that has used up its attempts. While their
+// number is not known, the item is not started again, because it may have used them up, and
+// the job is not ended.
+func (c *Core) endIfAttemptsUsedUp(i *item, now Time) {
+	j := i.step.job
+	if j.final() || len(i.failedRuns) == 0 {
+		return
+	}
+	attempts := c.queueOf(j).Attempts
+	detail := fmt.Sprintf("item=%s failed_runs=%d attempts=%d queue=%s manifest=%d in_manifest=%t",
+		i.id(), len(i.failedRuns), attempts, j.Queue, c.manifest.Version, c.manifest.Queue(j.Queue) != nil)
+	wasUnknown := i.attemptsUnknown
+	i.attemptsUnknown = attempts == 0
+	switch {
+	case i.attemptsUnknown:
+		c.attemptsUnknown = append(c.attemptsUnknown, i)
+		if !wasUnknown {
+			c.trace(Event{Name: "attempts_unknown", Job: j.ID, Detail: detail})
+		}
+	case len(i.failedRuns) >= attempts:
 		c.finish(j, job.Failed, "attempts_used_up", detail, now)
+	case wasUnknown:
+		c.addPending(i.step)
+	}
+}
+
+// recheckAttempts decides about the items whose attempts were not known, in case the
+// manifest has their queue now.
+func (c *Core) recheckAttempts(now Time) {
+	items := c.attemptsUnknown
+	c.attemptsUnknown = nil
+	for _, i := range items {
+		c.endIfAttemptsUsedUp(i, now)
 	}
 }
 
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -33,7 +33,7 @@
 				failures++
 			}
 		}
-		if failures >= simAttempts {
+		if failures >= s.attempts {
 			s.t.Fatalf("%v started after %d acknowledged failures", id, failures)
 		}
 	}
@@ -61,7 +61,7 @@
 // than five times, a sound item that is given up because of those beside it, a
 // long-running item that is stopped while too many others of its step are unavailable or
 // that does not come back, and workers over their capacity, which shrinks and grows.
-// Orders are lost and late, workers restart, stop answering and are closed, records of
+// Orders are lost and late, the queue of the jobs leaves the manifest and returns, workers restart, stop answering and are closed, records of
 // lease holders are confirmed late, and owners are replaced or paused.
 func TestNoItemRunsTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -77,7 +77,7 @@
 // event lets one of the faults of TestNoItemRunsTwice happen, or adds or cancels a job.
 func (s *simulation) event() {
 	id := fmt.Sprintf("w%d", rapid.IntRange(0, len(s.workers)-1).Draw(s.t, "worker"))
-	// Most steps come without an event: 19 to 28 stand for none, and 15 to 18 unless
+	// Most steps come without an event: 20 to 28 stand for none, and 15 to 18 unless
 	// many workers crash.
 	switch rapid.IntRange(0, 28).Draw(s.t, "event") {
 	case 0, 1, 2:
@@ -126,6 +126,8 @@
 		if s.manyCrashes {
 			s.takeOver()
 		}
+	case 19:
+		s.changeManifest()
 	case 9:
 		s.advance(time.Duration(rapid.IntRange(1, 6000).Draw(s.t, "pause")) * time.Millisecond)
 	}
@@ -212,10 +214,10 @@
 // items beside it: a worker has to have crashed from outside under it.
 func (s *simulation) checkFailed(id string) {
 	failures, crashes := s.maxItemFailures(id), s.maxItemCrashes(id)
-	if failures < simAttempts && !s.deadly[id] && !s.crashedFromOutside(id) {
+	if failures < s.attempts && !s.deadly[id] && !s.crashedFromOutside(id) {
 		s.t.Fatalf("job %s is given up, although it is not deadly, after %d crashes of an item, none of them from outside", id, crashes)
 	}
-	if (failures < simAttempts || s.jobs[id].Steps[0].LongRunning) && crashes < simMaxCrashes {
+	if (failures < s.attempts || s.jobs[id].Steps[0].LongRunning) && crashes < simMaxCrashes {
 		s.t.Fatalf("job %s has failed after %d failures and %d crashes of an item", id, failures, crashes)
 	}
 }
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -25,6 +25,7 @@
 func (c *Core) Round(wall time.Time, now Time) Orders {
 	var o Orders
 	c.MarkDue(wall, now)
+	c.recheckAttempts(now)
 	c.dropLapsed(now)
 	c.stopStalledRuns(now)
 	c.evacuateDraining(now)
--- a/scheduler/execution/simulation_serving_test.go
+++ b/scheduler/execution/simulation_serving_test.go
@@ -20,7 +20,7 @@
 		Count: count, Needs: job.Resources{MilliCPU: simLongRunningMilliCPU, MemoryMB: 10},
 		LongRunning: true, MaxUnavailable: 1,
 	}
-	j := &job.Job{ID: fmt.Sprintf("%016x", len(s.jobs)), Queue: testQueue, Service: testService, Steps: []job.Step{step}}
+	j := s.acceptJob(fmt.Sprintf("%016x", len(s.jobs)), step)
 	s.jobs[j.ID] = j
 	s.core.AddJob(j, job.Progress{}, false, wall, s.now)
 }
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -23,6 +23,9 @@
 	jobs    map[string]*job.Job
 	// deadly are the jobs whose items crash every worker that starts them.
 	deadly map[string]bool
+	// manifest is the one in force. Its queue allows attempts runs that fail.
+	manifest *job.Manifest
+	attempts int
 	// progress is the store's record of each job.
 	progress  map[string]job.Progress
 	cancelled map[string]bool
@@ -103,7 +106,6 @@
 
 const (
 	simRunTime  = 300 * time.Millisecond
-	simAttempts = 2
 	simMilliCPU = 4000
 	// simLongRunningMilliCPU is what a long-running item requests.
 	simLongRunningMilliCPU = 1000
@@ -138,6 +140,8 @@
 	if s.pauses {
 		s.startup = simStartup
 	}
+	s.attempts = rapid.IntRange(1, 3).Draw(t, "attempts")
+	s.changeManifest()
 	minWorkers, maxWorkers := 1, 4
 	if s.manyCrashes = rapid.Bool().Draw(t, "many crashes"); s.manyCrashes {
 		minWorkers, maxWorkers = 4, 10
@@ -190,7 +194,10 @@
 	}}, s.term)
 	s.term++
 	s.failed = map[string]bool{}
-	s.core.SetManifest(&job.Manifest{Version: 1, Queues: []job.Queue{{Name: testQueue, Service: testService, Attempts: simAttempts}}})
+	if rapid.Bool().Draw(s.t, "new process") {
+		s.manifest = &job.Manifest{Version: s.manifest.Version, Queues: s.manifest.Queues}
+	}
+	s.core.SetManifest(s.manifest)
 	s.core.SetFormerHolders(s.holders, s.now)
 	for _, w := range s.workers {
 		if w.backAt == 0 {
@@ -206,6 +213,36 @@
 	}
 }
 
+// queue is the only queue of the jobs.
+func (s *simulation) queue() job.Queue {
+	return job.Queue{Name: testQueue, Service: testService, Attempts: s.attempts}
+}
+
+// changeManifest puts a new manifest in force, which has the queue if the one before does
+// not.
+func (s *simulation) changeManifest() {
+	m := &job.Manifest{Version: 1}
+	if s.manifest != nil {
+		m.Version = s.manifest.Version + 1
+	}
+	if s.manifest == nil || len(s.manifest.Queues) == 0 {
+		m.Queues = []job.Queue{s.queue()}
+	}
+	m.KeepFormerQueues(s.manifest)
+	s.manifest = m
+	if s.core != nil {
+		s.core.SetManifest(m)
+	}
+}
+
+// acceptJob returns a job as an entry VM records it that still has the queue.
+func (s *simulation) acceptJob(id string, steps ...job.Step) *job.Job {
+	j := &job.Job{ID: id, Steps: steps}
+	q := s.queue()
+	j.SetQueue(&q, s.manifest.Version)
+	return j
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
@@ -233,7 +270,7 @@
 	id := fmt.Sprintf("%016x", len(s.jobs))
 	step := job.Step{Count: rapid.IntRange(1, 4).Draw(s.t, "items"), Needs: job.Resources{MilliCPU: 1500, MemoryMB: 10}}
 	step.Speculative = rapid.IntRange(0, 2).Draw(s.t, "speculative") == 0
-	j := &job.Job{ID: id, Queue: testQueue, Service: testService, Steps: []job.Step{step}}
+	j := s.acceptJob(id, step)
 	if rapid.Bool().Draw(s.t, "second step") {
 		second := step
 		second.After = []int{0}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -86,6 +86,9 @@
 	// failedRuns. withheld is set if a start was not sent because the store did not have it.
 	historyVersion uint64
 	withheld       bool
+	// attemptsUnknown is set if the item has failed and it is not known how often it may:
+	// it is not started again.
+	attemptsUnknown bool
 	// notBefore is the earliest time of the next start after a failure.
 	notBefore Time
 	// waitingSince is since when a long-running item has been found startable, or zero.
@@ -107,7 +110,7 @@
 // gets no second copy, because that would crash another worker. An item whose start was
 // withheld waits until the store has its lost and failed runs.
 func (i *item) startable() bool {
-	if i.withheld && !i.historyCommitted() {
+	if i.attemptsUnknown || i.withheld && !i.historyCommitted() {
 		return false
 	}
 	if i.done || len(i.copies) == 0 {
