Bound how long isolated items keep a long-running one from starting

Cause: nothing is started on a worker with an isolated item until that item ends, and isolated items can hold all of their places. A long-running item whose step keeps its items apart, or that has to run isolated itself, had no bound on that wait.

Fix: after maxIsolationWait, 2 s, it starts beside an isolated item if no other worker takes it, and does not wait for a place.

--- a/scheduler/execution/advice.go
+++ b/scheduler/execution/advice.go
@@ -105,7 +105,7 @@
 		if p == nil {
 			continue
 		}
-		q := AdviceRequest{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index}, Workers: a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s)), now)}
+		q := AdviceRequest{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index}, Workers: a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)}
 		if len(q.Workers) == 0 {
 			continue
 		}
--- a/scheduler/execution/eligible.go
+++ b/scheduler/execution/eligible.go
@@ -72,9 +72,8 @@
 type eligibleWorkers struct {
 	workers []*worker
 	maxFree job.Resources
-	// isolated is the number of workers that would be eligible but for an isolated
-	// item.
-	isolated int
+	// isolated are the workers that would be eligible but for an isolated item.
+	isolated []*worker
 	// avoided are the workers that would be eligible but for their failures.
 	avoided []*worker
 }
@@ -94,7 +93,7 @@
 			byService[w.Service] = p
 		}
 		if e == excludedIsolated {
-			p.isolated++
+			p.isolated = append(p.isolated, w)
 			continue
 		}
 		if e == excludedAvoided {
@@ -134,14 +133,23 @@
 func (e *eligibleWorkers) remove(w *worker) {
 	is := func(other *worker) bool { return other == w }
 	e.workers, e.avoided = slices.DeleteFunc(slices.Clone(e.workers), is), slices.DeleteFunc(slices.Clone(e.avoided), is)
+	e.isolated = slices.DeleteFunc(slices.Clone(e.isolated), is)
 }
 
 // lastChoice returns the workers on which items of a step may start if no other worker
 // takes them. A long-running item must not wait beside a free worker, and the pauses after
 // its own failures limit its starts. Other items would use up their attempts.
-func (e *eligibleWorkers) lastChoice(s *step) []*worker {
+//
+// Once one of its items has waited for maxIsolationWait, they may also start on workers with
+// an isolated item, which may run for 20 s.
+func (e *eligibleWorkers) lastChoice(s *step, now Time) []*worker {
 	if !s.spec.LongRunning {
 		return nil
 	}
+	for n := range s.items {
+		if s.items[n].waitedForIsolation(now) {
+			return slices.Concat(e.avoided, e.isolated)
+		}
+	}
 	return e.avoided
 }
--- a/scheduler/execution/isolation.go
+++ b/scheduler/execution/isolation.go
@@ -23,14 +23,14 @@
 			continue
 		}
 		if _, known := left[cand.queue.Service]; !known {
-			left[cand.queue.Service] = max(int(maxIsolationShare*float64(len(group.workers)+group.isolated)), 1) - group.isolated
+			left[cand.queue.Service] = max(int(maxIsolationShare*float64(len(group.workers)+len(group.isolated))), 1) - len(group.isolated)
 		}
 		for n := range cand.step.items {
 			i := &cand.step.items[n]
-			if !i.needsIsolation() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 {
+			if !i.needsIsolation() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 && !i.waitedForIsolation(now) {
 				continue
 			}
-			w := cmp.Or(isolationWorker(i, group.workers, tickets), isolationWorker(i, group.lastChoice(cand.step), tickets))
+			w := cmp.Or(isolationWorker(i, group.workers, tickets), isolationWorker(i, group.lastChoice(cand.step, now), tickets))
 			if w == nil {
 				continue
 			}
@@ -43,13 +43,13 @@
 	}
 }
 
-// maxIsolationWait is how long a long-running item waits for other suspects to end. These
-// may run for 20 s, and it may wait for 3 s beside a worker with room. Nothing is started
-// beside it before it serves all the same.
+// maxIsolationWait is how long a long-running item waits for other suspects or for isolated
+// items to end. These may run for 20 s, and it may wait for 3 s beside a worker with room.
+// Nothing is started beside it before it serves all the same, if it is isolated itself.
 const maxIsolationWait = 2 * time.Second
 
-// waitedForIsolation reports whether an item does not wait any longer for the other suspects
-// on its worker.
+// waitedForIsolation reports whether an item does not wait any longer for other suspects or
+// isolated items to end. That is never so for items that are not long-running.
 func (i *item) waitedForIsolation(now Time) bool {
 	return i.waitingSince > 0 && now-i.waitingSince >= maxIsolationWait
 }
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -273,7 +273,7 @@
 // have enough free capacity.
 func (c *Core) placeStep(o *Orders, cand candidate, eligible *eligibleWorkers, now Time) {
 	s := cand.step
-	lastChoice := eligible.lastChoice(s)
+	lastChoice := eligible.lastChoice(s, now)
 	if !s.spec.Charge().Fits(eligible.maxFree) && len(lastChoice) == 0 {
 		return
 	}
