--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -62,7 +62,8 @@
 	learner      *runtimes.Learner
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
-	// attemptsUnknown are the items that have it set.
+	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
+	// them.
 	attemptsUnknown []*item
 	// startLimit bounds the starts of a round; nil means no bound.
 	startLimit *int
--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -59,7 +59,7 @@
 	case i.attemptsUnknown:
 		c.attemptsUnknown = append(c.attemptsUnknown, i)
 		if !wasUnknown {
-			c.trace(Event{Name: "attempts_unknown", Job: j.ID, Detail: detail})
+			c.trace(Event{Name: "attempts_unknown", Job: j.ID, Reason: "no_manifest_has_queue", Detail: detail})
 		}
 	case len(i.failedRuns) >= attempts:
 		c.finish(j, job.Failed, "attempts_used_up", detail, now)
