--- a/scheduler/execution/isolation.go
+++ b/scheduler/execution/isolation.go
@@ -45,7 +45,8 @@
 
 // maxIsolationWait is how long a long-running item waits for other suspects or for isolated
 // items to end. These may run for 20 s, and it may wait for 3 s beside a worker with room.
-// Nothing is started beside it before it serves all the same, if it is isolated itself.
+// If it runs isolated itself, only long-running items that have waited as long are started
+// beside it before it serves.
 const maxIsolationWait = 2 * time.Second
 
 // waitedForIsolation reports whether an item does not wait any longer for other suspects or
