--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -38,6 +38,7 @@
 	"advice": slowAdvice,
 	"large":  largeJob,
 	"apart":  apartFromOrphan,
+	"poison": hopelessJob,
 }
 
 func main() { os.Exit(play()) }
--- a/review/cases-2/worker.go
+++ b/review/cases-2/worker.go
@@ -37,6 +37,13 @@
 	// quiet leaves starts and ends out of the record.
 	quiet   bool
 	started []started
+	ended   []ended
+}
+
+// ended is an end of a run on the worker.
+type ended struct {
+	at   time.Time
+	task string
 }
 
 // started is a start that the worker carried out.
@@ -164,7 +171,8 @@
 
 func key(task string, number int64) string { return fmt.Sprintf("%s#%d", task, number) }
 
-// start starts a run. The spec holds the time that an item works, like work=200ms.
+// start starts a run. The spec holds the time that an item works, like
+// work=200ms, and the word fails if it then fails.
 func (k *worker) start(o order) (int, map[string]any) {
 	if o.DeadlineMs <= k.clock() {
 		return http.StatusConflict, k.answer("late")
@@ -192,11 +200,15 @@
 		k.world.rec.add("%s starts %s run %d%s", k.id, o.Task, o.Run, s.beside)
 	}
 	k.started = append(k.started, s)
+	how := "done"
+	if strings.Contains(o.Spec, "fails") {
+		how = "failed"
+	}
 	time.AfterFunc(r.work, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		k.lapseIfDue()
-		k.end(r, "done")
+		k.end(r, how)
 	})
 	return http.StatusOK, k.answer("")
 }
@@ -267,6 +279,7 @@
 	k.last[r.task] = max(k.last[r.task], r.number)
 	k.number++
 	k.ends = append(k.ends, end{k.number, r.task, r.number, how})
+	k.ended = append(k.ended, ended{time.Now(), r.task})
 	if !k.quiet {
 		k.world.rec.add("%s: %s run %d has ended %s", k.id, r.task, r.number, how)
 	}
--- a/review/cases-2/world.go
+++ b/review/cases-2/world.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,6 +52,9 @@
 	entries  []*entry
 	machines []map[string]any
 	stopped  chan struct{}
+	// refused counts the transactions that the store refused because of a value that is
+	// too long.
+	refused atomic.Int64
 }
 
 // httptest is an HTTP server on loopback.
@@ -84,7 +88,7 @@
 	}
 	proxy := httputil.NewSingleHostReverseProxy(target)
 	proxy.ErrorHandler = func(rw http.ResponseWriter, _ *http.Request, _ error) { closeConnection(rw) }
-	if w.store, err = serve(limitValues(rec, proxy)); err != nil {
+	if w.store, err = serve(w.limitValues(proxy)); err != nil {
 		return nil, err
 	}
 	if w.cloud, err = serve(http.HandlerFunc(w.listMachines)); err != nil {
@@ -96,7 +100,7 @@
 
 // limitValues refuses transactions with values of more than valueBytes, the limit in the
 // settings of the platform.
-func limitValues(rec *recorder, next http.Handler) http.Handler {
+func (w *world) limitValues(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/dotterelhead/kv-txn" {
 			next.ServeHTTP(rw, r)
@@ -118,7 +122,8 @@
 		}
 		for _, write := range txn.Writes {
 			if len(write.Value) > valueBytes {
-				rec.add("store refuses a value of %d bytes for %s", len(write.Value), write.Key)
+				w.refused.Add(1)
+				w.rec.add("the store refuses a value of %d bytes for %s", len(write.Value), write.Key)
 				rw.WriteHeader(http.StatusBadRequest)
 				return
 			}
