--- a/review/cases-2/apart.go
+++ b/review/cases-2/apart.go
@@ -31,11 +31,14 @@
 	}}); status != 200 {
 		return nil, errors.Errorf("status %d", status)
 	}
-	time.Sleep(500 * time.Millisecond)
-	cut := w.workerOf(id + ".0.0.0")
-	if cut == nil {
-		return nil, errors.New("the first work item has not started")
+	var cut *worker
+	for since := time.Now(); cut == nil; time.Sleep(20 * time.Millisecond) {
+		if time.Since(since) > 2*time.Second {
+			return nil, errors.New("the first work item has not started")
+		}
+		cut = w.workerOf(id + ".0.0.0")
 	}
+	time.Sleep(500 * time.Millisecond)
 	if w.trouble {
 		cut.setUnheard(true)
 		time.Sleep(1800 * time.Millisecond)
--- a/review/cases-2/large.go
+++ b/review/cases-2/large.go
@@ -12,7 +12,7 @@
 	// largeTimes and largeCount are the occurrences of the large job and the work items of
 	// each. usualTimes are those of a usual one.
 	largeTimes, usualTimes = 10_000, 100
-	largeCount             = 17
+	largeCount             = 20
 	// largeTime bounds the time until the record of the large job is at its limit.
 	largeTime = 85 * time.Second
 )
@@ -73,10 +73,12 @@
 	}
 	handed := time.Now()
 	w.rec.add("the traffic ends")
-	time.Sleep(finishTime)
+	for end := time.Now().Add(finishTime); time.Now().Before(end); time.Sleep(time.Second) {
+		w.rec.add("work items of the large job run: %d, started since the traffic ended: %d", w.running(large), len(w.startsAfter(large, handed)))
+	}
 	owners := w.platform.Value("owner/term")
 	var broken []string
-	for _, id := range []string{before, after} {
+	for _, id := range []string{large, before, after} {
 		_, state := w.call(e, "GET", "/nest/"+id, nil)
 		if strings.Contains(state, "completed") {
 			continue
