--- a/review/cases-2/world.go
+++ b/review/cases-2/world.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -300,13 +301,18 @@
 	return nil
 }
 
+// freeAddress returns a free address below the range from which the system picks the ports
+// of connections.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(err)
+	var err error
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, errors.WithStack(l.Close())
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.WithStack(err)
 }
 
 func isReady(address string) bool {
@@ -404,7 +410,7 @@
 	req.Close = true
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
-		w.rec.add("from %s: no answer to %s %s within the time limit", e.name, method, path)
+		w.rec.add("from %s: no answer to %s %s within the time limit: %v", e.name, method, path, err)
 		return 0, ""
 	}
 	defer resp.Body.Close()
