--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -39,6 +39,7 @@
 	"large":  largeJob,
 	"apart":  apartFromOrphan,
 	"poison": hopelessJob,
+	"memory": burstOfLargeJobs,
 }
 
 func main() { os.Exit(play()) }
--- a/review/cases-2/world.go
+++ b/review/cases-2/world.go
@@ -56,6 +56,8 @@
 	// refused counts the transactions that the store refused because of a value that is
 	// too long.
 	refused atomic.Int64
+	// guards are the goroutines that kill processes and start them again.
+	guards sync.WaitGroup
 }
 
 // httptest is an HTTP server on loopback.
@@ -180,6 +182,7 @@
 // close ends all processes and servers.
 func (w *world) close() {
 	close(w.stopped)
+	w.guards.Wait()
 	for _, e := range w.entries {
 		_ = e.process.Process.Signal(syscall.SIGCONT)
 		_ = e.process.Process.Kill()
