--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # it does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/dotterelheadd ] && [ -x target/review-case-2 ] || exit 2
-exec timeout -k 5 118 target/review-case-2 poison review/9/record.txt
+exec timeout -k 5 118 target/review-case-2 poison review/10/record.txt
