--- a/review/cases-2/cancel.go
+++ b/review/cases-2/cancel.go
@@ -28,7 +28,7 @@
 			return nil, err
 		}
 	}
-	if err := w.startEntries(8); err != nil {
+	if err := w.startEntries(10); err != nil {
 		return nil, err
 	}
 	time.Sleep(stableWindow)
--- a/review/cases-2/worker.go
+++ b/review/cases-2/worker.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"dotterelhead.example/dotterelhead/review/kit"
 )
 
 // maxHold is the longest lease of a worker.
@@ -93,7 +96,7 @@
 }
 
 func (k *worker) register() {
-	_ = k.world.platform.Publish("servers/"+k.id, map[string]any{
+	_ = k.world.platform.Publish(kit.Names.Registry+k.id, map[string]any{
 		"service": k.service, "addr": k.server.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 		"machine": k.machine, "born": k.born.UnixMilli(), "capacity": map[string]int64{"cpu": k.cpu, "memMb": 65536, "gpu": 0},
 		"labels": []string{"a", "r-1"}, "clockMs": k.clock(), "seq": time.Now().UnixMilli(),
@@ -103,24 +106,47 @@
 func (k *worker) clock() int64 { return time.Since(k.born).Milliseconds() }
 
 type order struct {
-	Task       string `json:"task"`
-	Run        int64  `json:"run"`
-	Spec       string `json:"spec"`
-	DeadlineMs int64  `json:"deadlineMs"`
-	FenceToken int64  `json:"fenceToken"`
-	LastSeen   int64  `json:"lastSeen"`
-	WaitMs     int64  `json:"waitMs"`
-	Ticket     string `json:"ticket"`
+	Task   string `json:"task"`
+	Run    int64  `json:"run"`
+	Spec   string `json:"spec"`
+	WaitMs int64  `json:"waitMs"`
+	// deadline is a time on the worker's clock in milliseconds, seen the number of the last
+	// end that the caller has noted.
+	deadline, fence, seen int64
+}
+
+// readOrder reads an order. The names of three of its fields stand in a file of kit.
+func readOrder(body io.Reader) (order, error) {
+	var o order
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return o, err
+	}
+	if err := json.Unmarshal(data, &o); err != nil {
+		return o, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return o, err
+	}
+	for name, into := range map[string]*int64{kit.Names.Deadline: &o.deadline, kit.Names.Token: &o.fence, kit.Names.Seen: &o.seen} {
+		if text, ok := fields[name]; ok {
+			if err := json.Unmarshal(text, into); err != nil {
+				return o, err
+			}
+		}
+	}
+	return o, nil
 }
 
 // ServeHTTP serves the calls of the system.
 func (k *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != k.id {
+	if want := r.Header.Get(kit.Names.Instance); want != "" && want != k.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	o, err := readOrder(r.Body)
+	if err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -132,7 +158,7 @@
 		return
 	}
 	status, body := k.carryOut(r.URL.Path, o)
-	if status == http.StatusOK && strings.HasSuffix(r.URL.Path, "/hold") {
+	if status == http.StatusOK && r.URL.Path == kit.Names.Hold {
 		body = k.lists(o, r)
 	}
 	writeJSON(rw, status, body)
@@ -150,19 +176,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lapseIfDue()
-	if o.FenceToken < k.fence {
+	if o.fence < k.fence {
 		return http.StatusConflict, k.answer("fence")
 	}
-	k.fence = o.FenceToken
+	k.fence = o.fence
 	switch path {
-	case "/dotterelhead/run-start":
+	case kit.Names.Start:
 		return k.start(o)
-	case "/dotterelhead/run-stop":
+	case kit.Names.Stop:
 		k.stop(o)
-	case "/dotterelhead/hold":
-		k.extend(o.DeadlineMs)
-		k.ends = slices.DeleteFunc(k.ends, func(e end) bool { return e.number <= o.LastSeen })
-	case "/dotterelhead/pace":
+	case kit.Names.Hold:
+		k.extend(o.deadline)
+		k.ends = slices.DeleteFunc(k.ends, func(e end) bool { return e.number <= o.seen })
+	case kit.Names.Pace:
 	default:
 		return http.StatusNotFound, nil
 	}
@@ -174,10 +200,10 @@
 // start starts a run. The spec holds the time that an item works, like
 // work=200ms, and the word fails if it then fails.
 func (k *worker) start(o order) (int, map[string]any) {
-	if o.DeadlineMs <= k.clock() {
+	if o.deadline <= k.clock() {
 		return http.StatusConflict, k.answer("late")
 	}
-	k.extend(o.DeadlineMs)
+	k.extend(o.deadline)
 	if k.runs[key(o.Task, o.Run)] != nil {
 		return http.StatusOK, k.answer("")
 	}
--- a/review/cases-2/world.go
+++ b/review/cases-2/world.go
@@ -23,6 +23,8 @@
 
 	"github.com/pkg/errors"
 
+	"dotterelhead.example/dotterelhead/platform"
+	"dotterelhead.example/dotterelhead/review/kit"
 	"dotterelhead.example/dotterelhead/standin/jobplatform"
 )
 
@@ -105,7 +107,7 @@
 // settings of the platform.
 func (w *world) limitValues(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/dotterelhead/kv-txn" {
+		if !strings.HasSuffix(r.URL.Path, "-txn") {
 			next.ServeHTTP(rw, r)
 			return
 		}
@@ -210,7 +212,7 @@
 	for _, r := range routes {
 		row := map[string]any{
 			"name": r.name, "host": host, "prefix": r.prefix, "service": r.service, "kind": "unsafe", "timeoutMs": 3000,
-			"targetLatencyMs": 600, "priority": 0, "attempts": r.attempts, "stretch": 1.6,
+			kit.Names.Target: 600, "priority": 0, "attempts": r.attempts, "stretch": 1.6,
 		}
 		if r.advice != nil {
 			row["advice"] = r.advice
@@ -218,10 +220,10 @@
 		rows = append(rows, row)
 		if !seen[r.service] {
 			seen[r.service] = true
-			services = append(services, map[string]any{"name": r.service, "admissionCheck": false, "spare": false})
+			services = append(services, map[string]any{"name": r.service, kit.Names.Admission: false, "spare": false})
 		}
 	}
-	return w.platform.Publish("op/config", map[string]any{
+	return w.platform.Publish(kit.Names.Manifest, map[string]any{
 		"version": version, "routes": rows, "services": services,
 		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
 	})
@@ -321,7 +323,7 @@
 func isReady(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/dotterelhead/ready", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+platform.ReadyPath, nil)
 	if err != nil {
 		return false
 	}
