Wait for advice as long as the service takes for the calls before it

Cause: a call for advice was given up after 3 s, whatever the service takes for it and for the call before it, which it handles in turn. Two calls of 2 s that overlapped were given up and repeated for ever, for the same two steps. The client had a second limit of 5 s.

Change: the timeout follows from the queue's decideMs and perItemMs and from the calls in flight. Calls are counted until they end, and steps are asked about in turn.

--- a/scheduler/execution/advice_test.go
+++ b/scheduler/execution/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,3 +85,125 @@
 		t.Errorf("%d calls in 5 s, want 11 at most", calls)
 	}
 }
+
+// serialAdvisor models the advice service: it handles one call at a time, goes on with
+// calls that were given up, and allows all workers.
+type serialAdvisor struct {
+	decide, perItem time.Duration
+	calls           []adviceCall
+	busyUntil       Time
+}
+
+type adviceCall struct {
+	AdviceRequest
+	givenUpAt, answeredAt Time
+}
+
+func (a *serialAdvisor) take(requests []AdviceRequest, now Time) {
+	for _, q := range requests {
+		a.busyUntil = max(a.busyUntil, now) + a.decide + time.Duration(len(q.Workers))*a.perItem
+		a.calls = append(a.calls, adviceCall{q, now + q.Timeout, a.busyUntil})
+	}
+}
+
+// deliver passes the answers that are due, and the failures of calls that are given up, to
+// the core. It returns how many calls were given up.
+func (a *serialAdvisor) deliver(c *Core, validity time.Duration, now Time) (givenUp int) {
+	a.calls = slices.DeleteFunc(a.calls, func(call adviceCall) bool {
+		switch {
+		case now >= call.answeredAt && call.answeredAt <= call.givenUpAt:
+			tickets := map[string]string{}
+			for _, id := range call.Workers {
+				tickets[id] = "t"
+			}
+			c.AdviceReceived(call.AdviceRequest, tickets, validity, now)
+		case now >= call.givenUpAt:
+			c.AdviceReceived(call.AdviceRequest, nil, 0, now)
+			givenUp++
+		default:
+			return false
+		}
+		return true
+	})
+	return givenUp
+}
+
+// Guards against jobs that stay queued on an empty pool: calls for advice that overlap were
+// given up before the service could answer them, and made again, for ever.
+func TestOverlappingAdviceCallsAreAnswered(t *testing.T) {
+	const workers, jobs, callTime = 12, 12, 2 * time.Second
+	advisor := &serialAdvisor{decide: 800 * time.Millisecond, perItem: 100 * time.Millisecond}
+	b := advisedPool(t, workers)
+	b.core.SetManifest(&job.Manifest{Version: 3, Queues: []job.Queue{{
+		Name: testQueue, Service: testService, Attempts: 2, Advice: &job.Advice{Decide: advisor.decide, PerItem: advisor.perItem},
+	}}})
+	for n := range jobs {
+		b.core.AddJob(oneStep(fmt.Sprintf("%016x", n), job.Step{LongRunning: true, Needs: job.Resources{MilliCPU: 100, MemoryMB: 1}}), job.Progress{}, false, wall, b.now)
+	}
+	started, began, running := 0, b.now, map[string][]RunningItem{}
+	for ; started < jobs && b.now < began+(jobs+1)*callTime; b.now += 50 * time.Millisecond {
+		if n := advisor.deliver(b.core, 3*time.Second, b.now); n > 0 {
+			t.Errorf("%d calls are given up after %v", n, b.now-began)
+		}
+		for _, s := range b.round().Starts {
+			b.core.StartDone(s, Started, b.now)
+			running[s.Worker.ID] = append(running[s.Worker.ID], RunningItem{Run: s.Run, Percent: 100})
+			started++
+		}
+		for id, runs := range running {
+			b.report(id, Report{Running: runs})
+		}
+		advisor.take(b.core.AdviceRequests(b.now), b.now)
+	}
+	if started < jobs {
+		t.Errorf("%d of %d jobs started within the time of %d calls", started, jobs, jobs+1)
+	}
+}
+
+// Guards against a step behind others whose advice is not given: it was never asked about.
+func TestAdviceIsAskedForInTurn(t *testing.T) {
+	b := advisedPool(t, 2)
+	ids := []string{"0000000000000001", "0000000000000002", "0000000000000003", "0000000000000004"}
+	for _, id := range ids {
+		b.core.AddJob(oneStep(id, job.Step{}), job.Progress{}, false, wall, b.now)
+	}
+	asked := map[string]int{}
+	for range 40 {
+		b.now += 300 * time.Millisecond
+		b.round()
+		requests := b.core.AdviceRequests(b.now)
+		if len(requests) > maxAdviceCalls {
+			t.Fatalf("%d calls at once", len(requests))
+		}
+		for _, q := range requests {
+			asked[q.Step.Job]++
+			b.core.AdviceReceived(q, nil, 0, b.now)
+		}
+	}
+	for _, id := range ids {
+		if asked[id] < 15 || asked[id] > 25 {
+			t.Errorf("%d calls about job %s, want about 20 for each: %v", asked[id], id, asked)
+		}
+	}
+}
+
+// Guards against more calls at once than the service handles in time: a job that ended while
+// a call about it was in flight was not counted any more.
+func TestCallAboutAnEndedJobStaysInFlight(t *testing.T) {
+	b := advisedPool(t, 2)
+	for n := range 6 {
+		b.core.AddJob(oneStep(fmt.Sprintf("%016x", n), job.Step{}), job.Progress{}, false, wall, b.now)
+	}
+	b.round()
+	first := b.core.AdviceRequests(b.now)
+	for _, q := range first {
+		b.core.Cancel(q.Step.Job, b.now)
+	}
+	if more := b.core.AdviceRequests(b.now); len(first) != maxAdviceCalls || len(more) > 0 {
+		t.Fatalf("%d and %d calls, want %d and none", len(first), len(more), maxAdviceCalls)
+	}
+	b.core.AdviceReceived(first[0], nil, 0, b.now)
+	if more := b.core.AdviceRequests(b.now); len(more) != 1 {
+		t.Errorf("%d calls after one was answered, want 1", len(more))
+	}
+}
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -59,7 +59,11 @@
 	// the last time.
 	checkHolders bool
 	advice       map[ticketKey]*advice
-	learner      *runtimes.Learner
+	// adviceCalls is the number of calls for advice in flight, and adviceCallTime how long
+	// the service takes for them together.
+	adviceCalls    int
+	adviceCallTime time.Duration
+	learner        *runtimes.Learner
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
