Keep the failures of a step with its worker until a later run is done

Cause: a run that was done forgot the failures of its worker, also if it was started before them. The step that turned out to be the cause was not known to the worker any more, so that the worker stayed avoided for up to 8 s.

Change: only a run that was started after the last failure forgets the failures, together with the time without work that follows from them.

Evidence: TestRunOfAnotherJobKeepsTheBlameOfAStep fails without the change.

--- a/scheduler/execution/eligible.go
+++ b/scheduler/execution/eligible.go
@@ -93,8 +93,9 @@
 	})
 }
 
-// started takes a worker on which an item was started as a trial from the eligible ones.
-func (e *eligibleWorkers) started(w *worker, now Time) {
+// trialStarted takes a worker on which an item was started as a trial from the eligible
+// ones. It does nothing for other workers.
+func (e *eligibleWorkers) trialStarted(w *worker, now Time) {
 	if now < w.avoidUntil && slices.Contains(e.workers, w) {
 		e.workers = slices.DeleteFunc(slices.Clone(e.workers), func(o *worker) bool { return o == w })
 		e.avoided = append(slices.Clone(e.avoided), w)
--- a/scheduler/execution/failing_workers_test.go
+++ b/scheduler/execution/failing_workers_test.go
@@ -222,3 +222,31 @@
 		t.Errorf("%d starts after the trial has worked, want the other 3", len(o.Starts))
 	}
 }
+
+// Guards against a sound worker that stays avoided: a run of another job that was started
+// before the failures of a hopeless step is done before the step has failed on all workers.
+func TestRunOfAnotherJobKeepsTheBlameOfAStep(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w0", 7000), Report{})
+	b.core.AddJob(oneStep(jobB, job.Step{}), job.Progress{}, false, wall, b.now)
+	sound := startOnly(b)
+	b.worker(testWorker("w1", 6000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Count: 12}), job.Progress{}, false, wall, b.now)
+	byWorker := map[string][]Start{}
+	for _, s := range b.roundAfter(100 * time.Millisecond).Starts {
+		byWorker[s.Worker.ID] = append(byWorker[s.Worker.ID], s)
+	}
+	ends := map[string]int64{}
+	b.failAll(byWorker["w0"], ends)
+	ends["w0"]++
+	b.report("w0", Report{Ended: []EndedItem{{Number: ends["w0"], Run: sound.Run, Kind: EndDone}}})
+	if b.now >= b.core.workers["w0"].avoidUntil {
+		t.Error("w0 is not avoided while the step runs on w1")
+	}
+	b.failAll(byWorker["w1"], ends)
+	for id, w := range b.core.workers {
+		if b.now < w.avoidUntil {
+			t.Errorf("%s is avoided although the step fails on both workers", id)
+		}
+	}
+}
--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -18,8 +18,8 @@
 	// maxBlamedWorkers is the number of workers that are blamed for the failures
 	// and stalls of one item. After that, the cause is the item.
 	maxBlamedWorkers = 2
-	// failuresToAvoid is the number of failures after which a worker is avoided, without
-	// a run with EndDone, or a long-running item that begins to serve, in between.
+	// failuresToAvoid is the number of failures after which a worker is avoided, unless a run
+	// that was started after the last of them is done or serves its users.
 	failuresToAvoid = 3
 	// avoidTime is how long an avoided worker gets no work. It doubles with
 	// each further failure, up to avoidTimeMax.
@@ -181,7 +181,7 @@
 }
 
 // updateAvoidance sets how long a worker gets no work after the failures that count
-// against it.
+// against it: those of steps that are not the cause themselves.
 func (c *Core) updateAvoidance(w *worker, now Time) {
 	failures, last := 0, Time(0)
 	for _, b := range w.blames {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -358,7 +358,6 @@
 	}
 	switch end.Kind {
 	case EndDone:
-		w.blames = nil
 		if cp != nil {
 			c.learnRunTime(i.step, took)
 			c.runWorked(cp, "item_done", now)
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -291,7 +291,7 @@
 		}
 		run := max(i.lastRun+1, c.firstRun)
 		o.Starts = append(o.Starts, c.start(s.item(i.index), w, run, i.saved, tickets, now))
-		eligible.started(w, now)
+		eligible.trialStarted(w, now)
 		return true
 	}
 	for _, i := range s.tracked {
@@ -434,7 +434,7 @@
 		}
 		for n, w := range chosen {
 			o.Starts = append(o.Starts, c.start(s.item(n), w, run, saved, tickets, now))
-			eligible.started(w, now)
+			eligible.trialStarted(w, now)
 		}
 		return
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -240,7 +240,7 @@
 	pendingEnds                                 []pendingEnd
 	// endsCutOff is set if the last report may not have listed all ends.
 	endsCutOff bool
-	// blames holds the failures in a row, the last of them at failedAt. The worker gets no
+	// blames holds the failures since a run worked, the last of them at failedAt. The worker gets no
 	// work until avoidUntil because of them, but for long-running items and a trial without
 	// another worker, and none at all until pausedUntil because of a start that was not carried
 	// out.
