Avoid workers on which many different steps fail

Cause: while all workers fail what they start, each step looks like the cause of its own failures. No worker was avoided, and the jobs used up their attempts one after the other.

Change: more than three such steps on a worker since a run was done there count against it.

Evidence: TestWorkersThatFailManyStepsAreAvoided fails without the change: six jobs fail.

--- a/scheduler/execution/failing_workers_test.go
+++ b/scheduler/execution/failing_workers_test.go
@@ -250,3 +250,33 @@
 		}
 	}
 }
+
+// Workers that all fail what they start must not use up the attempts of one job after the
+// other: so many steps are not the cause.
+func TestWorkersThatFailManyStepsAreAvoided(t *testing.T) {
+	b := newTestbed(t, 0)
+	for _, id := range []string{"w0", "w1"} {
+		b.worker(testWorker(id, 6000), Report{})
+	}
+	ends := map[string]int64{}
+	for n := range 2 * maxCauses {
+		b.core.AddJob(oneStep(fmt.Sprintf("%016x", n), job.Step{Count: 12}), job.Progress{}, false, wall, b.now)
+		for range 2 {
+			b.failAll(b.roundAfter(100*time.Millisecond).Starts, ends)
+		}
+	}
+	failed := 0
+	for _, j := range b.core.jobs {
+		if j.phase == job.Failed {
+			failed++
+		}
+	}
+	if failed > maxCauses+1 {
+		t.Errorf("%d jobs have failed, want %d at most", failed, maxCauses+1)
+	}
+	for id, w := range b.core.workers {
+		if b.now >= w.avoidUntil {
+			t.Errorf("%s is not avoided after it failed %d steps", id, len(w.blames))
+		}
+	}
+}
--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -28,6 +28,9 @@
 	// minWorkersToCompare is on how many workers a step has to fail before it may be the
 	// cause.
 	minWorkersToCompare = 2
+	// maxCauses is how many steps in a row may be the cause of their failures on a worker.
+	// More that fail everywhere tell that the workers have a fault in common.
+	maxCauses = 3
 )
 
 // handleFailure delays the next start of an item that failed, and ends the job
@@ -181,11 +184,18 @@
 }
 
 // updateAvoidance sets how long a worker gets no work after the failures that count
-// against it: those of steps that are not the cause themselves.
+// against it: those of steps that are not the cause themselves, or of all steps if there
+// are too many causes.
 func (c *Core) updateAvoidance(w *worker, now Time) {
+	causes := 0
+	for _, b := range w.blames {
+		if b.step.isCause {
+			causes++
+		}
+	}
 	failures, last := 0, Time(0)
 	for _, b := range w.blames {
-		if !b.step.isCause {
+		if !b.step.isCause || causes > maxCauses {
 			failures += b.failures
 			last = max(last, b.at)
 		}
