--- a/intake/intake.go
+++ b/intake/intake.go
@@ -26,9 +26,6 @@
 	ErrStoreDown = errors.New("store is down")
 	// ErrJobNotFound reports that no such job exists.
 	ErrJobNotFound = errors.New("no such job")
-	// ErrCancelled reports that a job was not accepted because it had been cancelled
-	// before. It is an ErrNotAccepted.
-	ErrCancelled = errors.WithMessage(ErrNotAccepted, "job was cancelled")
 )
 
 const (
@@ -38,9 +35,9 @@
 	resolveTimeout = 1500 * time.Millisecond
 	// batchDelay is how long the first job of a batch waits for others.
 	batchDelay = 2 * time.Millisecond
-	// maxJobsPerTransaction is how many jobs fit into a transaction: each takes two
-	// conditions and a write.
-	maxJobsPerTransaction = store.MaxTransactionEntries / 3
+	// maxJobsPerTransaction is how many jobs fit into a transaction: each takes a
+	// condition and a write.
+	maxJobsPerTransaction = store.MaxTransactionEntries / 2
 	// maxQueuedJobs bounds the jobs that wait for a transaction.
 	maxQueuedJobs = 512
 	// maxConcurrentWrites bounds the transactions that are in progress at once.
@@ -48,9 +45,6 @@
 	// retryPause is the pause before a failed call is repeated. A refused write is
 	// repeated only once.
 	retryPause = 20 * time.Millisecond
-	// earlyCancellationTTL is how long the cancellation of an unknown job is kept. It is
-	// longer than an entry VM may stand still with a submission that it has not read.
-	earlyCancellationTTL = 2 * time.Minute
 )
 
 // Intake stores new jobs and cancellations, and answers questions about jobs.
@@ -62,8 +56,8 @@
 
 // submission is a job that is waiting to be stored.
 type submission struct {
-	key, cancelKey string
-	value          []byte
+	key   string
+	value []byte
 	// uncertain is set once a write got no answer: it may still take effect.
 	uncertain bool
 	// refusals counts the writes that the store refused.
@@ -118,8 +112,7 @@
 
 // Submit stores a job. It returns nil once the job is stored, including when it
 // was stored before, ErrNotAccepted only if no write of the job can take effect
-// any more, and ErrOutcomeUnknown otherwise. A job that was cancelled first is not
-// accepted.
+// any more, and ErrOutcomeUnknown otherwise.
 func (in *Intake) Submit(j *job.Job) error {
 	if in.health.Down() {
 		return errors.Wrap(ErrNotAccepted, "store is down")
@@ -128,7 +121,7 @@
 	if err != nil {
 		return errors.Wrap(ErrNotAccepted, err.Error())
 	}
-	s := &submission{key: jobstore.JobKey(j.ID), cancelKey: jobstore.CancelKey(j.ID), value: value, done: make(chan error, 1)}
+	s := &submission{key: jobstore.JobKey(j.ID), value: value, done: make(chan error, 1)}
 	select {
 	case in.queue <- s:
 	default:
@@ -154,7 +147,7 @@
 	for len(batch) > 0 {
 		tx := store.Transaction{}
 		for _, s := range batch {
-			tx.Conditions = append(tx.Conditions, store.Condition{Key: s.key}, store.Condition{Key: s.cancelKey})
+			tx.Conditions = append(tx.Conditions, store.Condition{Key: s.key})
 			tx.Writes = append(tx.Writes, store.Write{Key: s.key, Value: s.value})
 		}
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -166,7 +159,7 @@
 			answer(batch, nil)
 			return
 		case errors.As(err, &conflict):
-			batch = answerConflicting(batch, conflict.Items)
+			batch = in.answerStored(batch, conflict.Items)
 			continue
 		case errors.Is(err, store.ErrUnavailable):
 			batch = answerRefused(batch, err)
@@ -187,23 +180,18 @@
 	}
 }
 
-// answerConflicting answers the submissions whose jobs are stored already or were
-// cancelled before, and returns the others.
-func answerConflicting(batch []*submission, items []store.Item) []*submission {
-	present := map[string]bool{}
+// answerStored answers the submissions whose jobs are stored already and
+// returns the others.
+func (in *Intake) answerStored(batch []*submission, items []store.Item) []*submission {
+	stored := map[string]bool{}
 	for _, i := range items {
-		present[i.Key] = true
+		stored[i.Key] = true
 	}
 	return remove(batch, func(s *submission) bool {
-		switch {
-		case present[s.key]:
+		if stored[s.key] {
 			s.done <- nil
-		case present[s.cancelKey]:
-			s.done <- ErrCancelled
-		default:
-			return false
 		}
-		return true
+		return stored[s.key]
 	})
 }
 
@@ -262,16 +250,24 @@
 	return job.Queued, nil
 }
 
-// Cancel stores that a job is cancelled. It returns ErrJobNotFound for an unknown job
-// once no submission that is still on its way can be accepted any more.
+// Cancel stores that a job is cancelled.
 func (in *Intake) Cancel(ctx context.Context, id string) error {
 	if in.health.Down() {
 		return errors.WithStack(ErrStoreDown)
 	}
 	for {
-		err := in.tryCancel(ctx, id)
-		if err == nil || errors.Is(err, ErrJobNotFound) {
-			return err
+		item, err := in.store.Get(ctx, jobstore.JobKey(id))
+		if errors.Is(err, store.ErrNotFound) {
+			return errors.WithStack(ErrJobNotFound)
+		}
+		if err == nil {
+			_, err = in.store.Commit(ctx, store.Transaction{
+				Conditions: []store.Condition{{Key: item.Key, Revision: item.Revision}},
+				Writes:     []store.Write{{Key: jobstore.CancelKey(id), Value: []byte("{}")}},
+			})
+		}
+		if err == nil {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
@@ -281,41 +277,6 @@
 	}
 }
 
-func (in *Intake) tryCancel(ctx context.Context, id string) error {
-	item, err := in.store.Get(ctx, jobstore.JobKey(id))
-	if errors.Is(err, store.ErrNotFound) {
-		return in.cancelUnknown(ctx, id)
-	}
-	if err != nil {
-		return err
-	}
-	_, err = in.store.Commit(ctx, cancellation(id, item.Revision, 0))
-	return err
-}
-
-// cancelUnknown stores the cancellation of a job that is not stored. The store removes it
-// after earlyCancellationTTL, because no owner deletes the records of a job that it does
-// not know.
-func (in *Intake) cancelUnknown(ctx context.Context, id string) error {
-	lease, err := in.store.GrantLease(ctx, earlyCancellationTTL)
-	if err != nil {
-		return err
-	}
-	if _, err := in.store.Commit(ctx, cancellation(id, 0, lease)); err != nil {
-		return err
-	}
-	return errors.WithStack(ErrJobNotFound)
-}
-
-// cancellation returns the transaction that cancels a job whose record has the given
-// revision, or is absent if that is 0.
-func cancellation(id string, jobRevision, lease int64) store.Transaction {
-	return store.Transaction{
-		Conditions: []store.Condition{{Key: jobstore.JobKey(id), Revision: jobRevision}},
-		Writes:     []store.Write{{Key: jobstore.CancelKey(id), Value: []byte("{}"), Lease: lease}},
-	}
-}
-
 // WaitingJobs returns how many jobs of a queue wait for their first start,
 // according to the counts that the owner of the jobs wrote last.
 func (in *Intake) WaitingJobs(ctx context.Context, queue string) (int, error) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -106,41 +106,6 @@
 	}
 }
 
-// Guards against a job that runs although its requester was told, in answer to the
-// cancellation, that there is none: its submission was read, or its write carried out,
-// only afterwards.
-func TestCancelledJobIsNotAcceptedLater(t *testing.T) {
-	s := storetest.New()
-	in := startIntake(t, s)
-	ctx := context.Background()
-	s.OutcomeOf = func(tx store.Transaction) storetest.Outcome {
-		if tx.Writes[0].Key == jobstore.JobKey(testJob(1).ID) {
-			return storetest.Delayed
-		}
-		return storetest.Applied
-	}
-	if err := in.Submit(testJob(1)); !errors.Is(err, ErrOutcomeUnknown) {
-		t.Fatalf("submission whose writes are delayed: %v", err)
-	}
-	for n := 1; n <= 2; n++ {
-		if err := in.Cancel(ctx, testJob(n).ID); !errors.Is(err, ErrJobNotFound) {
-			t.Fatalf("cancellation of unknown job %d: %v", n, err)
-		}
-	}
-	s.ApplyDelayed()
-	if err := in.Submit(testJob(2)); !errors.Is(err, ErrCancelled) || !errors.Is(err, ErrNotAccepted) {
-		t.Errorf("submission after the cancellation: %v, want ErrCancelled", err)
-	}
-	for n := 1; n <= 2; n++ {
-		if _, err := s.Get(ctx, jobstore.JobKey(testJob(n).ID)); !errors.Is(err, store.ErrNotFound) {
-			t.Errorf("job %d is stored after its cancellation was answered: %v", n, err)
-		}
-	}
-	if err := in.Submit(testJob(3)); err != nil {
-		t.Errorf("job that was not cancelled: %v", err)
-	}
-}
-
 // operation is a requester's call in a history.
 type operation struct{ call, id string }
 
@@ -150,24 +115,12 @@
 const (
 	succeeded outcome = "ok"
 	refused   outcome = "not accepted"
-	cancelled outcome = "cancelled before"
 	noJob     outcome = "no such job"
 	unknown   outcome = "unknown"
 )
 
-// jobState is the state of a job in the specification.
-type jobState int
-
-const (
-	absent jobState = iota
-	// stored is a job that was accepted. It stays so, cancelled or not.
-	stored
-	// barred is a job that was cancelled while it was absent.
-	barred
-)
-
 // jobModel is the specification of one job: it exists forever once a submission
-// took effect, and never if a cancellation took effect first.
+// took effect.
 var jobModel = porcupine.NondeterministicModel{
 	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 		parts := map[string][]porcupine.Operation{}
@@ -181,23 +134,18 @@
 		}
 		return out
 	},
-	Init: func() []any { return []any{absent} },
+	Init: func() []any { return []any{false} },
 	Step: func(state, input, output any) []any {
-		before, call, got := state.(jobState), input.(operation).call, output.(outcome)
-		after := before
-		switch {
-		case call == "submit" && before == absent:
-			after = stored
-		case call == "cancel" && before == absent:
-			after = barred
-		}
+		exists, call, got := state.(bool), input.(operation).call, output.(outcome)
 		switch {
-		case got == unknown:
-			return []any{before, after}
-		case got == refused:
-			return []any{before}
-		case got == cancelled && before == barred, got == noJob && before != stored, got == succeeded && after == stored:
-			return []any{after}
+		case call == "submit" && got == succeeded:
+			return []any{true}
+		case call == "submit" && got == unknown:
+			return []any{exists, true}
+		case call == "submit" && got == refused:
+			return []any{exists}
+		case got == noJob && !exists, got == succeeded && exists, got == unknown:
+			return []any{exists}
 		}
 		return nil
 	},
@@ -246,7 +194,7 @@
 	}
 	group.Wait()
 	history = slices.DeleteFunc(history, func(o porcupine.Operation) bool {
-		return o.Output == unknown && o.Input.(operation).call == "phase"
+		return o.Output == unknown && o.Input.(operation).call != "submit"
 	})
 	// The checker allows a client one operation at a time. A client goes on after
 	// an operation with an unknown outcome, which stays open, so each operation
@@ -274,8 +222,6 @@
 	switch {
 	case err == nil:
 		return succeeded
-	case errors.Is(err, ErrCancelled):
-		return cancelled
 	case errors.Is(err, ErrNotAccepted):
 		return refused
 	case errors.Is(err, ErrJobNotFound):
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -3,8 +3,7 @@
 // the upkeep (planned maintenance) of a set of VMs.
 //
 //	inbox/job/ID      an accepted job; created once by the entry VM that took it
-//	inbox/cancel/ID   the requester cancelled the job; without a record of the job, it
-//	                  is not accepted while this one exists
+//	inbox/cancel/ID   the requester cancelled the job
 //	progress/ID       what the job has done; written by the owner
 //	owner/lease       the owner; removed when the owner's own lease ends
 //	owner/term        how many owners there have been
--- a/scheduler/execution/advice.go
+++ b/scheduler/execution/advice.go
@@ -1,7 +1,6 @@
 package execution
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,20 +8,17 @@
 )
 
 const (
-	// maxAdviceCalls bounds the concurrent calls for advice. The service handles the
-	// calls from one machine one at a time; the second call saves the delay between two.
+	// maxAdviceCalls bounds the concurrent calls for advice: the service handles
+	// the calls from one machine one at a time.
 	maxAdviceCalls = 2
 	// workersPerAdviceCall is how many workers one call may ask about.
 	workersPerAdviceCall = 30
 	// ticketMargin is the remaining validity that a ticket must have when it is
 	// used, so that it is still valid when the start arrives.
 	ticketMargin = 300 * time.Millisecond
-	// adviceRetryDelay is the minimum time between two calls about a step.
+	// adviceRetryDelay is the minimum time between two calls about a step, once
+	// one of them got an answer.
 	adviceRetryDelay = 500 * time.Millisecond
-	// A call for advice is given up adviceTimeoutMargin after adviceTimeoutFactor times the
-	// time that the service takes for it and the calls before it.
-	adviceTimeoutFactor = 2
-	adviceTimeoutMargin = 10 * AnswerTimeout
 )
 
 type ticketKey struct {
@@ -30,18 +26,14 @@
 	occurrence, step int
 }
 
-func (s *step) ticketKey() ticketKey { return ticketKey{s.job.ID, s.occurrence, s.index} }
-
 // advice holds what the advice service answered for a step: a ticket for each
 // worker that may run it, by worker ID. A start carries the worker's ticket, and
 // the worker rejects a start if it does not accept the ticket.
 type advice struct {
-	asked    bool
+	answered bool
 	inFlight bool
-	// askedAt is the time of the last call, or before the first one, when advice was
-	// first needed.
-	askedAt Time
-	tickets map[string]ticket
+	askedAt  Time
+	tickets  map[string]ticket
 	// refused are the workers that may not run the step. That does not change, but they
 	// are asked about again once no other worker is left.
 	refused map[string]bool
@@ -60,11 +52,6 @@
 type AdviceRequest struct {
 	Step    job.ItemID
 	Workers []string
-	// Timeout is when the call is given up. The service would go on with it, and later
-	// calls wait for that.
-	Timeout time.Duration
-	// duration is how long the service takes for the call itself.
-	duration time.Duration
 }
 
 // ticketsFor returns the tickets of a step by worker ID, or nil if its queue
@@ -74,7 +61,7 @@
 	if q.Advice == nil {
 		return nil, true
 	}
-	key := s.ticketKey()
+	key := ticketKey{s.job.ID, s.occurrence, s.index}
 	a := c.advice[key]
 	if a == nil {
 		c.advice[key] = &advice{askedAt: now}
@@ -90,51 +77,41 @@
 }
 
 // AdviceRequests returns the calls for advice that are due now and counts them
-// as in flight. The step whose last call is longest ago comes first, so that a step that
-// is asked about again and again does not keep others waiting.
+// as in flight.
 func (c *Core) AdviceRequests(now Time) []AdviceRequest {
 	if len(c.advice) == 0 {
 		return nil
 	}
-	for key := range c.advice {
-		if j := c.jobs[key.job]; j == nil || j.final() {
+	inFlight := 0
+	for key, a := range c.advice {
+		j := c.jobs[key.job]
+		if j == nil || j.final() {
 			delete(c.advice, key)
+		} else if a.inFlight {
+			inFlight++
 		}
 	}
-	if c.adviceCalls >= maxAdviceCalls {
-		return nil
-	}
-	var due []*step
-	for _, s := range c.pendingSteps {
-		if a := c.advice[s.ticketKey()]; a != nil && !a.inFlight && !(a.asked && now-a.askedAt < adviceRetryDelay) {
-			due = append(due, s)
-		}
-	}
-	slices.SortStableFunc(due, func(s, o *step) int {
-		return cmp.Compare(c.advice[s.ticketKey()].askedAt, c.advice[o.ticketKey()].askedAt)
-	})
 	eligible := c.eligibleByService(now)
 	var requests []AdviceRequest
-	for _, s := range due {
-		if c.adviceCalls >= maxAdviceCalls {
+	for _, s := range c.pendingSteps {
+		if inFlight >= maxAdviceCalls {
 			break
 		}
-		a, queue := c.advice[s.ticketKey()], c.queueOf(s.job)
-		p := eligible[queue.Service]
-		if p == nil || queue.Advice == nil {
+		a := c.advice[ticketKey{s.job.ID, s.occurrence, s.index}]
+		if a == nil || a.inFlight || a.answered && now-a.askedAt < adviceRetryDelay {
+			continue
+		}
+		p := eligible[c.queueOf(s.job).Service]
+		if p == nil {
 			continue
 		}
-		workers := a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)
-		if len(workers) == 0 {
+		q := AdviceRequest{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index}, Workers: a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)}
+		if len(q.Workers) == 0 {
 			continue
 		}
-		a.asked, a.inFlight, a.askedAt = true, true, now
-		duration := queue.Advice.Decide + time.Duration(len(workers))*queue.Advice.PerItem
-		c.adviceCalls++
-		c.adviceCallTime += duration
-		requests = append(requests, AdviceRequest{
-			Step: s.id(), Workers: workers, duration: duration, Timeout: adviceTimeoutFactor*c.adviceCallTime + adviceTimeoutMargin,
-		})
+		a.inFlight, a.askedAt = true, now
+		inFlight++
+		requests = append(requests, q)
 	}
 	return requests
 }
@@ -143,7 +120,12 @@
 // the service was not asked. It returns none while those with tickets have room for all
 // items that wait: a gang starts as a whole.
 func (a *advice) workersToAskAbout(s *step, workers []*worker, now Time) []string {
-	waiting := s.startableItems()
+	waiting := 0
+	for n := range s.items {
+		if s.items[n].startable() {
+			waiting++
+		}
+	}
 	var ids []string
 	refused := false
 	for _, w := range workers {
@@ -183,8 +165,6 @@
 // AdviceReceived records the answer to an advice request; tickets is nil when
 // none came.
 func (c *Core) AdviceReceived(q AdviceRequest, tickets map[string]string, validity time.Duration, now Time) {
-	c.adviceCalls--
-	c.adviceCallTime -= q.duration
 	a := c.advice[ticketKey{q.Step.Job, q.Step.Occurrence, q.Step.Step}]
 	if a == nil {
 		return
@@ -193,6 +173,7 @@
 	if tickets == nil {
 		return
 	}
+	a.answered = true
 	for _, id := range q.Workers {
 		value, good := tickets[id]
 		if !good {
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -213,8 +213,7 @@
 		if cp.served() {
 			cp.item.troubles = 0
 			c.clearSuspicion(cp)
-			c.stepWorked(cp.item.step, now)
-			c.runWorked(cp, "item_serves", now)
+			c.endAvoidance(cp, now)
 		}
 		return
 	}
@@ -358,11 +357,10 @@
 	}
 	switch end.Kind {
 	case EndDone:
+		w.failures = 0
 		if cp != nil {
 			c.learnRunTime(i.step, took)
-			c.runWorked(cp, "item_done", now)
 		}
-		c.stepWorked(i.step, now)
 		c.handleDone(i, end.Run.Number, now)
 	case EndFailed:
 		c.handleFailure(w, i, end.Run.Number, now)
@@ -383,8 +381,8 @@
 	items := []*item{i}
 	if i.step.spec.Gang {
 		items = nil
-		for n := range i.step.spec.Count {
-			items = append(items, i.step.item(n))
+		for n := range i.step.items {
+			items = append(items, &i.step.items[n])
 		}
 	}
 	for _, member := range items {
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -198,8 +198,8 @@
 // stopGang marks all members of a gang to be stopped after one of them could not
 // start, or has to end before it has: the others would wait for it in vain.
 func (c *Core) stopGang(s *step) {
-	for _, i := range s.tracked {
-		for _, cp := range i.copies {
+	for n := range s.items {
+		for _, cp := range s.items[n].copies {
 			cp.stopWanted, cp.inDoubt = true, false
 		}
 	}
@@ -255,7 +255,12 @@
 }
 
 func (s *step) hasStartable() bool {
-	return s.fresh > 0 || slices.ContainsFunc(s.tracked, (*item).startable)
+	for n := range s.items {
+		if s.items[n].startable() {
+			return true
+		}
+	}
+	return false
 }
 
 type candidate struct {
@@ -272,34 +277,29 @@
 	if !s.spec.Charge().Fits(eligible.maxFree) && len(lastChoice) == 0 {
 		return
 	}
+	workers := eligible.workers
 	tickets, ok := c.ticketsFor(s, cand.queue, now)
 	if !ok {
 		return
 	}
 	if s.spec.Gang {
-		c.placeGang(o, s, eligible, lastChoice, tickets, now)
+		c.placeGang(o, s, workers, lastChoice, tickets, now)
 		return
 	}
-	// place reports whether the item was started.
-	place := func(i *item) bool {
+	for n := range s.items {
+		i := &s.items[n]
+		if !i.startable() || i.needsIsolation() || now < i.notBefore {
+			continue
+		}
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
-			return false
+			return
 		}
-		w := cmp.Or(c.chooseWorker(i, eligible.workers, tickets), c.chooseWorker(i, lastChoice, tickets))
+		w := cmp.Or(c.chooseWorker(i, workers, tickets), c.chooseWorker(i, lastChoice, tickets))
 		if w == nil {
-			return false
-		}
-		run := max(i.lastRun+1, c.firstRun)
-		o.Starts = append(o.Starts, c.start(s.item(i.index), w, run, i.saved, tickets, now))
-		eligible.trialStarted(w, now)
-		return true
-	}
-	for _, i := range s.tracked {
-		if i.startable() && !i.needsIsolation() && now >= i.notBefore && !place(i) {
 			return
 		}
-	}
-	for s.fresh > 0 && place(s.firstFresh()) {
+		run := max(i.lastRun+1, c.firstRun)
+		o.Starts = append(o.Starts, c.start(i, w, run, i.saved, tickets, now))
 	}
 }
 
@@ -408,9 +408,10 @@
 // With SameRack it first tries each rack alone, then all workers together; those of
 // lastChoice only take the items that no other worker takes. All items start from the same
 // checkpoint: that of the last item that has one.
-func (c *Core) placeGang(o *Orders, s *step, eligible *eligibleWorkers, lastChoice []*worker, tickets map[string]string, now Time) {
+func (c *Core) placeGang(o *Orders, s *step, workers, lastChoice []*worker, tickets map[string]string, now Time) {
 	run, saved := c.firstRun, ""
-	for _, i := range s.tracked {
+	for n := range s.items {
+		i := &s.items[n]
 		if !i.startable() || now < i.notBefore {
 			return
 		}
@@ -419,9 +420,9 @@
 			saved = i.saved
 		}
 	}
-	groups := [][]*worker{eligible.workers}
+	groups := [][]*worker{workers}
 	if s.spec.SameRack {
-		groups = append(byRack(eligible.workers), eligible.workers)
+		groups = append(byRack(workers), workers)
 	}
 	for n, group := range groups {
 		var others []*worker
@@ -429,12 +430,11 @@
 			others = lastChoice
 		}
 		chosen := c.chooseForGang(s, group, others, tickets)
-		if len(chosen) < s.spec.Count {
+		if len(chosen) < len(s.items) {
 			continue
 		}
 		for n, w := range chosen {
-			o.Starts = append(o.Starts, c.start(s.item(n), w, run, saved, tickets, now))
-			eligible.trialStarted(w, now)
+			o.Starts = append(o.Starts, c.start(&s.items[n], w, run, saved, tickets, now))
 		}
 		return
 	}
@@ -444,26 +444,26 @@
 // or else others, accept them together.
 func (c *Core) chooseForGang(s *step, workers, others []*worker, tickets map[string]string) []*worker {
 	var chosen []*worker
-	count := func(i *item, w *worker, by int) {
+	count := func(n, by int) {
+		w := chosen[n]
 		w.reserve(s.spec, int64(by))
 		if s.copies[w] += by; s.copies[w] <= 0 {
 			delete(s.copies, w)
 		}
-		if i.suspect() {
+		if s.items[n].suspect() {
 			w.suspectRuns += by
 		}
 	}
-	for n := range s.spec.Count {
-		i := s.peek(n)
-		w := cmp.Or(c.chooseWorker(i, workers, tickets), c.chooseWorker(i, others, tickets))
+	for n := range s.items {
+		w := cmp.Or(c.chooseWorker(&s.items[n], workers, tickets), c.chooseWorker(&s.items[n], others, tickets))
 		if w == nil {
 			break
 		}
 		chosen = append(chosen, w)
-		count(i, w, 1)
+		count(n, 1)
 	}
-	for n, w := range chosen {
-		count(s.peek(n), w, -1)
+	for n := range chosen {
+		count(n, -1)
 	}
 	return chosen
 }
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -120,9 +120,9 @@
 }
 
 // recordNumber returns the number under which the job's durable record holds the
-// item with the given index. It is unique in the job.
-func (s *step) recordNumber(index int) int {
-	return s.occurrence*s.job.itemsPerOccurrence + s.offset + index
+// item. It is unique in the job.
+func (i *item) recordNumber() int {
+	return i.step.occurrence*i.step.job.itemsPerOccurrence + i.step.offset + i.index
 }
 
 // id returns the run that the copy stands for.
@@ -134,18 +134,14 @@
 	occurrence int
 	index      int
 	// offset is the number of items in the earlier steps of the occurrence.
-	offset int
-	itemSet
+	offset    int
+	items     []item
 	itemsLeft int
 	ready     bool
 	// readyAt is when the steps that it depends on were done.
 	readyAt Time
 	// copies is the number of copies on each worker.
 	copies map[*worker]int
-	// failed is set once an item has failed or stalled, worked once one was done or served
-	// its users.
-	failed *failedStep
-	worked bool
 	// toIsolate is the number of items that have to run isolated.
 	toIsolate int
 	// pending is set while the step is in Core.pendingSteps.
@@ -240,11 +236,10 @@
 	pendingEnds                                 []pendingEnd
 	// endsCutOff is set if the last report may not have listed all ends.
 	endsCutOff bool
-	// blames holds the failures since a run worked, the last of them at failedAt. The worker gets no
-	// work until avoidUntil because of them, but for long-running items and a trial without
-	// another worker, and none at all until pausedUntil because of a start that was not carried
-	// out.
-	blames                            []blame
+	// failures counts the failures in a row, the last of them at failedAt. The worker gets no
+	// work until avoidUntil because of them, but for long-running items without another
+	// worker, and none at all until pausedUntil because of a start that was not carried out.
+	failures                          int
 	failedAt, avoidUntil, pausedUntil Time
 	// silent is set when a hold gets no answer, until the next report.
 	// silentSinceLapse is set once the leases of a silent worker have lapsed.
@@ -399,7 +394,6 @@
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
 	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
-	i.step.release(i)
 	c.checkHoldersOf(cp.worker)
 	c.addPending(i.step)
 }
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -228,8 +228,7 @@
 	VM string
 	// Took is how long the run or the job took. For run_placed it is the time
 	// since the step became ready, for worker_silent the time since the last
-	// report, for worker_avoided how long the worker will get no work, and for
-	// worker_usable how much sooner it gets work than it would have.
+	// report, and for worker_avoided how long the worker will get no work.
 	Took time.Duration
 }
 
--- a/scheduler/execution/waiting.go
+++ b/scheduler/execution/waiting.go
@@ -20,7 +20,8 @@
 		}
 		var longest *item
 		waiting := 0
-		for _, i := range s.tracked {
+		for n := range s.items {
+			i := &s.items[n]
 			if !i.startable() {
 				continue
 			}
@@ -32,15 +33,6 @@
 				longest = i
 			}
 		}
-		if s.fresh > 0 {
-			if s.freshWaitingSince == 0 {
-				s.freshWaitingSince = now
-			}
-			waiting += s.fresh
-			if longest == nil || s.freshWaitingSince < longest.waitingSince {
-				longest = s.firstFresh()
-			}
-		}
 		if longest == nil || now-max(longest.waitingSince, s.waitTracedAt) < waitNoticed {
 			continue
 		}
