Keep a job that was cancelled first from being accepted

Cause: the cancellation of an unknown job left nothing in the store, and a submission was accepted whenever the job's key did not exist, however late it was read or written.

Change: such a cancellation is stored under the job's own key before it is answered, in the transactions of the submissions, so that the store decides between the two. The owner deletes it after the time for which finished jobs are kept. An entry VM takes 20 of them a second.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
@@ -26,6 +27,14 @@
 	ErrStoreDown = errors.New("store is down")
 	// ErrJobNotFound reports that no such job exists.
 	ErrJobNotFound = errors.New("no such job")
+	// ErrCancelled reports that a job was not accepted because it had been cancelled
+	// before. It is an ErrNotAccepted.
+	ErrCancelled = errors.WithMessage(ErrNotAccepted, "job was cancelled")
+	// ErrBusy reports that too many unknown jobs were cancelled lately, and nothing was
+	// done.
+	ErrBusy = errors.New("too many cancellations of unknown jobs")
+	// errAccepted reports that a job was accepted before its cancellation was stored.
+	errAccepted = errors.New("job was accepted")
 )
 
 const (
@@ -45,19 +54,28 @@
 	// retryPause is the pause before a failed call is repeated. A refused write is
 	// repeated only once.
 	retryPause = 20 * time.Millisecond
+	// unknownCancelRate and unknownCancelBurst bound the cancellations of unknown jobs,
+	// each of which takes a write and a record that is kept for as long as a finished job.
+	// The rate is more than twice that of the jobs which an entry VM gets in the largest
+	// burst of the sites, 8 a second, and the burst is that of 5 s.
+	unknownCancelRate  = 20
+	unknownCancelBurst = 100
 )
 
 // Intake stores new jobs and cancellations, and answers questions about jobs.
 type Intake struct {
-	store  store.Store
-	health *store.Health
-	queue  chan *submission
+	store          store.Store
+	health         *store.Health
+	queue          chan *submission
+	unknownCancels *rate.Limiter
 }
 
-// submission is a job that is waiting to be stored.
+// submission is a job that is waiting to be stored, or the cancellation of an unknown job,
+// which takes the place of the job's record.
 type submission struct {
-	key   string
-	value []byte
+	key          string
+	value        []byte
+	cancellation bool
 	// uncertain is set once a write got no answer: it may still take effect.
 	uncertain bool
 	// refusals counts the writes that the store refused.
@@ -70,7 +88,10 @@
 // reports that the store is down, every call fails at once: Submit with
 // ErrNotAccepted, the others with ErrStoreDown.
 func New(s store.Store, health *store.Health) *Intake {
-	return &Intake{store: s, health: health, queue: make(chan *submission, maxQueuedJobs)}
+	return &Intake{
+		store: s, health: health, queue: make(chan *submission, maxQueuedJobs),
+		unknownCancels: rate.NewLimiter(unknownCancelRate, unknownCancelBurst),
+	}
 }
 
 // Run writes batches of jobs until ctx ends.
@@ -112,7 +133,8 @@
 
 // Submit stores a job. It returns nil once the job is stored, including when it
 // was stored before, ErrNotAccepted only if no write of the job can take effect
-// any more, and ErrOutcomeUnknown otherwise.
+// any more, and ErrOutcomeUnknown otherwise. A job that was cancelled first is not
+// accepted.
 func (in *Intake) Submit(j *job.Job) error {
 	if in.health.Down() {
 		return errors.Wrap(ErrNotAccepted, "store is down")
@@ -122,12 +144,19 @@
 		return errors.Wrap(ErrNotAccepted, err.Error())
 	}
 	s := &submission{key: jobstore.JobKey(j.ID), value: value, done: make(chan error, 1)}
+	if err := in.enqueue(s); err != nil {
+		return err
+	}
+	return <-s.done
+}
+
+func (in *Intake) enqueue(s *submission) error {
 	select {
 	case in.queue <- s:
+		return nil
 	default:
 		return errors.Wrapf(ErrNotAccepted, "%d jobs wait to be stored", maxQueuedJobs)
 	}
-	return <-s.done
 }
 
 // write stores a batch and answers each of its submissions.
@@ -159,7 +188,7 @@
 			answer(batch, nil)
 			return
 		case errors.As(err, &conflict):
-			batch = in.answerStored(batch, conflict.Items)
+			batch = answerExisting(batch, conflict.Items)
 			continue
 		case errors.Is(err, store.ErrUnavailable):
 			batch = answerRefused(batch, err)
@@ -180,18 +209,27 @@
 	}
 }
 
-// answerStored answers the submissions whose jobs are stored already and
-// returns the others.
-func (in *Intake) answerStored(batch []*submission, items []store.Item) []*submission {
-	stored := map[string]bool{}
+// answerExisting answers the submissions whose keys exist already, and returns the
+// others.
+func answerExisting(batch []*submission, items []store.Item) []*submission {
+	existing := map[string]store.Item{}
 	for _, i := range items {
-		stored[i.Key] = true
+		existing[i.Key] = i
 	}
 	return remove(batch, func(s *submission) bool {
-		if stored[s.key] {
+		item, exists := existing[s.key]
+		if !exists {
+			return false
+		}
+		switch cancelled := jobstore.IsEarlyCancellation(item.Value); {
+		case cancelled == s.cancellation:
 			s.done <- nil
+		case cancelled:
+			s.done <- errors.WithStack(ErrCancelled)
+		default:
+			s.done <- errors.WithStack(errAccepted)
 		}
-		return stored[s.key]
+		return true
 	})
 }
 
@@ -241,7 +279,8 @@
 	if !errors.Is(err, store.ErrNotFound) {
 		return "", err
 	}
-	if _, err = in.store.Get(ctx, jobstore.JobKey(id)); errors.Is(err, store.ErrNotFound) {
+	item, err = in.store.Get(ctx, jobstore.JobKey(id))
+	if errors.Is(err, store.ErrNotFound) || err == nil && jobstore.IsEarlyCancellation(item.Value) {
 		return "", errors.WithStack(ErrJobNotFound)
 	}
 	if err != nil {
@@ -250,24 +289,31 @@
 	return job.Queued, nil
 }
 
-// Cancel stores that a job is cancelled.
+// Cancel stores that a job is cancelled. It returns ErrJobNotFound for an unknown job
+// once no submission that is still on its way can be accepted any more.
 func (in *Intake) Cancel(ctx context.Context, id string) error {
 	if in.health.Down() {
 		return errors.WithStack(ErrStoreDown)
 	}
+	admitted := false
 	for {
 		item, err := in.store.Get(ctx, jobstore.JobKey(id))
-		if errors.Is(err, store.ErrNotFound) {
+		switch {
+		case errors.Is(err, store.ErrNotFound):
+			if admitted = admitted || in.unknownCancels.Allow(); !admitted {
+				return errors.WithStack(ErrBusy)
+			}
+			err = in.cancelUnknown(ctx, id)
+		case err == nil && jobstore.IsEarlyCancellation(item.Value):
 			return errors.WithStack(ErrJobNotFound)
-		}
-		if err == nil {
+		case err == nil:
 			_, err = in.store.Commit(ctx, store.Transaction{
 				Conditions: []store.Condition{{Key: item.Key, Revision: item.Revision}},
 				Writes:     []store.Write{{Key: jobstore.CancelKey(id), Value: []byte("{}")}},
 			})
 		}
-		if err == nil {
-			return nil
+		if err == nil || errors.Is(err, ErrJobNotFound) {
+			return err
 		}
 		select {
 		case <-ctx.Done():
@@ -277,6 +323,25 @@
 	}
 }
 
+// cancelUnknown stores the cancellation of a job that is not stored, and returns
+// ErrJobNotFound. Any other error means that this is not certain, or that the job was
+// accepted meanwhile.
+func (in *Intake) cancelUnknown(ctx context.Context, id string) error {
+	s := &submission{key: jobstore.JobKey(id), value: jobstore.EarlyCancellation(), cancellation: true, done: make(chan error, 1)}
+	if err := in.enqueue(s); err != nil {
+		return err
+	}
+	select {
+	case err := <-s.done:
+		if err != nil {
+			return err
+		}
+		return errors.WithStack(ErrJobNotFound)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // WaitingJobs returns how many jobs of a queue wait for their first start,
 // according to the counts that the owner of the jobs wrote last.
 func (in *Intake) WaitingJobs(ctx context.Context, queue string) (int, error) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,6 +107,69 @@
 	}
 }
 
+// Guards against a job that runs although its requester was told, in answer to the
+// cancellation, that there is none: its submission was read, or its write carried out,
+// only afterwards.
+func TestCancelledJobIsNotAcceptedLater(t *testing.T) {
+	s := storetest.New()
+	in := startIntake(t, s)
+	ctx := context.Background()
+	s.OutcomeOf = func(store.Transaction) storetest.Outcome { return storetest.Delayed }
+	if err := in.Submit(testJob(1)); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Fatalf("submission whose writes are delayed: %v", err)
+	}
+	s.OutcomeOf = nil
+	for n := 1; n <= 2; n++ {
+		if err := in.Cancel(ctx, testJob(n).ID); !errors.Is(err, ErrJobNotFound) {
+			t.Fatalf("cancellation of unknown job %d: %v", n, err)
+		}
+	}
+	s.ApplyDelayed()
+	if err := in.Submit(testJob(2)); !errors.Is(err, ErrCancelled) || !errors.Is(err, ErrNotAccepted) {
+		t.Errorf("submission after the cancellation: %v, want ErrCancelled", err)
+	}
+	for n := 1; n <= 2; n++ {
+		if phase, err := in.Phase(ctx, testJob(n).ID); !errors.Is(err, ErrJobNotFound) {
+			t.Errorf("job %d is %s after its cancellation was answered: %v", n, phase, err)
+		}
+	}
+	if err := in.Submit(testJob(3)); err != nil {
+		t.Errorf("job that was not cancelled: %v", err)
+	}
+}
+
+// Guards against a store that is filled by requesters that cancel jobs which never existed.
+func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
+	s := storetest.New()
+	in := startIntake(t, s)
+	ctx := context.Background()
+	var group sync.WaitGroup
+	var found, refused atomic.Int32
+	for n := range 3 * unknownCancelBurst {
+		group.Go(func() {
+			switch err := in.Cancel(ctx, testJob(n).ID); {
+			case errors.Is(err, ErrJobNotFound):
+				found.Add(1)
+			case errors.Is(err, ErrBusy):
+				refused.Add(1)
+			default:
+				t.Errorf("cancellation of unknown job %d: %v", n, err)
+			}
+		})
+	}
+	group.Wait()
+	items, _, err := store.ReadAll(ctx, s, jobstore.InboxPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := int(found.Load()); len(items) != n || n < unknownCancelBurst || refused.Load() == 0 {
+		t.Errorf("%d cancellations were answered, %d refused, and %d records are stored", n, refused.Load(), len(items))
+	}
+	if err := in.Cancel(ctx, testJob(0).ID); !errors.Is(err, ErrJobNotFound) && !errors.Is(err, ErrBusy) {
+		t.Errorf("repeated cancellation: %v", err)
+	}
+}
+
 // operation is a requester's call in a history.
 type operation struct{ call, id string }
 
@@ -115,12 +179,24 @@
 const (
 	succeeded outcome = "ok"
 	refused   outcome = "not accepted"
+	cancelled outcome = "cancelled before"
 	noJob     outcome = "no such job"
 	unknown   outcome = "unknown"
 )
 
+// jobState is the state of a job in the specification.
+type jobState int
+
+const (
+	absent jobState = iota
+	// stored is a job that was accepted. It stays so, cancelled or not.
+	stored
+	// barred is a job that was cancelled while it was absent.
+	barred
+)
+
 // jobModel is the specification of one job: it exists forever once a submission
-// took effect.
+// took effect, and never if a cancellation took effect first.
 var jobModel = porcupine.NondeterministicModel{
 	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 		parts := map[string][]porcupine.Operation{}
@@ -134,18 +210,23 @@
 		}
 		return out
 	},
-	Init: func() []any { return []any{false} },
+	Init: func() []any { return []any{absent} },
 	Step: func(state, input, output any) []any {
-		exists, call, got := state.(bool), input.(operation).call, output.(outcome)
+		before, call, got := state.(jobState), input.(operation).call, output.(outcome)
+		after := before
+		switch {
+		case call == "submit" && before == absent:
+			after = stored
+		case call == "cancel" && before == absent:
+			after = barred
+		}
 		switch {
-		case call == "submit" && got == succeeded:
-			return []any{true}
-		case call == "submit" && got == unknown:
-			return []any{exists, true}
-		case call == "submit" && got == refused:
-			return []any{exists}
-		case got == noJob && !exists, got == succeeded && exists, got == unknown:
-			return []any{exists}
+		case got == unknown:
+			return []any{before, after}
+		case got == refused:
+			return []any{before}
+		case got == cancelled && before == barred, got == noJob && before != stored, got == succeeded && after == stored:
+			return []any{after}
 		}
 		return nil
 	},
@@ -194,7 +275,7 @@
 	}
 	group.Wait()
 	history = slices.DeleteFunc(history, func(o porcupine.Operation) bool {
-		return o.Output == unknown && o.Input.(operation).call != "submit"
+		return o.Output == unknown && o.Input.(operation).call == "phase"
 	})
 	// The checker allows a client one operation at a time. A client goes on after
 	// an operation with an unknown outcome, which stays open, so each operation
@@ -222,6 +303,8 @@
 	switch {
 	case err == nil:
 		return succeeded
+	case errors.Is(err, ErrCancelled):
+		return cancelled
 	case errors.Is(err, ErrNotAccepted):
 		return refused
 	case errors.Is(err, ErrJobNotFound):
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -2,8 +2,10 @@
 // store, and reads and writes their records. A wave is an operator's request for
 // the upkeep (planned maintenance) of a set of VMs.
 //
-//	inbox/job/ID      an accepted job; created once by the entry VM that took it
-//	inbox/cancel/ID   the requester cancelled the job
+//	inbox/job/ID      an accepted job, or an early cancellation: the mark that the job was
+//	                  cancelled before it was accepted; created once by the entry VM that
+//	                  took either
+//	inbox/cancel/ID   the requester cancelled the accepted job
 //	progress/ID       what the job has done; written by the owner
 //	owner/lease       the owner; removed when the owner's own lease ends
 //	owner/term        how many owners there have been
@@ -14,7 +16,10 @@
 //	owner/wave/N      VMs of a wave that had their upkeep
 package jobstore
 
-import "strings"
+import (
+	"bytes"
+	"strings"
+)
 
 // Keys and prefixes.
 const (
@@ -50,3 +55,13 @@
 	id, ok = strings.CutPrefix(key, cancelPrefix)
 	return id, true, ok
 }
+
+// earlyCancellation has no steps, so that it can be told from every job.
+const earlyCancellation = `{"cancelled_early":true}`
+
+// EarlyCancellation returns the value of a job's key that marks the job as cancelled before
+// it was accepted.
+func EarlyCancellation() []byte { return []byte(earlyCancellation) }
+
+// IsEarlyCancellation reports whether the value of a job's key is an early cancellation.
+func IsEarlyCancellation(value []byte) bool { return bytes.Equal(value, []byte(earlyCancellation)) }
--- a/jobstore/status.go
+++ b/jobstore/status.go
@@ -52,6 +52,9 @@
 		phases[strings.TrimPrefix(i.Key, ProgressPrefix)] = p.Phase
 	}
 	for _, i := range inbox {
+		if IsEarlyCancellation(i.Value) {
+			continue
+		}
 		phase, begun := phases[strings.TrimPrefix(i.Key, jobPrefix)]
 		if !begun {
 			phase = job.Queued
--- a/jobstore/status_test.go
+++ b/jobstore/status_test.go
@@ -11,7 +11,7 @@
 )
 
 // A job without a progress record was accepted and is queued; it must not be
-// missing from the counts.
+// missing from the counts. A job that was cancelled before it was accepted is none.
 func TestReadStatus(t *testing.T) {
 	s := storetest.New()
 	ctx := context.Background()
@@ -20,7 +20,7 @@
 	}
 	_, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{
 		{Key: JobKey("a"), Value: []byte("{}")}, {Key: JobKey("b"), Value: []byte("{}")}, {Key: JobKey("c"), Value: []byte("{}")},
-		{Key: CancelKey("c"), Value: []byte("{}")},
+		{Key: CancelKey("c"), Value: []byte("{}")}, {Key: JobKey("d"), Value: EarlyCancellation()},
 		{Key: ProgressKey("b"), Value: []byte(`{"p":"` + string(job.Running) + `"}`)},
 		{Key: ProgressKey("c"), Value: []byte(`{"p":"` + string(job.Cancelled) + `"}`)},
 		{Key: WaitingKey, Value: []byte(`{"previews":1}`)},
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -21,6 +21,9 @@
 type Record struct {
 	Key   string
 	Value []byte
+	// Revision, if set, is the revision that the record must have, for one that another
+	// process wrote.
+	Revision int64
 }
 
 // Writer writes the records of one owner. Each write requires that the owner's
@@ -56,6 +59,11 @@
 // Write writes records, each with a different key, in one transaction. Until ctx
 // ends it repeats a write whose answer was lost or that the store could not do.
 func (w *Writer) Write(ctx context.Context, records []Record) error {
+	for _, r := range records {
+		if r.Revision != 0 {
+			w.revisions[r.Key] = r.Revision
+		}
+	}
 	left := records
 	for {
 		tx := store.Transaction{Conditions: []store.Condition{{Key: OwnerKey, Revision: w.fence}}}
@@ -107,7 +115,7 @@
 // which an earlier write without an answer has caused, and returns the records that
 // are still to be written. It returns ErrDeposed if the owner's key has changed.
 //
-// The record of an accepted job never changes, and only the owner deletes it. If it is
+// The record under a job's key never changes, and only the owner deletes it. If it is
 // gone or is another one than was to be deleted, an earlier attempt has deleted it
 // together with its cancellation, and what is there now belongs to a new job. The revision
 // stays that of the deleted record until the write succeeds, so that a later write that
--- a/owner/forget_test.go
+++ b/owner/forget_test.go
@@ -149,3 +149,59 @@
 		t.Errorf("%d jobs wait to run, want the new job", n)
 	}
 }
+
+// Guards against cancellations of unknown jobs that fill the store, and against a new job
+// that is deleted in place of the cancellation that came before it.
+func TestEarlyCancellationsAreDeletedInTime(t *testing.T) {
+	tm := testTerm(t, &fakeVMs{})
+	ctx := context.Background()
+	s := tm.options.Store.(*storetest.Store)
+	const count = 2 * maxForgetBatch
+	for n := range count {
+		key := jobstore.JobKey(fmt.Sprintf("%016x", n))
+		if _, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: key, Value: jobstore.EarlyCancellation()}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	items, revision, err := store.ReadAll(ctx, s, jobstore.InboxPrefix)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keep := func(d time.Duration) {
+		tm.mu.Lock()
+		defer tm.mu.Unlock()
+		tm.options.KeepFinished = d
+	}
+	keep(time.Hour)
+	tm.resetInbox(items, revision)
+	tm.summarize()
+	tm.mu.Lock()
+	early, jobs := len(tm.deletions), len(tm.inboxRevisions)
+	tm.mu.Unlock()
+	if early > 0 || jobs > 0 {
+		t.Fatalf("%d cancellations are deleted at once, %d are taken for jobs", early, jobs)
+	}
+	// Another process has replaced the first one by a job meanwhile.
+	value, err := json.Marshal(job.Job{Queue: "q", Service: "a", Steps: []job.Step{{Count: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: items[0].Key, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	keep(0)
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(writeGap) {
+		tm.summarize()
+		tm.wakeWriter()
+		left, _, err := store.ReadAll(ctx, s, jobstore.InboxPrefix)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(left) == 1 && left[0].Key == items[0].Key {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d records are left, want that of the new job", len(left))
+		}
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -65,10 +65,10 @@
 	holdLoops      map[string]*holdLoop
 	// queuedRecords holds, by key, the records that are to be written; nil
 	// deletes the key. written holds the values that were written last. deletions
-	// are the finished jobs whose records are to be deleted.
+	// are the records that are to be deleted, those of an entry in one transaction.
 	queuedRecords map[string][]byte
 	written       map[string]string
-	deletions     []string
+	deletions     [][]jobstore.Record
 	// queuedHolders is the record of workers that may hold leases of runs, as it
 	// is queued or being written.
 	queuedHolders string
@@ -91,6 +91,9 @@
 	// forgotten holds the same of the finished jobs that the core has dropped, until the
 	// inbox does not hold them any more. A record of a higher revision is of a new job.
 	forgotten map[string]int64
+	// earlyCancellations holds, by job, the cancellations that came before their jobs, until
+	// their deletion is queued.
+	earlyCancellations map[string]earlyCancellation
 	// waveDone holds, by the number of the wave, the VMs that had their upkeep
 	// under former owners.
 	waveDone map[int64][]string
@@ -109,7 +112,7 @@
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
-		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, forgotten: map[string]int64{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, earlyCancellations: map[string]earlyCancellation{}, forgotten: map[string]int64{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
@@ -347,6 +350,10 @@
 		if t.unreadable[id] || item.Revision <= t.forgotten[id] {
 			continue
 		}
+		if jobstore.IsEarlyCancellation(item.Value) {
+			t.noteEarlyCancellation(id, item.Revision, now)
+			continue
+		}
 		j := &job.Job{ID: id}
 		err := json.Unmarshal(item.Value, j)
 		if err == nil {
--- a/owner/write.go
+++ b/owner/write.go
@@ -24,8 +24,6 @@
 	// reserved for records other than the progress of jobs. Under load, progress
 	// alone would fill every transaction.
 	reservedRecords = 5
-	// recordsPerJob is the number of records that are deleted with a job.
-	recordsPerJob = 3
 	// maxForgetBatch bounds the number of finished jobs that are deleted at once.
 	// Their records fill one transaction.
 	maxForgetBatch = 5
@@ -58,19 +56,44 @@
 	defer t.mu.Unlock()
 	t.logPoolsLocked()
 	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
-	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, boottime.Now()))
+	now := boottime.Now()
+	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, now))
+	t.forgetCancellationsLocked(now)
 }
 
 // forgetLocked queues the deletion of the records of finished jobs. Until they are
 // gone, a new reading of the inbox shows the jobs without their progress.
 func (t *term) forgetLocked(ids []string) {
-	t.deletions = append(t.deletions, ids...)
 	for _, id := range ids {
+		t.deletions = append(t.deletions, deletionOf(id))
 		t.forgotten[id] = t.inboxRevisions[id]
 		delete(t.inboxRevisions, id)
 	}
 }
 
+// earlyCancellation is a cancellation that came before its job, as this owner found it.
+type earlyCancellation struct {
+	revision int64
+	foundAt  time.Duration
+}
+
+func (t *term) noteEarlyCancellation(id string, revision int64, now time.Duration) {
+	if t.earlyCancellations[id].revision != revision {
+		t.earlyCancellations[id] = earlyCancellation{revision, now}
+	}
+}
+
+// forgetCancellationsLocked queues the deletion of the early cancellations that were kept
+// for as long as finished jobs. A submission that is read later is accepted.
+func (t *term) forgetCancellationsLocked(now time.Duration) {
+	for id, e := range t.earlyCancellations {
+		if now-e.foundAt > t.options.KeepFinished {
+			delete(t.earlyCancellations, id)
+			t.deletions = append(t.deletions, []jobstore.Record{{Key: jobstore.JobKey(id), Revision: e.revision}})
+		}
+	}
+}
+
 // deletionOf returns the deletion of all records of a job. They belong into one
 // transaction: an owner that found the job in the inbox without its progress would run
 // it again.
@@ -146,13 +169,13 @@
 }
 
 // batch is the content of one transaction: the progress of jobs, and other
-// records. progressRecords holds the records that encode progress. deletions are the
-// jobs whose deletion is among the others.
+// records. progressRecords holds the records that encode progress. deletions are those
+// entries of term.deletions that are among the others.
 type batch struct {
 	progress        []execution.ProgressWrite
 	progressRecords []jobstore.Record
 	others          []jobstore.Record
-	deletions       []string
+	deletions       [][]jobstore.Record
 }
 
 func (b batch) records() []jobstore.Record { return slices.Concat(b.progressRecords, b.others) }
@@ -162,7 +185,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var b batch
-	queued := len(t.queuedRecords) + recordsPerJob*len(t.deletions)
+	queued := len(t.queuedRecords)
+	for _, d := range t.deletions[:min(len(t.deletions), reservedRecords)] {
+		queued += len(d)
+	}
 	for _, p := range t.core.TakeWrites(t.writer.MaxRecords() - min(queued, reservedRecords)) {
 		value, err := json.Marshal(p.Progress)
 		if err != nil {
@@ -179,8 +205,8 @@
 		b.others = append(b.others, jobstore.Record{Key: key, Value: value})
 		delete(t.queuedRecords, key)
 	}
-	for len(t.deletions) > 0 && len(b.progress)+len(b.others)+recordsPerJob <= t.writer.MaxRecords() {
-		b.others = append(b.others, deletionOf(t.deletions[0])...)
+	for len(t.deletions) > 0 && len(b.progress)+len(b.others)+len(t.deletions[0]) <= t.writer.MaxRecords() {
+		b.others = append(b.others, t.deletions[0]...)
 		b.deletions = append(b.deletions, t.deletions[0])
 		t.deletions = t.deletions[1:]
 	}
