Keep no state of work items that wait for their first start or are done

Cause: the owner created the state of each work item, some 200 bytes, when it read a job, and kept it until the job was removed.

The state of an item is created with its first start and dropped once it is done and nothing runs of it.

--- a/scheduler/execution/advice.go
+++ b/scheduler/execution/advice.go
@@ -120,12 +120,7 @@
 // the service was not asked. It returns none while those with tickets have room for all
 // items that wait: a gang starts as a whole.
 func (a *advice) workersToAskAbout(s *step, workers []*worker, now Time) []string {
-	waiting := 0
-	for n := range s.items {
-		if s.items[n].startable() {
-			waiting++
-		}
-	}
+	waiting := s.startableItems()
 	var ids []string
 	refused := false
 	for _, w := range workers {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -199,10 +199,10 @@
 	}
 	rest := n % j.itemsPerOccurrence
 	for _, s := range j.occurrence(occurrence, now) {
-		if rest < len(s.items) {
-			return &s.items[rest]
+		if rest < s.spec.Count {
+			return s.item(rest)
 		}
-		rest -= len(s.items)
+		rest -= s.spec.Count
 	}
 	return nil
 }
@@ -211,7 +211,7 @@
 	if id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
 		return nil
 	}
-	return &j.occurrence(id.Occurrence, now)[id.Step].items[id.Index]
+	return j.occurrence(id.Occurrence, now)[id.Step].item(id.Index)
 }
 
 // occurrence returns the steps of the k-th occurrence and creates them on first
@@ -223,14 +223,8 @@
 	steps := make([]*step, len(j.Steps))
 	offset := 0
 	for n := range j.Steps {
-		spec := &j.Steps[n]
-		s := &step{job: j, spec: spec, occurrence: k, index: n, offset: offset, itemsLeft: spec.Count, copies: map[*worker]int{}}
-		s.items = make([]item, spec.Count)
-		for i := range s.items {
-			s.items[i] = item{step: s, index: i}
-		}
-		offset += spec.Count
-		steps[n] = s
+		steps[n] = newStep(j, &j.Steps[n], k, n, offset)
+		offset += j.Steps[n].Count
 	}
 	j.occurrences[k] = steps
 	return steps
@@ -292,9 +286,8 @@
 // its step, and counts the occurrence as done if this was its last item.
 func (c *Core) markItemDone(i *item, now Time) {
 	s := i.step
-	i.done = true
 	i.setCrashes(nil)
-	s.itemsLeft--
+	s.setDone(i)
 	if !s.done() {
 		return
 	}
@@ -335,14 +328,15 @@
 	j.phase, j.finishedAt = phase, now
 	c.markDirty(j)
 	c.stopCopies(j)
+	j.releaseItems()
 	c.trace(Event{Name: "job_" + string(phase), Job: j.ID, Reason: reason, Detail: detail, Took: now - j.acceptedAt})
 }
 
 func (c *Core) stopCopies(j *jobState) {
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
-			for n := range s.items {
-				for _, cp := range s.items[n].copies {
+			for _, i := range s.tracked {
+				for _, cp := range i.copies {
 					cp.stopWanted = true
 				}
 			}
@@ -350,6 +344,17 @@
 	}
 }
 
+// releaseItems drops the items of a job that has ended and of which nothing runs.
+func (j *jobState) releaseItems() {
+	for _, steps := range j.occurrences {
+		for _, s := range steps {
+			for _, i := range slices.Clone(s.tracked) {
+				s.release(i)
+			}
+		}
+	}
+}
+
 // RemoveFinished drops up to limit jobs that ended longer than keep ago, whose
 // final records are committed and of which nothing runs any more. It returns
 // their IDs.
@@ -444,14 +449,15 @@
 	}
 	for _, steps := range j.occurrences {
 		for _, s := range steps {
-			for n := range s.items {
-				i := &s.items[n]
-				switch {
-				case i.done:
-					p.Done = append(p.Done, i.recordNumber())
-				case len(i.failedRuns) > 0 || len(i.crashes) > 0 || len(i.lostRuns) > 0 || i.saved != "":
+			for n := range s.spec.Count {
+				if s.isDone(n) {
+					p.Done = append(p.Done, s.recordNumber(n))
+				}
+			}
+			for _, i := range s.tracked {
+				if !i.done && (len(i.failedRuns) > 0 || len(i.crashes) > 0 || len(i.lostRuns) > 0 || i.saved != "") {
 					p.Items = append(p.Items, job.ItemProgress{
-						Number: i.recordNumber(), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns),
+						Number: s.recordNumber(i.index), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns),
 						Crashes: slices.Clone(i.crashes), LostRuns: slices.Clone(i.lostRuns), Saved: i.saved,
 					})
 				}
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -28,7 +28,7 @@
 	work := 0.0
 	for _, s := range j.occurrences[0] {
 		if !s.spec.LongRunning && !s.spec.Filler {
-			work += float64(len(s.items)) * cores(s.spec.Charge().MilliCPU) * c.runTime(s, now).Seconds()
+			work += float64(s.spec.Count) * cores(s.spec.Charge().MilliCPU) * c.runTime(s, now).Seconds()
 		}
 	}
 	service := c.queueOf(j).Service
@@ -107,12 +107,7 @@
 		if d == nil || s.job.final() {
 			continue
 		}
-		waiting := 0
-		for n := range s.items {
-			if s.items[n].startable() {
-				waiting++
-			}
-		}
+		waiting := s.startableItems()
 		if maxPerWorker := s.spec.MaxPerWorker; maxPerWorker > 0 && waiting > 0 {
 			d.RequiredVMs = max(d.RequiredVMs, (s.itemsLeft+maxPerWorker-1)/maxPerWorker)
 		}
--- a/scheduler/execution/eligible.go
+++ b/scheduler/execution/eligible.go
@@ -146,10 +146,9 @@
 	if !s.spec.LongRunning {
 		return nil
 	}
-	for n := range s.items {
-		if s.items[n].waitedForIsolation(now) {
-			return slices.Concat(e.avoided, e.isolated)
-		}
+	waited := func(i *item) bool { return i.waitedForIsolation(now) }
+	if slices.ContainsFunc(s.tracked, waited) || s.fresh > 0 && waited(s.firstFresh()) {
+		return slices.Concat(e.avoided, e.isolated)
 	}
 	return e.avoided
 }
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -105,9 +105,9 @@
 // the item, the progress of the copy and the age of the last report about it.
 func (s *step) progressDetail(now Time) string {
 	var b strings.Builder
-	for n := range s.items {
-		for _, cp := range s.items[n].copies {
-			fmt.Fprintf(&b, "%d:%d%%:%dms,", n, cp.percent, (now - cp.worker.reportedAt).Milliseconds())
+	for _, i := range s.tracked {
+		for _, cp := range i.copies {
+			fmt.Fprintf(&b, "%d:%d%%:%dms,", i.index, cp.percent, (now - cp.worker.reportedAt).Milliseconds())
 		}
 	}
 	return strings.TrimSuffix(b.String(), ",")
@@ -135,18 +135,10 @@
 	if s.spec.MaxUnavailable == 0 || cp.certainlyNotServing(now) {
 		return true
 	}
-	notServing := 0
-	for n := range s.items {
-		other := &s.items[n]
-		if other == cp.item {
-			continue
-		}
-		serving := false
-		for _, oc := range other.copies {
-			serving = serving || oc.serving(now) && !c.mayBeStopping(oc, now)
-		}
-		if !serving {
-			notServing++
+	notServing := s.spec.Count - 1
+	for _, other := range s.tracked {
+		if other != cp.item && slices.ContainsFunc(other.copies, func(oc *itemCopy) bool { return oc.serving(now) && !c.mayBeStopping(oc, now) }) {
+			notServing--
 		}
 	}
 	return notServing < s.spec.MaxUnavailable
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -96,7 +96,7 @@
 		}
 		estimate.criticalPath, estimate.criticalPathLeft = max(estimate.criticalPath, ends[n]), max(estimate.criticalPathLeft, endsLeft[n])
 		cores := float64(s.spec.Needs.MilliCPU) / 1000
-		estimate.work += float64(len(s.items)) * cores * run.Seconds()
+		estimate.work += float64(s.spec.Count) * cores * run.Seconds()
 		estimate.workLeft += float64(s.itemsLeft) * cores * run.Seconds()
 	}
 	return estimate
--- a/scheduler/execution/isolation.go
+++ b/scheduler/execution/isolation.go
@@ -25,8 +25,7 @@
 		if _, known := left[cand.queue.Service]; !known {
 			left[cand.queue.Service] = max(int(maxIsolationShare*float64(len(group.workers)+len(group.isolated))), 1) - len(group.isolated)
 		}
-		for n := range cand.step.items {
-			i := &cand.step.items[n]
+		for _, i := range cand.step.tracked {
 			if !i.needsIsolation() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 && !i.waitedForIsolation(now) {
 				continue
 			}
@@ -61,8 +60,8 @@
 		return 0
 	}
 	n := 0
-	for k := range s.items {
-		if s.items[k].needsIsolation() && s.items[k].startable() {
+	for _, i := range s.tracked {
+		if i.needsIsolation() && i.startable() {
 			n++
 		}
 	}
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -47,8 +47,8 @@
 	if !i.step.spec.Gang {
 		return
 	}
-	for n := range i.step.items {
-		for _, cp := range i.step.items[n].copies {
+	for _, member := range i.step.tracked {
+		for _, cp := range member.copies {
 			if cp.run == s.Run.Number {
 				cp.stopWanted, cp.inDoubt = true, false
 			}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -381,8 +381,8 @@
 	items := []*item{i}
 	if i.step.spec.Gang {
 		items = nil
-		for n := range i.step.items {
-			items = append(items, &i.step.items[n])
+		for n := range i.step.spec.Count {
+			items = append(items, i.step.item(n))
 		}
 	}
 	for _, member := range items {
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -198,8 +198,8 @@
 // stopGang marks all members of a gang to be stopped after one of them could not
 // start, or has to end before it has: the others would wait for it in vain.
 func (c *Core) stopGang(s *step) {
-	for n := range s.items {
-		for _, cp := range s.items[n].copies {
+	for _, i := range s.tracked {
+		for _, cp := range i.copies {
 			cp.stopWanted, cp.inDoubt = true, false
 		}
 	}
@@ -255,12 +255,7 @@
 }
 
 func (s *step) hasStartable() bool {
-	for n := range s.items {
-		if s.items[n].startable() {
-			return true
-		}
-	}
-	return false
+	return s.fresh > 0 || slices.ContainsFunc(s.tracked, (*item).startable)
 }
 
 type candidate struct {
@@ -286,20 +281,25 @@
 		c.placeGang(o, s, workers, lastChoice, tickets, now)
 		return
 	}
-	for n := range s.items {
-		i := &s.items[n]
-		if !i.startable() || i.needsIsolation() || now < i.notBefore {
-			continue
-		}
+	// place reports whether the item was started.
+	place := func(i *item) bool {
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
-			return
+			return false
 		}
 		w := cmp.Or(c.chooseWorker(i, workers, tickets), c.chooseWorker(i, lastChoice, tickets))
 		if w == nil {
-			return
+			return false
 		}
 		run := max(i.lastRun+1, c.firstRun)
-		o.Starts = append(o.Starts, c.start(i, w, run, i.saved, tickets, now))
+		o.Starts = append(o.Starts, c.start(s.item(i.index), w, run, i.saved, tickets, now))
+		return true
+	}
+	for _, i := range s.tracked {
+		if i.startable() && !i.needsIsolation() && now >= i.notBefore && !place(i) {
+			return
+		}
+	}
+	for s.fresh > 0 && place(s.firstFresh()) {
 	}
 }
 
@@ -410,8 +410,7 @@
 // checkpoint: that of the last item that has one.
 func (c *Core) placeGang(o *Orders, s *step, workers, lastChoice []*worker, tickets map[string]string, now Time) {
 	run, saved := c.firstRun, ""
-	for n := range s.items {
-		i := &s.items[n]
+	for _, i := range s.tracked {
 		if !i.startable() || now < i.notBefore {
 			return
 		}
@@ -430,11 +429,11 @@
 			others = lastChoice
 		}
 		chosen := c.chooseForGang(s, group, others, tickets)
-		if len(chosen) < len(s.items) {
+		if len(chosen) < s.spec.Count {
 			continue
 		}
 		for n, w := range chosen {
-			o.Starts = append(o.Starts, c.start(&s.items[n], w, run, saved, tickets, now))
+			o.Starts = append(o.Starts, c.start(s.item(n), w, run, saved, tickets, now))
 		}
 		return
 	}
@@ -444,26 +443,26 @@
 // or else others, accept them together.
 func (c *Core) chooseForGang(s *step, workers, others []*worker, tickets map[string]string) []*worker {
 	var chosen []*worker
-	count := func(n, by int) {
-		w := chosen[n]
+	count := func(i *item, w *worker, by int) {
 		w.reserve(s.spec, int64(by))
 		if s.copies[w] += by; s.copies[w] <= 0 {
 			delete(s.copies, w)
 		}
-		if s.items[n].suspect() {
+		if i.suspect() {
 			w.suspectRuns += by
 		}
 	}
-	for n := range s.items {
-		w := cmp.Or(c.chooseWorker(&s.items[n], workers, tickets), c.chooseWorker(&s.items[n], others, tickets))
+	for n := range s.spec.Count {
+		i := s.peek(n)
+		w := cmp.Or(c.chooseWorker(i, workers, tickets), c.chooseWorker(i, others, tickets))
 		if w == nil {
 			break
 		}
 		chosen = append(chosen, w)
-		count(n, 1)
+		count(i, w, 1)
 	}
-	for n := range chosen {
-		count(n, -1)
+	for n, w := range chosen {
+		count(s.peek(n), w, -1)
 	}
 	return chosen
 }
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -120,9 +120,9 @@
 }
 
 // recordNumber returns the number under which the job's durable record holds the
-// item. It is unique in the job.
-func (i *item) recordNumber() int {
-	return i.step.occurrence*i.step.job.itemsPerOccurrence + i.step.offset + i.index
+// item with the given index. It is unique in the job.
+func (s *step) recordNumber(index int) int {
+	return s.occurrence*s.job.itemsPerOccurrence + s.offset + index
 }
 
 // id returns the run that the copy stands for.
@@ -134,8 +134,8 @@
 	occurrence int
 	index      int
 	// offset is the number of items in the earlier steps of the occurrence.
-	offset    int
-	items     []item
+	offset int
+	itemSet
 	itemsLeft int
 	ready     bool
 	// readyAt is when the steps that it depends on were done.
@@ -394,6 +394,7 @@
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
 	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
+	i.step.release(i)
 	c.checkHoldersOf(cp.worker)
 	c.addPending(i.step)
 }
--- a/scheduler/execution/waiting.go
+++ b/scheduler/execution/waiting.go
@@ -20,8 +20,7 @@
 		}
 		var longest *item
 		waiting := 0
-		for n := range s.items {
-			i := &s.items[n]
+		for _, i := range s.tracked {
 			if !i.startable() {
 				continue
 			}
@@ -33,6 +32,15 @@
 				longest = i
 			}
 		}
+		if s.fresh > 0 {
+			if s.freshWaitingSince == 0 {
+				s.freshWaitingSince = now
+			}
+			waiting += s.fresh
+			if longest == nil || s.freshWaitingSince < longest.waitingSince {
+				longest = s.firstFresh()
+			}
+		}
 		if longest == nil || now-max(longest.waitingSince, s.waitTracedAt) < waitNoticed {
 			continue
 		}
