Keep no state of occurrences that wait behind others or are done

Cause: the owner created the steps of every occurrence as soon as it was due, some 400 bytes each, and kept them until the job was removed. Before that, each occurrence took 32 bytes, whether it was due or not. A round estimated the work of an occurrence again for each of its steps.

Change: a job opens a further occurrence once fewer than 512 steps of its open ones are in occurrences with work to place, and drops an occurrence that is done and of which nothing runs. The others take a bit. A round estimates an occurrence once. An occurrence counts as late from its due time, and no longer from when the owner found it due.

--- a/job/job.go
+++ b/job/job.go
@@ -18,11 +18,10 @@
 const (
 	MaxSpecBytes = 4000
 	MaxSteps     = 64
-	// MaxItemsPerStep bounds the memory that the owner needs for one job.
+	// MaxItemsPerStep and MaxOccurrences bound the record of a job's progress, which names
+	// the items that are done.
 	MaxItemsPerStep = 2000
-	// MaxOccurrences bounds the memory that the owner needs before the first
-	// occurrence of a job is due, at 32 bytes for each.
-	MaxOccurrences = 10_000
+	MaxOccurrences  = 10_000
 	// idDigits is the length of a job's ID in hexadecimal digits.
 	idDigits = 16
 )
--- a/scheduler/execution/advice.go
+++ b/scheduler/execution/advice.go
@@ -61,7 +61,7 @@
 	if q.Advice == nil {
 		return nil, true
 	}
-	key := ticketKey{s.job.ID, s.occurrence, s.index}
+	key := ticketKey{s.job.ID, s.occurrence.number, s.index}
 	a := c.advice[key]
 	if a == nil {
 		c.advice[key] = &advice{askedAt: now}
@@ -97,7 +97,7 @@
 		if inFlight >= maxAdviceCalls {
 			break
 		}
-		a := c.advice[ticketKey{s.job.ID, s.occurrence, s.index}]
+		a := c.advice[ticketKey{s.job.ID, s.occurrence.number, s.index}]
 		if a == nil || a.inFlight || a.answered && now-a.askedAt < adviceRetryDelay {
 			continue
 		}
@@ -105,7 +105,7 @@
 		if p == nil {
 			continue
 		}
-		q := AdviceRequest{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index}, Workers: a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)}
+		q := AdviceRequest{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index}, Workers: a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)}
 		if len(q.Workers) == 0 {
 			continue
 		}
--- a/scheduler/execution/avail_test.go
+++ b/scheduler/execution/avail_test.go
@@ -200,7 +200,7 @@
 		b.failStops(b.roundAfter(50 * time.Millisecond))
 	}
 	if stalls > 1 {
-		t.Errorf("one stall is recorded %d times; the item's failures count %d", stalls, b.core.jobs[jobA].item(second.Item, b.now).troubles)
+		t.Errorf("one stall is recorded %d times; the item's failures count %d", stalls, b.core.jobs[jobA].item(second.Item).troubles)
 	}
 }
 
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -38,7 +38,7 @@
 	// returned by TakeWrites.
 	dirty []*jobState
 	// scheduled are the jobs that MarkDue still has to look at: new ones and those
-	// with occurrences that are not due yet.
+	// with occurrences that are not due yet or wait behind others.
 	scheduled map[*jobState]struct{}
 	// firstRun is the lowest run number that this owner gives to a run. It is
 	// above any number that a former owner can have used.
@@ -67,6 +67,8 @@
 	attemptsUnknown []*item
 	// startLimit bounds the starts of a round; nil means no bound.
 	startLimit *int
+	// estimates are those of the occurrences that were ranked in the present round.
+	estimates map[*occurrence]workEstimate
 	// arrivals are the new jobs of each service within two arrival windows.
 	arrivals map[string][]arrival
 }
@@ -90,6 +92,7 @@
 		advice:           map[ticketKey]*advice{},
 		learner:          runtimes.NewLearner(),
 		meanQueueWork:    map[string]float64{},
+		estimates:        map[*occurrence]workEstimate{},
 		arrivals:         map[string][]arrival{},
 	}
 }
@@ -135,8 +138,8 @@
 		return
 	}
 	j := &jobState{
-		Job: spec, itemsPerOccurrence: spec.ItemsPerOccurrence(), occurrences: make([][]*step, spec.OccurrenceCount()), occurrencesLeft: spec.OccurrenceCount(),
-		phase: job.Queued, acceptedAt: now - jobAge(spec, wall), inherited: inherited, dueAt: make([]Time, spec.OccurrenceCount()),
+		Job: spec, itemsPerOccurrence: spec.ItemsPerOccurrence(), occurrenceSet: occurrenceSet{left: spec.OccurrenceCount()},
+		phase: job.Queued, acceptedAt: now - jobAge(spec, wall), inherited: inherited,
 	}
 	if p.Phase != "" {
 		j.phase = p.Phase
@@ -148,7 +151,6 @@
 		return
 	}
 	c.restoreProgress(j, p, now)
-	j.occurrence(0, now)
 	c.learnQueueWork(j, now)
 	if !inherited {
 		c.recordArrival(j, now)
@@ -172,12 +174,12 @@
 
 func (c *Core) restoreProgress(j *jobState, p job.Progress, now Time) {
 	for _, n := range p.Done {
-		if i := j.itemByNumber(n, now); i != nil && !i.done {
+		if i := j.itemByNumber(n); i != nil && !i.done {
 			c.markItemDone(i, now)
 		}
 	}
 	for _, record := range p.Items {
-		if i := j.itemByNumber(record.Number, now); i != nil {
+		if i := j.itemByNumber(record.Number); i != nil {
 			i.lastRun, i.failedRuns, i.saved = record.LastRun, record.FailedRuns, record.Saved
 			i.setCrashes(record.Crashes)
 			if i.suspect() {
@@ -191,14 +193,14 @@
 }
 
 // itemByNumber returns the item that has the number n in the durable record, or
-// nil. See item.recordNumber.
-func (j *jobState) itemByNumber(n int, now Time) *item {
-	occurrence := n / max(j.itemsPerOccurrence, 1)
-	if n < 0 || occurrence >= len(j.occurrences) {
+// nil. See step.recordNumber.
+func (j *jobState) itemByNumber(n int) *item {
+	number := n / max(j.itemsPerOccurrence, 1)
+	if n < 0 || number >= j.OccurrenceCount() {
 		return nil
 	}
 	rest := n % j.itemsPerOccurrence
-	for _, s := range j.occurrence(occurrence, now) {
+	for _, s := range j.occurrence(number).steps {
 		if rest < s.spec.Count {
 			return s.item(rest)
 		}
@@ -207,63 +209,21 @@
 	return nil
 }
 
-func (j *jobState) item(id job.ItemID, now Time) *item {
-	if id.Occurrence >= len(j.occurrences) || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
+func (j *jobState) item(id job.ItemID) *item {
+	if id.Occurrence >= j.OccurrenceCount() || id.Step >= len(j.Steps) || id.Index >= j.Steps[id.Step].Count {
 		return nil
 	}
-	return j.occurrence(id.Occurrence, now)[id.Step].item(id.Index)
-}
-
-// occurrence returns the steps of the k-th occurrence and creates them on first
-// use.
-func (j *jobState) occurrence(k int, now Time) []*step {
-	if j.occurrences[k] != nil {
-		return j.occurrences[k]
-	}
-	steps := make([]*step, len(j.Steps))
-	offset := 0
-	for n := range j.Steps {
-		steps[n] = newStep(j, &j.Steps[n], k, n, offset)
-		offset += j.Steps[n].Count
-	}
-	j.occurrences[k] = steps
-	return steps
+	return j.occurrence(id.Occurrence).steps[id.Step].item(id.Index)
 }
 
 func (c *Core) addPendingSteps(j *jobState) {
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
+	for _, o := range j.open {
+		for _, s := range o.steps {
 			c.addPending(s)
 		}
 	}
 }
 
-// MarkDue makes the occurrences ready whose due time has passed. wall is the time
-// of day.
-func (c *Core) MarkDue(wall time.Time, now Time) {
-	for j := range c.scheduled {
-		if j.final() {
-			delete(c.scheduled, j)
-			continue
-		}
-		someNotDue := false
-		for k := range j.occurrences {
-			due := j.Due(k)
-			if !due.IsZero() && wall.Before(due) {
-				someNotDue = true
-				break
-			}
-			if !due.IsZero() && j.dueAt[k] == 0 {
-				j.dueAt[k] = now
-			}
-			c.markReadySteps(j.occurrence(k, now), now)
-		}
-		if !someNotDue {
-			delete(c.scheduled, j)
-		}
-	}
-}
-
 // markReadySteps marks the steps as ready for which all steps that they depend
 // on are done.
 func (c *Core) markReadySteps(steps []*step, now Time) {
@@ -291,22 +251,19 @@
 	if !s.done() {
 		return
 	}
-	steps := s.job.occurrences[s.occurrence]
+	o := s.occurrence
 	if s.ready {
-		c.markReadySteps(steps, now)
+		c.markReadySteps(o.steps, now)
 	}
-	for _, other := range steps {
-		if !other.done() {
-			return
-		}
+	if o.stepsLeft--; o.done() {
+		s.job.setFinished(o)
 	}
-	s.job.occurrencesLeft--
 }
 
 // finishIfDone marks a job as completed once all its occurrences are done. It
 // reports whether it did.
 func (j *jobState) finishIfDone(now Time) bool {
-	if j.final() || j.occurrencesLeft > 0 {
+	if j.final() || j.left > 0 {
 		return false
 	}
 	j.phase, j.finishedAt = job.Completed, now
@@ -333,8 +290,8 @@
 }
 
 func (c *Core) stopCopies(j *jobState) {
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
+	for _, o := range j.open {
+		for _, s := range o.steps {
 			for _, i := range s.tracked {
 				for _, cp := range i.copies {
 					cp.stopWanted = true
@@ -346,12 +303,13 @@
 
 // releaseItems drops the items of a job that has ended and of which nothing runs.
 func (j *jobState) releaseItems() {
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
+	for _, o := range slices.Clone(j.open) {
+		for _, s := range o.steps {
 			for _, i := range slices.Clone(s.tracked) {
 				s.release(i)
 			}
 		}
+		j.release(o)
 	}
 }
 
@@ -375,16 +333,7 @@
 	return ids
 }
 
-func (j *jobState) hasCopies() bool {
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			if len(s.copies) > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (j *jobState) hasCopies() bool { return slices.ContainsFunc(j.open, (*occurrence).hasCopies) }
 
 // TakeWrites returns up to limit changed records, to be written to the store.
 func (c *Core) TakeWrites(limit int) []ProgressWrite {
@@ -447,23 +396,7 @@
 	if p.Phase.Final() {
 		return p
 	}
-	for _, steps := range j.occurrences {
-		for _, s := range steps {
-			for n := range s.spec.Count {
-				if s.isDone(n) {
-					p.Done = append(p.Done, s.recordNumber(n))
-				}
-			}
-			for _, i := range s.tracked {
-				if !i.done && (len(i.failedRuns) > 0 || len(i.crashes) > 0 || len(i.lostRuns) > 0 || i.saved != "") {
-					p.Items = append(p.Items, job.ItemProgress{
-						Number: s.recordNumber(i.index), LastRun: i.lastRun, FailedRuns: slices.Clone(i.failedRuns),
-						Crashes: slices.Clone(i.crashes), LostRuns: slices.Clone(i.lostRuns), Saved: i.saved,
-					})
-				}
-			}
-		}
-	}
+	j.recordItems(&p)
 	return p
 }
 
--- a/scheduler/execution/crash_test.go
+++ b/scheduler/execution/crash_test.go
@@ -292,7 +292,7 @@
 		b.now += restartTime
 		w.ID, w.StartMillis, w.Draining = "next", 2, false
 		b.worker(w, Report{})
-		if item := b.core.jobs[jobA].occurrences[0][0].item(0); item.suspect() || len(item.lostRuns) > 0 {
+		if item := b.core.jobs[jobA].occurrence(0).steps[0].item(0); item.suspect() || len(item.lostRuns) > 0 {
 			t.Errorf("draining %t: the item is a suspect after a planned end of its worker", draining)
 		}
 		if o := b.round(); len(o.Starts) != 1 {
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -26,7 +26,7 @@
 		return
 	}
 	work := 0.0
-	for _, s := range j.occurrences[0] {
+	for _, s := range j.occurrence(0).steps {
 		if !s.spec.LongRunning && !s.spec.Filler {
 			work += float64(s.spec.Count) * cores(s.spec.Charge().MilliCPU) * c.runTime(s, now).Seconds()
 		}
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -102,6 +102,17 @@
 	return estimate
 }
 
+// estimateOccurrence estimates an occurrence once a round, whatever the number of its steps
+// that are ranked.
+func (c *Core) estimateOccurrence(o *occurrence, now Time) workEstimate {
+	estimate, known := c.estimates[o]
+	if !known {
+		estimate = c.estimateWork(o.steps, now)
+		c.estimates[o] = estimate
+	}
+	return estimate
+}
+
 // Classes of jobs by the value that they can still have, in the order in which
 // their items are placed: jobs that meet their objective, jobs that end late but
 // still have some value, and jobs that have none. The objective is the time within
@@ -158,10 +169,10 @@
 		r.order = since.Seconds()
 		return r
 	}
-	if due := s.job.dueAt[s.occurrence]; due > 0 {
+	if due := s.occurrence.dueAt; due > 0 {
 		since = due
 	}
-	estimate := c.estimateWork(s.job.occurrences[s.occurrence], now)
+	estimate := c.estimateOccurrence(s.occurrence, now)
 	objective := time.Duration(max(q.LatencyFactor, 1)*float64(estimate.criticalPath)) + q.TargetLatency
 	finish := now - since + time.Duration(finishFactor*float64(estimate.criticalPathLeft)) + finishMargin
 	switch {
@@ -190,7 +201,7 @@
 
 // learnQueueWork adds the work of a new job to the mean of its queue.
 func (c *Core) learnQueueWork(j *jobState, now Time) {
-	estimate := c.estimateWork(j.occurrences[0], now)
+	estimate := c.estimateWork(j.occurrence(0).steps, now)
 	if mean, ok := c.meanQueueWork[j.Queue]; ok {
 		c.meanQueueWork[j.Queue] = mean + meanWorkWeight*(estimate.work-mean)
 	} else {
--- a/scheduler/execution/isolation_wait_test.go
+++ b/scheduler/execution/isolation_wait_test.go
@@ -19,7 +19,7 @@
 		crash := job.Crash{Run: 1, MinAgeMillis: 10, MaxAgeMillis: 20}
 		b.core.AddJob(oneStep(jobB, job.Step{Count: workers, MaxPerWorker: 1}), job.Progress{}, false, wall, b.now)
 		for n := range workers {
-			i := b.core.jobs[jobB].occurrences[0][0].item(n)
+			i := b.core.jobs[jobB].occurrence(0).steps[0].item(n)
 			i.setCrashes([]job.Crash{crash})
 			i.lastRun = 1
 		}
@@ -29,7 +29,7 @@
 			reports[s.Worker.ID] = Report{Running: []RunningItem{{Run: s.Run, Percent: 1}}}
 		}
 		b.core.AddJob(oneStep(jobA, job.Step{LongRunning: true}), job.Progress{}, false, wall, b.now)
-		i := b.core.jobs[jobA].occurrences[0][0].item(0)
+		i := b.core.jobs[jobA].occurrence(0).steps[0].item(0)
 		second := crash
 		second.Run = 2
 		i.setCrashes([]job.Crash{crash, second})
@@ -109,7 +109,7 @@
 func (p *pool) addIsolated(id string, s job.Step) {
 	p.core.AddJob(oneStep(id, s), job.Progress{}, false, wall, p.now)
 	for n := range s.Count {
-		i := p.core.jobs[id].occurrences[0][0].item(n)
+		i := p.core.jobs[id].occurrence(0).steps[0].item(n)
 		i.setCrashes([]job.Crash{{Run: 1, MinAgeMillis: 10, MaxAgeMillis: 20}, {Run: 2, MinAgeMillis: 10, MaxAgeMillis: 20}})
 		i.lastRun = 2
 	}
--- a/scheduler/execution/items.go
+++ b/scheduler/execution/items.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"dotterelhead.example/dotterelhead/job"
 )
 
 // itemSet holds the items of a step. A step may have thousands of items, most of which wait
@@ -13,8 +11,8 @@
 	// tracked holds the items of which something is known, in the order of their indexes.
 	// Once an item is done or its job has ended, it is dropped with its last copy.
 	tracked []*item
-	// doneBits has a bit for each item. It is nil while none is done.
-	doneBits []uint64
+	// doneItems are the indexes of the items that are done.
+	doneItems bitSet
 	// fresh is the number of items that were never tracked. nextFresh is not above the
 	// index of the first of them.
 	fresh, nextFresh int
@@ -22,10 +20,11 @@
 	freshWaitingSince Time
 }
 
-func newStep(j *jobState, spec *job.Step, occurrence, index, offset int) *step {
+func newStep(o *occurrence, j *jobState, index, offset int) *step {
+	count := j.Steps[index].Count
 	return &step{
-		job: j, spec: spec, occurrence: occurrence, index: index, offset: offset,
-		itemSet: itemSet{fresh: spec.Count}, itemsLeft: spec.Count, copies: map[*worker]int{},
+		job: j, spec: &j.Steps[index], occurrence: o, index: index, offset: offset,
+		itemSet: itemSet{fresh: count}, itemsLeft: count, copies: map[*worker]int{},
 	}
 }
 
@@ -71,20 +70,18 @@
 	return slices.BinarySearchFunc(s.tracked, index, func(i *item, index int) int { return cmp.Compare(i.index, index) })
 }
 
-func (s *step) isDone(index int) bool {
-	return s.doneBits != nil && s.doneBits[index/64]&(1<<(index%64)) != 0
-}
+func (s *step) isDone(index int) bool { return s.itemsLeft == 0 || s.doneItems.has(index) }
 
 func (s *step) setDone(i *item) {
-	if s.doneBits == nil {
-		s.doneBits = make([]uint64, (s.spec.Count+63)/64)
-	}
-	s.doneBits[i.index/64] |= 1 << (i.index % 64)
+	s.doneItems.add(i.index, s.spec.Count)
 	i.done = true
 	s.itemsLeft--
 	s.release(i)
 }
 
+// setAllDone marks all items of a step as done of which none is tracked.
+func (s *step) setAllDone() { s.itemsLeft, s.fresh = 0, 0 }
+
 // release drops an item of which nothing has to be known any more.
 func (s *step) release(i *item) {
 	if len(i.copies) > 0 || !i.done && !s.job.final() {
--- a/scheduler/execution/items_test.go
+++ b/scheduler/execution/items_test.go
@@ -73,7 +73,8 @@
 func TestItemSetKeepsCounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		spec := job.Step{Count: rapid.IntRange(1, 130).Draw(t, "count")}
-		s := newStep(&jobState{phase: job.Queued}, &spec, 0, 0, 0)
+		j := &jobState{Job: &job.Job{Steps: []job.Step{spec}}, phase: job.Queued}
+		s := j.occurrence(0).steps[0]
 		running, done := map[int]*itemCopy{}, map[int]bool{}
 		index := rapid.IntRange(0, spec.Count-1)
 		t.Repeat(map[string]func(*rapid.T){
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -39,7 +39,7 @@
 	if j == nil {
 		return
 	}
-	i := j.item(s.Item, now)
+	i := j.item(s.Item)
 	if i == nil {
 		return
 	}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -229,7 +229,7 @@
 	j := c.jobs[row.Item.Job]
 	var i *item
 	if j != nil {
-		i = j.item(row.Item, now)
+		i = j.item(row.Item)
 	}
 	if i != nil {
 		i.lastRun = max(i.lastRun, row.Run.Number)
@@ -329,7 +329,7 @@
 	}()
 	var i *item
 	if j != nil {
-		i = j.item(end.Item, now)
+		i = j.item(end.Item)
 	}
 	cp := w.copies[end.Run]
 	effect := effectOf(i)
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -224,6 +224,7 @@
 		steps = append(steps, s)
 	}
 	c.pendingSteps = steps
+	clear(c.estimates)
 	eligible := c.eligibleByService(now)
 	candidates := make([]candidate, 0, len(steps))
 	for _, s := range steps {
--- a/scheduler/execution/starved_owner_test.go
+++ b/scheduler/execution/starved_owner_test.go
@@ -232,7 +232,7 @@
 	b.report(w.ID, Report{Running: []RunningItem{{Run: s.Run, Percent: 1}}})
 	b.now += 10 * time.Millisecond
 	b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
-	lost := b.core.jobs[jobA].occurrences[0][0].item(0).lostRuns
+	lost := b.core.jobs[jobA].occurrence(0).steps[0].item(0).lostRuns
 	if len(lost) != 1 || lost[0].MinAgeMillis != 1 || lost[0].MaxAgeMillis != 111 {
 		t.Errorf("lost runs %+v, want one that was 1 to 111 ms old", lost)
 	}
@@ -280,7 +280,7 @@
 		b.now += 200 * time.Millisecond
 		b.core.HoldFailed(w.ID, ConnectionRefused, b.now)
 	}
-	lost := b.core.jobs[jobA].occurrences[0][0].item(0).lostRuns
+	lost := b.core.jobs[jobA].occurrence(0).steps[0].item(0).lostRuns
 	if len(lost) != 1 || lost[0].WeakReason != crashNoticedLate || lost[0].MaxAgeMillis != 360 {
 		t.Errorf("lost runs %+v, want one that was 360 ms old at most", lost)
 	}
@@ -342,7 +342,7 @@
 	b.core.HoldFailed(w.ID, ConnectionRefused, b.now)
 	b.core.SetClosed(w.ID, true)
 	restartVM(b, w)
-	if n := len(b.core.jobs[jobA].occurrences[0][0].item(0).crashes); n != 1 {
+	if n := len(b.core.jobs[jobA].occurrence(0).steps[0].item(0).crashes); n != 1 {
 		t.Errorf("%d crashes are counted, want 1", n)
 	}
 }
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -102,7 +102,7 @@
 }
 
 func (i *item) id() job.ItemID {
-	return job.ItemID{Job: i.step.job.ID, Occurrence: i.step.occurrence, Step: i.step.index, Index: i.index}
+	return job.ItemID{Job: i.step.job.ID, Occurrence: i.step.occurrence.number, Step: i.step.index, Index: i.index}
 }
 
 // startable reports whether the item is not done and either has no copy or is
@@ -122,7 +122,7 @@
 // recordNumber returns the number under which the job's durable record holds the
 // item with the given index. It is unique in the job.
 func (s *step) recordNumber(index int) int {
-	return s.occurrence*s.job.itemsPerOccurrence + s.offset + index
+	return s.occurrence.number*s.job.itemsPerOccurrence + s.offset + index
 }
 
 // id returns the run that the copy stands for.
@@ -131,7 +131,7 @@
 type step struct {
 	job        *jobState
 	spec       *job.Step
-	occurrence int
+	occurrence *occurrence
 	index      int
 	// offset is the number of items in the earlier steps of the occurrence.
 	offset int
@@ -156,7 +156,7 @@
 }
 
 func (s *step) id() job.ItemID {
-	return job.ItemID{Job: s.job.ID, Occurrence: s.occurrence, Step: s.index}
+	return job.ItemID{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index}
 }
 
 func (s *step) done() bool { return s.itemsLeft == 0 }
@@ -164,9 +164,8 @@
 type jobState struct {
 	*job.Job
 	itemsPerOccurrence int
-	occurrences        [][]*step
-	occurrencesLeft    int
-	phase              job.Phase
+	occurrenceSet
+	phase job.Phase
 	// begun is set once a worker has confirmed a run of the job, and for a job
 	// whose durable record has a phase other than queued.
 	begun      bool
@@ -174,9 +173,6 @@
 	finishedAt Time
 	// inherited is set for jobs that a former owner may have started.
 	inherited bool
-	// dueAt is when each occurrence became due; 0 stands for jobs without due
-	// times.
-	dueAt []Time
 	// version counts the changes of the durable record, committed is the last
 	// version that the store has.
 	version, committed uint64
@@ -395,6 +391,7 @@
 	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
 	i.step.release(i)
+	i.step.job.release(i.step.occurrence)
 	c.checkHoldersOf(cp.worker)
 	c.addPending(i.step)
 }
--- a/scheduler/execution/unrelated_crash_test.go
+++ b/scheduler/execution/unrelated_crash_test.go
@@ -188,7 +188,7 @@
 		t.Errorf("job is %s, want failed", phase)
 	}
 	for n := range 6 {
-		if crashes := b.core.jobs[jobA].occurrences[0][0].item(n).crashes; len(crashes) > crashesToGiveUp {
+		if crashes := b.core.jobs[jobA].occurrence(0).steps[0].item(n).crashes; len(crashes) > crashesToGiveUp {
 			t.Errorf("%d workers have crashed under item %d, want %d at most", len(crashes), n, crashesToGiveUp)
 		}
 	}
@@ -300,7 +300,7 @@
 	b.core.HoldFailed(w.ID, ConnectionClosed, b.now)
 	restartVM(b, w)
 	for _, id := range []string{jobA, jobB} {
-		if n := len(b.core.jobs[id].occurrences[0][0].item(0).crashes); n != 2 {
+		if n := len(b.core.jobs[id].occurrence(0).steps[0].item(0).crashes); n != 2 {
 			t.Errorf("%d crashes are counted against the item of job %s, want 2", n, id)
 		}
 	}
@@ -318,7 +318,7 @@
 	if len(starts) != 2 {
 		t.Fatalf("starts %v, want both items", starts)
 	}
-	items := b.core.jobs[jobA].occurrences[0][0].tracked
+	items := b.core.jobs[jobA].occurrence(0).steps[0].tracked
 	items[0].setCrashes([]job.Crash{{Run: -1, Weak: true}})
 	items[1].setCrashes([]job.Crash{{Run: -1}})
 	for _, s := range starts {
@@ -340,7 +340,7 @@
 	b.worker(w, Report{})
 	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
 	startOnly(b)
-	i := b.core.jobs[jobA].occurrences[0][0].item(0)
+	i := b.core.jobs[jobA].occurrence(0).steps[0].item(0)
 	var crashes []job.Crash
 	for n := range int64(maxCrashes - 1) {
 		crashes = append(crashes, job.Crash{Run: n - 10, MinAgeMillis: 500 * (n + 1), MaxAgeMillis: 500*(n+1) + 50, Weak: n == 0})
