Bound the memory of the accepted jobs

Found by reading: nothing bounded the sum of what was accepted, 1.5 kB for a usual job and 59 kB for the largest.

Change: the owner estimates the memory of the jobs of each queue from above. A queue whose jobs take more than is left of job_memory_mb, 32 by default, is full. A job that is stored already is still answered with 200.

The bound did not exist before, so that its tests need the new code.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +33,9 @@
 	// ErrCancelled reports that a job was not accepted because it had been cancelled
 	// before. It is an ErrNotAccepted.
 	ErrCancelled = errors.WithMessage(ErrNotAccepted, "job was cancelled")
+	// ErrBacklogFull reports that a job was not accepted because the jobs of its queue take
+	// as much memory as they may. It is an ErrNotAccepted.
+	ErrBacklogFull = errors.WithMessage(ErrNotAccepted, "too many jobs of the queue wait")
 	// ErrBusy reports that too many unknown jobs were cancelled lately, and nothing was
 	// done.
 	ErrBusy = errors.New("too many cancellations of unknown jobs")
@@ -60,6 +66,10 @@
 	// burst of the sites, 8 a second, and the burst is that of 5 s.
 	unknownCancelRate  = 20
 	unknownCancelBurst = 100
+	// backlogWait is how long one watch call on the backlog waits for changes. A connection
+	// that went silent is noticed only when the wait is over; the memory that is left for
+	// what runs is more than is accepted meanwhile.
+	backlogWait = 10 * time.Second
 )
 
 // Intake stores new jobs and cancellations, and answers questions about jobs.
@@ -68,6 +78,8 @@
 	health         *store.Health
 	queue          chan *submission
 	unknownCancels *rate.Limiter
+	// backlog is what the owner says of its memory.
+	backlog atomic.Pointer[jobstore.Backlog]
 }
 
 // submission is a job that is waiting to be stored, or the cancellation of an unknown job,
@@ -96,6 +108,9 @@
 
 // Run writes batches of jobs until ctx ends.
 func (in *Intake) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { in.followBacklog(ctx) })
 	slots := make(chan struct{}, maxConcurrentWrites)
 	for {
 		var first *submission
@@ -113,6 +128,27 @@
 	}
 }
 
+// followBacklog takes what the owner says of its memory until ctx ends.
+func (in *Intake) followBacklog(ctx context.Context) {
+	note := func(i store.Item) {
+		// A record that cannot be decoded refuses no jobs; the next owner logs it.
+		if backlog, err := jobstore.DecodeBacklog(i.Value); err == nil {
+			in.backlog.Store(&backlog)
+		} else {
+			in.backlog.Store(nil)
+		}
+	}
+	store.Follow(ctx, in.store, jobstore.BacklogKey, backlogWait, store.FollowHandler{
+		Reset: func(items []store.Item, _ int64) {
+			in.backlog.Store(nil)
+			for _, i := range items {
+				note(i)
+			}
+		},
+		Changed: func(events []store.Event) { note(events[len(events)-1].Item) },
+	})
+}
+
 // collect waits up to batchDelay for more jobs to write together with first.
 func (in *Intake) collect(ctx context.Context, first *submission) []*submission {
 	batch := []*submission{first}
@@ -144,12 +180,32 @@
 		return errors.Wrap(ErrNotAccepted, err.Error())
 	}
 	s := &submission{key: jobstore.JobKey(j.ID), value: value, done: make(chan error, 1)}
+	if b := in.backlog.Load(); b != nil && slices.Contains(b.FullQueues, j.Queue) {
+		return in.acceptedBefore(s.key)
+	}
 	if err := in.enqueue(s); err != nil {
 		return err
 	}
 	return <-s.done
 }
 
+// acceptedBefore returns the answer to a submission while its queue is full: only a job
+// that is stored already was accepted.
+func (in *Intake) acceptedBefore(key string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
+	defer cancel()
+	item, err := in.store.Get(ctx, key)
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return errors.WithStack(ErrBacklogFull)
+	case err != nil:
+		return errors.Wrap(ErrOutcomeUnknown, err.Error())
+	case jobstore.IsEarlyCancellation(item.Value):
+		return errors.WithStack(ErrCancelled)
+	}
+	return nil
+}
+
 func (in *Intake) enqueue(s *submission) error {
 	select {
 	case in.queue <- s:
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -170,6 +171,55 @@
 	}
 }
 
+// Guards against jobs that are accepted without a bound, until each owner is killed for its
+// memory, and against a refusal of a job that was accepted before.
+func TestFullBacklogRefusesNewJobs(t *testing.T) {
+	s := storetest.New()
+	in := startIntake(t, s)
+	ctx := context.Background()
+	if err := in.Submit(testJob(1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := in.Cancel(ctx, testJob(2).ID); !errors.Is(err, ErrJobNotFound) {
+		t.Fatalf("cancellation of an unknown job: %v", err)
+	}
+	setBacklog := func(queues ...string) {
+		value, err := json.Marshal(jobstore.Backlog{FullQueues: queues})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: jobstore.BacklogKey, Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+			if b := in.backlog.Load(); b != nil && slices.Equal(b.FullQueues, queues) {
+				return
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("the intake does not know that %v are full", queues)
+			}
+		}
+	}
+	setBacklog("a", "q")
+	for n, want := range []error{ErrBacklogFull, nil, ErrCancelled} {
+		if err := in.Submit(testJob(n)); !errors.Is(err, want) {
+			t.Errorf("job %d of a full queue: %v, want %v", n, err, want)
+		}
+	}
+	if _, err := s.Get(ctx, jobstore.JobKey(testJob(0).ID)); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("the refused job is stored: %v", err)
+	}
+	other := testJob(3)
+	other.Queue = "b"
+	if err := in.Submit(other); err != nil {
+		t.Errorf("job of a queue that is not full: %v", err)
+	}
+	setBacklog("a")
+	if err := in.Submit(testJob(0)); err != nil {
+		t.Errorf("job after its queue has room: %v", err)
+	}
+}
+
 // operation is a requester's call in a history.
 type operation struct{ call, id string }
 
--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -93,7 +93,8 @@
 		Node: s.Node, Store: st, Workers: platform.NewWorkers(), Registry: &platform.Registry{Store: st, Log: o.Log},
 		Manifest: operator.Manifest, Waves: operator.Waves, Log: o.Log, Scope: o.Scope, Lease: ownerLease,
 		MinOrderInterval: milliseconds(s.Bounds.MinOrderIntervalMs), KeepFinished: seconds(s.Bounds.StatusSeconds),
-		CPUShare: s.CPUShare, ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
+		MaxJobBytes: s.JobMemoryMB << 20,
+		CPUShare:    s.CPUShare, ContendDelay: contendDelay(s.CPUShare), UpkeepTime: seconds(s.Bounds.UpkeepSeconds), MoveTime: seconds(s.Bounds.MoveSeconds),
 		OrdersPerSecond: s.Bounds.MachineOrdersPerSecond,
 		Execution: execution.Options{
 			LeaseDuration: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), MaxLease: milliseconds(s.Bounds.MaxLeaseMs), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -30,6 +30,9 @@
 	MachinesAddress string `toml:"machines_address"`
 	AdviceAddress   string `toml:"advice_address"`
 	MemoryLimitMB   int64  `toml:"memory_limit_mb"`
+	// JobMemoryMB is how much memory the accepted jobs may take, apart from what runs. It is
+	// the same on all entry VMs, because each may become the owner, which holds the jobs.
+	JobMemoryMB int64 `toml:"job_memory_mb"`
 	// CPUShare is the fraction of a core that the entry VM has; 0 means that it
 	// is not limited. Entry VMs with a larger share are preferred as the owner of
 	// the jobs.
@@ -61,10 +64,15 @@
 	MachineOrdersPerSecond float64 `toml:"machine_orders_per_second"`
 }
 
+// defaultJobMemoryMB is less than half of the heap of an entry VM with 184 MB of memory,
+// the smallest of the sites: the heap may take heapShare of that, and the other half is for
+// what runs, the records that a new owner reads, and garbage.
+const defaultJobMemoryMB = 32
+
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel: "info",
+		LogLevel: "info", JobMemoryMB: defaultJobMemoryMB,
 		Bounds: Bounds{
 			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, MinOrderIntervalMs: 3000, StatusSeconds: 120,
 			UpkeepSeconds: 2, MoveSeconds: 1.5, MachineOrdersPerSecond: 64,
@@ -124,6 +132,9 @@
 	if s.CPUShare < 0 {
 		found.Add(index.At("cpu_share"), "cpu_share is negative")
 	}
+	if s.JobMemoryMB <= 0 {
+		found.Add(index.At("job_memory_mb"), "job_memory_mb is not above 0")
+	}
 	if s.MemoryLimitMB < 0 {
 		found.Add(index.At("memory_limit_mb"), "memory_limit_mb is negative")
 	}
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -13,6 +13,7 @@
 //	owner/holders     workers that may hold leases of runs; written by the owner
 //	owner/orders      VMs that were recently ordered to move or to have upkeep
 //	owner/waiting     number of jobs of each queue of which nothing has started
+//	owner/backlog     queues for whose jobs the owner has no more memory
 //	owner/wave/N      VMs of a wave that had their upkeep
 package jobstore
 
@@ -33,6 +34,7 @@
 	ChallengeKey   = OwnerPrefix + "challenge"
 	HoldersKey     = OwnerPrefix + "holders"
 	WaitingKey     = OwnerPrefix + "waiting"
+	BacklogKey     = OwnerPrefix + "backlog"
 	OrdersKey      = OwnerPrefix + "orders"
 	WavePrefix     = OwnerPrefix + "wave/"
 )
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -11,6 +11,7 @@
 	placement  tally.Timer
 	job        tally.Timer
 	ownerGauge tally.Gauge
+	heldBytes  tally.Gauge
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -26,5 +27,6 @@
 		placement:  s.Timer("placement_seconds"),
 		job:        s.Timer("job_seconds"),
 		ownerGauge: s.Gauge("owner"),
+		heldBytes:  s.Gauge("held_job_bytes"),
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -101,7 +101,10 @@
 	UpkeepTime, MoveTime time.Duration
 	// KeepFinished is how long the records of finished jobs are kept.
 	KeepFinished time.Duration
-	Execution    execution.Options
+	// MaxJobBytes bounds the memory of the accepted jobs, apart from what runs. No further
+	// jobs are accepted of a queue that takes more than is left of it. 0 means no bound.
+	MaxJobBytes int64
+	Execution   execution.Options
 }
 
 const (
--- a/owner/term.go
+++ b/owner/term.go
@@ -91,6 +91,8 @@
 	// forgotten holds the same of the finished jobs that the core has dropped, until the
 	// inbox does not hold them any more. A record of a higher revision is of a new job.
 	forgotten map[string]int64
+	// fullQueues are the queues of which no further jobs are accepted.
+	fullQueues map[string]bool
 	// earlyCancellations holds, by job, the cancellations that came before their jobs, until
 	// their deletion is queued.
 	earlyCancellations map[string]earlyCancellation
@@ -112,7 +114,7 @@
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
-		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, earlyCancellations: map[string]earlyCancellation{}, forgotten: map[string]int64{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, earlyCancellations: map[string]earlyCancellation{}, fullQueues: map[string]bool{}, forgotten: map[string]int64{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
@@ -313,6 +315,16 @@
 			}
 			t.core.SetFormerHolders(durations(holders), t.startedAt)
 		}
+		if item.Key == jobstore.BacklogKey {
+			// The entry VMs refuse no jobs because of a record that they cannot decode either.
+			backlog, err := jobstore.DecodeBacklog(item.Value)
+			if err != nil {
+				t.options.Log.Error().Str("event", "backlog_unreadable").Err(err).Msg("")
+			}
+			for _, queue := range backlog.FullQueues {
+				t.fullQueues[queue] = true
+			}
+		}
 	}
 	t.setManifestLocked()
 	t.applyInbox(inbox, progress, true)
@@ -369,6 +381,7 @@
 	for _, id := range cancelled {
 		t.core.Cancel(id, now)
 	}
+	t.checkBacklogLocked()
 }
 
 func (t *term) followInbox(ctx context.Context, revision int64) {
--- a/owner/write.go
+++ b/owner/write.go
@@ -24,6 +24,9 @@
 	// reserved for records other than the progress of jobs. Under load, progress
 	// alone would fill every transaction.
 	reservedRecords = 5
+	// backlogResumeShare is the share of a full queue's limit below which its jobs are
+	// accepted again, so that the record does not change with every job.
+	backlogResumeShare = 0.9
 	// maxForgetBatch bounds the number of finished jobs that are deleted at once.
 	// Their records fill one transaction.
 	maxForgetBatch = 5
@@ -59,13 +62,46 @@
 	now := boottime.Now()
 	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, now))
 	t.forgetCancellationsLocked(now)
+	t.checkBacklogLocked()
+}
+
+// checkBacklogLocked tells the entry VMs which queues' jobs take as much memory as they may:
+// more than is left. So one queue alone can take a half, two a third each, and there is always
+// room for the jobs of a further one. An owner that took more would be killed, and so would
+// each next one, which reads the same jobs.
+func (t *term) checkBacklogLocked() {
+	if t.options.MaxJobBytes == 0 {
+		return
+	}
+	held, left := t.core.HeldBytes(), t.options.MaxJobBytes
+	for _, n := range held {
+		left -= n
+	}
+	t.metrics.heldBytes.Update(float64(t.options.MaxJobBytes - left))
+	full := map[string]bool{}
+	for queue, n := range held {
+		limit := float64(left)
+		if t.fullQueues[queue] {
+			limit *= backlogResumeShare
+		}
+		if full[queue] = float64(n) > limit; full[queue] != t.fullQueues[queue] {
+			t.options.Log.Warn().Str("event", "queue_backlog").Str("queue", queue).Bool("full", full[queue]).Int64("held_bytes", n).Int64("left_bytes", left).Msg("")
+		}
+	}
+	maps.DeleteFunc(full, func(_ string, full bool) bool { return !full })
+	if maps.Equal(full, t.fullQueues) {
+		return
+	}
+	t.fullQueues = full
+	t.recordJSONLocked(jobstore.BacklogKey, jobstore.Backlog{FullQueues: slices.Sorted(maps.Keys(full))})
+	t.wakeWriter()
 }
 
 // forgetLocked queues the deletion of the records of finished jobs. Until they are
 // gone, a new reading of the inbox shows the jobs without their progress.
 func (t *term) forgetLocked(ids []string) {
 	for _, id := range ids {
-		t.deletions = append(t.deletions, deletionOf(id))
+		t.deletions = append(t.deletions, deletionOf(id, t.inboxRevisions[id]))
 		t.forgotten[id] = t.inboxRevisions[id]
 		delete(t.inboxRevisions, id)
 	}
@@ -94,11 +130,12 @@
 	}
 }
 
-// deletionOf returns the deletion of all records of a job. They belong into one
+// deletionOf returns the deletion of all records of a job whose inbox record has the given
+// revision. They belong into one
 // transaction: an owner that found the job in the inbox without its progress would run
 // it again.
-func deletionOf(id string) []jobstore.Record {
-	return []jobstore.Record{{Key: jobstore.JobKey(id)}, {Key: jobstore.CancelKey(id)}, {Key: jobstore.ProgressKey(id)}}
+func deletionOf(id string, revision int64) []jobstore.Record {
+	return []jobstore.Record{{Key: jobstore.JobKey(id), Revision: revision}, {Key: jobstore.CancelKey(id)}, {Key: jobstore.ProgressKey(id)}}
 }
 
 // logPoolsLocked logs the demand and the VMs of each pool, and updates their
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -67,6 +67,8 @@
 	attemptsUnknown []*item
 	// startLimit bounds the starts of a round; nil means no bound.
 	startLimit *int
+	// held is the sum of the memoryEstimates of the jobs of each queue that has any.
+	held map[string]int64
 	// estimates are those of the occurrences that were ranked in the present round.
 	estimates map[*occurrence]workEstimate
 	// arrivals are the new jobs of each service within two arrival windows.
@@ -92,6 +94,7 @@
 		advice:           map[ticketKey]*advice{},
 		learner:          runtimes.NewLearner(),
 		meanQueueWork:    map[string]float64{},
+		held:             map[string]int64{},
 		estimates:        map[*occurrence]workEstimate{},
 		arrivals:         map[string][]arrival{},
 	}
@@ -146,6 +149,7 @@
 		j.begun = p.Phase != job.Queued
 	}
 	c.jobs[spec.ID] = j
+	c.reckon(j, false)
 	if j.final() {
 		j.finishedAt = now
 		return
@@ -156,7 +160,7 @@
 		c.recordArrival(j, now)
 	}
 	c.scheduled[j] = struct{}{}
-	if j.finishIfDone(now) {
+	if c.finishIfDone(j, now) {
 		c.markDirty(j)
 	}
 }
@@ -262,11 +266,12 @@
 
 // finishIfDone marks a job as completed once all its occurrences are done. It
 // reports whether it did.
-func (j *jobState) finishIfDone(now Time) bool {
+func (c *Core) finishIfDone(j *jobState, now Time) bool {
 	if j.final() || j.left > 0 {
 		return false
 	}
 	j.phase, j.finishedAt = job.Completed, now
+	c.reckon(j, false)
 	return true
 }
 
@@ -286,6 +291,7 @@
 	c.markDirty(j)
 	c.stopCopies(j)
 	j.releaseItems()
+	c.reckon(j, false)
 	c.trace(Event{Name: "job_" + string(phase), Job: j.ID, Reason: reason, Detail: detail, Took: now - j.acceptedAt})
 }
 
@@ -327,6 +333,7 @@
 			ids = append(ids, id)
 			removed[id] = true
 			delete(c.jobs, id)
+			c.reckon(j, true)
 		}
 	}
 	c.dropLostRuns(removed)
--- a/scheduler/execution/items_test.go
+++ b/scheduler/execution/items_test.go
@@ -61,11 +61,13 @@
 	return j
 }
 
-func heapMB() int64 {
+func heapMB() int64 { return heapBytes() >> 20 }
+
+func heapBytes() int64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc >> 20)
+	return int64(m.HeapAlloc)
 }
 
 // TestItemSetKeepsCounts guards against items that are counted as waiting although they run
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -393,7 +393,7 @@
 			other.stopWanted = other.stopWanted || other.run != run
 		}
 	}
-	if j.finishIfDone(now) {
+	if c.finishIfDone(j, now) {
 		c.trace(Event{Name: "job_completed", Job: j.ID, Took: now - j.acceptedAt})
 	}
 	c.markDirty(j)
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -165,7 +165,9 @@
 	*job.Job
 	itemsPerOccurrence int
 	occurrenceSet
-	phase job.Phase
+	// heldBytes is the job's part of Core.held.
+	heldBytes int64
+	phase     job.Phase
 	// begun is set once a worker has confirmed a run of the job, and for a job
 	// whose durable record has a phase other than queued.
 	begun      bool
