Delete finished jobs as fast as they end

Callers would see: after hours of the usual load, jobs are refused because finished ones fill the memory that accepted jobs may take; before that bound, owners killed for their memory.

Cause: five finished jobs were dropped with each summary, every 0.7 s.

Change: up to 70 are dropped with each summary, 100 a second; the largest site submits 58. Their records take only the room that others leave in the transactions, as before.

Evidence: with 5, TestFinishedJobsAreDeletedAsFastAsTheyEnd leaves 67 of 162 jobs after 10 s.

--- a/owner/forget_test.go
+++ b/owner/forget_test.go
@@ -205,3 +205,24 @@
 		}
 	}
 }
+
+// Guards against finished jobs that pile up in the store and in the owner's memory, because
+// more jobs end than are deleted. The largest site submits 58 jobs a second.
+func TestFinishedJobsAreDeletedAsFastAsTheyEnd(t *testing.T) {
+	const jobsPerSecond, summaries = 58, 4
+	count := int(jobsPerSecond * (summaries * summaryEvery).Seconds())
+	tm := finishedTerm(t, count)
+	for range summaries {
+		tm.summarize()
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(writeGap) {
+		tm.wakeWriter()
+		items, _, err := store.ReadAll(context.Background(), tm.options.Store, jobstore.InboxPrefix)
+		if err == nil && len(items) == 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%d of %d finished jobs are left (error %v)", len(items), count, err)
+		}
+	}
+}
--- a/owner/write.go
+++ b/owner/write.go
@@ -27,9 +27,9 @@
 	// backlogResumeShare is the share of a full queue's limit below which its jobs are
 	// accepted again, so that the record does not change with every job.
 	backlogResumeShare = 0.9
-	// maxForgetBatch bounds the number of finished jobs that are deleted at once.
-	// Their records fill one transaction.
-	maxForgetBatch = 5
+	// maxForgetBatch bounds the number of finished jobs whose deletion is queued at once. It
+	// allows for 100 jobs a second; the largest site submits 58.
+	maxForgetBatch = 70
 )
 
 // writeLoop writes changed records to the store until ctx ends.
