Wait for advice as long as the service takes for the calls before it

Cause: the service handles the calls of one machine in turn and goes on with those that were given up. The owner gave up each call 3 s after it was sent, whatever decideMs and perItemMs of the queue are, so that a call that waited for the rest of another one was never answered. It then asked about the same two steps again at once.

New: the factor doubles up to twice while calls are given up, for a service that is slower than stated, and the time of all calls of a batch counts, as they may arrive in any order.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -366,12 +366,11 @@
 }
 
 func (t *term) askAdvisor(ctx context.Context, q execution.AdviceRequest) {
-	// The advisor may take longer to answer than a worker.
-	callCtx, cancel := context.WithTimeout(ctx, 10*callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, q.Timeout)
 	defer cancel()
 	tickets, validity, err := t.options.Advisor.Advise(callCtx, q)
 	if err != nil {
-		t.options.Log.Warn().Str("event", "advice_failed").Str("step", q.Step.String()).Err(err).Msg("")
+		t.options.Log.Warn().Str("event", "advice_failed").Str("step", q.Step.String()).Int64("timeout_ms", q.Timeout.Milliseconds()).Err(err).Msg("")
 		tickets = nil
 	}
 	t.mu.Lock()
--- a/scheduler/execution/advice.go
+++ b/scheduler/execution/advice.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,17 +9,24 @@
 )
 
 const (
-	// maxAdviceCalls bounds the concurrent calls for advice: the service handles
-	// the calls from one machine one at a time.
+	// maxAdviceCalls bounds the concurrent calls for advice. The service handles the
+	// calls from one machine one at a time; the second call saves the delay between two.
 	maxAdviceCalls = 2
 	// workersPerAdviceCall is how many workers one call may ask about.
 	workersPerAdviceCall = 30
 	// ticketMargin is the remaining validity that a ticket must have when it is
 	// used, so that it is still valid when the start arrives.
 	ticketMargin = 300 * time.Millisecond
-	// adviceRetryDelay is the minimum time between two calls about a step, once
-	// one of them got an answer.
+	// adviceRetryDelay is the minimum time between two calls about a step.
 	adviceRetryDelay = 500 * time.Millisecond
+	// A call for advice is given up adviceTimeoutMargin after adviceTimeoutFactor times the
+	// time that the service states for the calls in flight. The service goes on with calls
+	// that were given up, and a factor of 2 leaves it time for them. While calls are given
+	// up, the factor doubles up to maxAdviceDoublings times, for a service that is slower
+	// than stated, or busy with calls of a former owner.
+	adviceTimeoutFactor = 2
+	adviceTimeoutMargin = 10 * AnswerTimeout
+	maxAdviceDoublings  = 2
 )
 
 type ticketKey struct {
@@ -26,14 +34,18 @@
 	occurrence, step int
 }
 
+func (s *step) ticketKey() ticketKey { return ticketKey{s.job.ID, s.occurrence.number, s.index} }
+
 // advice holds what the advice service answered for a step: a ticket for each
 // worker that may run it, by worker ID. A start carries the worker's ticket, and
 // the worker rejects a start if it does not accept the ticket.
 type advice struct {
-	answered bool
+	asked    bool
 	inFlight bool
-	askedAt  Time
-	tickets  map[string]ticket
+	// askedAt is the time of the last call, or before the first one, when advice was
+	// first needed.
+	askedAt Time
+	tickets map[string]ticket
 	// refused are the workers that may not run the step. That does not change, but they
 	// are asked about again once no other worker is left.
 	refused map[string]bool
@@ -52,6 +64,14 @@
 type AdviceRequest struct {
 	Step    job.ItemID
 	Workers []string
+	// Timeout is when the call is given up. The service would go on with it, and later
+	// calls wait for that.
+	Timeout time.Duration
+	// duration is how long the service is stated to take for the call itself, and doublings
+	// how often the factor of the timeout was doubled at sentAt.
+	duration  time.Duration
+	doublings int
+	sentAt    Time
 }
 
 // ticketsFor returns the tickets of a step by worker ID, or nil if its queue
@@ -61,7 +81,7 @@
 	if q.Advice == nil {
 		return nil, true
 	}
-	key := ticketKey{s.job.ID, s.occurrence.number, s.index}
+	key := s.ticketKey()
 	a := c.advice[key]
 	if a == nil {
 		c.advice[key] = &advice{askedAt: now}
@@ -77,41 +97,53 @@
 }
 
 // AdviceRequests returns the calls for advice that are due now and counts them
-// as in flight.
+// as in flight. The step whose last call is longest ago comes first, so that a step that
+// is asked about again and again does not keep others waiting.
 func (c *Core) AdviceRequests(now Time) []AdviceRequest {
 	if len(c.advice) == 0 {
 		return nil
 	}
-	inFlight := 0
-	for key, a := range c.advice {
-		j := c.jobs[key.job]
-		if j == nil || j.final() {
+	for key := range c.advice {
+		if j := c.jobs[key.job]; j == nil || j.final() {
 			delete(c.advice, key)
-		} else if a.inFlight {
-			inFlight++
 		}
 	}
+	if c.adviceCalls >= maxAdviceCalls {
+		return nil
+	}
+	var due []*step
+	for _, s := range c.pendingSteps {
+		if a := c.advice[s.ticketKey()]; a != nil && !a.inFlight && !(a.asked && now-a.askedAt < adviceRetryDelay) {
+			due = append(due, s)
+		}
+	}
+	slices.SortStableFunc(due, func(s, o *step) int {
+		return cmp.Compare(c.advice[s.ticketKey()].askedAt, c.advice[o.ticketKey()].askedAt)
+	})
 	eligible := c.eligibleByService(now)
 	var requests []AdviceRequest
-	for _, s := range c.pendingSteps {
-		if inFlight >= maxAdviceCalls {
+	for _, s := range due {
+		if c.adviceCalls >= maxAdviceCalls {
 			break
 		}
-		a := c.advice[ticketKey{s.job.ID, s.occurrence.number, s.index}]
-		if a == nil || a.inFlight || a.answered && now-a.askedAt < adviceRetryDelay {
+		a, queue := c.advice[s.ticketKey()], c.queueOf(s.job)
+		p := eligible[queue.Service]
+		if p == nil || queue.Advice == nil {
 			continue
 		}
-		p := eligible[c.queueOf(s.job).Service]
-		if p == nil {
+		workers := a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)
+		if len(workers) == 0 {
 			continue
 		}
-		q := AdviceRequest{Step: job.ItemID{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.index}, Workers: a.workersToAskAbout(s, slices.Concat(p.workers, p.lastChoice(s, now)), now)}
-		if len(q.Workers) == 0 {
-			continue
-		}
-		a.inFlight, a.askedAt = true, now
-		inFlight++
-		requests = append(requests, q)
+		a.asked, a.inFlight, a.askedAt = true, true, now
+		duration := queue.Advice.Decide + time.Duration(len(workers))*queue.Advice.PerItem
+		c.adviceCalls++
+		c.adviceCallTime += duration
+		requests = append(requests, AdviceRequest{Step: s.id(), Workers: workers, duration: duration, doublings: c.adviceDoublings, sentAt: now})
+	}
+	// The calls of a batch may reach the service in any order.
+	for n := range requests {
+		requests[n].Timeout = adviceTimeoutFactor<<c.adviceDoublings*c.adviceCallTime + adviceTimeoutMargin
 	}
 	return requests
 }
@@ -157,9 +189,26 @@
 	return n
 }
 
+// adjustAdviceTimeout doubles the factor of the timeout after a call that was given up, and
+// halves it after one that was answered well within its timeout. Calls that were sent before
+// the last change tell nothing new.
+func (c *Core) adjustAdviceTimeout(q AdviceRequest, answered bool, now Time) {
+	took := now - q.sentAt
+	switch {
+	case q.doublings != c.adviceDoublings:
+	case answered && took < q.Timeout/2:
+		c.adviceDoublings = max(c.adviceDoublings-1, 0)
+	case !answered && took >= q.Timeout:
+		c.adviceDoublings = min(c.adviceDoublings+1, maxAdviceDoublings)
+	}
+}
+
 // AdviceReceived records the answer to an advice request; tickets is nil when
 // none came.
 func (c *Core) AdviceReceived(q AdviceRequest, tickets map[string]string, validity time.Duration, now Time) {
+	c.adviceCalls--
+	c.adviceCallTime -= q.duration
+	c.adjustAdviceTimeout(q, tickets != nil, now)
 	a := c.advice[ticketKey{q.Step.Job, q.Step.Occurrence, q.Step.Step}]
 	if a == nil {
 		return
@@ -168,7 +217,6 @@
 	if tickets == nil {
 		return
 	}
-	a.answered = true
 	for _, id := range q.Workers {
 		value, good := tickets[id]
 		if !good {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -59,7 +59,13 @@
 	// the last time.
 	checkHolders bool
 	advice       map[ticketKey]*advice
-	learner      *runtimes.Learner
+	// adviceCalls is the number of calls for advice in flight, adviceCallTime how long the
+	// service is stated to take for them together, and adviceDoublings how often the factor
+	// of their timeouts is doubled.
+	adviceCalls     int
+	adviceCallTime  time.Duration
+	adviceDoublings int
+	learner         *runtimes.Learner
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
