Tell a step that fails on all workers from workers that fail

Cause: a failure counted against the worker for the first two failures of each item, so that a job with many items blamed all workers at once. Nothing compared the workers with each other, and a run that was done did not end the time without work.

Change, taken up from: a step that has failed on two workers or more, of which no item is done and which runs on no other worker, is the cause itself; its failures do not count against the workers, unless such steps of more than three jobs have failed there. A run that works ends the time without work. If all workers of a service are avoided, each gets one item as a trial 1 s after its last failure. New: the steps of one job count once, as one hopeless job of many steps had the same effect as before.

--- a/scheduler/execution/eligible.go
+++ b/scheduler/execution/eligible.go
@@ -30,7 +30,7 @@
 	// excludedIsolated: the worker has an item that has to run isolated.
 	excludedIsolated exclusion = "isolated"
 	// excludedAvoided: the worker has failed what it started. Long-running items without
-	// another worker may start there all the same.
+	// another worker, and single items as trials, may start there all the same.
 	excludedAvoided exclusion = "avoided"
 )
 
@@ -78,6 +78,38 @@
 	avoided []*worker
 }
 
+// addTrials makes avoided workers eligible for one item each if there are no others: an
+// item that is done there ends the avoidance, and an item that fails may be the cause.
+func (e *eligibleWorkers) addTrials(now Time) {
+	if len(e.workers) > 0 {
+		return
+	}
+	e.avoided = slices.DeleteFunc(e.avoided, func(w *worker) bool {
+		if len(w.orderedCopies) > 0 || now < w.failedAt+avoidTime {
+			return false
+		}
+		e.add(w)
+		return true
+	})
+}
+
+// trialStarted takes a worker on which an item was started as a trial from the eligible
+// ones. It does nothing for other workers.
+func (e *eligibleWorkers) trialStarted(w *worker, now Time) {
+	if now < w.avoidUntil && slices.Contains(e.workers, w) {
+		e.workers = slices.DeleteFunc(slices.Clone(e.workers), func(o *worker) bool { return o == w })
+		e.avoided = append(slices.Clone(e.avoided), w)
+	}
+}
+
+func (e *eligibleWorkers) add(w *worker) {
+	e.workers = append(e.workers, w)
+	free := w.free()
+	e.maxFree = job.Resources{
+		MilliCPU: max(e.maxFree.MilliCPU, free.MilliCPU), MemoryMB: max(e.maxFree.MemoryMB, free.MemoryMB), GPU: max(e.maxFree.GPU, free.GPU),
+	}
+}
+
 // eligibleByService returns the workers that may get work, by service. One that has more
 // ends to list gets none until the takeover, which waits for them, is settled.
 func (c *Core) eligibleByService(now Time) map[string]*eligibleWorkers {
@@ -100,11 +132,10 @@
 			p.avoided = append(p.avoided, w)
 			continue
 		}
-		p.workers = append(p.workers, w)
-		free := w.free()
-		p.maxFree = job.Resources{
-			MilliCPU: max(p.maxFree.MilliCPU, free.MilliCPU), MemoryMB: max(p.maxFree.MemoryMB, free.MemoryMB), GPU: max(p.maxFree.GPU, free.GPU),
-		}
+		p.add(w)
+	}
+	for _, p := range byService {
+		p.addTrials(now)
 	}
 	return byService
 }
--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -18,13 +18,20 @@
 	// maxBlamedWorkers is the number of workers that are blamed for the failures
 	// and stalls of one item. After that, the cause is the item.
 	maxBlamedWorkers = 2
-	// failuresToAvoid is the number of failures after which a worker is avoided, without
-	// a run with EndDone, or a long-running item that begins to serve, in between.
+	// failuresToAvoid is the number of failures after which a worker is avoided, unless a run
+	// that was started after the last of them is done or serves its users.
 	failuresToAvoid = 3
 	// avoidTime is how long an avoided worker gets no work. It doubles with
 	// each further failure, up to avoidTimeMax.
 	avoidTime    = time.Second
 	avoidTimeMax = 8 * time.Second
+	// minWorkersToCompare is on how many workers a step has to fail before it may be the
+	// cause.
+	minWorkersToCompare = 2
+	// maxCauses is how many jobs may be the cause of their steps' failures on a worker since
+	// a run worked there. More that fail everywhere tell that the workers have a fault in
+	// common.
+	maxCauses = 3
 )
 
 // handleFailure delays the next start of an item that failed, and ends the job
@@ -89,31 +96,137 @@
 	return min(failureBackoff<<min(i.troubles-1, 10), failureBackoffMax)
 }
 
-// recordFailure counts a failure or stall of an item that the worker may have caused,
-// and places no work on the worker for some time after several in a row.
+// failedStep is what is known of the failures and stalls of a step's items. A step that
+// fails wherever it runs is the cause itself.
+type failedStep struct {
+	job     *jobState
+	workers map[*worker]bool
+	// isCause is set if the failures do not count against the workers.
+	isCause bool
+}
+
+// blame is a number of failures of one step's items that a worker may have caused, the
+// last of them at a time.
+type blame struct {
+	step     *failedStep
+	failures int
+	at       Time
+}
+
+// maxBlames bounds the steps whose failures are counted against a worker.
+const maxBlames = 16
+
+// recordFailure counts a failure or stall of an item, which the item or the worker may have
+// caused. No work is placed on the worker for some time after several in a row.
 func (c *Core) recordFailure(w *worker, i *item, now Time) {
-	i.troubles++
-	if i.troubles > maxBlamedWorkers {
-		return
+	s := i.step
+	if s.failed == nil {
+		s.failed = &failedStep{job: s.job, workers: map[*worker]bool{}}
+	}
+	s.failed.workers[w] = true
+	if i.troubles++; i.troubles <= maxBlamedWorkers {
+		w.addBlame(s.failed, now)
+		c.updateAvoidance(w, now)
+	}
+	if !s.failed.isCause && s.failsEverywhere() {
+		c.trace(Event{Name: "step_fails", Job: s.job.ID, Detail: fmt.Sprintf("step=%d.%d workers=%d", s.occurrence.number, s.index, len(s.failed.workers))})
+		c.setCause(s.failed, true, now)
+	}
+}
+
+// failsEverywhere reports whether the items of a step have failed on several workers and
+// on all that they were started on.
+func (s *step) failsEverywhere() bool {
+	if s.worked || len(s.failed.workers) < minWorkersToCompare {
+		return false
+	}
+	if s.spec.Gang {
+		// The members end together.
+		return true
+	}
+	for _, i := range s.tracked {
+		for _, cp := range i.copies {
+			if !s.failed.workers[cp.worker] && !cp.worker.silent {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// stepWorked records that an item of a step is done, or serves its users, so that the step
+// is not the cause of its failures.
+func (c *Core) stepWorked(s *step, now Time) {
+	s.worked = true
+	if s.failed != nil && s.failed.isCause {
+		c.setCause(s.failed, false, now)
+	}
+}
+
+func (c *Core) setCause(f *failedStep, isCause bool, now Time) {
+	f.isCause = isCause
+	for _, w := range c.sortedWorkers {
+		if slices.ContainsFunc(w.blames, func(b blame) bool { return b.step == f }) {
+			c.updateAvoidance(w, now)
+		}
 	}
-	w.failures++
+}
+
+func (w *worker) addBlame(f *failedStep, now Time) {
 	w.failedAt = now
-	if w.failures >= failuresToAvoid {
-		d := min(avoidTime<<min(w.failures-failuresToAvoid, 3), avoidTimeMax)
-		w.avoidUntil = now + d
-		c.trace(Event{Name: "worker_avoided", Worker: w.ID, Service: w.Service, Reason: "failures", Took: d})
+	if n := slices.IndexFunc(w.blames, func(b blame) bool { return b.step == f }); n >= 0 {
+		w.blames[n].failures++
+		w.blames[n].at = now
+		return
+	}
+	if len(w.blames) == maxBlames {
+		w.blames = slices.Delete(w.blames, 0, 1)
+	}
+	w.blames = append(w.blames, blame{f, 1, now})
+}
+
+// updateAvoidance sets how long a worker gets no work after the failures that count
+// against it: those of steps that are not the cause themselves, or of all steps if too many
+// jobs are causes.
+func (c *Core) updateAvoidance(w *worker, now Time) {
+	causes := map[*jobState]bool{}
+	for _, b := range w.blames {
+		if b.step.isCause {
+			causes[b.step.job] = true
+		}
+	}
+	failures, last := 0, Time(0)
+	for _, b := range w.blames {
+		if !b.step.isCause || len(causes) > maxCauses {
+			failures += b.failures
+			last = max(last, b.at)
+		}
+	}
+	if failures < failuresToAvoid {
+		c.endAvoidance(w, "step_fails", now)
+		return
+	}
+	d := min(avoidTime<<min(failures-failuresToAvoid, 3), avoidTimeMax)
+	if until := last + d; until != w.avoidUntil {
+		w.avoidUntil = until
+		c.trace(Event{Name: "worker_avoided", Worker: w.ID, Service: w.Service, Reason: "failures", Took: until - now})
 	}
 }
 
-// endAvoidance forgets the failures of a worker on which a long-running item serves that
-// was started after the last of them.
-func (c *Core) endAvoidance(cp *itemCopy, now Time) {
+// runWorked forgets the failures of a worker. It ends its avoidance if the run, whose item
+// is done or serves its users, was started after the last of them.
+func (c *Core) runWorked(cp *itemCopy, reason string, now Time) {
 	w := cp.worker
-	if w.failures == 0 || cp.adopted || cp.startedAt < w.failedAt {
+	if cp.adopted || cp.startedAt < w.failedAt {
 		return
 	}
+	w.blames = nil
+	c.endAvoidance(w, reason, now)
+}
+
+func (c *Core) endAvoidance(w *worker, reason string, now Time) {
 	if now < w.avoidUntil {
-		c.trace(Event{Name: "worker_usable", Worker: w.ID, Service: w.Service, Reason: "item_serves", Took: w.avoidUntil - now})
+		c.trace(Event{Name: "worker_usable", Worker: w.ID, Service: w.Service, Reason: reason, Took: w.avoidUntil - now})
 	}
-	w.failures, w.avoidUntil = 0, 0
+	w.avoidUntil = 0
 }
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -213,7 +213,8 @@
 		if cp.served() {
 			cp.item.troubles = 0
 			c.clearSuspicion(cp)
-			c.endAvoidance(cp, now)
+			c.stepWorked(cp.item.step, now)
+			c.runWorked(cp, "item_serves", now)
 		}
 		return
 	}
@@ -357,10 +358,11 @@
 	}
 	switch end.Kind {
 	case EndDone:
-		w.failures = 0
 		if cp != nil {
 			c.learnRunTime(i.step, took)
+			c.runWorked(cp, "item_done", now)
 		}
+		c.stepWorked(i.step, now)
 		c.handleDone(i, end.Run.Number, now)
 	case EndFailed:
 		c.handleFailure(w, i, end.Run.Number, now)
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -273,13 +273,12 @@
 	if !s.spec.Charge().Fits(eligible.maxFree) && len(lastChoice) == 0 {
 		return
 	}
-	workers := eligible.workers
 	tickets, ok := c.ticketsFor(s, cand.queue, now)
 	if !ok {
 		return
 	}
 	if s.spec.Gang {
-		c.placeGang(o, s, workers, lastChoice, tickets, now)
+		c.placeGang(o, s, eligible, lastChoice, tickets, now)
 		return
 	}
 	// place reports whether the item was started.
@@ -287,12 +286,13 @@
 		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
 			return false
 		}
-		w := cmp.Or(c.chooseWorker(i, workers, tickets), c.chooseWorker(i, lastChoice, tickets))
+		w := cmp.Or(c.chooseWorker(i, eligible.workers, tickets), c.chooseWorker(i, lastChoice, tickets))
 		if w == nil {
 			return false
 		}
 		run := max(i.lastRun+1, c.firstRun)
 		o.Starts = append(o.Starts, c.start(s.item(i.index), w, run, i.saved, tickets, now))
+		eligible.trialStarted(w, now)
 		return true
 	}
 	for _, i := range s.tracked {
@@ -409,7 +409,7 @@
 // With SameRack it first tries each rack alone, then all workers together; those of
 // lastChoice only take the items that no other worker takes. All items start from the same
 // checkpoint: that of the last item that has one.
-func (c *Core) placeGang(o *Orders, s *step, workers, lastChoice []*worker, tickets map[string]string, now Time) {
+func (c *Core) placeGang(o *Orders, s *step, eligible *eligibleWorkers, lastChoice []*worker, tickets map[string]string, now Time) {
 	run, saved := c.firstRun, ""
 	for _, i := range s.tracked {
 		if !i.startable() || now < i.notBefore {
@@ -420,9 +420,9 @@
 			saved = i.saved
 		}
 	}
-	groups := [][]*worker{workers}
+	groups := [][]*worker{eligible.workers}
 	if s.spec.SameRack {
-		groups = append(byRack(workers), workers)
+		groups = append(byRack(eligible.workers), eligible.workers)
 	}
 	for n, group := range groups {
 		var others []*worker
@@ -435,6 +435,7 @@
 		}
 		for n, w := range chosen {
 			o.Starts = append(o.Starts, c.start(s.item(n), w, run, saved, tickets, now))
+			eligible.trialStarted(w, now)
 		}
 		return
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -142,6 +142,10 @@
 	readyAt Time
 	// copies is the number of copies on each worker.
 	copies map[*worker]int
+	// failed is set once an item has failed or stalled, worked once one was done or served
+	// its users.
+	failed *failedStep
+	worked bool
 	// toIsolate is the number of items that have to run isolated.
 	toIsolate int
 	// pending is set while the step is in Core.pendingSteps.
@@ -234,10 +238,11 @@
 	pendingEnds                                 []pendingEnd
 	// endsCutOff is set if the last report may not have listed all ends.
 	endsCutOff bool
-	// failures counts the failures in a row, the last of them at failedAt. The worker gets no
-	// work until avoidUntil because of them, but for long-running items without another
-	// worker, and none at all until pausedUntil because of a start that was not carried out.
-	failures                          int
+	// blames holds the failures since a run worked, the last of them at failedAt. The worker gets no
+	// work until avoidUntil because of them, but for long-running items and a trial without
+	// another worker, and none at all until pausedUntil because of a start that was not carried
+	// out.
+	blames                            []blame
 	failedAt, avoidUntil, pausedUntil Time
 	// silent is set when a hold gets no answer, until the next report.
 	// silentSinceLapse is set once the leases of a silent worker have lapsed.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -72,7 +72,7 @@
 	w.restarted = true
 	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds, w.endsCutOff = 0, 0, 0, nil, false
-	w.failures, w.avoidUntil, w.pausedUntil, w.largestMilliCPU = 0, 0, 0, 0
+	w.blames, w.avoidUntil, w.pausedUntil, w.largestMilliCPU = nil, 0, 0, 0
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
 }
 
