Play timed jobs in the model of owners and workers

The model of TestNoItemRunsTwice had no jobs with several occurrences. It has now, some of which wait behind others of their job, and checks that none starts before it is due.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -60,16 +60,15 @@
 	// retryPause is the pause before a failed call is repeated. A refused write is
 	// repeated only once.
 	retryPause = 20 * time.Millisecond
-	// unknownCancelRate and unknownCancelBurst bound the cancellations of unknown jobs,
-	// each of which takes a write and a record that is kept for as long as a finished job.
-	// The rate is more than twice that of the jobs which an entry VM gets in the largest
-	// burst of the sites, 8 a second, and the burst is that of 5 s.
+	// unknownCancelRate, in cancellations a second, and unknownCancelBurst bound those of
+	// unknown jobs, each of which takes a record that is kept for as long as a finished job.
+	// In the largest burst of the sites an entry VM gets 8 jobs a second. The rate allows
+	// twice as many to be cancelled before they are accepted, and the burst 5 s of it.
 	unknownCancelRate  = 20
 	unknownCancelBurst = 100
 	// backlogWait is how long one watch call on the backlog waits for changes. A connection
-	// that went silent is noticed only when the wait is over; the memory that is left for
-	// what runs is more than is accepted meanwhile.
-	backlogWait = 10 * time.Second
+	// that went silent is noticed only when the wait is over.
+	backlogWait = 5 * time.Second
 )
 
 // Intake stores new jobs and cancellations, and answers questions about jobs.
@@ -78,7 +77,7 @@
 	health         *store.Health
 	queue          chan *submission
 	unknownCancels *rate.Limiter
-	// backlog is what the owner says of its memory.
+	// backlog names the full queues. It is nil while the owner has named none.
 	backlog atomic.Pointer[jobstore.Backlog]
 }
 
@@ -128,7 +127,8 @@
 	}
 }
 
-// followBacklog takes what the owner says of its memory until ctx ends.
+// followBacklog keeps up with the full queues that the owner names, until ctx ends. Calls
+// that fail are counted with all calls to the store.
 func (in *Intake) followBacklog(ctx context.Context) {
 	note := func(i store.Item) {
 		// A record that cannot be decoded refuses no jobs; the next owner logs it.
--- a/owner/term.go
+++ b/owner/term.go
@@ -114,7 +114,8 @@
 	t := &term{
 		Owner: o, ownership: ownership, holdLoops: map[string]*holdLoop{}, queuedRecords: map[string][]byte{}, written: map[string]string{},
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
-		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, earlyCancellations: map[string]earlyCancellation{}, fullQueues: map[string]bool{}, forgotten: map[string]int64{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
+		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, forgotten: map[string]int64{}, fullQueues: map[string]bool{},
+		earlyCancellations: map[string]earlyCancellation{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
 		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
--- a/owner/write.go
+++ b/owner/write.go
@@ -120,7 +120,7 @@
 }
 
 // forgetCancellationsLocked queues the deletion of the early cancellations that were kept
-// for as long as finished jobs. A submission that is read later is accepted.
+// for as long as finished jobs. Their jobs would be accepted from then on.
 func (t *term) forgetCancellationsLocked(now time.Duration) {
 	for id, e := range t.earlyCancellations {
 		if now-e.foundAt > t.options.KeepFinished {
@@ -131,9 +131,8 @@
 }
 
 // deletionOf returns the deletion of all records of a job whose inbox record has the given
-// revision. They belong into one
-// transaction: an owner that found the job in the inbox without its progress would run
-// it again.
+// revision. They belong into one transaction: an owner that found the job in the inbox
+// without its progress would run it again.
 func deletionOf(id string, revision int64) []jobstore.Record {
 	return []jobstore.Record{{Key: jobstore.JobKey(id), Revision: revision}, {Key: jobstore.CancelKey(id)}, {Key: jobstore.ProgressKey(id)}}
 }
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -40,6 +40,8 @@
 	// scheduled are the jobs that MarkDue still has to look at: new ones and those
 	// with occurrences that are not due yet or wait behind others.
 	scheduled map[*jobState]struct{}
+	// maxWaitingSteps is the constant of this name, except in tests.
+	maxWaitingSteps int
 	// firstRun is the lowest run number that this owner gives to a run. It is
 	// above any number that a former owner can have used.
 	firstRun int64
@@ -95,6 +97,7 @@
 		droppedLifetimes: map[string]droppedLifetime{},
 		lostAt:           map[string][]*item{},
 		scheduled:        map[*jobState]struct{}{},
+		maxWaitingSteps:  maxWaitingSteps,
 		firstRun:         term*runsPerTerm + 1,
 		formerHolders:    map[string]Time{},
 		advice:           map[ticketKey]*advice{},
--- a/scheduler/execution/memory.go
+++ b/scheduler/execution/memory.go
@@ -27,7 +27,7 @@
 	return n + int64(open)*occurrence
 }
 
-// reckon updates held for a job that was added, has ended or, with removed set, is
+// reckon updates held after a job was added or has ended, or, with removed set, before it is
 // dropped.
 func (c *Core) reckon(j *jobState, removed bool) {
 	before := j.heldBytes
--- a/scheduler/execution/occurrences.go
+++ b/scheduler/execution/occurrences.go
@@ -8,13 +8,12 @@
 	"dotterelhead.example/dotterelhead/job"
 )
 
-// maxWaitingSteps bounds, for a job with several occurrences, the steps of the occurrences
-// that have work to place. While a job has that many, no further occurrence is opened. They
-// take some 200 kB and are more than a round can start.
+// maxWaitingSteps bounds the steps of those open occurrences of a job that have work to
+// place: while there are that many, no further occurrence is opened. At some 400 bytes a step
+// they take 200 kB.
 const maxWaitingSteps = 512
 
-// occurrence is the state of one run of a job's steps. It exists once the occurrence is due
-// or a run of it is known, until it is done and nothing of it runs.
+// occurrence is the state of one run through a job's steps.
 type occurrence struct {
 	number int
 	steps  []*step
@@ -50,10 +49,11 @@
 // occurrenceSet holds the occurrences of a job. A job may have thousands, most of which are
 // not due, wait behind others, or are done. These take no memory but a bit.
 type occurrenceSet struct {
-	// open holds the others in the order of their numbers.
+	// open holds the other occurrences in the order of their numbers: those that were found
+	// to be due or of which a run is known, until they are done and nothing of them runs.
 	open []*occurrence
-	// finished are those of which all items are done, next the lowest that was not yet found
-	// to be due, and left the number of those that are not done.
+	// finished are the occurrences of which all items are done, and left is the number of
+	// the others. All occurrences below next are open or finished.
 	finished   bitSet
 	next, left int
 }
@@ -125,7 +125,7 @@
 		if _, known := j.find(j.next); known || j.finished.has(j.next) {
 			continue
 		}
-		if waiting >= maxWaitingSteps {
+		if waiting >= c.maxWaitingSteps {
 			return false
 		}
 		o := j.occurrence(j.next)
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -45,11 +45,10 @@
 	if p.Progress.Phase != job.Completed {
 		return
 	}
-	for n, step := range s.jobs[p.JobID].Steps {
-		for index := range step.Count {
-			if id := (job.ItemID{Job: p.JobID, Step: n, Index: index}); !s.item(id).done() {
-				s.t.Fatalf("job %s is recorded as completed, but %v is not done", p.JobID, id)
-			}
+	j := s.jobs[p.JobID]
+	for number := range j.ItemsPerOccurrence() * j.OccurrenceCount() {
+		if id := itemOf(j, number); !s.item(id).done() {
+			s.t.Fatalf("job %s is recorded as completed, but %v is not done", p.JobID, id)
 		}
 	}
 }
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -197,8 +197,7 @@
 	if rapid.Bool().Draw(s.t, "new process") {
 		s.manifest = &job.Manifest{Version: s.manifest.Version, Queues: s.manifest.Queues}
 	}
-	s.core.SetManifest(s.manifest)
-	s.core.SetFormerHolders(s.holders, s.now)
+	s.prepare()
 	for _, w := range s.workers {
 		if w.backAt == 0 {
 			s.core.WorkerSeen(w.Worker, s.now)
@@ -276,6 +275,7 @@
 		second.After = []int{0}
 		j.Steps = append(j.Steps, second)
 	}
+	s.schedule(j)
 	s.jobs[id] = j
 	oneOf := 10
 	if s.manyCrashes {
@@ -314,10 +314,11 @@
 	s.t.Logf("%v %s starts %v", s.now, w.ID, st.Run)
 	i.starts = append(i.starts, simStart{run: st.Run.Number, at: s.now, endsBefore: len(i.ends), late: late})
 	s.check(st.Item)
+	s.checkDue(st.Item)
 	spec := s.jobs[st.Item.Job].Steps
 	for _, before := range spec[st.Item.Step].After {
 		for n := range spec[before].Count {
-			if !s.item(job.ItemID{Job: st.Item.Job, Step: before, Index: n}).done() {
+			if !s.item(job.ItemID{Job: st.Item.Job, Occurrence: st.Item.Occurrence, Step: before, Index: n}).done() {
 				s.t.Fatalf("%v starts before item %d of step %d is done", st.Run, n, before)
 			}
 		}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -238,10 +238,10 @@
 	pendingEnds                                 []pendingEnd
 	// endsCutOff is set if the last report may not have listed all ends.
 	endsCutOff bool
-	// blames holds the failures since a run worked, the last of them at failedAt. The worker gets no
-	// work until avoidUntil because of them, but for long-running items and a trial without
-	// another worker, and none at all until pausedUntil because of a start that was not carried
-	// out.
+	// blames holds the failures since a run worked, the last of them at failedAt. Because of
+	// them the worker gets no work until avoidUntil, but for long-running items and a trial
+	// if there is no other worker. It gets none at all until pausedUntil because of a start
+	// that was not carried out.
 	blames                            []blame
 	failedAt, avoidUntil, pausedUntil Time
 	// silent is set when a hold gets no answer, until the next report.
