Keep no dropped jobs with the failures of workers

The failures that count against a worker named the job of their step by its state, so that up to 16 jobs a worker stayed in memory after they were removed, until a run worked there. They name it by ID.

--- a/scheduler/execution/failures.go
+++ b/scheduler/execution/failures.go
@@ -99,7 +99,8 @@
 // failedStep is what is known of the failures and stalls of a step's items. A step that
 // fails wherever it runs is the cause itself.
 type failedStep struct {
-	job     *jobState
+	// job is the ID of the step's job, which may be dropped before the failures are forgotten.
+	job     string
 	workers map[*worker]bool
 	// isCause is set if the failures do not count against the workers.
 	isCause bool
@@ -121,7 +122,7 @@
 func (c *Core) recordFailure(w *worker, i *item, now Time) {
 	s := i.step
 	if s.failed == nil {
-		s.failed = &failedStep{job: s.job, workers: map[*worker]bool{}}
+		s.failed = &failedStep{job: s.job.ID, workers: map[*worker]bool{}}
 	}
 	s.failed.workers[w] = true
 	if i.troubles++; i.troubles <= maxBlamedWorkers {
@@ -189,7 +190,7 @@
 // against it: those of steps that are not the cause themselves, or of all steps if too many
 // jobs are causes.
 func (c *Core) updateAvoidance(w *worker, now Time) {
-	causes := map[*jobState]bool{}
+	causes := map[string]bool{}
 	for _, b := range w.blames {
 		if b.step.isCause {
 			causes[b.step.job] = true
