--- a/job/job.go
+++ b/job/job.go
@@ -113,6 +113,9 @@
 	// service. They are nil in records that were written by versions of the program
 	// that did not keep them. AcceptedQueue returns them together with Service.
 	Settings *VersionedQueue `json:"qs,omitempty"`
+	// Organisation is the name of the organisation whose key the request had. It is empty
+	// for jobs of public queues, and where the manifest has no organisations.
+	Organisation string `json:"o,omitempty"`
 	// Accepted is the wall-clock time at the entry VM that accepted the job.
 	Accepted time.Time `json:"at,omitzero"`
 	// Spec is the requester's description of the work, which is passed to the
--- a/job/manifest.go
+++ b/job/manifest.go
@@ -26,6 +26,8 @@
 	// Timeout is how long a requester's call may take.
 	Timeout time.Duration `json:"-"`
 	Advice  *Advice       `json:"advice,omitempty"`
+	// Public queues take requests without a key, and their jobs belong to no organisation.
+	Public bool `json:"-"`
 }
 
 // VersionedQueue is a queue as a manifest had it.
@@ -60,6 +62,8 @@
 	// Former holds the queues that the manifest does not have and earlier ones had, as
 	// the last of them had them, the last removed queues first.
 	Former []VersionedQueue
+	// Organisations are nil if the deployment knows none; then requests need no keys.
+	Organisations *Organisations
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
 }
