--- a/command/job.go
+++ b/command/job.go
@@ -22,6 +22,10 @@
 // phase of the job.
 const phasePollInterval = 100 * time.Millisecond
 
+// keyVariable is the environment variable with the key of an organisation, which --key
+// overrides.
+const keyVariable = "DOTTERELHEAD_KEY"
+
 // jobFile is the TOML file in which users describe a job.
 type jobFile struct {
 	Spec  string     `toml:"spec"`
@@ -75,16 +79,20 @@
 // job returns the command `job` with its subcommands.
 func (t *tool) job() *cobra.Command {
 	var entries []string
-	var queue string
+	var queue, key string
 	c := &cobra.Command{Use: "job", Short: "Submit, show and cancel jobs"}
 	c.PersistentFlags().StringSliceVar(&entries, "entry", []string{"127.0.0.1:8080"}, "address of an entry VM's caller listener, repeatable; tried in turn")
 	c.PersistentFlags().StringVar(&queue, "queue", "", "the queue as HOST/PREFIX")
+	c.PersistentFlags().StringVar(&key, "key", "", "key of your organisation; the variable "+keyVariable+" keeps it out of the list of processes")
 	run := func(f func(ctx context.Context, r *platform.JobClient, argument string) error) func(*cobra.Command, []string) error {
 		return func(c *cobra.Command, args []string) error {
 			r, err := platform.NewJobClient(entries, queue)
 			if err != nil {
 				return err
 			}
+			if r.Key = key; key == "" {
+				r.Key = os.Getenv(keyVariable)
+			}
 			argument := ""
 			if len(args) > 0 {
 				argument = args[0]
@@ -172,7 +180,7 @@
 	switch {
 	case errors.Is(err, intake.ErrOutcomeUnknown), errors.Is(err, intake.ErrNotAccepted):
 		return exitError{ExitUnreachable, err}
-	case errors.Is(err, intake.ErrJobNotFound):
+	case errors.Is(err, intake.ErrJobNotFound), errors.Is(err, platform.ErrUnknownKey):
 		return exitError{ExitFindings, err}
 	}
 	return err
