Isolate organisations, and check keys by a confirmed manifest only

Cause: any organisation could see, cancel and, with an ID of its choice, seem to own the jobs of others. An entry VM that the store turned away went by the keys of its last manifest for as long as single calls got through. Bad organisations (a key of two, a weight of 0) were followed, and an empty key in a manifest let requests without one in. Change: jobs of another organisation get 410, a POST of their ID 409; an early cancellation names its organisations and is replaced by the job of another. Where the manifest has organisations, every answer needs a manifest that was confirmed within 0.95 of bounds.config_apply_ms; otherwise the request reads it, and gets 503 if that fails. Manifests with errors in organisations are rejected as a whole. The age of the manifest is taken on a clock that runs while the machine is suspended; the wall clock could hide it. Metrics by organisation, log lines about changes of organisations and rejections.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -36,6 +36,9 @@
 	// ErrBacklogFull reports that a job was not accepted because the jobs of its queue take
 	// as much memory as they may. It is an ErrNotAccepted.
 	ErrBacklogFull = errors.WithMessage(ErrNotAccepted, "too many jobs of the queue wait")
+	// ErrIDTaken reports that a job was not accepted because another organisation has a job
+	// of the same ID. It is an ErrNotAccepted.
+	ErrIDTaken = errors.WithMessage(ErrNotAccepted, "the ID belongs to a job of another organisation")
 	// ErrBusy reports that too many unknown jobs were cancelled lately, and nothing was
 	// done.
 	ErrBusy = errors.New("too many cancellations of unknown jobs")
@@ -84,9 +87,14 @@
 // submission is a job that is waiting to be stored, or the cancellation of an unknown job,
 // which takes the place of the job's record.
 type submission struct {
-	key          string
-	value        []byte
-	cancellation bool
+	key   string
+	value []byte
+	// organisation and queue are those of the job, or organisation that of the requester who
+	// cancels.
+	organisation, queue string
+	cancellation        bool
+	// revision is that of the early cancellation which the write replaces, or 0.
+	revision int64
 	// uncertain is set once a write got no answer: it may still take effect.
 	uncertain bool
 	// refusals counts the writes that the store refused.
@@ -179,9 +187,9 @@
 	if err != nil {
 		return errors.Wrap(ErrNotAccepted, err.Error())
 	}
-	s := &submission{key: jobstore.JobKey(j.ID), value: value, done: make(chan error, 1)}
+	s := &submission{key: jobstore.JobKey(j.ID), value: value, organisation: j.Organisation, queue: j.Queue, done: make(chan error, 1)}
 	if b := in.backlog.Load(); b != nil && slices.Contains(b.FullQueues, j.Queue) {
-		return in.acceptedBefore(s.key)
+		return in.acceptedBefore(s)
 	}
 	if err := in.enqueue(s); err != nil {
 		return err
@@ -191,19 +199,20 @@
 
 // acceptedBefore returns the answer to a submission while its queue is full: only a job
 // that is stored already was accepted.
-func (in *Intake) acceptedBefore(key string) error {
+func (in *Intake) acceptedBefore(s *submission) error {
 	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
 	defer cancel()
-	item, err := in.store.Get(ctx, key)
+	item, err := in.store.Get(ctx, s.key)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 		return errors.WithStack(ErrBacklogFull)
 	case err != nil:
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
-	case jobstore.IsEarlyCancellation(item.Value):
-		return errors.WithStack(ErrCancelled)
 	}
-	return nil
+	if answered, err := s.existing(item); answered {
+		return err
+	}
+	return errors.WithStack(ErrBacklogFull)
 }
 
 func (in *Intake) enqueue(s *submission) error {
@@ -232,7 +241,7 @@
 	for len(batch) > 0 {
 		tx := store.Transaction{}
 		for _, s := range batch {
-			tx.Conditions = append(tx.Conditions, store.Condition{Key: s.key})
+			tx.Conditions = append(tx.Conditions, store.Condition{Key: s.key, Revision: s.revision})
 			tx.Writes = append(tx.Writes, store.Write{Key: s.key, Value: s.value})
 		}
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -265,8 +274,8 @@
 	}
 }
 
-// answerExisting answers the submissions whose keys exist already, and returns the
-// others.
+// answerExisting answers the submissions whose keys exist already, and returns those that
+// are still to be written.
 func answerExisting(batch []*submission, items []store.Item) []*submission {
 	existing := map[string]store.Item{}
 	for _, i := range items {
@@ -275,17 +284,15 @@
 	return remove(batch, func(s *submission) bool {
 		item, exists := existing[s.key]
 		if !exists {
+			// An early cancellation that was to be replaced may be gone meanwhile.
+			s.revision = 0
 			return false
 		}
-		switch cancelled := jobstore.IsEarlyCancellation(item.Value); {
-		case cancelled == s.cancellation:
-			s.done <- nil
-		case cancelled:
-			s.done <- errors.WithStack(ErrCancelled)
-		default:
-			s.done <- errors.WithStack(errAccepted)
+		answered, err := s.existing(item)
+		if answered {
+			s.done <- err
 		}
-		return true
+		return answered
 	})
 }
 
@@ -319,8 +326,9 @@
 	}
 }
 
-// Phase returns the phase of a job.
-func (in *Intake) Phase(ctx context.Context, id string) (job.Phase, error) {
+// Phase returns the phase of a job for a requester of the given organisation, or of none if it
+// is empty. A job of another organisation is not found.
+func (in *Intake) Phase(ctx context.Context, id, organisation string) (job.Phase, error) {
 	if in.health.Down() {
 		return "", errors.WithStack(ErrStoreDown)
 	}
@@ -330,6 +338,9 @@
 		if err := json.Unmarshal(item.Value, &p); err != nil {
 			return "", errors.Wrapf(err, "decode progress of job %s", id)
 		}
+		if !visible(p.Organisation, organisation) {
+			return "", errors.WithStack(ErrJobNotFound)
+		}
 		return p.Phase, nil
 	}
 	if !errors.Is(err, store.ErrNotFound) {
@@ -342,31 +353,45 @@
 	if err != nil {
 		return "", err
 	}
+	belongsTo, _, err := jobstore.JobOrganisation(item.Value)
+	if err != nil {
+		return "", err
+	}
+	if !visible(belongsTo, organisation) {
+		return "", errors.WithStack(ErrJobNotFound)
+	}
 	return job.Queued, nil
 }
 
-// Cancel stores that a job is cancelled. It returns ErrJobNotFound for an unknown job
-// once no submission that is still on its way can be accepted any more.
-func (in *Intake) Cancel(ctx context.Context, id string) error {
+// Cancel stores that a job is cancelled, for a requester of the given organisation, or of
+// none if it is empty. It returns ErrJobNotFound for an unknown job, and for one of another
+// organisation, once no submission of the same organisation that is still on its way can be
+// accepted any more.
+func (in *Intake) Cancel(ctx context.Context, id, organisation string) error {
 	if in.health.Down() {
 		return errors.WithStack(ErrStoreDown)
 	}
 	admitted := false
 	for {
 		item, err := in.store.Get(ctx, jobstore.JobKey(id))
+		early := err == nil && jobstore.IsEarlyCancellation(item.Value)
 		switch {
-		case errors.Is(err, store.ErrNotFound):
+		case errors.Is(err, store.ErrNotFound), early:
+			s := &submission{
+				key: jobstore.JobKey(id), value: jobstore.EarlyCancellation(organisation), organisation: organisation, cancellation: true,
+				done: make(chan error, 1),
+			}
+			if early {
+				if answered, err := s.existing(item); answered {
+					return notFoundIfNil(err)
+				}
+			}
 			if admitted = admitted || in.unknownCancels.Allow(); !admitted {
 				return errors.WithStack(ErrBusy)
 			}
-			err = in.cancelUnknown(ctx, id)
-		case err == nil && jobstore.IsEarlyCancellation(item.Value):
-			return errors.WithStack(ErrJobNotFound)
+			err = in.cancelUnknown(ctx, s)
 		case err == nil:
-			_, err = in.store.Commit(ctx, store.Transaction{
-				Conditions: []store.Condition{{Key: item.Key, Revision: item.Revision}},
-				Writes:     []store.Write{{Key: jobstore.CancelKey(id), Value: []byte("{}")}},
-			})
+			err = in.cancelAccepted(ctx, id, organisation, item)
 		}
 		if err == nil || errors.Is(err, ErrJobNotFound) {
 			return err
@@ -379,25 +404,45 @@
 	}
 }
 
+// cancelAccepted stores the cancellation of a job whose record is item.
+func (in *Intake) cancelAccepted(ctx context.Context, id, organisation string, item store.Item) error {
+	belongsTo, _, err := jobstore.JobOrganisation(item.Value)
+	if err != nil {
+		return err
+	}
+	if !visible(belongsTo, organisation) {
+		return errors.WithStack(ErrJobNotFound)
+	}
+	_, err = in.store.Commit(ctx, store.Transaction{
+		Conditions: []store.Condition{{Key: item.Key, Revision: item.Revision}},
+		Writes:     []store.Write{{Key: jobstore.CancelKey(id), Value: []byte("{}")}},
+	})
+	return err
+}
+
 // cancelUnknown stores the cancellation of a job that is not stored, and returns
 // ErrJobNotFound. Any other error means that this is not certain, or that the job was
 // accepted meanwhile.
-func (in *Intake) cancelUnknown(ctx context.Context, id string) error {
-	s := &submission{key: jobstore.JobKey(id), value: jobstore.EarlyCancellation(), cancellation: true, done: make(chan error, 1)}
+func (in *Intake) cancelUnknown(ctx context.Context, s *submission) error {
 	if err := in.enqueue(s); err != nil {
 		return err
 	}
 	select {
 	case err := <-s.done:
-		if err != nil {
-			return err
-		}
-		return errors.WithStack(ErrJobNotFound)
+		return notFoundIfNil(err)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
+// notFoundIfNil returns the answer to a cancellation of an unknown job that was stored.
+func notFoundIfNil(err error) error {
+	if err == nil {
+		return errors.WithStack(ErrJobNotFound)
+	}
+	return err
+}
+
 // WaitingJobs returns how many jobs of a queue wait for their first start,
 // according to the counts that the owner of the jobs wrote last.
 func (in *Intake) WaitingJobs(ctx context.Context, queue string) (int, error) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -100,7 +100,7 @@
 	if err := in.Submit(testJob(1)); !errors.Is(err, ErrNotAccepted) {
 		t.Errorf("submit: %v, want a refusal", err)
 	}
-	if _, err := in.Phase(context.Background(), testJob(1).ID); !errors.Is(err, ErrStoreDown) {
+	if _, err := in.Phase(context.Background(), testJob(1).ID, ""); !errors.Is(err, ErrStoreDown) {
 		t.Errorf("phase: %v, want ErrStoreDown", err)
 	}
 	if took := time.Since(started); took > 50*time.Millisecond {
@@ -121,7 +121,7 @@
 	}
 	s.OutcomeOf = nil
 	for n := 1; n <= 2; n++ {
-		if err := in.Cancel(ctx, testJob(n).ID); !errors.Is(err, ErrJobNotFound) {
+		if err := in.Cancel(ctx, testJob(n).ID, ""); !errors.Is(err, ErrJobNotFound) {
 			t.Fatalf("cancellation of unknown job %d: %v", n, err)
 		}
 	}
@@ -130,7 +130,7 @@
 		t.Errorf("submission after the cancellation: %v, want ErrCancelled", err)
 	}
 	for n := 1; n <= 2; n++ {
-		if phase, err := in.Phase(ctx, testJob(n).ID); !errors.Is(err, ErrJobNotFound) {
+		if phase, err := in.Phase(ctx, testJob(n).ID, ""); !errors.Is(err, ErrJobNotFound) {
 			t.Errorf("job %d is %s after its cancellation was answered: %v", n, phase, err)
 		}
 	}
@@ -148,7 +148,7 @@
 	var found, refused atomic.Int32
 	for n := range 3 * unknownCancelBurst {
 		group.Go(func() {
-			switch err := in.Cancel(ctx, testJob(n).ID); {
+			switch err := in.Cancel(ctx, testJob(n).ID, ""); {
 			case errors.Is(err, ErrJobNotFound):
 				found.Add(1)
 			case errors.Is(err, ErrBusy):
@@ -166,7 +166,7 @@
 	if n := int(found.Load()); len(items) != n || n < unknownCancelBurst || refused.Load() == 0 {
 		t.Errorf("%d cancellations were answered, %d refused, and %d records are stored", n, refused.Load(), len(items))
 	}
-	if err := in.Cancel(ctx, testJob(0).ID); !errors.Is(err, ErrJobNotFound) && !errors.Is(err, ErrBusy) {
+	if err := in.Cancel(ctx, testJob(0).ID, ""); !errors.Is(err, ErrJobNotFound) && !errors.Is(err, ErrBusy) {
 		t.Errorf("repeated cancellation: %v", err)
 	}
 }
@@ -180,7 +180,7 @@
 	if err := in.Submit(testJob(1)); err != nil {
 		t.Fatal(err)
 	}
-	if err := in.Cancel(ctx, testJob(2).ID); !errors.Is(err, ErrJobNotFound) {
+	if err := in.Cancel(ctx, testJob(2).ID, ""); !errors.Is(err, ErrJobNotFound) {
 		t.Fatalf("cancellation of an unknown job: %v", err)
 	}
 	setBacklog := func(queues ...string) {
@@ -346,9 +346,9 @@
 	case "submit":
 		err = in.Submit(&job.Job{ID: o.id, Steps: []job.Step{{Count: 1}}})
 	case "phase":
-		_, err = in.Phase(ctx, o.id)
+		_, err = in.Phase(ctx, o.id, "")
 	case "cancel":
-		err = in.Cancel(ctx, o.id)
+		err = in.Cancel(ctx, o.id, "")
 	}
 	switch {
 	case err == nil:
--- a/job/organisation.go
+++ b/job/organisation.go
@@ -1,5 +1,16 @@
 package job
 
+// Limits of the organisations of a manifest.
+const (
+	// MaxKeyBytes bounds a key. Usual API keys and signed tokens are shorter.
+	MaxKeyBytes = 1024
+	// MaxOrganisationNameBytes bounds a name, which is in the records of jobs, in log lines
+	// and in labels of metrics.
+	MaxOrganisationNameBytes = 128
+	// MaxWeight keeps sums and quotients of weights finite.
+	MaxWeight = 1e6
+)
+
 // Organisation is a customer in whose name jobs are submitted.
 type Organisation struct {
 	Name string
@@ -40,7 +51,7 @@
 
 // ByKey returns the organisation that has the key, or nil. o may be nil.
 func (o *Organisations) ByKey(key string) *Organisation {
-	if o == nil {
+	if o == nil || len(key) > MaxKeyBytes {
 		return nil
 	}
 	return o.byKey[key]
@@ -53,3 +64,46 @@
 	}
 	return len(o.byName)
 }
+
+// OrganisationChanges counts what differs between the organisations of two manifests.
+type OrganisationChanges struct {
+	Added, Removed         int
+	KeysAdded, KeysRemoved int
+	// Changed is the number of organisations whose weight or cap differs.
+	Changed int
+}
+
+// ChangesSince compares o with the organisations of the manifest before. Both may be nil. A
+// key that now belongs to another organisation counts as removed and added.
+func (o *Organisations) ChangesSince(before *Organisations) OrganisationChanges {
+	if o == nil {
+		o = NewOrganisations()
+	}
+	if before == nil {
+		before = NewOrganisations()
+	}
+	var c OrganisationChanges
+	c.Added, c.KeysAdded = o.countMissingIn(before)
+	c.Removed, c.KeysRemoved = before.countMissingIn(o)
+	for name, organisation := range o.byName {
+		if former := before.byName[name]; former != nil && *former != *organisation {
+			c.Changed++
+		}
+	}
+	return c
+}
+
+// countMissingIn returns how many organisations and keys of o are not in other.
+func (o *Organisations) countMissingIn(other *Organisations) (organisations, keys int) {
+	for name := range o.byName {
+		if other.byName[name] == nil {
+			organisations++
+		}
+	}
+	for key, organisation := range o.byKey {
+		if former := other.byKey[key]; former == nil || former.Name != organisation.Name {
+			keys++
+		}
+	}
+	return organisations, keys
+}
--- a/job/progress.go
+++ b/job/progress.go
@@ -19,6 +19,8 @@
 // writes it, under the condition that it still owns the job.
 type Progress struct {
 	Phase Phase `json:"p"`
+	// Organisation is that of the job, so that its phase can be shown without reading the job.
+	Organisation string `json:"o,omitempty"`
 	// Done lists the work items that are done, by their number in the order of
 	// occurrence, step, index.
 	Done []int `json:"d,omitempty"`
--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -35,6 +35,11 @@
 	// maxManifestAge is how long an entry VM still reports itself ready after the
 	// manifest was last known to be current.
 	maxManifestAge = 3 * time.Second
+	// manifestAgeShare is the share of the bound for a new manifest up to which the manifest
+	// counts as the one in force where requests need keys. A request that was sent after the
+	// bound finds a manifest that was read after the new one was written; the rest allows for
+	// clocks that differ in rate.
+	manifestAgeShare = 0.95
 	// balancerDetectTime is how long the load balancer takes to detect that an
 	// entry VM is not ready: two checks, one per second.
 	balancerDetectTime = 2200 * time.Millisecond
@@ -87,7 +92,10 @@
 		scope.Tagged(map[string]string{"ok": strconv.FormatBool(err == nil)}).Counter("store_calls_total").Inc(1)
 		scope.Timer("store_call_seconds").Record(took)
 	}
-	operator := &platform.OperatorWatcher{Store: st, Log: o.Log}
+	operator := &platform.OperatorWatcher{
+		Store: st, Log: o.Log, StoreDown: health.Down, MaxAge: time.Duration(manifestAgeShare * float64(milliseconds(s.Bounds.ConfigApplyMs))),
+		OnRejected: func() { o.Scope.Counter("manifests_rejected_total").Inc(1) },
+	}
 	in := intake.New(st, health)
 	options := owner.Options{
 		Node: s.Node, Store: st, Workers: platform.NewWorkers(), Registry: &platform.Registry{Store: st, Log: o.Log},
@@ -106,11 +114,16 @@
 	if s.AdviceAddress != "" {
 		options.Advisor = platform.NewAdvisor(s.AdviceAddress)
 	}
-	jobHandler := &platform.JobHandler{Intake: in, Manifest: operator.Manifest, Log: o.Log}
-	jobHandler.OnResponse = func(call string, status int, took time.Duration) {
+	jobHandler := &platform.JobHandler{Intake: in, Manifest: operator.Manifest, ConfirmManifest: operator.Confirm, Log: o.Log}
+	labels := &organisationLabels{}
+	jobHandler.OnResponse = func(call, organisation string, status int, took time.Duration) {
 		tags := map[string]string{"call": call, "status": strconv.Itoa(status)}
 		o.Scope.Tagged(tags).Counter("requests_total").Inc(1)
 		o.Scope.Tagged(map[string]string{"call": call}).Timer("request_seconds").Record(took)
+		if organisation != "" {
+			tags := map[string]string{"organisation": labels.of(organisation), "status": strconv.Itoa(status)}
+			o.Scope.Tagged(tags).Counter("organisation_requests_total").Inc(1)
+		}
 	}
 	return &Server{options: o, health: health, operator: operator, intake: in, owner: owner.New(options), jobHandler: jobHandler}
 }
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -53,6 +53,10 @@
 	// MinOrderIntervalMs is the minimum time between the orders of successive
 	// owners for the same VM. It does not concern the handover of the ownership.
 	MinOrderIntervalMs int64 `toml:"hand_over_ms"`
+	// ConfigApplyMs is the time within which a new manifest has to take effect on all entry
+	// VMs. Where requests need keys, an entry VM answers none for which its manifest may be
+	// older.
+	ConfigApplyMs int64 `toml:"config_apply_ms"`
 	// StatusSeconds is how long the status of a finished job is kept.
 	StatusSeconds float64 `toml:"status_seconds"`
 	// UpkeepSeconds and MoveSeconds are how long a VM is down for its upkeep
@@ -74,7 +78,7 @@
 	return Settings{
 		LogLevel: "info", JobMemoryMB: defaultJobMemoryMB,
 		Bounds: Bounds{
-			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, MinOrderIntervalMs: 3000, StatusSeconds: 120,
+			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, MinOrderIntervalMs: 3000, ConfigApplyMs: 2000, StatusSeconds: 120,
 			UpkeepSeconds: 2, MoveSeconds: 1.5, MachineOrdersPerSecond: 64,
 		},
 	}
@@ -120,7 +124,7 @@
 	for path, value := range map[string]float64{
 		"bounds.grace_seconds": s.Bounds.GraceSeconds, "bounds.max_lease_ms": float64(s.Bounds.MaxLeaseMs),
 		"bounds.stop_timeout_ms": float64(s.Bounds.StopTimeoutMs), "bounds.status_seconds": s.Bounds.StatusSeconds,
-		"bounds.machine_orders_per_second": s.Bounds.MachineOrdersPerSecond,
+		"bounds.machine_orders_per_second": s.Bounds.MachineOrdersPerSecond, "bounds.config_apply_ms": float64(s.Bounds.ConfigApplyMs),
 	} {
 		if value <= 0 {
 			found.Add(index.At(path), "%s is not above 0", path)
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -3,8 +3,10 @@
 // the upkeep (planned maintenance) of a set of VMs.
 //
 //	inbox/job/ID      an accepted job, or an early cancellation: the mark that the job was
-//	                  cancelled before it was accepted; created once by the entry VM that
-//	                  took either
+//	                  cancelled before it was accepted; created by the entry VM that took
+//	                  either. A job never changes; an early cancellation may be replaced
+//	                  by one that names a further organisation, or by the job of an
+//	                  organisation that it does not name
 //	inbox/cancel/ID   the requester cancelled the accepted job
 //	progress/ID       what the job has done; written by the owner
 //	owner/lease       the owner; removed when the owner's own lease ends
@@ -19,7 +21,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // Keys and prefixes.
@@ -58,12 +63,58 @@
 	return id, true, ok
 }
 
-// earlyCancellation has no steps, so that it can be told from every job.
-const earlyCancellation = `{"cancelled_early":true}`
+// earlyCancellationStart begins the value of every early cancellation and of no job.
+const earlyCancellationStart = `{"cancelled_early":true`
+
+// earlyCancellation is the value of the key of a job that was cancelled before it was
+// accepted.
+type earlyCancellation struct {
+	CancelledEarly bool `json:"cancelled_early"`
+	// Organisations are those that cancelled the job. It is empty if only requesters without
+	// an organisation did.
+	Organisations []string `json:"by,omitempty"`
+}
 
 // EarlyCancellation returns the value of a job's key that marks the job as cancelled before
-// it was accepted.
-func EarlyCancellation() []byte { return []byte(earlyCancellation) }
+// it was accepted, by the given organisations. An empty name stands for requesters without
+// an organisation, and so does an empty list.
+func EarlyCancellation(organisations ...string) []byte {
+	if len(organisations) == 1 && organisations[0] == "" {
+		organisations = nil
+	}
+	value, err := json.Marshal(earlyCancellation{true, organisations})
+	if err != nil {
+		// A struct of a bool and strings can always be encoded.
+		panic(err)
+	}
+	return value
+}
 
 // IsEarlyCancellation reports whether the value of a job's key is an early cancellation.
-func IsEarlyCancellation(value []byte) bool { return bytes.Equal(value, []byte(earlyCancellation)) }
+func IsEarlyCancellation(value []byte) bool {
+	return bytes.HasPrefix(value, []byte(earlyCancellationStart))
+}
+
+// CancelledBy returns the organisations of an early cancellation, with an empty name for
+// requesters without one.
+func CancelledBy(value []byte) ([]string, error) {
+	var c earlyCancellation
+	if err := json.Unmarshal(value, &c); err != nil {
+		return nil, errors.Wrap(err, "decode early cancellation")
+	}
+	if len(c.Organisations) == 0 {
+		return []string{""}, nil
+	}
+	return c.Organisations, nil
+}
+
+// JobOrganisation returns the organisation and the queue of an accepted job from the value of
+// its key.
+func JobOrganisation(value []byte) (organisation, queue string, err error) {
+	var j struct {
+		Organisation string `json:"o"`
+		Queue        string `json:"q"`
+	}
+	err = json.Unmarshal(value, &j)
+	return j.Organisation, j.Queue, errors.Wrap(err, "decode organisation of a job")
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -377,6 +377,8 @@
 			continue
 		}
 		t.core.AddJob(j, progress[id], inherited, wall, now)
+		// The job may have replaced the cancellation of another organisation.
+		delete(t.earlyCancellations, id)
 		t.inboxRevisions[id] = item.Revision
 	}
 	for _, id := range cancelled {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -401,7 +401,7 @@
 
 // progress returns the durable record of a job.
 func (j *jobState) progress() job.Progress {
-	p := job.Progress{Phase: j.phase}
+	p := job.Progress{Phase: j.phase, Organisation: j.Organisation}
 	switch {
 	case j.final():
 	case j.begun:
--- a/store/follow.go
+++ b/store/follow.go
@@ -17,7 +17,7 @@
 const maxUnreadablePause = 8 * followRetryPause
 
 // FollowHandler receives the contents of a range of keys and its changes.
-// Synced and Failed may be nil.
+// Sending, Synced and Failed may be nil.
 type FollowHandler struct {
 	// Reset receives the whole contents, which replace what was received before.
 	// It is called first, unless FollowFrom was given a revision, and again
@@ -25,6 +25,9 @@
 	Reset func(items []Item, revision int64)
 	// Changed receives the changes in their order.
 	Changed func(events []Event)
+	// Sending is called before each call to the store, for a handler that needs another
+	// clock than that of Synced.
+	Sending func()
 	// Synced is called after each successful call to the store, with the time
 	// at which the call was sent. Every change before that time was received.
 	Synced func(sent time.Time)
@@ -46,6 +49,9 @@
 func FollowFrom(ctx context.Context, s Store, prefix string, revision int64, wait time.Duration, f FollowHandler) {
 	unreadablePause := followRetryPause
 	for ctx.Err() == nil {
+		if f.Sending != nil {
+			f.Sending()
+		}
 		sent := time.Now()
 		var err error
 		if revision < 0 {
