Withdraw keys in the soak, and check that they are not served

Cause: no test with processes used organisations. Change: TestJobSoak submits as three organisations and withdraws keys; requests with withdrawn keys go to all entry VMs all the while. The faults of a seed stay as they were, since withdrawals are drawn from a generator of their own.

--- a/processtest/crash_test.go
+++ b/processtest/crash_test.go
@@ -15,7 +15,7 @@
 	r := c.requester()
 	for _, j := range jobs {
 		c.eventually(timeout, "failure of job "+j.ID, func() bool {
-			phase, err := r.Phase(context.Background(), j.ID)
+			phase, err := c.keyed(r, j).Phase(context.Background(), j.ID)
 			if err == nil && phase == job.Completed {
 				c.Fatalf("job %s, whose items crash their workers, is shown as completed", j.ID)
 			}
--- a/processtest/jobs_test.go
+++ b/processtest/jobs_test.go
@@ -32,6 +32,9 @@
 	dir       string
 	entries   []*jobEntryVM
 	lastJobID int
+	// organisations are those of the next manifest, with their keys. Without any, requests
+	// need no keys.
+	organisations []jobplatform.Organisation
 
 	mu sync.Mutex
 	// workerRelays are the relays that forward calls to the workers.
@@ -114,7 +117,7 @@
 	c.Helper()
 	err := c.platform.Publish("op/config", jobplatform.Manifest(version, []jobplatform.Route{
 		{Name: "previews", Host: testHost, Prefix: "/previews/", Service: "artwork"},
-	}, []string{"artwork"}, "spare"))
+	}, []string{"artwork"}, "spare", c.organisations...))
 	if err != nil {
 		c.Fatal(err)
 	}
@@ -259,6 +262,7 @@
 	for range n {
 		j := c.newJob(spec)
 		jobs = append(jobs, j)
+		r := c.keyed(r, j)
 		group.Go(func() {
 			if err := submitUntilAccepted(ctx, r, j); err != nil {
 				c.Errorf("job %s was not accepted: %v", j.ID, err)
@@ -279,7 +283,7 @@
 	r := c.requester()
 	for _, j := range jobs {
 		c.eventually(timeout, "end of job "+j.ID, func() bool {
-			phase, err := r.Phase(context.Background(), j.ID)
+			phase, err := c.keyed(r, j).Phase(context.Background(), j.ID)
 			if errors.Is(err, intake.ErrJobNotFound) {
 				c.Fatalf("accepted job %s is unknown to the job service", j.ID)
 			}
--- a/processtest/soak_test.go
+++ b/processtest/soak_test.go
@@ -35,9 +35,11 @@
 // lose the data of one direction; orders are carried out late, workers restart, and
 // their capacity shrinks and grows. Some jobs are speculative, and some crash the
 // workers that start them.
-// Meanwhile, new manifests and a maintenance wave are published. The test guards
-// against accepted jobs that are lost, jobs that crash workers without an end, and
-// violations recorded by the workers. A seed fixes the choice of the faults, but not the timing of the processes
+// Meanwhile, new manifests and a maintenance wave are published. Jobs are submitted by
+// several organisations, one of which has keys that are withdrawn. The test guards
+// against accepted jobs that are lost, jobs that crash workers without an end, withdrawn
+// keys that are served later than a manifest may take, and violations recorded by the
+// workers. A seed fixes the choice of the faults, but not the timing of the processes
 // nor the calls that the platform lets fail. To run fifty seeds by hand:
 //
 //	go test ./processtest -run JobSoak -soak.seeds 50 -timeout 30m
@@ -56,11 +58,20 @@
 		t.Fatal(err)
 	}
 	var jobs, deadly []*job.Job
-	version := int64(1)
+	version := int64(2)
+	c.publishOrganisations(version)
+	checker := c.startKeyChecker(seed)
+	// The choice of the withdrawals leaves that of the faults as it was in earlier versions of
+	// this test.
+	withdrawals := rand.New(rand.NewPCG(seed, 8))
 	for range soakFaultCount {
 		// injectFault has the cases 0 to 14; 15 stands for a job that crashes workers.
 		fault := random.IntN(16)
 		t.Logf("seed %d: fault %d", seed, fault)
+		if withdrawals.IntN(2) == 0 {
+			version++
+			checker.rotate(version)
+		}
 		if fault == 15 {
 			deadly = append(deadly, c.submitJobs(1, "deadly", 0)...)
 		} else {
@@ -75,6 +86,7 @@
 		e.signal(syscall.SIGCONT)
 	}
 	c.clearRelayFaults()
+	checker.finish()
 	c.checkFailed(deadly, soakCompletionTimeout)
 	c.checkCompleted(jobs, soakCompletionTimeout)
 	for id, n := range c.platform.UpkeepCounts() {
