--- a/standin/jobplatform/platform.go
+++ b/standin/jobplatform/platform.go
@@ -235,6 +235,8 @@
 	old := m.worker
 	old.kill()
 	w := p.newWorker(m, old.id, old.address)
+	// Two lifetimes of an ID differ in their start, which is in milliseconds.
+	w.startedUnixMillis = max(w.startedUnixMillis, old.startedUnixMillis+1)
 	m.server.Close()
 	return p.serveWorker(m, w)
 }
