Start nothing above the cap of an organisation

The owner counts what the copies and orphans of an organisation request on all workers, and what a former owner's runs may request that no worker has listed yet.

--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -405,6 +405,9 @@
 	if e.Service != "" {
 		entry = entry.Str("service", e.Service)
 	}
+	if e.Organisation != "" {
+		entry = entry.Str("organisation", e.Organisation)
+	}
 	if e.Reason != "" {
 		entry = entry.Str("reason", e.Reason)
 	}
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -68,6 +68,12 @@
 	adviceCallTime  time.Duration
 	adviceDoublings int
 	learner         *runtimes.Learner
+	// organisations holds the organisations that have, or had, jobs.
+	organisations map[string]*organisation
+	// unseenCleared is set once no organisation has unseen runs any more.
+	unseenCleared bool
+	// roundNumber counts the rounds.
+	roundNumber uint64
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
@@ -106,6 +112,7 @@
 		held:             map[string]int64{},
 		estimates:        map[*occurrence]workEstimate{},
 		arrivals:         map[string][]arrival{},
+		organisations:    map[string]*organisation{},
 	}
 }
 
@@ -118,6 +125,7 @@
 // SetManifest replaces the manifest.
 func (c *Core) SetManifest(m *job.Manifest) {
 	c.manifest = m
+	c.updateOrganisations()
 	for _, j := range c.jobs {
 		if !j.final() {
 			c.addPendingSteps(j)
@@ -152,6 +160,7 @@
 	j := &jobState{
 		Job: spec, itemsPerOccurrence: spec.ItemsPerOccurrence(), occurrenceSet: occurrenceSet{left: spec.OccurrenceCount()},
 		phase: job.Queued, acceptedAt: now - jobAge(spec, wall), inherited: inherited,
+		organisation: c.organisationOf(spec),
 	}
 	if p.Phase != "" {
 		j.phase = p.Phase
--- a/scheduler/execution/isolation.go
+++ b/scheduler/execution/isolation.go
@@ -26,7 +26,7 @@
 			left[cand.queue.Service] = max(int(maxIsolationShare*float64(len(group.workers)+len(group.isolated))), 1) - len(group.isolated)
 		}
 		for _, i := range cand.step.tracked {
-			if !i.needsIsolation() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 && !i.waitedForIsolation(now) {
+			if !i.needsIsolation() || !i.startable() || now < i.notBefore || left[cand.queue.Service] <= 0 && !i.waitedForIsolation(now) || !c.capAllows(cand.step, 1) {
 				continue
 			}
 			w := cmp.Or(isolationWorker(i, group.workers, tickets), isolationWorker(i, group.lastChoice(cand.step, now), tickets))
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -59,7 +59,8 @@
 // shown as failed or completed too early, an item that crashes workers and is started more
 // than five times, a sound item that is given up because of those beside it, a
 // long-running item that is stopped while too many others of its step are unavailable or
-// that does not come back, and workers over their capacity, which shrinks and grows.
+// that does not come back, workers over their capacity, which shrinks and grows,
+// and starts above the cap of an organisation.
 // Orders are lost and late, the queue of the jobs leaves the manifest and returns, workers restart, stop answering and are closed, records of
 // lease holders are confirmed late, and owners are replaced or paused.
 func TestNoItemRunsTwice(t *testing.T) {
@@ -163,6 +164,7 @@
 // endFaults ends all faults but the loss of orders and answers.
 func (s *simulation) endFaults() {
 	s.healthy = true
+	s.raiseCaps()
 	for _, w := range s.workers {
 		w.silent = false
 		s.setCapacity(w, simMilliCPU)
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -249,7 +249,8 @@
 	}
 	o := &orphan{}
 	if i != nil {
-		o.charge = i.step.spec.Charge()
+		o.charge, o.needs, o.organisation = i.step.spec.Charge(), i.step.spec.Needs, j.organisation
+		o.organisation.charge(o.needs, 1)
 		if i.step.spec.Filler {
 			o.fillerCPU = i.step.spec.Needs.MilliCPU
 		}
@@ -281,6 +282,7 @@
 	if o := w.orphans[r]; o != nil {
 		w.used = w.used.Add(o.charge, -1)
 		w.fillerCPU -= o.fillerCPU
+		o.organisation.charge(o.needs, -1)
 		delete(w.orphans, r)
 		c.checkHoldersOf(w)
 	}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -33,6 +33,7 @@
 	c.paceFillers(&o, now)
 	c.place(&o, now)
 	c.traceWaiting(now)
+	c.traceCapWaits(now)
 	return o
 }
 
@@ -212,6 +213,7 @@
 
 // place starts work items that are startable in the order of rank.
 func (c *Core) place(o *Orders, now Time) {
+	c.beginCapRound()
 	if len(c.pendingSteps) == 0 {
 		return
 	}
@@ -269,6 +271,9 @@
 // have enough free capacity.
 func (c *Core) placeStep(o *Orders, cand candidate, eligible *eligibleWorkers, now Time) {
 	s := cand.step
+	if !c.capAllows(s, s.spec.StartCount()) {
+		return
+	}
 	lastChoice := eligible.lastChoice(s, now)
 	if !s.spec.Charge().Fits(eligible.maxFree) && len(lastChoice) == 0 {
 		return
@@ -283,7 +288,7 @@
 	}
 	// place reports whether the item was started.
 	place := func(i *item) bool {
-		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
+		if c.startLimit != nil && len(o.Starts) >= *c.startLimit || !c.capAllows(s, 1) {
 			return false
 		}
 		w := cmp.Or(c.chooseWorker(i, eligible.workers, tickets), c.chooseWorker(i, lastChoice, tickets))
--- a/scheduler/execution/simulation_calls_test.go
+++ b/scheduler/execution/simulation_calls_test.go
@@ -25,6 +25,7 @@
 		return
 	}
 	s.core.StartSent(st, s.now)
+	s.orderedAt[st.Run] = s.now - ago
 	w := s.workers[st.Worker.ID]
 	outcome := s.outcome("outcome of a start")
 	switch {
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -57,6 +57,7 @@
 	// longRunningItems is the number of long-running items of all jobs.
 	longRunningItems int
 	items            map[job.ItemID]*simItem
+	simOrganisations
 }
 
 // speculative reports whether copies of an item may run at the same time.
@@ -142,6 +143,7 @@
 		s.startup = simStartup
 	}
 	s.attempts = rapid.IntRange(1, 3).Draw(t, "attempts")
+	s.simOrganisations = simOrganisations{enabled: rapid.Bool().Draw(t, "organisations"), orderedAt: map[Run]Time{}}
 	s.changeManifest()
 	minWorkers, maxWorkers := 1, 4
 	if s.manyCrashes = rapid.Bool().Draw(t, "many crashes"); s.manyCrashes {
@@ -196,7 +198,7 @@
 	s.term++
 	s.failed = map[string]bool{}
 	if rapid.Bool().Draw(s.t, "new process") {
-		s.manifest = &job.Manifest{Version: s.manifest.Version, Queues: s.manifest.Queues}
+		s.manifest = &job.Manifest{Version: s.manifest.Version, Queues: s.manifest.Queues, Organisations: s.manifest.Organisations}
 	}
 	s.prepare()
 	for _, w := range s.workers {
@@ -213,36 +215,6 @@
 	}
 }
 
-// queue is the only queue of the jobs.
-func (s *simulation) queue() job.Queue {
-	return job.Queue{Name: testQueue, Service: testService, Attempts: s.attempts}
-}
-
-// changeManifest puts a new manifest in force, which has the queue if the one before does
-// not.
-func (s *simulation) changeManifest() {
-	m := &job.Manifest{Version: 1}
-	if s.manifest != nil {
-		m.Version = s.manifest.Version + 1
-	}
-	if s.manifest == nil || len(s.manifest.Queues) == 0 {
-		m.Queues = []job.Queue{s.queue()}
-	}
-	m.KeepFormerQueues(s.manifest)
-	s.manifest = m
-	if s.core != nil {
-		s.core.SetManifest(m)
-	}
-}
-
-// acceptJob returns a job as an entry VM records it that still has the queue.
-func (s *simulation) acceptJob(id string, steps ...job.Step) *job.Job {
-	j := &job.Job{ID: id, Steps: steps}
-	q := s.queue()
-	j.SetQueue(&q, s.manifest.Version)
-	return j
-}
-
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
@@ -339,6 +311,7 @@
 		s.t.Fatalf("%v takes %s over its capacity: %d of %d", st.Run, w.ID, used, limit)
 	}
 	w.running[st.Run] = s.now
+	s.checkCap(st.Run)
 	if s.deadly[st.Item.Job] {
 		w.crashAt, w.crashedLate = s.now+simCrashAfter, w.crashedLate || late
 	}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -152,6 +152,9 @@
 	pending bool
 	// waitTracedAt is when the log last said what a long-running item of the step waits for.
 	waitTracedAt Time
+	// capWaitRound is the number of the last round in which the step waited for the cap of
+	// its organisation.
+	capWaitRound uint64
 	// firstStart is when the first item was started; meanRunTime is the mean of
 	// the observedRuns items that are done.
 	firstStart   Time
@@ -179,6 +182,8 @@
 	finishedAt Time
 	// inherited is set for jobs that a former owner may have started.
 	inherited bool
+	// organisation is that of the job, or nil.
+	organisation *organisation
 	// version counts the changes of the durable record, committed is the last
 	// version that the store has.
 	version, committed uint64
@@ -270,8 +275,11 @@
 
 // orphan is an unwanted run and the capacity that it uses on its worker.
 type orphan struct {
-	charge        job.Resources
-	fillerCPU     int64
+	charge    job.Resources
+	fillerCPU int64
+	// organisation and needs are those of the run if its job is known.
+	organisation  *organisation
+	needs         job.Resources
 	stopOrderedAt Time
 	stopInFlight  bool
 }
@@ -366,6 +374,7 @@
 	w.orderedCopies = append(w.orderedCopies, cp)
 	cp.countSuspect(1)
 	w.reserve(i.step.spec, 1)
+	i.step.job.organisation.charge(i.step.spec.Needs, 1)
 	if i.step.firstStart == 0 {
 		i.step.firstStart = now
 	}
@@ -397,6 +406,7 @@
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
 	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
+	i.step.job.organisation.charge(i.step.spec.Needs, -1)
 	i.step.release(i)
 	i.step.job.release(i.step.occurrence)
 	c.checkHoldersOf(cp.worker)
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -217,8 +217,10 @@
 	Item    string
 	Worker  string
 	Service string
-	Run     int64
-	Reason  string
+	// Organisation is set for events about an organisation.
+	Organisation string
+	Run          int64
+	Reason       string
 	// Detail holds the state that the decision was based on.
 	Detail string
 	// End is the number of an end in the worker's list, and Effect what it changed.
--- a/scheduler/execution/waiting.go
+++ b/scheduler/execution/waiting.go
@@ -85,6 +85,8 @@
 		reason = "takeover"
 	case i.needsIsolation():
 		reason = "isolation"
+	case !i.step.job.organisation.allows(i.step.spec, i.step.spec.StartCount()):
+		reason = "cap"
 	case now < i.notBefore:
 		reason = "backoff"
 	case usable+full == 0:
