--- a/scheduler/execution/caps.go
+++ b/scheduler/execution/caps.go
@@ -24,6 +24,8 @@
 	running job.Resources
 	// unseen is what runs of a former owner that no worker has listed yet may request.
 	unseen job.Resources
+	// sent tells which of its jobs it sent beyond its rate.
+	sent sentJobs
 	// capWaiting is the number of steps that waited for the cap in the last round, and
 	// capWaitingSince the time of the first round in a row in which any did. capWaitTracedAt
 	// is when the log last said so.
@@ -114,13 +116,13 @@
 	return false
 }
 
-// maxUnseen bounds the resources of unseen runs. Requesters may ask for any amount, and the
-// sums must not overflow.
-const maxUnseen = 1 << 40
+// maxSum bounds sums of what waiting or unseen items request. Requesters may ask for any
+// amount, and the sums must not overflow.
+const maxSum = 1 << 40
 
-// addUnseen adds n items with the given needs to the unseen runs.
-func addUnseen(sum, needs job.Resources, n int) job.Resources {
-	add := func(sum, needs int64) int64 { return min(sum+min(needs, maxUnseen)*int64(n), maxUnseen) }
+// addBounded adds n items with the given needs to a sum.
+func addBounded(sum, needs job.Resources, n int) job.Resources {
+	add := func(sum, needs int64) int64 { return min(sum+min(needs, maxSum)*int64(n), maxSum) }
 	return job.Resources{MilliCPU: add(sum.MilliCPU, needs.MilliCPU), MemoryMB: add(sum.MemoryMB, needs.MemoryMB), GPU: add(sum.GPU, needs.GPU)}
 }
 
@@ -147,7 +149,7 @@
 			sum := ended[j.organisation]
 			for n := range j.Steps {
 				if s := &j.Steps[n]; j.phase != job.Completed || s.Speculative {
-					sum = addUnseen(sum, s.Needs, s.Count)
+					sum = addBounded(sum, s.Needs, s.Count)
 				}
 			}
 			ended[j.organisation] = sum
@@ -155,7 +157,7 @@
 			for _, o := range j.open {
 				for _, s := range o.steps {
 					if s.ready && !s.done() {
-						j.organisation.unseen = addUnseen(j.organisation.unseen, s.spec.Needs, s.itemsWithoutCopy())
+						j.organisation.unseen = addBounded(j.organisation.unseen, s.spec.Needs, s.itemsWithoutCopy())
 					}
 				}
 			}
@@ -164,7 +166,7 @@
 	// The jobs that have ended are many, and most of their runs are long over.
 	unlisted := c.unlistedCapacity()
 	for o, sum := range ended {
-		o.unseen = addUnseen(o.unseen, job.Resources{
+		o.unseen = addBounded(o.unseen, job.Resources{
 			MilliCPU: min(sum.MilliCPU, unlisted.MilliCPU), MemoryMB: min(sum.MemoryMB, unlisted.MemoryMB), GPU: min(sum.GPU, unlisted.GPU),
 		}, 1)
 	}
@@ -186,10 +188,10 @@
 		case w == nil || !w.present:
 			unknown++
 		case !w.contacted:
-			sum = addUnseen(sum, w.Capacity, 1)
+			sum = addBounded(sum, w.Capacity, 1)
 		}
 	}
-	return addUnseen(sum, largest, unknown)
+	return addBounded(sum, largest, unknown)
 }
 
 // itemsWithoutCopy returns how many items of the step are not done and have no copy.
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -168,6 +168,9 @@
 	}
 	c.jobs[spec.ID] = j
 	c.reckon(j, false)
+	if j.organisation != nil {
+		j.organisation.sent.add(j)
+	}
 	if j.final() {
 		j.finishedAt = now
 		return
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -125,8 +125,10 @@
 
 // rank is the sort key of a step for placement; smaller comes first.
 type rank struct {
-	kind       int
-	priority   int
+	kind     int
+	priority int
+	// beyondRate is 1 for jobs that an organisation sent beyond its rate, else 0.
+	beyondRate int
 	valueClass int
 	// order decides between steps that are otherwise equal. It is core-seconds
 	// per value or a time in seconds; rankOf says which.
@@ -135,7 +137,7 @@
 
 func (r rank) compare(o rank) int {
 	return cmp.Or(
-		cmp.Compare(r.kind, o.kind), cmp.Compare(r.priority, o.priority),
+		cmp.Compare(r.kind, o.kind), cmp.Compare(r.priority, o.priority), cmp.Compare(r.beyondRate, o.beyondRate),
 		cmp.Compare(r.valueClass, o.valueClass), cmp.Compare(r.order, o.order),
 	)
 }
@@ -156,6 +158,9 @@
 // job late.
 func (c *Core) rankOf(s *step, q job.Queue, now Time) rank {
 	r := rank{kind: kindNormal, priority: q.Priority}
+	if s.job.beyondRate {
+		r.beyondRate = 1
+	}
 	switch {
 	case s.spec.Filler:
 		r.kind = kindFiller
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -227,6 +227,7 @@
 	}
 	c.pendingSteps = steps
 	clear(c.estimates)
+	c.decideRates()
 	eligible := c.eligibleByService(now)
 	candidates := make([]candidate, 0, len(steps))
 	for _, s := range steps {
@@ -235,19 +236,9 @@
 			candidates = append(candidates, candidate{step: s, queue: q, rank: c.rankOf(s, q, now)})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(a.rank.compare(b.rank), a.step.id().Compare(b.step.id()))
-	})
+	sortByRank(candidates)
 	c.placeIsolated(o, candidates, eligible, now)
-	for _, cand := range candidates {
-		if c.startLimit != nil && len(o.Starts) >= *c.startLimit {
-			break
-		}
-		if cand.step.job.inherited && !c.settled {
-			continue
-		}
-		c.placeStep(o, cand, eligible[cand.queue.Service], now)
-	}
+	c.placeInOrder(o, candidates, eligible, now)
 	c.pendingSteps = slices.DeleteFunc(c.pendingSteps, func(s *step) bool {
 		if s.hasStartable() {
 			return false
@@ -265,6 +256,10 @@
 	step  *step
 	queue job.Queue
 	rank  rank
+	// share is that of the organisation of the step's pool, or nil. upToShare is set while
+	// only work within it is placed.
+	share     *poolShare
+	upToShare bool
 }
 
 // placeStep starts the startable items of a step as far as the eligible workers
@@ -288,7 +283,7 @@
 	}
 	// place reports whether the item was started.
 	place := func(i *item) bool {
-		if c.startLimit != nil && len(o.Starts) >= *c.startLimit || !c.capAllows(s, 1) {
+		if c.startLimit != nil && len(o.Starts) >= *c.startLimit || !c.capAllows(s, 1) || cand.upToShare && cand.share.reached() {
 			return false
 		}
 		w := cmp.Or(c.chooseWorker(i, eligible.workers, tickets), c.chooseWorker(i, lastChoice, tickets))
@@ -298,6 +293,7 @@
 		run := max(i.lastRun+1, c.firstRun)
 		o.Starts = append(o.Starts, c.start(s.item(i.index), w, run, i.saved, tickets, now))
 		eligible.trialStarted(w, now)
+		cand.share.add(s.spec.Charge(), 1)
 		return true
 	}
 	for _, i := range s.tracked {
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -184,6 +184,8 @@
 	inherited bool
 	// organisation is that of the job, or nil.
 	organisation *organisation
+	// beyondRate is set if the organisation had sent as many jobs before as its weight allows.
+	beyondRate bool
 	// version counts the changes of the durable record, committed is the last
 	// version that the store has.
 	version, committed uint64
