--- a/owner/organisations.go
+++ b/owner/organisations.go
@@ -13,7 +13,7 @@
 )
 
 // organisationGauges are the values of the metrics of one label.
-type organisationGauges struct{ cores, capUsed, waiting float64 }
+type organisationGauges struct{ cores, capUsed, waiting, beyondRate float64 }
 
 // gaugesByOrganisation returns the values of the metrics by their label: the sums of the
 // cores and of the waiting steps, and the largest used part of a cap.
@@ -28,6 +28,7 @@
 		g.cores += float64(u.Running.MilliCPU) / 1000
 		g.capUsed = max(g.capUsed, capUsed(u.Running, u.Cap))
 		g.waiting += float64(u.Waiting)
+		g.beyondRate += float64(u.BeyondRate)
 		gauges[label] = g
 	}
 	return gauges
@@ -50,5 +51,6 @@
 		tags.Gauge("organisation_used_cores").Update(g.cores)
 		tags.Gauge("organisation_cap_used").Update(g.capUsed)
 		tags.Gauge("organisation_cap_waiting_steps").Update(g.waiting)
+		tags.Gauge("organisation_jobs_beyond_weight").Update(g.beyondRate)
 	}
 }
--- a/scheduler/execution/caps.go
+++ b/scheduler/execution/caps.go
@@ -39,6 +39,8 @@
 	Running, Cap job.Resources
 	// Waiting is the number of steps that waited for the cap in the last round.
 	Waiting int
+	// BeyondRate counts the jobs that it sent beyond its rate.
+	BeyondRate int
 }
 
 // OrganisationUsage returns the usage of all organisations that have, or had, jobs,
@@ -47,7 +49,7 @@
 	usage := make([]OrganisationUsage, 0, len(c.organisations))
 	for _, name := range slices.Sorted(maps.Keys(c.organisations)) {
 		o := c.organisations[name]
-		usage = append(usage, OrganisationUsage{Name: name, Running: o.running, Cap: o.cap, Waiting: o.capWaiting})
+		usage = append(usage, OrganisationUsage{Name: name, Running: o.running, Cap: o.cap, Waiting: o.capWaiting, BeyondRate: o.sent.beyond})
 	}
 	return usage
 }
@@ -206,13 +208,23 @@
 }
 
 const (
-	// capWaitNoticed is how long steps of an organisation may wait for its cap before the
+	// waitLogInterval is how long steps of an organisation may wait for its cap before the
 	// log says so, and how long until it says so again.
-	capWaitNoticed = 2 * time.Second
-	// maxCapWaitLines bounds the lines of one round: there may be thousands of organisations.
-	maxCapWaitLines = 5
+	waitLogInterval = 2 * time.Second
+	// maxOrganisationLines bounds the lines of one kind in a round: there may be thousands of
+	// organisations.
+	maxOrganisationLines = 5
 )
 
+// firstToLog returns the organisations that get a line in this round: those whose last line
+// is longest ago.
+func firstToLog(due []*organisation, last func(*organisation) Time) []*organisation {
+	slices.SortFunc(due, func(a, b *organisation) int {
+		return cmp.Or(cmp.Compare(last(a), last(b)), strings.Compare(a.name, b.name))
+	})
+	return due[:min(len(due), maxOrganisationLines)]
+}
+
 // traceCapWaits logs which organisations wait for their caps.
 func (c *Core) traceCapWaits(now Time) {
 	var due []*organisation
@@ -222,14 +234,11 @@
 			o.capWaitingSince = 0
 		case o.capWaitingSince == 0:
 			o.capWaitingSince = now
-		case now-max(o.capWaitingSince, o.capWaitTracedAt) >= capWaitNoticed:
+		case now-max(o.capWaitingSince, o.capWaitTracedAt) >= waitLogInterval:
 			due = append(due, o)
 		}
 	}
-	slices.SortFunc(due, func(a, b *organisation) int {
-		return cmp.Or(cmp.Compare(a.capWaitTracedAt, b.capWaitTracedAt), strings.Compare(a.name, b.name))
-	})
-	for _, o := range due[:min(len(due), maxCapWaitLines)] {
+	for _, o := range firstToLog(due, func(o *organisation) Time { return o.capWaitTracedAt }) {
 		o.capWaitTracedAt = now
 		c.trace(Event{
 			Name: "organisation_waits", Organisation: o.name, Reason: "cap", Took: now - o.capWaitingSince,
--- a/scheduler/execution/caps_test.go
+++ b/scheduler/execution/caps_test.go
@@ -125,9 +125,9 @@
 	events := map[string]int{}
 	b.core.options.Trace = func(e Event) { events[e.Name+" "+e.Reason]++ }
 	b.round()
-	b.roundAfter(capWaitNoticed)
-	if n := events["organisation_waits cap"]; n != maxCapWaitLines {
-		t.Errorf("%d lines in one round, want %d", n, maxCapWaitLines)
+	b.roundAfter(waitLogInterval)
+	if n := events["organisation_waits cap"]; n != maxOrganisationLines {
+		t.Errorf("%d lines in one round, want %d", n, maxOrganisationLines)
 	}
 	if events["item_waits cap"] != 1 {
 		t.Errorf("events %v, want the long-running item to wait for the cap", events)
--- a/scheduler/execution/rate.go
+++ b/scheduler/execution/rate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,10 @@
 	undecided []*jobState
 	// accepted are the times of day of the last jobs within the rate, in order.
 	accepted []time.Time
+	// beyond counts the jobs beyond the rate, tracedBeyond those of them that the log has told,
+	// the last at tracedAt.
+	beyond, tracedBeyond int
+	tracedAt             Time
 }
 
 // add adds a job that has become known. Records without a time are of versions that knew no
@@ -44,6 +49,7 @@
 		s.accepted = slices.DeleteFunc(s.accepted, func(at time.Time) bool { return !at.After(j.Accepted.Add(-rateWindow)) })
 		if weight > 0 && float64(len(s.accepted)+1) > limit {
 			j.beyondRate = true
+			s.beyond++
 			continue
 		}
 		s.accepted = append(s.accepted, j.Accepted)
@@ -51,3 +57,21 @@
 	clear(s.undecided)
 	s.undecided = s.undecided[:0]
 }
+
+// decideRates finds the new jobs that organisations sent beyond their rates, and logs how many.
+func (c *Core) decideRates(now Time) {
+	var due []*organisation
+	for _, o := range c.organisations {
+		o.sent.decide(o.weight)
+		if o.sent.beyond > o.sent.tracedBeyond && now-o.sent.tracedAt >= waitLogInterval {
+			due = append(due, o)
+		}
+	}
+	for _, o := range firstToLog(due, func(o *organisation) Time { return o.sent.tracedAt }) {
+		c.trace(Event{
+			Name: "organisation_beyond_weight", Organisation: o.name,
+			Detail: fmt.Sprintf("jobs=%d total=%d weight=%g", o.sent.beyond-o.sent.tracedBeyond, o.sent.beyond, o.weight),
+		})
+		o.sent.tracedBeyond, o.sent.tracedAt = o.sent.beyond, now
+	}
+}
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -227,7 +227,7 @@
 	}
 	c.pendingSteps = steps
 	clear(c.estimates)
-	c.decideRates()
+	c.decideRates(now)
 	eligible := c.eligibleByService(now)
 	candidates := make([]candidate, 0, len(steps))
 	for _, s := range steps {
--- a/scheduler/execution/shares.go
+++ b/scheduler/execution/shares.go
@@ -117,13 +117,6 @@
 	}
 }
 
-// decideRates finds the new jobs that organisations sent beyond their rates.
-func (c *Core) decideRates() {
-	for _, o := range c.organisations {
-		o.sent.decide(o.weight)
-	}
-}
-
 // placeInOrder places the candidates, which are in the order of their ranks. Among those
 // with the same class, work of organisations below their fair shares comes first, up to these
 // shares. The rest follows in the same order, so that no room is left while some work fits.
--- a/scheduler/execution/shares_test.go
+++ b/scheduler/execution/shares_test.go
@@ -148,7 +148,7 @@
 			b.core.AddJob(j, job.Progress{}, true, wall, b.now)
 		})
 		beyond := map[string]bool{}
-		b.core.decideRates()
+		b.core.decideRates(b.now)
 		for id, j := range b.core.jobs {
 			beyond[id] = j.beyondRate
 		}
