--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -76,6 +76,12 @@
 	adviceCallTime  time.Duration
 	adviceDoublings int
 	learner         *runtimes.Learner
+	// organisations holds the organisations that have, or had, jobs.
+	organisations map[string]*organisation
+	// unseenCleared is set once no organisation has unseen runs any more.
+	unseenCleared bool
+	// roundNumber counts the rounds.
+	roundNumber uint64
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
@@ -119,6 +125,7 @@
 		held:              map[string]int64{},
 		estimates:         map[*occurrence]workEstimate{},
 		arrivals:          map[string][]arrival{},
+		organisations:     map[string]*organisation{},
 	}
 }
 
@@ -131,6 +138,7 @@
 // SetManifest replaces the manifest.
 func (c *Core) SetManifest(m *job.Manifest) {
 	c.manifest = m
+	c.updateOrganisations()
 	for _, j := range c.jobs {
 		if !j.final() {
 			c.addPendingSteps(j)
@@ -165,6 +173,7 @@
 	j := &jobState{
 		Job: spec, itemsPerOccurrence: spec.ItemsPerOccurrence(), occurrenceSet: occurrenceSet{left: spec.OccurrenceCount()},
 		phase: job.Queued, acceptedAt: now - jobAge(spec, wall), inherited: inherited, unsettled: inherited && !c.settled,
+		organisation: c.organisationOf(spec),
 	}
 	if p.Phase != "" {
 		j.phase = p.Phase
@@ -172,6 +181,9 @@
 	}
 	c.jobs[spec.ID] = j
 	c.reckon(j, false)
+	if j.organisation != nil {
+		j.organisation.sent.add(j)
+	}
 	if j.final() {
 		j.finishedAt = now
 		return
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -163,6 +163,9 @@
 	pending bool
 	// waitTracedAt is when the log last said what a long-running item of the step waits for.
 	waitTracedAt Time
+	// capWaitRound is the number of the last round in which the step waited for the cap of
+	// its organisation.
+	capWaitRound uint64
 	// firstStart is when the first item was started; meanRunTime is the mean of
 	// the observedRuns items that are done.
 	firstStart   Time
@@ -192,6 +195,10 @@
 	inherited bool
 	// unsettled is set for inherited jobs until the takeover is settled.
 	unsettled bool
+	// organisation is that of the job, or nil.
+	organisation *organisation
+	// beyondRate is set if the organisation had sent as many jobs before as its weight allows.
+	beyondRate bool
 	// version counts the changes of the durable record, committed is the last
 	// version that the store has.
 	version, committed uint64
@@ -286,8 +293,11 @@
 
 // orphan is an unwanted run and the capacity that it uses on its worker.
 type orphan struct {
-	charge        job.Resources
-	fillerCPU     int64
+	charge    job.Resources
+	fillerCPU int64
+	// organisation and needs are those of the run if its job is known.
+	organisation  *organisation
+	needs         job.Resources
 	stopOrderedAt Time
 	stopInFlight  bool
 }
@@ -382,6 +392,7 @@
 	w.orderedCopies = append(w.orderedCopies, cp)
 	cp.countSuspect(1)
 	w.reserve(i.step.spec, 1)
+	i.step.job.organisation.charge(i.step.spec.Needs, 1)
 	if i.step.firstStart == 0 {
 		i.step.firstStart = now
 	}
@@ -413,6 +424,7 @@
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
 	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
+	i.step.job.organisation.charge(i.step.spec.Needs, -1)
 	i.step.release(i)
 	i.step.job.release(i.step.occurrence)
 	c.checkHoldersOf(cp.worker)
