--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -28,9 +28,10 @@
 	// RequiredVMs is the number of VMs that the waiting work needs regardless of
 	// their size, because the number of its items on one VM may be limited.
 	RequiredVMs int
-	// ArrivalRate is the rate of new work in core-seconds per second, and
-	// ArrivalGrowth its growth per second, as far as both are known for certain.
-	ArrivalRate, ArrivalGrowth float64
+	// ArrivalRate is a low estimate of the rate of new work in core-seconds per
+	// second, and ArrivalGrowth one of its growth per second. ArrivalJobs is the
+	// number of jobs of equal size on which both would rest with the same error.
+	ArrivalRate, ArrivalGrowth, ArrivalJobs float64
 }
 
 // ManagedVM is a VM that a Rebalancer manages, whichever pool it is in.
@@ -92,6 +93,16 @@
 	// forecastWait is how long after its expected start a burst may still begin
 	// before the forecast is dropped.
 	forecastWait = 1200 * time.Millisecond
+	// minGrowthJobs is the number of jobs up to which a growth says nothing: two
+	// jobs within a window are as likely at a steady low load.
+	minGrowthJobs = 2
+	// burstSureness is how certain the size of a burst is while it begins, once the
+	// work that has arrived alone makes it one. It leaves a quarter of the spare VMs
+	// to a pool whose turn begins next.
+	burstSureness = 0.75
+	// forecastSureness is how certain a burst is that is expected by the intervals
+	// of the ones before.
+	forecastSureness = 0.5
 	// The next burst is forecast only if the last two intervals between burst
 	// starts differ by at most intervalTolerance of the later one.
 	intervalTolerance = 0.15
@@ -109,31 +120,6 @@
 	pools   map[string]*rebalancingHistory
 }
 
-// rebalancingHistory is the learned demand of a pool.
-type rebalancingHistory struct {
-	// since is when the rebalancer first saw the pool.
-	since time.Duration
-	// recent holds the needs within the longest time that unused VMs are kept.
-	recent []rebalancingNeed
-	// inBurst tells whether a burst is in progress.
-	inBurst bool
-	// starts holds the start times of the last three bursts.
-	starts []time.Duration
-	// lastPeak is the largest need of the last complete burst.
-	lastPeak int
-	// peak is the largest need of the current burst.
-	peak int
-	// initialSize is how many VMs the pool had when the rebalancer first saw some.
-	initialSize int
-}
-
-// rebalancingNeed is the number of VMs that a pool needed at a time, without
-// those for an expected burst or for RequiredVMs.
-type rebalancingNeed struct {
-	at  time.Duration
-	vms int
-}
-
 // NewRebalancer returns a rebalancer without history.
 func NewRebalancer(options RebalancingOptions) *Rebalancer {
 	if options.MoveTime <= 0 {
@@ -148,15 +134,23 @@
 // rebalancingPool is the state of a pool during one plan.
 type rebalancingPool struct {
 	CoreDemand
-	// wanted is the number of VMs that the pool needs now or for an expected
-	// burst, minKept the number that it keeps when other pools need VMs, maxKept
-	// the number that it keeps when none does.
-	wanted, minKept, maxKept int
-	vms                      int
+	poolTarget
+	vms int
 	// idle VMs run no work, busy ones only work that isn't long-running.
 	idle, busy []ManagedVM
 }
 
+// poolTarget is what a pool needs and keeps, in VMs.
+type poolTarget struct {
+	// needed is what the work needs that runs, waits or arrives now. wanted is
+	// needed plus what is expected, sure how certain the expectation is, from 0 to 1.
+	needed, wanted int
+	sure           float64
+	// minNeeded is what the pool keeps when work waits in other pools, minKept what
+	// it keeps when other pools expect work, and maxKept what it keeps otherwise.
+	minNeeded, minKept, maxKept int
+}
+
 // Plan returns the moves to start now, and the IDs of the VMs to drain for pools
 // whose need exceeds the idle VMs. now is the reading of a monotonic clock.
 func (r *Rebalancer) Plan(now time.Duration, demands []CoreDemand, vms []ManagedVM) (moves []Move, drain []string) {
@@ -169,7 +163,7 @@
 	for _, d := range demands {
 		p := &rebalancingPool{CoreDemand: d}
 		if !d.Spare {
-			p.wanted, p.minKept, p.maxKept = r.target(now, d, sizes[d.Pool])
+			p.poolTarget = r.target(now, d, sizes[d.Pool])
 		}
 		pools[d.Pool] = p
 		order = append(order, p)
@@ -193,7 +187,7 @@
 	slices.SortFunc(order, func(a, b *rebalancingPool) int {
 		return cmp.Or(cmp.Compare(b.blocked(), a.blocked()), cmp.Compare(b.missing(), a.missing()), cmp.Compare(a.Pool, b.Pool))
 	})
-	moves = r.fill(order)
+	moves = append(fillNeeds(order), fillExpectations(order)...)
 	drain = vmsToDrain(order)
 	return append(moves, r.switchOff(order)...), drain
 }
@@ -241,12 +235,16 @@
 // the VMs of the pool.
 func (p *rebalancingPool) blocked() int { return max(p.RequiredVMs-p.vms, 0) }
 
-// surplus returns how many idle VMs the pool can give to pools that need them.
-func (p *rebalancingPool) surplus() int {
-	if p.Spare {
+// surplus returns how many idle VMs the pool can give to pools in which work
+// waits, or to those that only expect work.
+func (p *rebalancingPool) surplus(forExpected bool) int {
+	switch {
+	case p.Spare:
 		return len(p.idle)
+	case forExpected:
+		return min(p.vms-max(p.wanted, p.minKept), len(p.idle))
 	}
-	return min(p.vms-max(p.wanted, p.minKept), len(p.idle))
+	return min(p.vms-max(p.needed, p.minNeeded), len(p.idle))
 }
 
 // unused returns how many idle VMs of the pool can be switched off.
@@ -254,10 +252,8 @@
 	return min(p.vms-max(p.wanted, p.maxKept), len(p.idle))
 }
 
-// target returns the number of VMs that a pool needs now or for an expected
-// burst, the number that it keeps when other pools need VMs, and the number that
-// it keeps when none does.
-func (r *Rebalancer) target(now time.Duration, d CoreDemand, vms int) (wanted, minKept, maxKept int) {
+// target returns what a pool needs and keeps.
+func (r *Rebalancer) target(now time.Duration, d CoreDemand, vms int) poolTarget {
 	h := r.pools[d.Pool]
 	if h == nil {
 		h = &rebalancingHistory{since: now}
@@ -267,129 +263,83 @@
 		h.initialSize = vms
 	}
 	size := max(d.CoresPerVM, 1)
+	vmsFor := func(cores float64) int { return max(int(math.Ceil((cores+d.LostCores)/size+headroomVMs/2)), 1) }
+	t := poolTarget{sure: sureness(d.ArrivalJobs)}
+	current := max(d.RunningCores+min(d.WaitingCores, d.BacklogCoreSeconds/backlogCompletionTime.Seconds()), d.LongRunningCores+d.ArrivalRate)
+	t.needed = vmsFor(current)
 	// A VM that is ordered now takes work once the move is done.
-	ahead := d.ArrivalGrowth * (r.options.MoveTime + forecastLead).Seconds()
-	cores := max(d.RunningCores+min(d.WaitingCores, d.BacklogCoreSeconds/backlogCompletionTime.Seconds()), d.LongRunningCores+d.ArrivalRate+ahead)
-	wanted = max(int(math.Ceil((cores+d.LostCores)/size+headroomVMs/2)), 1)
+	ahead := d.ArrivalGrowth * t.sure * (r.options.MoveTime + forecastLead).Seconds()
+	t.wanted = vmsFor(max(current, d.LongRunningCores+d.ArrivalRate+ahead))
 	base := int(math.Ceil(d.LongRunningCores/size + headroomVMs))
-	h.observe(now, wanted, base, r.options.IdleTimeout)
+	h.observe(now, rebalancingNeed{at: now, vms: t.wanted, current: t.needed}, base, r.options.IdleTimeout)
 	switch {
 	case h.burstJustStarted(now, r.options.MoveTime+rampTime):
-		wanted = max(wanted, int(r.burstGrowth(now)*float64(h.initialSize)))
+		t.wanted = max(t.wanted, int(r.burstGrowth(now)*float64(h.initialSize)))
+		if t.needed >= base+h.threshold() {
+			t.sure = max(t.sure, burstSureness)
+		}
 	case h.burstDue(now, r.options.MoveTime+forecastLead):
-		wanted = max(wanted, h.lastPeak)
+		t.wanted, t.sure = max(t.wanted, h.lastPeak), max(t.sure, forecastSureness)
 	}
-	wanted = max(wanted, d.RequiredVMs)
-	minKept = max(base, h.largest(now, r.options.IdleTimeout))
-	maxKept = minKept
+	t.needed, t.wanted = max(t.needed, d.RequiredVMs), max(t.wanted, d.RequiredVMs)
+	needed, expected := h.largest(now, r.options.IdleTimeout)
+	t.minNeeded, t.minKept = max(base, needed), max(base, expected)
+	t.maxKept = t.minKept
 	if h.inBurst {
-		maxKept = max(base, h.largest(now, burstKeepTime))
+		_, expected = h.largest(now, burstKeepTime)
+		t.maxKept = max(base, expected)
 	}
 	if len(h.starts) == 0 && now-h.since < learnTime {
-		return wanted, minKept, math.MaxInt32
-	}
-	return wanted, minKept, maxKept
-}
-
-// burstGrowth returns the factor by which a burst is expected to exceed the
-// initial size of its pool: the smallest one of the last bursts of all pools, at
-// least 1.
-func (r *Rebalancer) burstGrowth(now time.Duration) float64 {
-	least := math.Inf(1)
-	for _, h := range r.pools {
-		if peak := h.knownPeak(now, r.options.MoveTime+rampTime); peak > 0 && h.initialSize > 0 {
-			least = min(least, float64(peak)/float64(h.initialSize))
-		}
-	}
-	if math.IsInf(least, 1) {
-		return 1
-	}
-	return max(least, 1)
-}
-
-// knownPeak returns the largest need of the last burst that is complete, or of
-// the one in progress if it started more than ramp ago and needed more. It
-// returns 0 if neither is known.
-func (h *rebalancingHistory) knownPeak(now, ramp time.Duration) int {
-	if h.inBurst && !h.burstJustStarted(now, ramp) {
-		return max(h.lastPeak, h.peak)
-	}
-	return h.lastPeak
-}
-
-// burstJustStarted reports whether a burst started less than ramp ago. A burst
-// that was in progress when the rebalancer first saw the pool does not count,
-// because its start is not known.
-func (h *rebalancingHistory) burstJustStarted(now, ramp time.Duration) bool {
-	if !h.inBurst {
-		return false
+		t.maxKept = math.MaxInt32
 	}
-	start := h.starts[len(h.starts)-1]
-	return start > h.since && now-start < ramp
-}
-
-// threshold returns how many VMs a pool has to need for a burst, beyond those
-// for its long-running work and the headroom.
-func (h *rebalancingHistory) threshold() int {
-	return max(burstVMs, int(burstShare*float64(h.initialSize)))
+	return t
 }
 
-// observe adds the need at a time and detects the start and the end of bursts.
-func (h *rebalancingHistory) observe(now time.Duration, wanted, base int, keep time.Duration) {
-	h.recent = append(h.recent, rebalancingNeed{now, wanted})
-	h.recent = slices.DeleteFunc(h.recent, func(w rebalancingNeed) bool { return now-w.at > max(keep, burstKeepTime) })
-	switch {
-	case !h.inBurst && wanted >= base+h.threshold():
-		h.inBurst, h.peak = true, wanted
-		h.starts = append(h.starts, now)
-		if len(h.starts) > 3 {
-			h.starts = h.starts[1:]
-		}
-	case h.inBurst && h.largest(now, keep) < base+h.threshold():
-		h.inBurst, h.lastPeak = false, h.peak
-	}
-	if h.inBurst {
-		h.peak = max(h.peak, wanted)
+// sureness returns how certain a growth of the load is that rests on a number of
+// jobs, from 0 to 1.
+func sureness(jobs float64) float64 {
+	if jobs <= minGrowthJobs {
+		return 0
 	}
+	return 1 - minGrowthJobs/jobs
 }
 
-// largest returns the largest need of the time within before now.
-func (h *rebalancingHistory) largest(now, within time.Duration) int {
-	most := 0
-	for _, w := range h.recent {
-		if now-w.at <= within {
-			most = max(most, w.vms)
+// fillNeeds moves idle VMs to the pools whose present work lacks VMs, those of
+// spare pools first.
+func fillNeeds(order []*rebalancingPool) []Move {
+	var moves []Move
+	for _, to := range order {
+		for !to.Spare && to.vms < to.needed {
+			from := donor(order, to, false)
+			if from == nil {
+				break
+			}
+			moves = append(moves, from.moveIdleVM(to))
 		}
 	}
-	return most
+	return moves
 }
 
-// burstDue reports whether a burst is due within lead, or overdue by at most
-// forecastWait, judging by the interval between the starts of the last bursts.
-func (h *rebalancingHistory) burstDue(now, lead time.Duration) bool {
-	n := len(h.starts)
-	if h.inBurst || n < 2 {
-		return false
-	}
-	gap := h.starts[n-1] - h.starts[n-2]
-	if n > 2 {
-		before := h.starts[n-2] - h.starts[n-3]
-		if math.Abs(float64(gap-before)) > intervalTolerance*float64(gap) {
-			return false
+// fillExpectations moves idle VMs to the pools that expect work. An expectation
+// takes only as large a share of the spare VMs as it is certain.
+func fillExpectations(order []*rebalancingPool) []Move {
+	spare := 0
+	for _, p := range order {
+		if p.Spare {
+			spare += len(p.idle)
 		}
 	}
-	next := h.starts[n-1] + gap
-	return now >= next-lead && now <= next+forecastWait
-}
-
-// fill moves idle VMs to the pools that lack VMs, those of spare pools first.
-func (r *Rebalancer) fill(order []*rebalancingPool) []Move {
 	var moves []Move
 	for _, to := range order {
-		for to.missing() > 0 && !to.Spare {
-			from := donor(order, to)
+		if to.Spare {
+			continue
+		}
+		held := max(to.vms-to.needed, 0)
+		limit := max(to.vms, to.needed+int(math.Ceil(to.sure*float64(spare+held))))
+		for to.vms < min(to.wanted, limit) {
+			from := donor(order, to, true)
 			if from == nil {
-				return moves
+				break
 			}
 			moves = append(moves, from.moveIdleVM(to))
 		}
@@ -400,13 +350,14 @@
 // donor returns the pool that the next VM is taken from, or nil: a spare pool,
 // else the one with the largest surplus. Spare pools come first because the
 // other pools may soon need their idle VMs themselves.
-func donor(order []*rebalancingPool, to *rebalancingPool) *rebalancingPool {
+func donor(order []*rebalancingPool, to *rebalancingPool, forExpected bool) *rebalancingPool {
 	var best *rebalancingPool
 	for _, p := range order {
-		if p == to || p.surplus() <= 0 {
+		surplus := p.surplus(forExpected)
+		if p == to || surplus <= 0 {
 			continue
 		}
-		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && p.surplus() > best.surplus() {
+		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && surplus > best.surplus(forExpected) {
 			best = p
 		}
 	}
--- a/scheduler/capacity/rebalancing_test.go
+++ b/scheduler/capacity/rebalancing_test.go
@@ -68,7 +68,7 @@
 func TestGrowingLoadGetsItsVMsAhead(t *testing.T) {
 	r := NewRebalancer(RebalancingOptions{MoveTime: 1500 * time.Millisecond})
 	busy := pool("busy", 10, 0)
-	busy.ArrivalRate, busy.ArrivalGrowth = 10*testCores, 10*testCores
+	busy.ArrivalRate, busy.ArrivalGrowth, busy.ArrivalJobs = 10*testCores, 10*testCores, 40
 	vms := append(idleVMs("spare", 60), ManagedVM{ID: "busy-0", Pool: "busy", WorkItems: 10})
 	moves, _ := r.Plan(0, []CoreDemand{{Pool: "spare", Spare: true}, busy}, vms)
 	if n := countMoves(moves, "spare", "busy"); n < 25 || n > 30 {
@@ -272,3 +272,58 @@
 		t.Errorf("%d VMs move to the pool, want at least 2 for 94 cores on VMs of 16", n)
 	}
 }
+
+// Load pattern: two early jobs make the load of one pool seem to grow, and 0.7 s
+// later the load of another rises to five times its mean. Guards against a growth
+// read from two jobs that empties the spare pool of 56 VMs: the pool whose turn
+// began waited for two moves, and 46 of 551 jobs ended late.
+func TestGrowthOfTwoJobsLeavesTheSparePool(t *testing.T) {
+	r := NewRebalancer(RebalancingOptions{})
+	spare := CoreDemand{Pool: "spare", Spare: true}
+	vms := append(idleVMs("early", 78), idleVMs("turn", 33)...)
+	r.Plan(0, []CoreDemand{spare, pool("early", 0, 0), pool("turn", 0, 0)}, vms)
+	vms = append(idleVMs("spare", 56), idleVMs("early", 16)...)
+	vms = append(vms, idleVMs("turn", 33)...)
+	early := pool("early", 20, 0)
+	early.ArrivalRate, early.ArrivalGrowth, early.ArrivalJobs = 4.5*testCores, 9*testCores, 2
+	moves, _ := r.Plan(8*time.Second, []CoreDemand{spare, early, pool("turn", 4*testCores, 0)}, vms)
+	if n := countMoves(moves, "spare", "early"); n > 0 {
+		t.Errorf("%d VMs of the spare pool for two jobs that have room, want none", n)
+	}
+	turn := pool("turn", 4*testCores, 0)
+	turn.ArrivalRate, turn.ArrivalGrowth, turn.ArrivalJobs = 36*testCores, 60*testCores, 30
+	moves, _ = r.Plan(8700*time.Millisecond, []CoreDemand{spare, pool("early", 0, 0), turn}, vms)
+	if n := countMoves(moves, "spare", "turn"); n < 50 {
+		t.Errorf("%d of 56 spare VMs for the pool whose turn begins, want at least 50", n)
+	}
+}
+
+// Load pattern: a pool's second turn begins half a second after its last VMs have
+// left, while two other pools expect work and none of theirs waits. Guards against
+// expectations that take the VMs which waiting work needs: items waited for 1.5 s
+// before the first VM was ordered.
+func TestWaitingWorkComesBeforeExpectedWork(t *testing.T) {
+	r := NewRebalancer(RebalancingOptions{})
+	spare := CoreDemand{Pool: "spare", Spare: true}
+	vms := append(idleVMs("turn", 2), idleVMs("x", 20)...)
+	vms = append(vms, idleVMs("y", 20)...)
+	vms = append(vms, idleVMs("spare", 4)...)
+	expecting := func(name string) CoreDemand {
+		d := pool(name, 3*testCores, 0)
+		d.ArrivalRate, d.ArrivalGrowth, d.ArrivalJobs = 10*testCores, 12*testCores, 20
+		return d
+	}
+	r.Plan(0, []CoreDemand{spare, pool("turn", 0, 0), expecting("x"), expecting("y")}, vms)
+	moves, _ := r.Plan(500*time.Millisecond, []CoreDemand{spare, pool("turn", 2*testCores, 10*testCores), expecting("x"), expecting("y")}, vms)
+	n := 0
+	for _, m := range moves {
+		if m.To != "turn" {
+			t.Errorf("VM %s moves to pool %s, in which nothing waits", m.VM, m.To)
+			continue
+		}
+		n++
+	}
+	if n < 10 {
+		t.Errorf("%d VMs for 10 VMs' waiting work at the first plan, want at least 10", n)
+	}
+}
--- a/scheduler/execution/demand.go
+++ b/scheduler/execution/demand.go
@@ -44,8 +44,9 @@
 // core-seconds per second, and of the growth of this rate per second. The rate
 // is that in the last window less one standard deviation, so that a single large
 // job gives 0. The growth is what remains above the rate in the window before
-// plus one standard deviation, so that it is 0 unless a burst clearly begins.
-func (c *Core) arrivalRate(service string, now Time) (rate, growth float64) {
+// plus one standard deviation, so that it is 0 unless a burst clearly begins. jobs
+// is the number of jobs of equal size whose rate has the same relative error.
+func (c *Core) arrivalRate(service string, now Time) (rate, growth, jobs float64) {
 	c.arrivals[service] = c.recentArrivals(service, now)
 	var last, before windowWork
 	for _, a := range c.arrivals[service] {
@@ -57,7 +58,10 @@
 	}
 	rate = (last.sum - last.deviation()) / arrivalWindow.Seconds()
 	rateBefore := (before.sum + before.deviation()) / arrivalWindow.Seconds()
-	return rate, max(rate-rateBefore, 0) / arrivalWindow.Seconds()
+	if last.squares > 0 {
+		jobs = last.sum * last.sum / last.squares
+	}
+	return rate, max(rate-rateBefore, 0) / arrivalWindow.Seconds(), jobs
 }
 
 // windowWork is the work that arrived within a window in core-seconds.
@@ -124,7 +128,7 @@
 		}
 		// Isolated items take up to maxIsolationShare of the workers, one each.
 		d.RequiredVMs = max(d.RequiredVMs, min(int(math.Ceil(float64(isolated[name])/maxIsolationShare)), len(c.sortedWorkers)/2))
-		byService[name].ArrivalRate, byService[name].ArrivalGrowth = c.arrivalRate(name, now)
+		d.ArrivalRate, d.ArrivalGrowth, d.ArrivalJobs = c.arrivalRate(name, now)
 		demands = append(demands, *byService[name])
 	}
 	return demands
