Weigh the demand of all pools in one plan, needs before expectations

Cause: a growth read from two early jobs counted as the start of a burst and took the spare pool for a pool that needed nothing, and expected work got VMs before waiting work of other pools.

Change: each pool states what its work needs now and what it expects, with a certainty. All needs are filled first; an expectation gets only its certainty's share of the free VMs, and a growth starts a burst only as far as the number of jobs behind it makes it certain.

--- a/scheduler/capacity/bursts.go
+++ b/scheduler/capacity/bursts.go
@@ -29,8 +29,9 @@
 type rebalancingNeed struct {
 	at  time.Duration
 	vms int
-	// current is the part of vms that doesn't rest on a growth of the load.
-	current int
+	// current is the part of vms that doesn't rest on a growth of the load, and sure
+	// includes that growth only as far as it is certain.
+	current, sure int
 }
 
 // burstGrowth returns the factor by which a burst is expected to exceed the
@@ -82,7 +83,7 @@
 	h.recent = slices.DeleteFunc(h.recent, func(w rebalancingNeed) bool { return now-w.at > max(keep, burstKeepTime) })
 	_, most := h.largest(now, keep)
 	switch {
-	case !h.inBurst && need.vms >= base+h.threshold():
+	case !h.inBurst && need.sure >= base+h.threshold():
 		h.inBurst, h.peak = true, need.vms
 		h.starts = append(h.starts, now)
 		if len(h.starts) > 3 {
--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -96,6 +96,9 @@
 	// minGrowthJobs is the number of jobs up to which a growth says nothing: two
 	// jobs within a window are as likely at a steady low load.
 	minGrowthJobs = 2
+	// growthShare is the share of the free VMs that a growth may take which is not
+	// certain. Large jobs are few, and without VMs ahead of them the next ones wait.
+	growthShare = 0.25
 	// burstSureness is how certain the size of a burst is while it begins, once the
 	// work that has arrived alone makes it one. It leaves a quarter of the spare VMs
 	// to a pool whose turn begins next.
@@ -118,8 +121,13 @@
 type Rebalancer struct {
 	options RebalancingOptions
 	pools   map[string]*rebalancingHistory
+	// targets are those of the last plan.
+	targets map[string]Target
 }
 
+// Targets returns the targets of the pools in the last plan.
+func (r *Rebalancer) Targets() map[string]Target { return r.targets }
+
 // NewRebalancer returns a rebalancer without history.
 func NewRebalancer(options RebalancingOptions) *Rebalancer {
 	if options.MoveTime <= 0 {
@@ -140,12 +148,17 @@
 	idle, busy []ManagedVM
 }
 
+// Target is what a pool needs and expects to need, in VMs.
+type Target struct {
+	// Needed is what the work needs that runs, waits or arrives now. Wanted is
+	// Needed plus what is expected, Sure how certain the expectation is, from 0 to 1.
+	Needed, Wanted int
+	Sure           float64
+}
+
 // poolTarget is what a pool needs and keeps, in VMs.
 type poolTarget struct {
-	// needed is what the work needs that runs, waits or arrives now. wanted is
-	// needed plus what is expected, sure how certain the expectation is, from 0 to 1.
-	needed, wanted int
-	sure           float64
+	Target
 	// minNeeded is what the pool keeps when work waits in other pools, minKept what
 	// it keeps when other pools expect work, and maxKept what it keeps otherwise.
 	minNeeded, minKept, maxKept int
@@ -157,6 +170,7 @@
 	pools := map[string]*rebalancingPool{}
 	var order []*rebalancingPool
 	sizes := map[string]int{}
+	r.targets = map[string]Target{}
 	for _, vm := range vms {
 		sizes[vm.Pool]++
 	}
@@ -164,6 +178,7 @@
 		p := &rebalancingPool{CoreDemand: d}
 		if !d.Spare {
 			p.poolTarget = r.target(now, d, sizes[d.Pool])
+			r.targets[d.Pool] = p.Target
 		}
 		pools[d.Pool] = p
 		order = append(order, p)
@@ -207,7 +222,7 @@
 		slices.SortFunc(p.busy, func(a, b ManagedVM) int {
 			return cmp.Or(boolCompare(b.Draining, a.Draining), cmp.Compare(a.WorkItems, b.WorkItems), cmp.Compare(a.ID, b.ID))
 		})
-		surplus := min(p.vms-max(p.wanted, p.minKept), len(p.busy), missing)
+		surplus := min(p.vms-max(p.Wanted, p.minKept), len(p.busy), missing)
 		for _, vm := range p.busy[:max(surplus, 0)] {
 			drain = append(drain, vm.ID)
 			missing--
@@ -229,7 +244,7 @@
 
 // missing returns how many VMs the pool lacks; it is negative if the pool has
 // more than it needs now.
-func (p *rebalancingPool) missing() int { return p.wanted - p.vms }
+func (p *rebalancingPool) missing() int { return p.Wanted - p.vms }
 
 // blocked returns how many VMs are missing for work that can start on none of
 // the VMs of the pool.
@@ -242,14 +257,14 @@
 	case p.Spare:
 		return len(p.idle)
 	case forExpected:
-		return min(p.vms-max(p.wanted, p.minKept), len(p.idle))
+		return min(p.vms-max(p.Wanted, p.minKept), len(p.idle))
 	}
-	return min(p.vms-max(p.needed, p.minNeeded), len(p.idle))
+	return min(p.vms-max(p.Needed, p.minNeeded), len(p.idle))
 }
 
 // unused returns how many idle VMs of the pool can be switched off.
 func (p *rebalancingPool) unused() int {
-	return min(p.vms-max(p.wanted, p.maxKept), len(p.idle))
+	return min(p.vms-max(p.Wanted, p.maxKept), len(p.idle))
 }
 
 // target returns what a pool needs and keeps.
@@ -264,30 +279,31 @@
 	}
 	size := max(d.CoresPerVM, 1)
 	vmsFor := func(cores float64) int { return max(int(math.Ceil((cores+d.LostCores)/size+headroomVMs/2)), 1) }
-	t := poolTarget{sure: sureness(d.ArrivalJobs)}
+	t := poolTarget{Target: Target{Sure: max(sureness(d.ArrivalJobs), growthShare)}}
 	current := max(d.RunningCores+min(d.WaitingCores, d.BacklogCoreSeconds/backlogCompletionTime.Seconds()), d.LongRunningCores+d.ArrivalRate)
-	t.needed = vmsFor(current)
+	t.Needed = vmsFor(current)
 	// A VM that is ordered now takes work once the move is done.
-	ahead := d.ArrivalGrowth * t.sure * (r.options.MoveTime + forecastLead).Seconds()
-	t.wanted = vmsFor(max(current, d.LongRunningCores+d.ArrivalRate+ahead))
+	ahead := d.ArrivalGrowth * (r.options.MoveTime + forecastLead).Seconds()
+	expected := func(share float64) int { return vmsFor(max(current, d.LongRunningCores+d.ArrivalRate+share*ahead)) }
+	t.Wanted = expected(1)
 	base := int(math.Ceil(d.LongRunningCores/size + headroomVMs))
-	h.observe(now, rebalancingNeed{at: now, vms: t.wanted, current: t.needed}, base, r.options.IdleTimeout)
+	h.observe(now, rebalancingNeed{at: now, vms: t.Wanted, sure: expected(sureness(d.ArrivalJobs)), current: t.Needed}, base, r.options.IdleTimeout)
 	switch {
 	case h.burstJustStarted(now, r.options.MoveTime+rampTime):
-		t.wanted = max(t.wanted, int(r.burstGrowth(now)*float64(h.initialSize)))
-		if t.needed >= base+h.threshold() {
-			t.sure = max(t.sure, burstSureness)
+		t.Wanted = max(t.Wanted, int(r.burstGrowth(now)*float64(h.initialSize)))
+		if t.Needed >= base+h.threshold() {
+			t.Sure = max(t.Sure, burstSureness)
 		}
 	case h.burstDue(now, r.options.MoveTime+forecastLead):
-		t.wanted, t.sure = max(t.wanted, h.lastPeak), max(t.sure, forecastSureness)
+		t.Wanted, t.Sure = max(t.Wanted, h.lastPeak), max(t.Sure, forecastSureness)
 	}
-	t.needed, t.wanted = max(t.needed, d.RequiredVMs), max(t.wanted, d.RequiredVMs)
-	needed, expected := h.largest(now, r.options.IdleTimeout)
-	t.minNeeded, t.minKept = max(base, needed), max(base, expected)
+	t.Needed, t.Wanted = max(t.Needed, d.RequiredVMs), max(t.Wanted, d.RequiredVMs)
+	needed, wanted := h.largest(now, r.options.IdleTimeout)
+	t.minNeeded, t.minKept = max(base, needed), max(base, wanted)
 	t.maxKept = t.minKept
 	if h.inBurst {
-		_, expected = h.largest(now, burstKeepTime)
-		t.maxKept = max(base, expected)
+		_, wanted = h.largest(now, burstKeepTime)
+		t.maxKept = max(base, wanted)
 	}
 	if len(h.starts) == 0 && now-h.since < learnTime {
 		t.maxKept = math.MaxInt32
@@ -309,7 +325,7 @@
 func fillNeeds(order []*rebalancingPool) []Move {
 	var moves []Move
 	for _, to := range order {
-		for !to.Spare && to.vms < to.needed {
+		for !to.Spare && to.vms < to.Needed {
 			from := donor(order, to, false)
 			if from == nil {
 				break
@@ -321,22 +337,20 @@
 }
 
 // fillExpectations moves idle VMs to the pools that expect work. An expectation
-// takes only as large a share of the spare VMs as it is certain.
+// takes only as large a share of the VMs that nothing needs as it is certain.
 func fillExpectations(order []*rebalancingPool) []Move {
-	spare := 0
+	free := 0
 	for _, p := range order {
-		if p.Spare {
-			spare += len(p.idle)
-		}
+		free += max(p.surplus(true), 0)
 	}
 	var moves []Move
 	for _, to := range order {
 		if to.Spare {
 			continue
 		}
-		held := max(to.vms-to.needed, 0)
-		limit := max(to.vms, to.needed+int(math.Ceil(to.sure*float64(spare+held))))
-		for to.vms < min(to.wanted, limit) {
+		held := max(to.vms-to.Needed, 0)
+		limit := max(to.vms, to.Needed+int(math.Ceil(to.Sure*float64(free+held))))
+		for to.vms < min(to.Wanted, limit) {
 			from := donor(order, to, true)
 			if from == nil {
 				break
