Refuse jobs that would certainly lose their value, by shares

Cause: entry VMs accepted every job of a burst, also those that the owner could only run after they had lost their value.

Change: the owner compares the waiting work of each queue with what its pool and the VMs it can get can start in time, and publishes which organisations' jobs are refused, with the time to drain, in owner/backlog. Entry VMs refuse them with 429 or 503 and a Retry-After that the job's ID spreads. Refusals need organisations in the manifest and a record renewed within 3 s. pool_state also says what was expected, and how sure that is.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
 	"dotterelhead.example/dotterelhead/store"
@@ -36,6 +37,9 @@
 	// ErrBacklogFull reports that a job was not accepted because the jobs of its queue take
 	// as much memory as they may. It is an ErrNotAccepted.
 	ErrBacklogFull = errors.WithMessage(ErrNotAccepted, "too many jobs of the queue wait")
+	// ErrOverloaded reports that a job was not accepted because it would end after it has
+	// lost its value. It is an ErrNotAccepted.
+	ErrOverloaded = errors.WithMessage(ErrNotAccepted, "the accepted jobs take too long")
 	// ErrBusy reports that too many unknown jobs were cancelled lately, and nothing was
 	// done.
 	ErrBusy = errors.New("too many cancellations of unknown jobs")
@@ -66,6 +70,10 @@
 	// twice as many to be cancelled before they are accepted, and the burst 5 s of it.
 	unknownCancelRate  = 20
 	unknownCancelBurst = 100
+	// refusalReadTimeout bounds the read that tells whether a job that is refused for the load
+	// was accepted before. Most requesters wait for 3 s, and a job whose record cannot be read
+	// is submitted instead.
+	refusalReadTimeout = 500 * time.Millisecond
 	// backlogWait is how long one watch call on the backlog waits for changes. A connection
 	// that went silent is noticed only when the wait is over.
 	backlogWait = 5 * time.Second
@@ -77,10 +85,37 @@
 	health         *store.Health
 	queue          chan *submission
 	unknownCancels *rate.Limiter
-	// backlog names the full queues. It is nil while the owner has named none.
-	backlog atomic.Pointer[jobstore.Backlog]
+	// backlog is nil while the owner has named no queues.
+	backlog atomic.Pointer[knownBacklog]
 }
 
+// knownBacklog is the owner's record as it was received. A record that was read and not
+// seen to change may be of a lost owner; it has no changedAt and refuses no jobs for the load.
+type knownBacklog struct {
+	jobstore.Backlog
+	changedAt time.Duration
+}
+
+// refusal returns the refusal for the load that holds for a job now, or nil.
+func (b *knownBacklog) refusal(j *job.Job, now time.Duration) *jobstore.LoadRefusal {
+	if b.changedAt == 0 || now-b.changedAt > jobstore.RefusalValidity || !j.RefusableForLoad() {
+		return nil
+	}
+	return b.Refusal(j.Queue, j.Organisation)
+}
+
+// OverloadError is an ErrOverloaded. The requester may come back after RetryAfter.
+// BeyondShare is set if the organisation is beyond its share and others are accepted.
+type OverloadError struct {
+	RetryAfter  time.Duration
+	BeyondShare bool
+}
+
+func (e *OverloadError) Error() string { return ErrOverloaded.Error() }
+
+// Unwrap returns ErrOverloaded.
+func (e *OverloadError) Unwrap() error { return ErrOverloaded }
+
 // submission is a job that is waiting to be stored, or the cancellation of an unknown job,
 // which takes the place of the job's record.
 type submission struct {
@@ -130,10 +165,10 @@
 // followBacklog keeps up with the full queues that the owner names, until ctx ends. Calls
 // that fail are counted with all calls to the store.
 func (in *Intake) followBacklog(ctx context.Context) {
-	note := func(i store.Item) {
+	note := func(i store.Item, changedAt time.Duration) {
 		// A record that cannot be decoded refuses no jobs; the next owner logs it.
 		if backlog, err := jobstore.DecodeBacklog(i.Value); err == nil {
-			in.backlog.Store(&backlog)
+			in.backlog.Store(&knownBacklog{backlog, changedAt})
 		} else {
 			in.backlog.Store(nil)
 		}
@@ -142,10 +177,10 @@
 		Reset: func(items []store.Item, _ int64) {
 			in.backlog.Store(nil)
 			for _, i := range items {
-				note(i)
+				note(i, 0)
 			}
 		},
-		Changed: func(events []store.Event) { note(events[len(events)-1].Item) },
+		Changed: func(events []store.Event) { note(events[len(events)-1].Item, boottime.Now()) },
 	})
 }
 
@@ -180,8 +215,17 @@
 		return errors.Wrap(ErrNotAccepted, err.Error())
 	}
 	s := &submission{key: jobstore.JobKey(j.ID), value: value, done: make(chan error, 1)}
-	if b := in.backlog.Load(); b != nil && slices.Contains(b.FullQueues, j.Queue) {
-		return in.acceptedBefore(s.key)
+	if b := in.backlog.Load(); b != nil {
+		if slices.Contains(b.FullQueues, j.Queue) {
+			return in.acceptedBefore(s.key, resolveTimeout, errors.WithStack(ErrBacklogFull))
+		}
+		if r := b.refusal(j, boottime.Now()); r != nil {
+			refused := &OverloadError{RetryAfter: r.ReturnAfter(j.ID), BeyondShare: len(r.Organisations) > 0}
+			// The load is no reason to leave the answer open.
+			if err := in.acceptedBefore(s.key, refusalReadTimeout, refused); !errors.Is(err, ErrOutcomeUnknown) {
+				return err
+			}
+		}
 	}
 	if err := in.enqueue(s); err != nil {
 		return err
@@ -189,15 +233,15 @@
 	return <-s.done
 }
 
-// acceptedBefore returns the answer to a submission while its queue is full: only a job
-// that is stored already was accepted.
-func (in *Intake) acceptedBefore(key string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
+// acceptedBefore returns the answer to a submission that is refused: only a job that is
+// stored already was accepted.
+func (in *Intake) acceptedBefore(key string, timeout time.Duration, refused error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	item, err := in.store.Get(ctx, key)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return errors.WithStack(ErrBacklogFull)
+		return refused
 	case err != nil:
 		return errors.Wrap(ErrOutcomeUnknown, err.Error())
 	case jobstore.IsEarlyCancellation(item.Value):
--- a/job/job.go
+++ b/job/job.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -146,6 +147,12 @@
 	return q, true
 }
 
+// RefusableForLoad reports whether the job may be refused because it would end too late: it
+// runs once, as soon as it can, and ends by itself. Fillers have no time in which to end.
+func (j *Job) RefusableForLoad() bool {
+	return j.Occurrences == 0 && !slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning || s.Filler })
+}
+
 // OccurrenceCount returns the number of occurrences, at least one.
 func (j *Job) OccurrenceCount() int { return max(j.Occurrences, 1) }
 
--- a/owner/rebalance.go
+++ b/owner/rebalance.go
@@ -9,6 +9,7 @@
 
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/scheduler/capacity"
+	"dotterelhead.example/dotterelhead/scheduler/execution"
 )
 
 // ErrWrongPool reports that the platform does not allow the VM in the pool.
@@ -103,6 +104,7 @@
 	defer t.mu.Unlock()
 	var vms []capacity.ManagedVM
 	workers := map[string]string{}
+	free := execution.FreeVMs{Idle: map[string]int{}, Arriving: map[string]int{}}
 	for _, m := range list {
 		workers[m.ID] = m.Worker
 		vm := capacity.ManagedVM{
@@ -128,9 +130,18 @@
 			vm.MovingIn = true
 		}
 		vms = append(vms, vm)
+		switch {
+		case vm.OutOfService:
+		case vm.MovingIn:
+			free.Arriving[vm.Pool]++
+		case vm.WorkItems == 0:
+			free.Idle[vm.Pool]++
+		}
 	}
+	t.admission.free = &free
 	var moves []capacity.Move
 	planned, drain := rb.planner.Plan(now, t.core.Demands(now), vms)
+	t.targets = rb.planner.Targets()
 	t.drainLocked(rb, drain, workers, selectedByWaves, now)
 	for _, m := range planned {
 		if rb.refused[[2]string{m.VM, m.To}] {
--- a/owner/term.go
+++ b/owner/term.go
@@ -15,6 +15,7 @@
 	"dotterelhead.example/dotterelhead/boottime"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/scheduler/capacity"
 	"dotterelhead.example/dotterelhead/scheduler/execution"
 	"dotterelhead.example/dotterelhead/store"
 )
@@ -93,6 +94,9 @@
 	forgotten map[string]int64
 	// fullQueues are the queues of which no further jobs are accepted.
 	fullQueues map[string]bool
+	admission  admission
+	// targets are what the pools needed and expected in the last plan of moves.
+	targets map[string]capacity.Target
 	// earlyCancellations holds, by job, the cancellations that came before their jobs, until
 	// their deletion is queued.
 	earlyCancellations map[string]earlyCancellation
--- a/owner/write.go
+++ b/owner/write.go
@@ -37,9 +37,11 @@
 	for ctx.Err() == nil {
 		wait(ctx, t.writeSignal, summaryEvery)
 		t.summarizeIfDue()
+		t.checkAdmission()
 		for t.writeBatch(ctx) {
 			// Under load there is always something to write.
 			t.summarizeIfDue()
+			t.checkAdmission()
 		}
 		wait(ctx, nil, writeGap)
 	}
@@ -52,6 +54,12 @@
 	}
 }
 
+func (t *term) checkAdmission() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.checkAdmissionLocked(boottime.Now())
+}
+
 // summarize logs the state of the pools, and queues the counts of waiting jobs
 // and the deletion of finished jobs that were kept for long enough.
 func (t *term) summarize() {
@@ -93,8 +101,7 @@
 		return
 	}
 	t.fullQueues = full
-	t.recordJSONLocked(jobstore.BacklogKey, jobstore.Backlog{FullQueues: slices.Sorted(maps.Keys(full))})
-	t.wakeWriter()
+	t.recordBacklogLocked()
 }
 
 // forgetLocked queues the deletion of the records of finished jobs. Until they are
@@ -145,12 +152,16 @@
 		if d.Spare {
 			continue
 		}
+		target := t.targets[d.Pool]
 		t.options.Log.Info().Str("event", "pool_state").Str("service", d.Pool).Int("vms", vms[d.Pool]).Float64("used_cores", d.RunningCores).
-			Float64("waiting_cores", d.WaitingCores).Float64("backlog_core_seconds", d.BacklogCoreSeconds).Float64("arriving_cores", d.ArrivalRate).Float64("arrival_growth", d.ArrivalGrowth).Float64("lasting_cores", d.LongRunningCores).Msg("")
+			Float64("waiting_cores", d.WaitingCores).Float64("backlog_core_seconds", d.BacklogCoreSeconds).Float64("arriving_cores", d.ArrivalRate).Float64("arrival_growth", d.ArrivalGrowth).Float64("lasting_cores", d.LongRunningCores).
+			Int("needed_vms", target.Needed).Int("expected_vms", target.Wanted).Float64("expectation_sure", target.Sure).Float64("arrival_jobs", d.ArrivalJobs).Msg("")
 		tags := t.metrics.scope.Tagged(map[string]string{"service": d.Pool})
 		tags.Gauge("pool_vms").Update(float64(vms[d.Pool]))
 		tags.Gauge("pool_used_cores").Update(d.RunningCores)
 		tags.Gauge("pool_waiting_cores").Update(d.WaitingCores)
+		tags.Gauge("pool_needed_vms").Update(float64(target.Needed))
+		tags.Gauge("pool_expected_vms").Update(float64(target.Wanted))
 	}
 }
 
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -70,6 +70,9 @@
 	learner         *runtimes.Learner
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
+	// meanCriticalPath is the mean critical path of the jobs of each queue that run once, as
+	// soon as they can, and end by themselves.
+	meanCriticalPath map[string]time.Duration
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
 	// them.
 	attemptsUnknown []*item
@@ -103,6 +106,7 @@
 		advice:           map[ticketKey]*advice{},
 		learner:          runtimes.NewLearner(),
 		meanQueueWork:    map[string]float64{},
+		meanCriticalPath: map[string]time.Duration{},
 		held:             map[string]int64{},
 		estimates:        map[*occurrence]workEstimate{},
 		arrivals:         map[string][]arrival{},
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -173,7 +173,7 @@
 		since = due
 	}
 	estimate := c.estimateOccurrence(s.occurrence, now)
-	objective := time.Duration(max(q.LatencyFactor, 1)*float64(estimate.criticalPath)) + q.TargetLatency
+	objective := objectiveOf(q, estimate.criticalPath)
 	finish := now - since + time.Duration(finishFactor*float64(estimate.criticalPathLeft)) + finishMargin
 	switch {
 	case finish <= objective:
@@ -189,6 +189,11 @@
 	return r
 }
 
+// objectiveOf returns the time within which a job with the given critical path should end.
+func objectiveOf(q job.Queue, criticalPath time.Duration) time.Duration {
+	return time.Duration(max(q.LatencyFactor, 1)*float64(criticalPath)) + q.TargetLatency
+}
+
 // meanWork returns the mean work of the jobs of a queue in core-seconds, or
 // fallback if no mean is known.
 func (c *Core) meanWork(queue string, fallback float64) float64 {
@@ -199,7 +204,8 @@
 	return max(fallback, 1e-3)
 }
 
-// learnQueueWork adds the work of a new job to the mean of its queue.
+// learnQueueWork adds the work and the critical path of a new job to the means of its queue.
+// The critical path is learned only from jobs whose admission may be refused.
 func (c *Core) learnQueueWork(j *jobState, now Time) {
 	estimate := c.estimateWork(j.occurrence(0).steps, now)
 	if mean, ok := c.meanQueueWork[j.Queue]; ok {
@@ -207,6 +213,14 @@
 	} else {
 		c.meanQueueWork[j.Queue] = estimate.work
 	}
+	if !j.RefusableForLoad() {
+		return
+	}
+	if mean, ok := c.meanCriticalPath[j.Queue]; ok {
+		c.meanCriticalPath[j.Queue] = mean + time.Duration(meanWorkWeight*float64(estimate.criticalPath-mean))
+	} else {
+		c.meanCriticalPath[j.Queue] = estimate.criticalPath
+	}
 }
 
 // learnRunTime records how long an item that is done took.
