--- a/intake/organisations_test.go
+++ b/intake/organisations_test.go
@@ -11,12 +11,6 @@
 	"dotterelhead.example/dotterelhead/store/storetest"
 )
 
-func jobOf(organisation string) *job.Job {
-	j := testJob(1)
-	j.Organisation = organisation
-	return j
-}
-
 // Guards against a cancellation that keeps another organisation from submitting a job under the
 // ID, and against one that is forgotten when a further organisation cancels or submits: a late
 // submission of an organisation that was told that there is no such job must not be accepted.
@@ -40,23 +34,23 @@
 			}
 		}
 		for _, organisation := range []string{"a", "", "b"} {
-			if err := in.Submit(jobOf(organisation)); !errors.Is(err, ErrCancelled) {
+			if err := in.Submit(jobOf(1, organisation)); !errors.Is(err, ErrCancelled) {
 				t.Errorf("outcome %v: submission of %q after its cancellation: %v", outcome, organisation, err)
 			}
 		}
-		if err := in.Submit(jobOf("c")); err != nil {
+		if err := in.Submit(jobOf(1, "c")); err != nil {
 			t.Errorf("outcome %v: submission of an organisation that cancelled nothing: %v", outcome, err)
 		}
 		s.ApplyDelayed()
 		for _, organisation := range []string{"a", "", "b"} {
-			if err := in.Submit(jobOf(organisation)); !errors.Is(err, ErrIDTaken) || !errors.Is(err, ErrNotAccepted) {
+			if err := in.Submit(jobOf(1, organisation)); !errors.Is(err, ErrIDTaken) || !errors.Is(err, ErrNotAccepted) {
 				t.Errorf("outcome %v: submission of %q after that of another organisation: %v", outcome, organisation, err)
 			}
 		}
 		if phase, err := in.Phase(ctx, testJob(1).ID, "c"); err != nil || phase != job.Queued {
 			t.Errorf("outcome %v: phase %q, error %v", outcome, phase, err)
 		}
-		if err := in.Submit(jobOf("c")); err != nil {
+		if err := in.Submit(jobOf(1, "c")); err != nil {
 			t.Errorf("outcome %v: repeated submission: %v", outcome, err)
 		}
 	}
@@ -67,10 +61,10 @@
 func TestJobsWithoutOrganisationStayVisible(t *testing.T) {
 	in := startIntake(t, storetest.New())
 	ctx := context.Background()
-	if err := in.Submit(jobOf("")); err != nil {
+	if err := in.Submit(jobOf(1, "")); err != nil {
 		t.Fatal(err)
 	}
-	if err := in.Submit(jobOf("a")); err != nil {
+	if err := in.Submit(jobOf(1, "a")); err != nil {
 		t.Errorf("repeated submission with a key: %v", err)
 	}
 	if phase, err := in.Phase(ctx, testJob(1).ID, "a"); err != nil || phase != job.Queued {
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -84,6 +84,9 @@
 	roundNumber uint64
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
+	// meanCriticalPath is the mean critical path of the jobs of each queue that run once, as
+	// soon as they can, and end by themselves.
+	meanCriticalPath map[string]time.Duration
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
 	// them.
 	attemptsUnknown []*item
@@ -126,6 +129,7 @@
 		estimates:         map[*occurrence]workEstimate{},
 		arrivals:          map[string][]arrival{},
 		organisations:     map[string]*organisation{},
+		meanCriticalPath:  map[string]time.Duration{},
 	}
 }
 
