--- a/jobserver/settings_test.go
+++ b/jobserver/settings_test.go
@@ -49,8 +49,9 @@
 colour = "blue"
 [bounds]
 grace_seconds = 0
+config_apply_ms = -1
 `)
-	for _, want := range []string{":2:", "caller_listen", "log_level", "colour", "grace_seconds"} {
+	for _, want := range []string{":2:", "caller_listen", "log_level", "colour", "grace_seconds", "config_apply_ms"} {
 		if !strings.Contains(found, want) {
 			t.Errorf("findings do not mention %q:\n%s", want, found)
 		}
--- a/processtest/organisations_test.go
+++ b/processtest/organisations_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"dotterelhead.example/dotterelhead/intake"
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobserver"
 	"dotterelhead.example/dotterelhead/platform"
@@ -169,7 +170,8 @@
 }
 
 // Guards against an entry VM that is cut off from the store while keys are withdrawn, or that
-// is restarted meanwhile, and that serves them later than a manifest may take.
+// is restarted meanwhile, and that serves them later than a manifest may take; and against
+// running jobs that other organisations see.
 func TestWithdrawnKeys(t *testing.T) {
 	c := startJobCluster(t, 3, map[string]int{"artwork": 2, "spare": 1}, "spare")
 	c.publishOrganisations(2)
@@ -184,6 +186,12 @@
 			return err == nil
 		})
 	}
+	for n, j := range jobs[:3] {
+		c.eventually(5*time.Second, "record of the progress of job "+j.ID, func() bool { return c.platform.Value("progress/"+j.ID) != nil })
+		if phase, err := c.keyed(c.requester(), jobs[n+1]).Phase(context.Background(), j.ID); !errors.Is(err, intake.ErrJobNotFound) {
+			t.Errorf("another organisation is told that job %s is %s: %v", j.ID, phase, err)
+		}
+	}
 	out, err := c.jobTool("DOTTERELHEAD_KEY="+c.keyed(c.requester(), jobs[0]).Key, calm, "show", jobs[0].ID)
 	if err != nil {
 		t.Errorf("dotterelhead job show with a key: %v: %s", err, out)
