--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -70,6 +70,10 @@
 	learner         *runtimes.Learner
 	// organisations holds the organisations that have, or had, jobs.
 	organisations map[string]*organisation
+	// reservations are those of gangs, by service, and nextReservation is when the next one
+	// may be made.
+	reservations    map[string]*reservation
+	nextReservation map[string]Time
 	// unseenCleared is set once no organisation has unseen runs any more.
 	unseenCleared bool
 	// roundNumber counts the rounds.
@@ -113,6 +117,8 @@
 		estimates:        map[*occurrence]workEstimate{},
 		arrivals:         map[string][]arrival{},
 		organisations:    map[string]*organisation{},
+		reservations:     map[string]*reservation{},
+		nextReservation:  map[string]Time{},
 	}
 }
 
--- a/scheduler/execution/shares_test.go
+++ b/scheduler/execution/shares_test.go
@@ -177,3 +177,65 @@
 		t.Errorf("%d of 90 jobs in 30 s are within the rate of 2 a second, want 60", within)
 	}
 }
+
+// Small jobs take each slot that gets free, so that a gang as wide as half of the pool never
+// finds enough at a time. It has to start all the same, and gangs must not keep the small
+// jobs from running.
+func TestSmallJobsAndWideGangsBothRun(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.setWeights(100, "harbour")
+	b.worker(testWorker("w1", 8000), Report{})
+	jobs := 0
+	submit := func(s job.Step) string {
+		jobs++
+		b.accept(jobs, "harbour", s)
+		return fmt.Sprintf("%016x", jobs)
+	}
+	var small, gangs []string
+	next := time.Duration(0)
+	b.play("w1", 12*time.Second, func(at time.Duration) {
+		for ; next <= at; next += 60 * time.Millisecond {
+			small = append(small, submit(job.Step{Estimate: 500 * time.Millisecond}))
+			if len(small)%25 == 5 {
+				gangs = append(gangs, submit(job.Step{Estimate: 500 * time.Millisecond, Count: 4, Gang: true}))
+			}
+		}
+	})
+	done := func(ids []string) (n int) {
+		for _, id := range ids {
+			if b.core.jobs[id].phase == job.Completed {
+				n++
+			}
+		}
+		return n
+	}
+	if done(gangs) < len(gangs)/2 {
+		t.Errorf("%d of %d gangs have run", done(gangs), len(gangs))
+	}
+	if done(small) < len(small)/2 {
+		t.Errorf("%d of %d small jobs have run", done(small), len(small))
+	}
+	t.Logf("%d of %d gangs, %d of %d small jobs", done(gangs), len(gangs), done(small), len(small))
+}
+
+// What an organisation sends beyond its weight comes after the jobs of others, also of those
+// that are late already.
+func TestJobsBeyondTheWeightComeAfterLateJobs(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.setWeights(1, "hot", "usual")
+	b.accept(100, "usual", job.Step{Estimate: 500 * time.Millisecond})
+	b.now += 2 * time.Second
+	for n := range 12 {
+		b.accept(n, "hot", job.Step{Estimate: 500 * time.Millisecond})
+	}
+	b.worker(testWorker("w1", 6000), Report{})
+	usual := 0
+	for _, s := range b.wantStarts(6, "room for 6 items") {
+		if b.core.jobs[s.Item.Job].Organisation == "usual" {
+			usual++
+		}
+	}
+	if usual != 1 {
+		t.Error("the late job waits for jobs beyond the weight of another organisation")
+	}
+}
