--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -60,7 +60,8 @@
 // than five times, a sound item that is given up because of those beside it, a
 // long-running item that is stopped while too many others of its step are unavailable or
 // that does not come back, workers over their capacity, which shrinks and grows,
-// and starts above the cap of an organisation.
+// and starts above the cap of an organisation, or above its fair share in place of work of
+// another one.
 // Orders are lost and late, the queue of the jobs leaves the manifest and returns, workers restart, stop answering and are closed, records of
 // lease holders are confirmed late, and owners are replaced or paused.
 func TestNoItemRunsTwice(t *testing.T) {
--- a/scheduler/execution/shares_test.go
+++ b/scheduler/execution/shares_test.go
@@ -1,10 +1,14 @@
 package execution
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dotterelhead.example/dotterelhead/job"
 )
 
@@ -215,7 +219,6 @@
 	if done(small) < len(small)/2 {
 		t.Errorf("%d of %d small jobs have run", done(small), len(small))
 	}
-	t.Logf("%d of %d gangs, %d of %d small jobs", done(gangs), len(gangs), done(small), len(small))
 }
 
 // What an organisation sends beyond its weight comes after the jobs of others, also of those
@@ -239,3 +242,51 @@
 		t.Error("the late job waits for jobs beyond the weight of another organisation")
 	}
 }
+
+// Guards deployments without organisations against another order of starts than one pass in
+// the order of kind, priority, value class and order.
+func TestWithoutOrganisationsTheOrderIsThatOfTheRanks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var jobs []*job.Job
+		for n := range rapid.IntRange(1, 12).Draw(rt, "jobs") {
+			step := job.Step{
+				Count: rapid.IntRange(1, 6).Draw(rt, "items"), Needs: job.Resources{MilliCPU: rapid.Int64Range(500, 3000).Draw(rt, "cpu"), MemoryMB: 10},
+				Gang: rapid.Bool().Draw(rt, "gang"), LongRunning: rapid.Bool().Draw(rt, "long-running"), Filler: rapid.Bool().Draw(rt, "filler"),
+				Estimate: time.Duration(rapid.IntRange(100, 3000).Draw(rt, "ms")) * time.Millisecond,
+			}
+			jobs = append(jobs, oneStep(fmt.Sprintf("%016x", n), step))
+		}
+		newCore := func() *testbed {
+			b := newTestbed(t, 0)
+			for n, j := range jobs {
+				b.core.AddJob(j, job.Progress{}, false, wall, b.now-time.Duration(n)*700*time.Millisecond)
+			}
+			b.worker(testWorker("w1", 6000), Report{})
+			b.worker(testWorker("w2", 6000), Report{})
+			return b
+		}
+		b := newCore()
+		starts := b.round().Starts
+		b = newCore()
+		b.now += time.Millisecond
+		b.core.MarkDue(wall.Add(b.now), b.now)
+		var candidates []candidate
+		for _, s := range b.core.pendingSteps {
+			candidates = append(candidates, candidate{step: s, queue: b.core.queueOf(s.job), rank: b.core.rankOf(s, b.core.queueOf(s.job), b.now)})
+		}
+		slices.SortFunc(candidates, func(a, b candidate) int {
+			return cmp.Or(
+				cmp.Compare(a.rank.kind, b.rank.kind), cmp.Compare(a.rank.priority, b.rank.priority), cmp.Compare(a.rank.valueClass, b.rank.valueClass),
+				cmp.Compare(a.rank.order, b.rank.order), a.step.id().Compare(b.step.id()),
+			)
+		})
+		var want Orders
+		eligible := b.core.eligibleByService(b.now)
+		for _, cand := range candidates {
+			b.core.placeStep(&want, cand, eligible[testService], b.now)
+		}
+		if !slices.EqualFunc(starts, want.Starts, func(a, b Start) bool { return a.Run == b.Run && a.Worker.ID == b.Worker.ID }) {
+			rt.Fatalf("starts %v, want %v", starts, want.Starts)
+		}
+	})
+}
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -416,6 +416,7 @@
 	}
 	s.writeHolders()
 	orders := s.core.Round(wall.Add(s.now), s.now)
+	s.checkShares(orders.Starts)
 	paused := s.pause("before orders")
 	for _, st := range orders.Starts {
 		s.send(st, paused)
