--- a/scheduler/execution/caps.go
+++ b/scheduler/execution/caps.go
@@ -24,6 +24,11 @@
 	running job.Resources
 	// unseen is what runs of a former owner that no worker has listed yet may request.
 	unseen job.Resources
+	// gang, if set, is a gang for which the rest of the cap is kept since gangSince, and
+	// nextGang when the next one may be.
+	gang                *step
+	gangPriority        int
+	gangSince, nextGang Time
 	// sent tells which of its jobs it sent beyond its rate.
 	sent sentJobs
 	// capWaiting is the number of steps that waited for the cap in the last round, and
@@ -108,7 +113,7 @@
 // capAllows is allows for the organisation of a step. It notes a step that has to wait.
 func (c *Core) capAllows(s *step, n int) bool {
 	o := s.job.organisation
-	if o.allows(s.spec, n) {
+	if o == nil || o.allows(s.spec, n) && !o.keepsCapFor(s, func() int { return c.queueOf(s.job).Priority }) {
 		return true
 	}
 	if s.capWaitRound != c.roundNumber {
--- a/scheduler/execution/caps_test.go
+++ b/scheduler/execution/caps_test.go
@@ -18,7 +18,7 @@
 	m := *b.core.manifest
 	m.Version++
 	m.Organisations = job.NewOrganisations()
-	m.Organisations.Add(job.Organisation{Name: testOrganisation, Weight: 1, Cap: job.Resources{MilliCPU: milliCPU}}, nil)
+	m.Organisations.Add(job.Organisation{Name: testOrganisation, Weight: 100, Cap: job.Resources{MilliCPU: milliCPU}}, nil)
 	b.core.SetManifest(&m)
 }
 
--- a/scheduler/execution/reserve.go
+++ b/scheduler/execution/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"dotterelhead.example/dotterelhead/job"
 )
 
 // minReserveWait is how long a gang waits at least before room is reserved for it. Half
@@ -19,59 +21,95 @@
 
 // placeReserved starts the gangs with reservations, makes new ones, and takes their workers
 // from the eligible ones. Each pool has one reservation at a time, and after it a pause, so
-// that gangs don't keep smaller steps from starting. The limit of starts does not apply.
+// that gangs don't keep smaller steps from starting. Reservations give way to work of a
+// higher priority and to long-running items, which must not wait beside a free worker.
 func (c *Core) placeReserved(o *Orders, candidates []candidate, eligible map[string]*eligibleWorkers, now Time) {
 	if len(c.organisations) == 0 {
 		return
 	}
+	c.endCapReservations(now)
+	first := map[string]rank{}
+	kept := map[string]*reservation{}
 	for _, cand := range candidates {
 		service := cand.queue.Service
-		r := c.reservations[service]
-		own := r != nil && r.step == cand.step
-		if !cand.mayReserve(now) || cand.step.job.inherited && !c.settled || !c.capAllows(cand.step, cand.step.spec.Count) {
-			if own {
-				delete(c.reservations, service)
-			}
+		fitsCap := c.capAllows(cand.step, cand.step.spec.StartCount())
+		if best, known := first[service]; !known && fitsCap {
+			first[service] = cand.rank
+		} else if known && (best.kind != cand.rank.kind || best.priority != cand.rank.priority) {
 			continue
 		}
-		if !own && (r != nil && r.step.waitsAsGang() || now < c.nextReservation[service]) {
+		if !cand.mayReserve(now) || cand.step.job.inherited && !c.settled {
 			continue
 		}
-		if !own {
+		if !fitsCap {
+			c.reserveCap(cand.step, now)
+			continue
+		}
+		if kept[service] != nil || cand.share.reached() || now < c.nextReservation[service] {
+			continue
+		}
+		r := c.reservations[service]
+		if r == nil || r.step != cand.step {
+			if r != nil && r.step.waitsAsGang() {
+				continue
+			}
 			r = &reservation{step: cand.step, since: now}
 		}
+		tickets, ok := c.ticketsFor(cand.step, cand.queue, now)
+		if !ok {
+			continue
+		}
 		started := len(o.Starts)
-		if c.placeStep(o, cand, eligible[service], now); len(o.Starts) > started {
-			delete(c.reservations, service)
+		if c.placeCandidate(o, cand, eligible, now); len(o.Starts) > started {
 			c.nextReservation[service] = now + (now - r.since) + c.runTime(cand.step, now)
 			c.trace(Event{Name: "gang_reservation_ended", Item: cand.step.id().String(), Service: service, Reason: "started", Took: now - r.since})
 			continue
 		}
-		if r.workers = c.workersFor(r, eligible[service]); r.workers == nil {
-			delete(c.reservations, service)
+		if r.workers = c.workersFor(r, eligible[service], tickets); r.workers == nil {
 			continue
 		}
 		if c.reservations[service] != r {
-			c.reservations[service] = r
 			c.trace(Event{Name: "gang_reserves", Item: cand.step.id().String(), Service: service, Took: now - cand.step.readyAt})
 		}
+		kept[service] = r
 	}
-	for service, r := range c.reservations {
-		if !r.step.waitsAsGang() {
-			delete(c.reservations, service)
-			continue
-		}
-		if group := eligible[service]; group != nil {
-			group.workers = slices.DeleteFunc(slices.Clone(group.workers), func(w *worker) bool { return slices.Contains(r.workers, w) })
+	c.reservations = kept
+	for service, r := range kept {
+		group := eligible[service]
+		group.workers = slices.DeleteFunc(slices.Clone(group.workers), func(w *worker) bool { return slices.Contains(r.workers, w) })
+	}
+}
+
+// reserveCap keeps smaller steps of an organisation from taking what its cap leaves, until a
+// gang fits.
+func (c *Core) reserveCap(s *step, now Time) {
+	o := s.job.organisation
+	if o.gang == nil && c.settled && now >= o.nextGang && s.spec.Needs.FitsCap(o.cap, job.Resources{}, s.spec.Count) {
+		o.gang, o.gangPriority, o.gangSince = s, c.queueOf(s.job).Priority, now
+	}
+}
+
+// endCapReservations ends those of gangs that have started or need not start any more. The
+// organisation has a pause after it, so that its gangs don't keep smaller steps from starting.
+func (c *Core) endCapReservations(now Time) {
+	for _, o := range c.organisations {
+		if o.gang != nil && (!o.gang.waitsAsGang() || !o.gang.spec.Needs.FitsCap(o.cap, job.Resources{}, o.gang.spec.Count)) {
+			o.nextGang = now + (now - o.gangSince) + c.runTime(o.gang, now)
+			o.gang = nil
 		}
 	}
 }
 
-// mayReserve reports whether the candidate is a gang of an organisation that has waited for
-// longer than its queue's target latency.
+// keepsCapFor reports whether a step has to leave what the cap allows to a gang.
+func (o *organisation) keepsCapFor(s *step, priority func() int) bool {
+	return o.gang != nil && o.gang != s && !s.spec.LongRunning && priority() >= o.gangPriority
+}
+
+// mayReserve reports whether the candidate is a gang within the rate of its organisation
+// that has waited for longer than its queue's target latency.
 func (cand *candidate) mayReserve(now Time) bool {
 	s := cand.step
-	return s.spec.Gang && s.job.organisation != nil && s.waitsAsGang() && now-s.readyAt >= max(cand.queue.TargetLatency, minReserveWait) &&
+	return s.spec.Gang && s.job.organisation != nil && !s.job.beyondRate && s.waitsAsGang() && now-s.readyAt >= max(cand.queue.TargetLatency, minReserveWait) &&
 		!slices.ContainsFunc(s.tracked, func(i *item) bool { return now < i.notBefore })
 }
 
@@ -83,7 +121,7 @@
 // workersFor returns the workers that can hold the gang once all runs on them have ended but
 // those of long-running items, or nil if there are too few. Workers that were reserved before
 // come first, so that they get free in the end, and then those that get free soonest.
-func (c *Core) workersFor(r *reservation, eligible *eligibleWorkers) []*worker {
+func (c *Core) workersFor(r *reservation, eligible *eligibleWorkers, tickets map[string]string) []*worker {
 	workers := slices.Clone(eligible.workers)
 	slices.SortStableFunc(workers, func(a, b *worker) int {
 		if x, y := slices.Contains(r.workers, a), slices.Contains(r.workers, b); x != y {
@@ -98,7 +136,7 @@
 	charge := spec.Charge()
 	var chosen []*worker
 	for _, w := range workers {
-		if !w.allows(r.step, nil) {
+		if !w.allows(r.step, tickets) {
 			continue
 		}
 		before, room := left, w.idleCapacity()
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -238,6 +238,7 @@
 	}
 	sortByRank(candidates)
 	c.placeIsolated(o, candidates, eligible, now)
+	c.setShares(candidates)
 	c.placeReserved(o, candidates, eligible, now)
 	c.placeInOrder(o, candidates, eligible, now)
 	c.pendingSteps = slices.DeleteFunc(c.pendingSteps, func(s *step) bool {
--- a/scheduler/execution/shares.go
+++ b/scheduler/execution/shares.go
@@ -121,7 +121,6 @@
 // with the same class, work of organisations below their fair shares comes first, up to these
 // shares. The rest follows in the same order, so that no room is left while some work fits.
 func (c *Core) placeInOrder(o *Orders, candidates []candidate, eligible map[string]*eligibleWorkers, now Time) {
-	c.setShares(candidates)
 	for len(candidates) > 0 {
 		n := 1
 		for n < len(candidates) && candidates[n].rank.sameClass(candidates[0].rank) {
--- a/scheduler/execution/shares_test.go
+++ b/scheduler/execution/shares_test.go
@@ -182,13 +182,21 @@
 	}
 }
 
-// Small jobs take each slot that gets free, so that a gang as wide as half of the pool never
+// Small jobs take each slot that gets free, so that a gang as wide as half of the pool, or of the cap, never
 // finds enough at a time. It has to start all the same, and gangs must not keep the small
 // jobs from running.
 func TestSmallJobsAndWideGangsBothRun(t *testing.T) {
+	t.Run("pool", func(t *testing.T) { testSmallJobsAndWideGangs(t, 8000, 0) })
+	t.Run("cap", func(t *testing.T) { testSmallJobsAndWideGangs(t, 80_000, 8000) })
+}
+
+func testSmallJobsAndWideGangs(t *testing.T, capacity, cap int64) {
 	b := newTestbed(t, 0)
 	b.setWeights(100, "harbour")
-	b.worker(testWorker("w1", 8000), Report{})
+	if cap > 0 {
+		b.setCap(cap)
+	}
+	b.worker(testWorker("w1", capacity), Report{})
 	jobs := 0
 	submit := func(s job.Step) string {
 		jobs++
