--- a/scheduler/execution/shares_test.go
+++ b/scheduler/execution/shares_test.go
@@ -1,10 +1,14 @@
 package execution
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dotterelhead.example/dotterelhead/job"
 )
 
@@ -177,3 +181,120 @@
 		t.Errorf("%d of 90 jobs in 30 s are within the rate of 2 a second, want 60", within)
 	}
 }
+
+// Small jobs take each slot that gets free, so that a gang as wide as half of the pool, or of the cap, never
+// finds enough at a time. It has to start all the same, and gangs must not keep the small
+// jobs from running.
+func TestSmallJobsAndWideGangsBothRun(t *testing.T) {
+	t.Run("pool", func(t *testing.T) { testSmallJobsAndWideGangs(t, 8000, 0) })
+	t.Run("cap", func(t *testing.T) { testSmallJobsAndWideGangs(t, 80_000, 8000) })
+}
+
+func testSmallJobsAndWideGangs(t *testing.T, capacity, cap int64) {
+	b := newTestbed(t, 0)
+	b.setWeights(100, "harbour")
+	if cap > 0 {
+		b.setCap(cap)
+	}
+	b.worker(testWorker("w1", capacity), Report{})
+	jobs := 0
+	submit := func(s job.Step) string {
+		jobs++
+		b.accept(jobs, "harbour", s)
+		return fmt.Sprintf("%016x", jobs)
+	}
+	var small, gangs []string
+	next := time.Duration(0)
+	b.play("w1", 12*time.Second, func(at time.Duration) {
+		for ; next <= at; next += 60 * time.Millisecond {
+			small = append(small, submit(job.Step{Estimate: 500 * time.Millisecond}))
+			if len(small)%25 == 5 {
+				gangs = append(gangs, submit(job.Step{Estimate: 500 * time.Millisecond, Count: 4, Gang: true}))
+			}
+		}
+	})
+	done := func(ids []string) (n int) {
+		for _, id := range ids {
+			if b.core.jobs[id].phase == job.Completed {
+				n++
+			}
+		}
+		return n
+	}
+	if done(gangs) < len(gangs)/2 {
+		t.Errorf("%d of %d gangs have run", done(gangs), len(gangs))
+	}
+	if done(small) < len(small)/2 {
+		t.Errorf("%d of %d small jobs have run", done(small), len(small))
+	}
+}
+
+// What an organisation sends beyond its weight comes after the jobs of others, also of those
+// that are late already.
+func TestJobsBeyondTheWeightComeAfterLateJobs(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.setWeights(1, "hot", "usual")
+	b.accept(100, "usual", job.Step{Estimate: 500 * time.Millisecond})
+	b.now += 2 * time.Second
+	for n := range 12 {
+		b.accept(n, "hot", job.Step{Estimate: 500 * time.Millisecond})
+	}
+	b.worker(testWorker("w1", 6000), Report{})
+	usual := 0
+	for _, s := range b.wantStarts(6, "room for 6 items") {
+		if b.core.jobs[s.Item.Job].Organisation == "usual" {
+			usual++
+		}
+	}
+	if usual != 1 {
+		t.Error("the late job waits for jobs beyond the weight of another organisation")
+	}
+}
+
+// Guards deployments without organisations against another order of starts than one pass in
+// the order of kind, priority, value class and order.
+func TestWithoutOrganisationsTheOrderIsThatOfTheRanks(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var jobs []*job.Job
+		for n := range rapid.IntRange(1, 12).Draw(rt, "jobs") {
+			step := job.Step{
+				Count: rapid.IntRange(1, 6).Draw(rt, "items"), Needs: job.Resources{MilliCPU: rapid.Int64Range(500, 3000).Draw(rt, "cpu"), MemoryMB: 10},
+				Gang: rapid.Bool().Draw(rt, "gang"), LongRunning: rapid.Bool().Draw(rt, "long-running"), Filler: rapid.Bool().Draw(rt, "filler"),
+				Estimate: time.Duration(rapid.IntRange(100, 3000).Draw(rt, "ms")) * time.Millisecond,
+			}
+			jobs = append(jobs, oneStep(fmt.Sprintf("%016x", n), step))
+		}
+		newCore := func() *testbed {
+			b := newTestbed(t, 0)
+			for n, j := range jobs {
+				b.core.AddJob(j, job.Progress{}, false, wall, b.now-time.Duration(n)*700*time.Millisecond)
+			}
+			b.worker(testWorker("w1", 6000), Report{})
+			b.worker(testWorker("w2", 6000), Report{})
+			return b
+		}
+		b := newCore()
+		starts := b.round().Starts
+		b = newCore()
+		b.now += time.Millisecond
+		b.core.MarkDue(wall.Add(b.now), b.now)
+		var candidates []candidate
+		for _, s := range b.core.pendingSteps {
+			candidates = append(candidates, candidate{step: s, queue: b.core.queueOf(s.job), rank: b.core.rankOf(s, b.core.queueOf(s.job), b.now)})
+		}
+		slices.SortFunc(candidates, func(a, b candidate) int {
+			return cmp.Or(
+				cmp.Compare(a.rank.kind, b.rank.kind), cmp.Compare(a.rank.priority, b.rank.priority), cmp.Compare(a.rank.valueClass, b.rank.valueClass),
+				cmp.Compare(a.rank.order, b.rank.order), a.step.id().Compare(b.step.id()),
+			)
+		})
+		var want Orders
+		eligible := b.core.eligibleByService(b.now)
+		for _, cand := range candidates {
+			b.core.placeStep(&want, cand, eligible[testService], b.now)
+		}
+		if !slices.EqualFunc(starts, want.Starts, func(a, b Start) bool { return a.Run == b.Run && a.Worker.ID == b.Worker.ID }) {
+			rt.Fatalf("starts %v, want %v", starts, want.Starts)
+		}
+	})
+}
