Learn run times from finished runs by image and queue, for order, placement and second copies

The owner uses it for the remaining work of steps in progress, tells slow workers by the items of the same step on other workers, and lets speculative items start a second copy before their worker falls silent. owner/runtimes keeps what was learned across changes of owner. run_times = "declared" switches it off.

--- a/jobserver/server.go
+++ b/jobserver/server.go
@@ -98,6 +98,7 @@
 		OrdersPerSecond: s.Bounds.MachineOrdersPerSecond,
 		Execution: execution.Options{
 			LeaseDuration: min(workLease, milliseconds(s.Bounds.MaxLeaseMs)), MaxLease: milliseconds(s.Bounds.MaxLeaseMs), StopTimeout: milliseconds(s.Bounds.StopTimeoutMs),
+			TrustDeclared: s.RunTimes == RunTimesDeclared,
 		},
 	}
 	if s.MachinesAddress != "" {
--- a/jobserver/settings.go
+++ b/jobserver/settings.go
@@ -38,9 +38,18 @@
 	// the jobs.
 	CPUShare float64 `toml:"cpu_share"`
 	LogLevel string  `toml:"log_level"`
-	Bounds   Bounds  `toml:"bounds"`
+	// RunTimes says which run times of work items the owner expects: RunTimesLearned from
+	// finished runs, or RunTimesDeclared by the requesters.
+	RunTimes string `toml:"run_times"`
+	Bounds   Bounds `toml:"bounds"`
 }
 
+// Values of Settings.RunTimes.
+const (
+	RunTimesLearned  = "learned"
+	RunTimesDeclared = "declared"
+)
+
 // Bounds are the times and rates that the platform guarantees or requires.
 type Bounds struct {
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
@@ -72,7 +81,7 @@
 // DefaultSettings returns the settings that apply where the file sets none.
 func DefaultSettings() Settings {
 	return Settings{
-		LogLevel: "info", JobMemoryMB: defaultJobMemoryMB,
+		LogLevel: "info", JobMemoryMB: defaultJobMemoryMB, RunTimes: RunTimesLearned,
 		Bounds: Bounds{
 			GraceSeconds: 6, StopTimeoutMs: 1000, MaxLeaseMs: 6000, MinOrderIntervalMs: 3000, StatusSeconds: 120,
 			UpkeepSeconds: 2, MoveSeconds: 1.5, MachineOrdersPerSecond: 64,
@@ -129,6 +138,9 @@
 	if !telemetry.ValidLevel(s.LogLevel) {
 		found.Add(index.At("log_level"), "log_level %q is not known", s.LogLevel)
 	}
+	if s.RunTimes != RunTimesLearned && s.RunTimes != RunTimesDeclared {
+		found.Add(index.At("run_times"), "run_times %q is neither %q nor %q", s.RunTimes, RunTimesLearned, RunTimesDeclared)
+	}
 	if s.CPUShare < 0 {
 		found.Add(index.At("cpu_share"), "cpu_share is negative")
 	}
--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -14,6 +14,7 @@
 //	owner/orders      VMs that were recently ordered to move or to have upkeep
 //	owner/waiting     number of jobs of each queue of which nothing has started
 //	owner/backlog     queues for whose jobs the owner has no more memory
+//	owner/runtimes    run times that were learned from finished runs
 //	owner/wave/N      VMs of a wave that had their upkeep
 package jobstore
 
@@ -36,6 +37,7 @@
 	WaitingKey     = OwnerPrefix + "waiting"
 	BacklogKey     = OwnerPrefix + "backlog"
 	OrdersKey      = OwnerPrefix + "orders"
+	RunTimesKey    = OwnerPrefix + "runtimes"
 	WavePrefix     = OwnerPrefix + "wave/"
 )
 
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -388,6 +388,9 @@
 		t.metrics.job.Record(e.Took)
 	case "run_ended":
 		t.logIfDiscarded(e)
+		if e.Expected > 0 {
+			t.metrics.runTimeRatio.RecordValue(float64(e.Took) / float64(e.Expected))
+		}
 	}
 	entry := t.options.Log.Info().Str("event", e.Name)
 	if e.Job != "" {
--- a/owner/term.go
+++ b/owner/term.go
@@ -99,6 +99,8 @@
 	// waveDone holds, by the number of the wave, the VMs that had their upkeep
 	// under former owners.
 	waveDone map[int64][]string
+	// runTimesDue is when the learned run times are next recorded.
+	runTimesDue time.Duration
 
 	roundSignal chan struct{}
 	writeSignal chan struct{}
@@ -316,6 +318,9 @@
 			}
 			t.core.SetFormerHolders(durations(holders), t.startedAt)
 		}
+		if item.Key == jobstore.RunTimesKey {
+			t.loadRunTimes(item.Value)
+		}
 		if item.Key == jobstore.BacklogKey {
 			// The entry VMs refuse no jobs because of a record that they cannot decode either.
 			backlog, err := jobstore.DecodeBacklog(item.Value)
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -67,7 +67,14 @@
 	adviceCalls     int
 	adviceCallTime  time.Duration
 	adviceDoublings int
-	learner         *runtimes.Learner
+	// learner holds the run times of items, unevenness those relative to the typical item of
+	// the same step, with typicalRatio for an equal one.
+	learner, unevenness *runtimes.Learner
+	// typicalSpeeds is the typical slowness of the workers of each service, as of speedsAt.
+	typicalSpeeds map[string]float64
+	speedsAt      Time
+	// outlastingAt is when markOutlasting last looked at the runs.
+	outlastingAt Time
 	// meanQueueWork is the mean work of the jobs of each queue in core-seconds.
 	meanQueueWork map[string]float64
 	// attemptsUnknown are the items with attemptsUnknown set; recheckAttempts decides about
@@ -101,7 +108,9 @@
 		firstRun:         term*runsPerTerm + 1,
 		formerHolders:    map[string]Time{},
 		advice:           map[ticketKey]*advice{},
-		learner:          runtimes.NewLearner(),
+		learner:          newRunTimeLearner(),
+		unevenness:       newRunTimeLearner(),
+		typicalSpeeds:    map[string]float64{},
 		meanQueueWork:    map[string]float64{},
 		held:             map[string]int64{},
 		estimates:        map[*occurrence]workEstimate{},
--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -5,21 +5,9 @@
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
-	"dotterelhead.example/dotterelhead/scheduler/runtimes"
 )
 
 const (
-	// unknownRunTime is the expected run time of an item about which nothing is
-	// known.
-	unknownRunTime = time.Second
-	// shortestRunTime and longestRunTime bound the run times that requesters
-	// declare.
-	shortestRunTime = 50 * time.Millisecond
-	longestRunTime  = 20 * time.Second
-	// Until an item of a step is done, the expected run time is at least
-	// overrunFactor times the time since the step's first start, because a step
-	// that outlasts its expected run time will go on for a while.
-	overrunFactor = 1.3
 	// A job loses its value lateFactor times its objective after it was accepted
 	// or became due.
 	lateFactor = 3
@@ -38,37 +26,6 @@
 	meanWorkWeight = 0.05
 )
 
-// operation returns the key under which run times of the step are learned. The
-// queue takes the place of the service: run times are learned for each queue.
-func (s *step) operation() runtimes.Operation {
-	return runtimes.Operation{Service: s.job.Queue, Name: s.spec.Image}
-}
-
-// runTime returns how long an item of the step is expected to run: the mean of
-// the step's items that are done, else what was learned from items with a
-// similar declared run time, else the declared run time, else unknownRunTime. All
-// but the first are raised as overrunFactor says. With TrustDeclared it is always
-// the declared run time or unknownRunTime.
-func (c *Core) runTime(s *step, now Time) time.Duration {
-	if s.meanRunTime > 0 && !c.options.TrustDeclared {
-		return s.meanRunTime
-	}
-	expected := unknownRunTime
-	if s.spec.Estimate > 0 {
-		expected = min(max(s.spec.Estimate, shortestRunTime), longestRunTime)
-	}
-	if c.options.TrustDeclared {
-		return expected
-	}
-	if e, ok := c.learner.Estimate(s.operation(), s.spec.Estimate); ok {
-		expected = e.Median
-	}
-	if s.firstStart > 0 {
-		expected = max(expected, time.Duration(overrunFactor*float64(now-s.firstStart)))
-	}
-	return expected
-}
-
 // workEstimate is the estimated time and work of one occurrence of a job.
 type workEstimate struct {
 	// criticalPath is the longest total run time along a chain of dependent
@@ -91,13 +48,12 @@
 			endsLeft[n] = max(endsLeft[n], endsLeft[before])
 		}
 		ends[n] += run
-		if !s.done() {
-			endsLeft[n] += run
-		}
+		left, itemSecondsLeft := c.timeLeft(s, run, now)
+		endsLeft[n] += left
 		estimate.criticalPath, estimate.criticalPathLeft = max(estimate.criticalPath, ends[n]), max(estimate.criticalPathLeft, endsLeft[n])
 		cores := float64(s.spec.Needs.MilliCPU) / 1000
 		estimate.work += float64(s.spec.Count) * cores * run.Seconds()
-		estimate.workLeft += float64(s.itemsLeft) * cores * run.Seconds()
+		estimate.workLeft += cores * itemSecondsLeft
 	}
 	return estimate
 }
@@ -208,10 +164,3 @@
 		c.meanQueueWork[j.Queue] = estimate.work
 	}
 }
-
-// learnRunTime records how long an item that is done took.
-func (c *Core) learnRunTime(s *step, took time.Duration) {
-	c.learner.Observe(s.operation(), s.spec.Estimate, took)
-	s.observedRuns++
-	s.meanRunTime += (took - s.meanRunTime) / time.Duration(s.observedRuns)
-}
--- a/scheduler/execution/items.go
+++ b/scheduler/execution/items.go
@@ -75,7 +75,9 @@
 func (s *step) setDone(i *item) {
 	s.doneItems.add(i.index, s.spec.Count)
 	i.done = true
-	s.itemsLeft--
+	if s.itemsLeft--; s.itemsLeft == 0 {
+		s.finished = nil
+	}
 	s.release(i)
 }
 
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -334,9 +334,12 @@
 	}
 	cp := w.copies[end.Run]
 	effect := effectOf(i)
-	var took time.Duration
+	var took, expected time.Duration
 	if cp != nil {
 		took = now - cp.startedAt
+		if end.Kind == EndDone && cp.representative() {
+			expected = cp.expected
+		}
 		c.dropCopy(cp)
 	}
 	if cp != nil || effect == endCounted {
@@ -344,7 +347,7 @@
 	}
 	c.trace(Event{
 		Name: "run_ended", Item: end.Item.String(), Run: end.Run.Number, Worker: w.ID, Reason: string(end.Kind),
-		End: end.Number, Effect: string(effect), Took: took,
+		End: end.Number, Effect: string(effect), Took: took, Expected: expected,
 	})
 	if i != nil {
 		i.lastRun = max(i.lastRun, end.Run.Number)
@@ -359,7 +362,8 @@
 	switch end.Kind {
 	case EndDone:
 		if cp != nil {
-			c.learnRunTime(i.step, took)
+			c.learnRunTime(cp, took, now)
+			c.traceFirstEnd(cp, took)
 			c.runWorked(cp, "item_done", now)
 		}
 		c.stepWorked(i.step, now)
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -32,6 +32,7 @@
 	c.orderStops(&o, now)
 	c.paceFillers(&o, now)
 	c.place(&o, now)
+	c.markOutlasting(now)
 	c.traceWaiting(now)
 	return o
 }
@@ -306,7 +307,9 @@
 
 // start adds the copy of an item on a worker and returns the order for it.
 func (c *Core) start(i *item, w *worker, run int64, saved string, tickets map[string]string, now Time) Start {
-	c.addCopy(i, w, run, starting, now)
+	cp := c.addCopy(i, w, run, starting, now)
+	c.expectRunTime(cp, now)
+	c.traceSecondCopy(cp)
 	c.trace(Event{Name: "run_placed", Item: i.id().String(), Run: run, Worker: w.ID, Service: w.Service, Took: now - i.step.readyAt})
 	deadline := w.clockNow(now) + c.options.LeaseDuration
 	w.grant(deadline)
@@ -325,8 +328,9 @@
 	charge := s.spec.Charge()
 	var best *worker
 	var bestScore float64
+	long := c.expectedLong(s)
 	for _, w := range workers {
-		if !w.accepts(s, charge, tickets) {
+		if !w.accepts(s, charge, tickets) || i.hasCopyAt(w) {
 			continue
 		}
 		score := -w.cpuFraction()
@@ -345,9 +349,12 @@
 		}
 		if s.spec.LongRunning {
 			score += siblingPenalty * float64(s.copies[w])
-			if w.stopExpected {
-				score += stopExpectedPenalty
-			}
+		}
+		if w.stopExpected && (s.spec.LongRunning || long) {
+			score += stopExpectedPenalty
+		}
+		if w.speed.slow {
+			score += slowPenalty
 		}
 		if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
 			score += otherRackPenalty
@@ -365,6 +372,7 @@
 	otherRackPenalty    = 2
 	avoidPenalty        = 1
 	stopExpectedPenalty = 1
+	slowPenalty         = 1
 	// suspectPenalty keeps suspects apart from each other and from other items.
 	suspectPenalty = 2
 	// siblingPenalty spreads the items of a long-running step: fewer of them
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -64,6 +64,13 @@
 	overSince  Time
 	// pace is the percentage of its full speed at which a filler runs.
 	pace int
+	// resumed is set if the run started from a checkpoint, expected is how long it was
+	// expected to take when it started, or zero.
+	resumed  bool
+	expected time.Duration
+	// outlasts is set while the run outlasts what such runs take, so that its speculative
+	// item gets a second copy. isSecond is set for a copy that was added beside another.
+	outlasts, isSecond bool
 }
 
 type item struct {
@@ -106,7 +113,8 @@
 }
 
 // startable reports whether the item is not done and either has no copy or is
-// speculative and has its only copy on a worker that does not answer. A suspect
+// speculative and its only copy is on a worker that does not answer, or outlasts what
+// such runs take. A suspect
 // gets no second copy, because that would crash another worker. An item whose start was
 // withheld waits until the store has its lost and failed runs.
 func (i *item) startable() bool {
@@ -116,7 +124,7 @@
 	if i.done || len(i.copies) == 0 {
 		return !i.done
 	}
-	return i.step.spec.Speculative && !i.suspect() && len(i.copies) == 1 && i.copies[0].worker.silent
+	return i.step.spec.Speculative && !i.suspect() && len(i.copies) == 1 && (i.copies[0].worker.silent || i.copies[0].outlasts)
 }
 
 // recordNumber returns the number under which the job's durable record holds the
@@ -157,6 +165,8 @@
 	firstStart   Time
 	meanRunTime  time.Duration
 	observedRuns int
+	// finished are the last items that are done, until the step is done.
+	finished []finishedRun
 }
 
 func (s *step) id() job.ItemID {
@@ -257,6 +267,8 @@
 	// if it was closed then.
 	endedAt                                     Time
 	endedWithOthers, endedByNewRun, endedClosed bool
+	// speed tells how long runs take there compared with others.
+	speed workerSpeed
 	// closed is set before maintenance or a move of the VM: no new work is
 	// placed on the worker.
 	closed bool
@@ -359,6 +371,7 @@
 
 func (c *Core) addCopy(i *item, w *worker, run int64, phase copyPhase, now Time) *itemCopy {
 	cp := &itemCopy{item: i, run: run, worker: w, phase: phase, startedAt: now, progressedAt: now, pace: 100, suspect: i.suspect(), isolated: i.needsIsolation()}
+	cp.resumed, cp.isSecond = i.saved != "", len(i.copies) > 0
 	i.copies, i.waitingSince = append(i.copies, cp), 0
 	i.lastRun = max(i.lastRun, run)
 	i.step.copies[w]++
--- a/scheduler/execution/types.go
+++ b/scheduler/execution/types.go
@@ -230,6 +230,8 @@
 	// since the step became ready, for worker_silent the time since the last
 	// report, and for worker_avoided how long the worker will get no work.
 	Took time.Duration
+	// Expected is how long a run that is done was expected to take when it started.
+	Expected time.Duration
 }
 
 // Options configure a Core.
@@ -242,8 +244,8 @@
 	// StopTimeout is how long a worker takes to stop a run.
 	StopTimeout time.Duration
 	// FirstComeFirstServed ranks the steps of one kind and priority by the
-	// acceptance times of their jobs, and TrustDeclared takes the declared run
-	// times as true. They are baselines for measurements.
+	// acceptance times of their jobs. It is a baseline for measurements. TrustDeclared takes
+	// the declared run times as true and learns nothing from finished runs.
 	FirstComeFirstServed, TrustDeclared bool
 	// Trace, if set, receives each decision.
 	Trace func(Event)
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -73,6 +73,7 @@
 	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds, w.endsCutOff = 0, 0, 0, nil, false
 	w.blames, w.avoidUntil, w.pausedUntil, w.largestMilliCPU = nil, 0, 0, 0
+	w.speed = workerSpeed{}
 	c.trace(Event{Name: "worker_restarted", Worker: w.ID, VM: w.VM, Service: w.Service})
 }
 
