--- a/scheduler/execution/outlast.go
+++ b/scheduler/execution/outlast.go
@@ -42,7 +42,7 @@
 	typical, suspicious, extreme time.Duration
 	siblings                     bool
 	// workerSlow is set if the worker was slow with earlier runs, or its runs of other
-	// steps outlast what such runs take as well.
+	// steps outlast the items of those steps on other workers as well.
 	workerSlow bool
 }
 
@@ -178,7 +178,7 @@
 
 // othersOutlast reports whether at least half of the steps of which the worker has runs,
 // apart from that of cp, and at least one, have a run that is suspicious too. Only steps
-// count that have run long enough to tell.
+// with items on other workers count.
 func (c *Core) othersOutlast(cp *itemCopy, now Time) bool {
 	suspicious := map[*step]bool{}
 	for _, other := range cp.worker.orderedCopies {
@@ -186,8 +186,10 @@
 		if s == cp.item.step || s.spec.LongRunning || s.spec.Filler || s.spec.Gang || other.phase != running || other.adopted {
 			continue
 		}
+		// A comparison with the image alone is no evidence: at any time, a good part of the
+		// runs in progress are those of long steps.
 		e := c.comparison(other, now)
-		if e.typical == 0 || e.elapsed < e.typical {
+		if !e.siblings || max(e.elapsed, e.total) < e.typical/2 {
 			continue
 		}
 		suspicious[s] = suspicious[s] || max(e.elapsed, e.total) > e.suspicious
--- a/scheduler/execution/runtime.go
+++ b/scheduler/execution/runtime.go
@@ -177,8 +177,9 @@
 	place string
 }
 
-// typicalElsewhere returns the median run time of the items of a step that were done on
-// other workers. It returns false if they are too few.
+// typicalElsewhere returns the median run time of the items of a step on other workers than
+// that at a place: those that are done, and those that run, as their progress so far tells.
+// It returns false if they are too few.
 func (s *step) typicalElsewhere(place string) (time.Duration, bool) {
 	var took []time.Duration
 	for _, f := range s.finished {
@@ -186,6 +187,16 @@
 			took = append(took, f.took)
 		}
 	}
+	for _, i := range s.tracked {
+		for _, cp := range i.copies {
+			if cp.worker.place() == place || cp.phase != running {
+				continue
+			}
+			if total, ok := cp.projected(); ok {
+				took = append(took, total)
+			}
+		}
+	}
 	if len(took) < minFinished {
 		return 0, false
 	}
