--- a/scheduler/execution/outlast.go
+++ b/scheduler/execution/outlast.go
@@ -85,6 +85,7 @@
 	c.outlastingAt = now
 	c.compareSpeeds(now)
 	busy := c.servicesWithWaitingWork()
+	var eligible map[string]*eligibleWorkers
 	for _, w := range c.sortedWorkers {
 		for _, cp := range w.orderedCopies {
 			if !cp.item.step.spec.Speculative {
@@ -101,6 +102,12 @@
 			if reason == "" {
 				continue
 			}
+			if eligible == nil {
+				eligible = c.eligibleByService(now)
+			}
+			if !c.hasRoomForCopy(i, eligible[w.Service]) {
+				continue
+			}
 			cp.outlasts = true
 			c.addPending(i.step)
 			if !was {
@@ -114,6 +121,16 @@
 	}
 }
 
+// hasRoomForCopy reports whether a worker that is not slow can take a second copy of the item.
+// Without one, the item would count as waiting work of the pool.
+func (c *Core) hasRoomForCopy(i *item, eligible *eligibleWorkers) bool {
+	if eligible == nil {
+		return false
+	}
+	w := c.chooseWorker(i, eligible.workers, nil)
+	return w != nil && !w.speed.slow
+}
+
 // servicesWithWaitingWork returns the services for which items wait, apart from second
 // copies.
 func (c *Core) servicesWithWaitingWork() map[string]bool {
--- a/scheduler/execution/runtime.go
+++ b/scheduler/execution/runtime.go
@@ -28,7 +28,7 @@
 	// minFinished is the number of items that are done from which a step tells how long its
 	// other items take. maxFinished bounds those that are kept.
 	minFinished = 3
-	maxFinished = 32
+	maxFinished = 16
 	// typicalRatio stands for an item that takes as long as the typical one of its step.
 	typicalRatio = time.Second
 	// longItem is the expected run time from which an item is better not placed on a worker
--- a/scheduler/runtimes/change.go
+++ b/scheduler/runtimes/change.go
@@ -5,7 +5,7 @@
 const (
 	// The last recentCount samples are compared with the older ones: changedCount of them
 	// beyond the same quartile mean that the run times have changed. Without a change, 12
-	// of 16 independent samples are that far out once in about 30,000 cases, whatever the
+	// of 16 independent samples are that far out once in about 13,000 cases, whatever the
 	// shape of the distribution. A wrong decision costs the older samples, no more.
 	recentCount  = 16
 	changedCount = 12
