Learn run times in classes of declared ones a factor of 1.4 apart

With classes a factor of four apart the learner lost what a declared run time says about a single job; it orders jobs of one queue, which differ by less than that.

--- a/scheduler/execution/runtime.go
+++ b/scheduler/execution/runtime.go
@@ -40,6 +40,7 @@
 func newRunTimeLearner() *runtimes.Learner {
 	l := runtimes.NewLearner()
 	l.ForgetOnChange = true
+	l.ClassesPerDoubling = 2
 	return l
 }
 
--- a/scheduler/runtimes/learner.go
+++ b/scheduler/runtimes/learner.go
@@ -44,11 +44,11 @@
 // none. Declared run times are wrong by a factor of up to ten, but a request
 // that declares far more than the others of its operation usually does run
 // longer.
-func declaredClass(declared time.Duration) int {
+func (l *Learner) declaredClass(declared time.Duration) int {
 	if declared <= 0 {
 		return 0
 	}
-	return 1 + int(math.Log2(float64(declared))/2)
+	return 1 + int(math.Log2(float64(declared))*float64(max(l.ClassesPerDoubling, 0.5)))
 }
 
 // histogramKey identifies the histogram of an operation for a class of declared
@@ -66,6 +66,9 @@
 	// that the run times have changed. It is for independent samples: run times that rise
 	// and fall together with the load would be forgotten again and again.
 	ForgetOnChange bool
+	// ClassesPerDoubling is how many classes of declared run times there are between one
+	// and its double. The default is a half.
+	ClassesPerDoubling float64
 
 	histograms map[histogramKey]*histogram
 	all        histogram
@@ -80,7 +83,7 @@
 func (l *Learner) Observe(o Operation, declared, ran time.Duration) {
 	l.all.add(ran)
 	l.observe(histogramKey{o, allClasses}, ran)
-	l.observe(histogramKey{o, declaredClass(declared)}, ran)
+	l.observe(histogramKey{o, l.declaredClass(declared)}, ran)
 }
 
 func (l *Learner) observe(k histogramKey, ran time.Duration) {
@@ -133,7 +136,7 @@
 
 // histogramOf returns the histogram that Estimate uses, or nil.
 func (l *Learner) histogramOf(o Operation, declared time.Duration) *histogram {
-	for _, class := range [2]int{declaredClass(declared), allClasses} {
+	for _, class := range [2]int{l.declaredClass(declared), allClasses} {
 		if h := l.histograms[histogramKey{o, class}]; h != nil && h.count >= minimumSamples {
 			l.use(h)
 			return h
