--- a/scheduler/execution/runtime.go
+++ b/scheduler/execution/runtime.go
@@ -205,9 +205,15 @@
 	return took[len(took)/2], true
 }
 
-// representative reports whether the time that a run took tells how long others will take.
-// A run that was paced, started from a checkpoint, by a former owner, or on a rack far from
-// its data or from the other members of its gang, took a different time.
+// whole reports whether this owner has seen the whole run of an item that ends: it was not
+// started by a former owner or from a checkpoint.
+func (cp *itemCopy) whole() bool {
+	return !cp.item.step.spec.LongRunning && !cp.adopted && !cp.resumed
+}
+
+// representative reports whether the time that a run took tells how long others of its image
+// will take. Fillers, which may be paced, and runs on a rack far from their data or from the
+// other members of their gang take a different time.
 func (cp *itemCopy) representative() bool {
 	spec := cp.item.step.spec
 	far := spec.DataRack != "" && cp.worker.Rack != spec.DataRack
@@ -216,18 +222,21 @@
 			far = far || w.Rack != cp.worker.Rack
 		}
 	}
-	return !spec.LongRunning && !spec.Filler && !cp.adopted && !cp.resumed && !far
+	return cp.whole() && !spec.Filler && !far
 }
 
 // learnRunTime records how long a run took whose item is done.
 func (c *Core) learnRunTime(cp *itemCopy, took time.Duration, now Time) {
-	if c.options.TrustDeclared || !cp.representative() {
+	if c.options.TrustDeclared || !cp.whole() {
 		return
 	}
 	s := cp.item.step
-	slow := c.learnSpeed(cp, took, now)
 	s.observedRuns++
 	s.meanRunTime += (took - s.meanRunTime) / time.Duration(s.observedRuns)
+	if !cp.representative() {
+		return
+	}
+	slow := c.learnSpeed(cp, took, now)
 	if len(s.finished) == maxFinished {
 		s.finished = slices.Delete(s.finished, 0, 1)
 	}
