--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -417,6 +417,9 @@
 	if e.Detail != "" {
 		entry = entry.Str("detail", e.Detail)
 	}
+	if e.Expected > 0 {
+		entry = entry.Int64("expected_ms", e.Expected.Milliseconds())
+	}
 	if e.Took > 0 {
 		entry = entry.Str("took_ms", strconv.FormatInt(e.Took.Milliseconds(), 10))
 	}
