--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -17,6 +17,7 @@
 //	owner/orders      VMs that were recently ordered to move or to have upkeep
 //	owner/waiting     number of jobs of each queue of which nothing has started
 //	owner/backlog     queues for whose jobs the owner has no more memory
+//	owner/runtimes    run times that were learned from finished runs
 //	owner/wave/N      VMs of a wave that had their upkeep
 package jobstore
 
@@ -43,6 +44,7 @@
 	BacklogKey     = OwnerPrefix + "backlog"
 	OrdersKey      = OwnerPrefix + "orders"
 	HorizonKey     = OwnerPrefix + "horizon"
+	RunTimesKey    = OwnerPrefix + "runtimes"
 	WavePrefix     = OwnerPrefix + "wave/"
 )
 
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -389,6 +389,9 @@
 		t.metrics.job.Record(e.Took)
 	case "run_ended":
 		t.logIfDiscarded(e)
+		if e.Expected > 0 {
+			t.metrics.runTimeRatio.RecordValue(float64(e.Took) / float64(e.Expected))
+		}
 	}
 	entry := t.options.Log.Info().Str("event", e.Name)
 	if e.Job != "" {
@@ -418,6 +421,9 @@
 	if e.Detail != "" {
 		entry = entry.Str("detail", e.Detail)
 	}
+	if e.Expected > 0 {
+		entry = entry.Int64("expected_ms", e.Expected.Milliseconds())
+	}
 	if e.Took > 0 {
 		entry = entry.Str("took_ms", strconv.FormatInt(e.Took.Milliseconds(), 10))
 	}
--- a/owner/write.go
+++ b/owner/write.go
@@ -68,6 +68,7 @@
 	defer t.mu.Unlock()
 	t.logPoolsLocked()
 	t.updateOrganisationGaugesLocked()
+	t.recordRunTimesLocked(boottime.Now())
 	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
 	now := boottime.Now()
 	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, now))
--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -75,7 +75,14 @@
 	adviceCalls     int
 	adviceCallTime  time.Duration
 	adviceDoublings int
-	learner         *runtimes.Learner
+	// learner holds the run times of items, unevenness those relative to the typical item of
+	// the same step, with typicalRatio for an equal one.
+	learner, unevenness *runtimes.Learner
+	// typicalSpeeds is the typical slowness of the workers of each service, as of speedsAt.
+	typicalSpeeds map[string]float64
+	speedsAt      Time
+	// outlastingAt is when markOutlasting last looked at the runs.
+	outlastingAt Time
 	// organisations holds the organisations that have, or had, jobs.
 	organisations map[string]*organisation
 	// reservations are those of gangs, by service, and nextReservation is when the next one
@@ -127,7 +134,9 @@
 		formerRunsUnknown: true,
 		startHorizon:      math.MaxInt64,
 		advice:            map[ticketKey]*advice{},
-		learner:           runtimes.NewLearner(),
+		learner:           newRunTimeLearner(),
+		unevenness:        newRunTimeLearner(),
+		typicalSpeeds:     map[string]float64{},
 		meanQueueWork:     map[string]float64{},
 		held:              map[string]int64{},
 		estimates:         map[*occurrence]workEstimate{},
