Allow for the owner's own lag in the time limits of calls to workers

Cause of TWICE under overload: a worker that answers lists an end, but the owner, short of processor time, gives the call up before it reads the answer. It takes the worker to be silent, its runs to be lost once the lease is over, and starts them again. The users count an end as taken note of 100 ms after it was listed.

Change: the owner measures how late its rounds run after their timer, and allows six such waits in each call, 1 s at most. A connection to a worker may take as long.

--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -12,6 +12,7 @@
 	job        tally.Timer
 	ownerGauge tally.Gauge
 	heldBytes  tally.Gauge
+	lag        tally.Timer
 }
 
 func newMetrics(s tally.Scope) metrics {
@@ -28,5 +29,6 @@
 		job:        s.Timer("job_seconds"),
 		ownerGauge: s.Gauge("owner"),
 		heldBytes:  s.Gauge("held_job_bytes"),
+		lag:        s.Timer("scheduling_lag_seconds"),
 	}
 }
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -49,7 +49,11 @@
 		}
 		started := time.Now()
 		t.round(ctx)
-		wait(ctx, nil, pauseAfter(time.Since(started)))
+		pause := pauseAfter(time.Since(started))
+		pausedAt := boottime.Now()
+		wait(ctx, nil, pause)
+		now := boottime.Now()
+		t.lag.observe(now-pausedAt-pause, now)
 	}
 }
 
@@ -203,10 +207,11 @@
 
 func (t *term) hold(ctx context.Context, hold execution.Hold, l *holdLoop) {
 	sent := boottime.Now()
-	callCtx, cancel := context.WithTimeout(ctx, hold.LongPollTimeout+callTimeout)
+	limit := hold.LongPollTimeout + t.callTimeoutNow()
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	report, err := t.options.Workers.Hold(callCtx, hold)
 	cancel()
-	if errors.Is(err, context.DeadlineExceeded) && boottime.Now()-sent > hold.LongPollTimeout+callTimeout+pauseNoticed {
+	if errors.Is(err, context.DeadlineExceeded) && boottime.Now()-sent > limit+pauseNoticed {
 		t.mu.Lock()
 		t.core.HoldInterrupted(hold.Worker.ID)
 		t.mu.Unlock()
@@ -312,7 +317,7 @@
 	result := execution.NotStarted
 	if authorized {
 		started := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, t.callTimeoutNow())
 		var err error
 		result, err = t.options.Workers.Start(callCtx, s)
 		cancel()
@@ -342,7 +347,7 @@
 	if !authorized || !allowed {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, t.callTimeoutNow())
 	err := t.options.Workers.Stop(callCtx, s)
 	cancel()
 	t.endIfWorkerFenced(err, s.Worker.ID, s.Fence)
@@ -357,7 +362,7 @@
 	if !t.authorized() {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, t.callTimeoutNow())
 	defer cancel()
 	err := t.options.Workers.Pace(callCtx, p)
 	t.endIfWorkerFenced(err, p.Worker.ID, p.Fence)
--- a/owner/rounds_test.go
+++ b/owner/rounds_test.go
@@ -77,3 +77,53 @@
 		t.Errorf("ends up to %d are acknowledged once the worker has answered, want 1", next.AcknowledgedEnd)
 	}
 }
+
+// lateAnswers stand for answers that arrive in time, but that this process reads late.
+type lateAnswers struct {
+	Workers
+	after time.Duration
+}
+
+func (w lateAnswers) Hold(ctx context.Context, _ execution.Hold) (execution.Report, error) {
+	select {
+	case <-ctx.Done():
+		return execution.Report{}, ctx.Err()
+	case <-time.After(w.after):
+		return execution.Report{StartMillis: 1, Clock: time.Minute}, nil
+	}
+}
+
+// Guards against work that starts again after its end was listed: an owner that was short of
+// processor time gave up calls whose answers had arrived, took the workers to be silent, and
+// their runs to be lost once the leases were over.
+func TestWorkerIsNotSilentBecauseTheOwnerRunsLate(t *testing.T) {
+	for _, c := range []struct {
+		lag    time.Duration
+		silent bool
+	}{{0, true}, {50 * time.Millisecond, false}} {
+		tm, _ := termWithJob(t, job.Step{})
+		tm.options.Workers = lateAnswers{after: callTimeout + 100*time.Millisecond}
+		tm.lag.observe(c.lag, boottime.Now())
+		tm.hold(context.Background(), execution.Hold{Worker: execution.Worker{ID: "w1", StartMillis: 1}}, &holdLoop{})
+		if starts := tm.roundOrders().Starts; (len(starts) == 0) != c.silent {
+			t.Errorf("with a lag of %v: starts %v, want none only without a lag", c.lag, starts)
+		}
+	}
+}
+
+// Guards against time limits that stay long after a pause, and against ones that outlast a
+// lease: a worker that was cut off would get work for as long.
+func TestAllowanceForLagIsBoundedAndEnds(t *testing.T) {
+	var m lagMeter
+	m.observe(20*time.Millisecond, time.Hour)
+	if got := m.allowance(time.Hour + lagWindow); got != waitsPerCall*20*time.Millisecond {
+		t.Errorf("allowance %v a window later", got)
+	}
+	m.observe(3*time.Second, time.Hour+lagWindow)
+	if got := m.allowance(time.Hour + lagWindow); got != maxLagAllowance {
+		t.Errorf("allowance %v after a pause, want %v", got, maxLagAllowance)
+	}
+	if got := m.allowance(time.Hour + 3*lagWindow); got != 0 {
+		t.Errorf("allowance %v two windows after the pause, want none", got)
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -30,7 +30,7 @@
 	// tick, so rounds of more than 12.5 ms take a larger part.
 	roundPauseFactor = 4
 	// callTimeout bounds a call to a worker, which answers within the network
-	// delay of a zone.
+	// delay of a zone, while this process runs when it has to. See lagMeter.
 	callTimeout = execution.AnswerTimeout
 	// releaseTimeout bounds, at the end of a term, the time for all last writes
 	// together, and then that for the release of the lease.
@@ -100,6 +100,8 @@
 	// under former owners.
 	waveDone map[int64][]string
 
+	// lag is how late this process runs.
+	lag         lagMeter
 	roundSignal chan struct{}
 	writeSignal chan struct{}
 	// pendingCalls counts the calls in progress to workers and the advisor, except
--- a/owner/write.go
+++ b/owner/write.go
@@ -58,6 +58,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.logPoolsLocked()
+	t.metrics.lag.Record(t.lag.longest(boottime.Now()))
 	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
 	now := boottime.Now()
 	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, now))
