--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -33,6 +33,9 @@
 	// answers within a few milliseconds; when the CPU cannot keep up, more starts
 	// would only time out, and the holds with them.
 	maxPendingStarts = 128
+	// maxFirstCalls bounds the calls in progress to workers that this owner has not
+	// contacted. 3,003 workers that answer within 2 ms take 100 ms.
+	maxFirstCalls = 64
 )
 
 // rounds runs a decision round whenever something has changed, and at least
@@ -126,9 +129,8 @@
 // worker. Its fields are guarded by the term's mutex.
 type holdLoop struct {
 	wake chan struct{}
-	// idle is set while there is no reason to call the worker, unsettled while
-	// the next call waits for up to unsettledWait.
-	idle, unsettled bool
+	// unsettled is set while the next call waits for up to unsettledWait.
+	unsettled bool
 	// unanswered counts the calls to a worker that has never answered this owner.
 	unanswered int
 }
@@ -143,20 +145,14 @@
 	return min(retryWait<<(l.unanswered-1), maxRetryWait)
 }
 
-// ensureHoldLoopsLocked starts a hold loop for each worker that needs one, and
-// wakes the idle loops that have to call their workers.
+// ensureHoldLoopsLocked starts a hold loop for each worker that needs one.
 func (t *term) ensureHoldLoopsLocked(ctx context.Context, now time.Duration) {
 	for _, id := range t.core.WorkersToHold(now) {
-		l, ok := t.holdLoops[id]
-		if !ok {
-			l = &holdLoop{wake: make(chan struct{}, 1)}
+		if t.holdLoops[id] == nil {
+			l := &holdLoop{wake: make(chan struct{}, 1)}
 			t.holdLoops[id] = l
 			go t.holdWorker(ctx, id, l)
 		}
-		if l.idle {
-			l.idle = false
-			signal(l.wake)
-		}
 	}
 }
 
@@ -171,46 +167,60 @@
 	}
 }
 
-// holdWorker sends hold calls to one worker, one after the other, until the
-// worker is gone. A hold extends the leases on the worker and returns its
-// running and ended items.
+// holdWorker sends hold calls to one worker, one after the other, until there is
+// no reason to call it. A hold extends the leases on the worker and returns its
+// running and ended items. Thousands of workers may be idle: their loops end, as each
+// would take a stack of 8 kB.
 func (t *term) holdWorker(ctx context.Context, id string, l *holdLoop) {
 	for ctx.Err() == nil {
 		t.mu.Lock()
-		if !t.core.HasWorker(id) {
-			delete(t.holdLoops, id)
-			t.mu.Unlock()
-			return
-		}
 		var hold execution.Hold
 		due := false
 		authorized := t.authorizedLocked()
 		if authorized {
 			hold, due = t.core.HoldFor(id, boottime.Now())
 		}
-		l.idle = authorized && !due
+		ended := authorized && !due || !t.core.HasWorker(id)
+		if ended {
+			delete(t.holdLoops, id)
+		}
 		t.mu.Unlock()
-		switch {
-		case due:
+		if due {
 			t.hold(ctx, hold, l)
-		case authorized:
-			wait(ctx, l.wake, idleWait)
-		default:
+		}
+		if ended {
+			return
+		}
+		if !due {
 			wait(ctx, l.wake, tick)
 		}
 	}
 }
 
-// idleWait is how long the hold loop of an idle worker waits when nothing wakes
-// it.
-const idleWait = 2 * time.Second
+// callHold makes a hold call. A worker that this owner has not contacted is called once
+// there is a place in firstCalls: with all of 3,003 workers called at once, a new owner had
+// no time to renew its lease.
+func (t *term) callHold(ctx context.Context, hold execution.Hold) (report execution.Report, sent, limit time.Duration, err error) {
+	t.mu.Lock()
+	contacted := t.core.Contacted(hold.Worker.ID)
+	t.mu.Unlock()
+	if !contacted {
+		select {
+		case t.firstCalls <- struct{}{}:
+			defer func() { <-t.firstCalls }()
+		case <-ctx.Done():
+			return report, boottime.Now(), 0, ctx.Err()
+		}
+	}
+	sent, limit = boottime.Now(), hold.LongPollTimeout+t.callTimeoutNow()
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	report, err = t.options.Workers.Hold(callCtx, hold)
+	return report, sent, limit, err
+}
 
 func (t *term) hold(ctx context.Context, hold execution.Hold, l *holdLoop) {
-	sent := boottime.Now()
-	limit := hold.LongPollTimeout + t.callTimeoutNow()
-	callCtx, cancel := context.WithTimeout(ctx, limit)
-	report, err := t.options.Workers.Hold(callCtx, hold)
-	cancel()
+	report, sent, limit, err := t.callHold(ctx, hold)
 	if errors.Is(err, context.DeadlineExceeded) && boottime.Now()-sent > limit+pauseNoticed {
 		t.mu.Lock()
 		t.core.HoldInterrupted(hold.Worker.ID)
--- a/owner/term.go
+++ b/owner/term.go
@@ -104,6 +104,8 @@
 	lag         lagMeter
 	roundSignal chan struct{}
 	writeSignal chan struct{}
+	// firstCalls holds the calls in progress to workers that were not contacted.
+	firstCalls chan struct{}
 	// pendingCalls counts the calls in progress to workers and the advisor, except
 	// hold calls.
 	pendingCalls sync.WaitGroup
@@ -118,7 +120,7 @@
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
 		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, forgotten: map[string]int64{}, fullQueues: map[string]bool{},
 		earlyCancellations: map[string]earlyCancellation{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
-		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
+		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1), firstCalls: make(chan struct{}, maxFirstCalls),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
 	options := o.options.Execution
--- a/scheduler/execution/eligible.go
+++ b/scheduler/execution/eligible.go
@@ -149,7 +149,7 @@
 // be due together from then on. What is left of maxClockAge is for calls that fail.
 const (
 	minIdleCallAge = maxClockAge / 2
-	idleCallSpread = 5 * time.Second
+	idleCallSpread = 8 * time.Second
 )
 
 // idleCallAge returns the age of the last report at which an idle worker is called. It
@@ -157,7 +157,12 @@
 func idleCallAge(id string) time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(id))
-	return minIdleCallAge + time.Duration(h.Sum32()%1000)*idleCallSpread/1000
+	// The last step of MurmurHash: FNV alone maps similar IDs to similar numbers.
+	n := h.Sum32()
+	n = (n ^ n>>16) * 0x85ebca6b
+	n = (n ^ n>>13) * 0xc2b2ae35
+	n ^= n >> 16
+	return minIdleCallAge + time.Duration(n%1000)*idleCallSpread/1000
 }
 
 // remove takes a worker from the eligible ones.
