Look only at busy workers in each round

Cause: seven loops of a round, and one of each write to the store, passed over all workers.

Change: the core keeps the workers that have runs. The lists of eligible workers use their memory again.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -19,6 +19,12 @@
 	// sortedWorkers holds the workers sorted by ID, so that the same input
 	// always gives the same orders.
 	sortedWorkers []*worker
+	// busyWorkers holds those of them that have copies or orphans.
+	busyWorkers []*worker
+	// lapseScan and holdScan say when dropLapsed and WorkersToHold look at the others.
+	lapseScan, holdScan idleScan
+	// eligible is the memory of eligibleByService.
+	eligible map[string]*eligibleWorkers
 	// workerOnVM holds the worker of each VM that has one.
 	workerOnVM map[string]*worker
 	// droppedLifetimes holds the last lifetimes of workers that were dropped, as long as
@@ -378,6 +384,9 @@
 		}
 	}
 	for _, w := range c.sortedWorkers {
+		if w.fenceSuperseded && len(w.pendingEnds) == 0 {
+			continue
+		}
 		w.fenceSuperseded = true
 		w.advanceCommittedEnd()
 		c.checkHoldersOf(w)
--- a/scheduler/execution/eligible.go
+++ b/scheduler/execution/eligible.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -111,9 +112,16 @@
 }
 
 // eligibleByService returns the workers that may get work, by service. One that has more
-// ends to list gets none until the takeover, which waits for them, is settled.
+// ends to list gets none until the takeover, which waits for them, is settled. The result is
+// valid until the next call, which uses its memory again.
 func (c *Core) eligibleByService(now Time) map[string]*eligibleWorkers {
-	byService := map[string]*eligibleWorkers{}
+	if c.eligible == nil {
+		c.eligible = map[string]*eligibleWorkers{}
+	}
+	byService := c.eligible
+	for _, e := range byService {
+		*e = eligibleWorkers{workers: e.workers[:0], isolated: e.isolated[:0], avoided: e.avoided[:0]}
+	}
 	for _, w := range c.sortedWorkers {
 		e := c.exclusionOf(w, now)
 		if e != notExcluded && e != excludedIsolated && e != excludedAvoided {
@@ -134,6 +142,7 @@
 		}
 		p.add(w)
 	}
+	maps.DeleteFunc(byService, func(_ string, e *eligibleWorkers) bool { return len(e.workers)+len(e.isolated)+len(e.avoided) == 0 })
 	for _, p := range byService {
 		p.addTrials(now)
 	}
--- a/scheduler/execution/evacuate.go
+++ b/scheduler/execution/evacuate.go
@@ -116,7 +116,7 @@
 // evacuateDraining marks long-running items on draining workers to be stopped,
 // so that they start again elsewhere.
 func (c *Core) evacuateDraining(now Time) {
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.busyWorkers {
 		if !w.Draining || !w.present {
 			continue
 		}
--- a/scheduler/execution/pace.go
+++ b/scheduler/execution/pace.go
@@ -23,7 +23,7 @@
 // divides the pace by 3 and rounds it down to a multiple of 5: from 100 % to 30 %,
 // 10 % and 0, at which the filler does not progress.
 func (c *Core) paceFillers(o *Orders, now Time) {
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.busyWorkers {
 		if !w.contacted || w.fillerCPU == 0 {
 			continue
 		}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -95,6 +95,7 @@
 		return
 	}
 	w.silent, w.silentSinceLapse, w.interrupted = false, false, false
+	c.lapseScan.wanted = c.lapseScan.wanted || !w.present
 	w.endedAt, w.endedWithOthers = 0, false
 	c.settleLostRuns(w.Worker, true, now)
 	w.endsCutOff = len(r.Ended) >= maxEndsPerReport
@@ -165,6 +166,7 @@
 		return
 	}
 	w.silent, w.silentAt = true, now
+	c.lapseScan.wanted, c.holdScan.wanted = true, true
 	if ended {
 		c.processEnded(w, now)
 	}
@@ -255,6 +257,7 @@
 		}
 	}
 	w.orphans[row.Run] = o
+	c.updateBusy(w)
 	w.lapseAt = max(w.lapseAt, now+c.maxLeaseTime())
 	w.used = w.used.Add(o.charge, 1)
 	w.fillerCPU += o.fillerCPU
@@ -282,6 +285,7 @@
 		w.used = w.used.Add(o.charge, -1)
 		w.fillerCPU -= o.fillerCPU
 		delete(w.orphans, r)
+		c.updateBusy(w)
 		c.checkHoldersOf(w)
 	}
 }
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -38,7 +38,7 @@
 
 // stopStalledRuns marks runs to be stopped that make no progress.
 func (c *Core) stopStalledRuns(now Time) {
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.busyWorkers {
 		for _, cp := range w.orderedCopies {
 			if !cp.stopWanted && cp.stalled(now) {
 				cp.stopWanted = true
@@ -71,7 +71,7 @@
 // availability limit of its step allows it at the time of the order, and of every
 // orphan.
 func (c *Core) orderStops(o *Orders, now Time) {
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.busyWorkers {
 		if !w.contacted {
 			continue
 		}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"dotterelhead.example/dotterelhead/job"
@@ -193,6 +192,8 @@
 	Worker
 	// present is set while the registry has an entry for the worker.
 	present bool
+	// busy is set while the worker is in Core.busyWorkers.
+	busy bool
 	// contacted is set once the worker has answered a hold that was meant for its
 	// current lifetime, and so has seen the fencing token of that lifetime.
 	contacted bool
@@ -325,10 +326,9 @@
 	// because the store names every worker before it gets work. Its lapseAt is 0.
 	w := &worker{copies: map[Run]*itemCopy{}, orphans: map[Run]*orphan{}, lapseAt: c.formerHolders[id], fence: c.fence, idleCallAge: idleCallAge(id)}
 	c.workers[id] = w
-	at, _ := slices.BinarySearchFunc(c.sortedWorkers, id, func(w *worker, id string) int { return strings.Compare(w.ID, id) })
 	w.ID = id
-	c.sortedWorkers = slices.Insert(c.sortedWorkers, at, w)
-	c.checkHolders = true
+	c.sortedWorkers = insertWorker(c.sortedWorkers, w)
+	c.checkHolders, c.holdScan.wanted = true, true
 	return w
 }
 
@@ -350,7 +350,10 @@
 	delete(c.workers, w.ID)
 	maps.DeleteFunc(c.droppedLifetimes, func(_ string, d droppedLifetime) bool { return now-d.at > maxStopDelay })
 	c.droppedLifetimes[w.ID] = droppedLifetime{w.StartMillis, now}
-	c.sortedWorkers = slices.DeleteFunc(c.sortedWorkers, func(o *worker) bool { return o == w })
+	c.sortedWorkers = deleteWorker(c.sortedWorkers, w)
+	if w.busy {
+		c.busyWorkers = deleteWorker(c.busyWorkers, w)
+	}
 	if c.workerOnVM[w.VM] == w {
 		delete(c.workerOnVM, w.VM)
 	}
@@ -364,6 +367,7 @@
 	i.step.copies[w]++
 	w.copies[Run{i.id(), run}] = cp
 	w.orderedCopies = append(w.orderedCopies, cp)
+	c.updateBusy(w)
 	cp.countSuspect(1)
 	w.reserve(i.step.spec, 1)
 	if i.step.firstStart == 0 {
@@ -395,6 +399,7 @@
 	}
 	delete(cp.worker.copies, Run{i.id(), cp.run})
 	cp.worker.orderedCopies = slices.DeleteFunc(cp.worker.orderedCopies, func(o *itemCopy) bool { return o == cp })
+	c.updateBusy(cp.worker)
 	cp.countSuspect(-1)
 	cp.worker.reserve(i.step.spec, -1)
 	i.step.release(i)
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -69,6 +69,7 @@
 	// The worker gets work after the next record of possible lease holders, and a
 	// lifetime after this one the higher fencing token that follows that write.
 	w.fence, w.fenceSuperseded, w.holderRecorded, c.checkHolders = c.fence, false, false, true
+	c.holdScan.wanted = true
 	w.restarted = true
 	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.processedEnd, w.committedEnd, w.acknowledgedEnd, w.pendingEnds, w.endsCutOff = 0, 0, 0, nil, false
@@ -112,6 +113,7 @@
 func (c *Core) WorkerGone(id string) {
 	if w := c.workers[id]; w != nil && w.present {
 		w.present = false
+		c.lapseScan.wanted = true
 		c.trace(Event{Name: "worker_unregistered", Worker: id, VM: w.VM, Service: w.Service})
 	}
 }
@@ -142,10 +144,16 @@
 // dropLapsed drops what ran on workers whose leases have lapsed, and such
 // workers themselves if the registry has no entry for them.
 func (c *Core) dropLapsed(now Time) {
-	for _, w := range slices.Clone(c.sortedWorkers) {
+	var lapsed []*worker
+	for _, w := range c.workersDue(&c.lapseScan, now) {
+		if (w.busy || w.silent || !w.present) && w.lapsed(now) {
+			lapsed = append(lapsed, w)
+		}
+	}
+	for _, w := range lapsed {
 		// After a pause of this process, the worker's answer may wait to be processed. It lists
 		// which runs have ended, so that they are lost only once a call has failed.
-		if !w.lapsed(now) || !w.silent && w.needsHold() {
+		if !w.silent && w.needsHold() {
 			continue
 		}
 		if w.silent {
@@ -251,7 +259,7 @@
 // answering, whose leases have to be extended, or that have been idle for a while.
 func (c *Core) WorkersToHold(now Time) []string {
 	var ids []string
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.workersDue(&c.holdScan, now) {
 		if w.holdDue(now) {
 			ids = append(ids, w.ID)
 		}
