--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -16,6 +16,7 @@
 	// time that runs took compared with the time that was expected at their start.
 	knownImages  tally.Gauge
 	runTimeRatio tally.Histogram
+	lag          tally.Timer
 }
 
 // runTimeRatios are the bounds of the buckets of runTimeRatio.
@@ -38,5 +39,6 @@
 
 		knownImages:  s.Gauge("run_time_images"),
 		runTimeRatio: s.Histogram("run_time_ratio", runTimeRatios),
+		lag:          s.Timer("scheduling_lag_seconds"),
 	}
 }
--- a/owner/term.go
+++ b/owner/term.go
@@ -31,7 +31,7 @@
 	// tick, so rounds of more than 12.5 ms take a larger part.
 	roundPauseFactor = 4
 	// callTimeout bounds a call to a worker, which answers within the network
-	// delay of a zone.
+	// delay of a zone, while this process runs when it has to. See lagMeter.
 	callTimeout = execution.AnswerTimeout
 	// releaseTimeout bounds, at the end of a term, the time for all last writes
 	// together, and then that for the release of the lease.
@@ -71,9 +71,11 @@
 	written       map[string]string
 	deletions     [][]jobstore.Record
 	// queuedHolders is the record of workers that may hold leases of runs, as it
-	// is queued or being written.
-	queuedHolders string
-	horizon       startHorizon
+	// is queued or being written, queuedHolderIDs are the workers that it names, and
+	// queuedHolderRuns those of them whose items it names.
+	queuedHolders                     []byte
+	queuedHolderIDs, queuedHolderRuns []string
+	horizon                           startHorizon
 	// onWritten holds, by key, the records whose writers wait.
 	onWritten map[string]pendingRecord
 	startedAt time.Duration
@@ -107,8 +109,12 @@
 	// runTimesDue is when the learned run times are next recorded.
 	runTimesDue time.Duration
 
+	// lag is how late this process runs.
+	lag         lagMeter
 	roundSignal chan struct{}
 	writeSignal chan struct{}
+	// firstCalls holds the calls in progress to workers that were not contacted.
+	firstCalls chan struct{}
 	// pendingCalls counts the calls in progress to workers and the advisor, except
 	// hold calls.
 	pendingCalls sync.WaitGroup
@@ -123,7 +129,7 @@
 		waveDone: map[int64][]string{}, onWritten: map[string]pendingRecord{}, startedAt: boottime.Now(),
 		unreadable: map[string]bool{}, inboxRevisions: map[string]int64{}, forgotten: map[string]int64{}, fullQueues: map[string]bool{},
 		earlyCancellations: map[string]earlyCancellation{}, orderedAt: map[string]time.Duration{}, formerOrders: map[string]bool{},
-		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1),
+		roundSignal: make(chan struct{}, 1), writeSignal: make(chan struct{}, 1), firstCalls: make(chan struct{}, maxFirstCalls),
 		authorityUntil: requestedAt + o.options.Lease - authorityMargin,
 	}
 	options := o.options.Execution
--- a/owner/write.go
+++ b/owner/write.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -69,6 +70,7 @@
 	t.logPoolsLocked()
 	t.updateOrganisationGaugesLocked()
 	t.recordRunTimesLocked(boottime.Now())
+	t.metrics.lag.Record(t.lag.longest(boottime.Now()))
 	t.recordJSONLocked(jobstore.WaitingKey, t.core.Waiting())
 	now := boottime.Now()
 	t.forgetLocked(t.core.RemoveFinished(t.options.KeepFinished, maxForgetBatch, now))
@@ -181,48 +183,39 @@
 }
 
 // recordChangedHoldersLocked queues the record of possible lease holders if these
-// have changed, and reports whether they have.
+// have changed, and reports whether they have. While a record is being written, another
+// one could not be written before it: the holders are looked at again after that.
 func (t *term) recordChangedHoldersLocked() bool {
+	if _, queued := t.queuedRecords[jobstore.HoldersKey]; t.queuedHolders != nil && !queued {
+		return false
+	}
 	holders, changed := t.core.HoldersToRecord()
 	if !changed {
 		return false
 	}
-	left := map[string]time.Duration{}
 	now := boottime.Now()
-	for _, id := range holders {
-		left[id] = t.core.RecordedLeaseTime(id, now)
-	}
-	t.recordHoldersLocked(left)
+	t.queueHoldersLocked(holders, func(id string) time.Duration { return t.core.RecordedLeaseTime(id, now) })
 	return true
 }
 
-// recordHoldersLocked queues the record of the workers that may hold leases. For
-// each it names the longest time in milliseconds that its leases can last once
-// this owner gives no more orders.
+// recordHoldersLocked queues the record of the workers that may hold leases, each with the
+// longest time that its leases can last once this owner gives no more orders.
 func (t *term) recordHoldersLocked(left map[string]time.Duration) {
-	holders := jobstore.LeaseHolders{LeaseMillis: map[string]int64{}, MayRun: map[string][]string{}}
-	for id, d := range left {
-		// Rounded up, so that the record does not name less than is left.
-		holders.LeaseMillis[id] = d.Milliseconds() + 1
-		items, known := t.core.MayRun(id)
-		if !known {
-			continue
-		}
-		names := make([]string, 0, len(items))
-		for _, i := range items {
-			names = append(names, i.String())
+	t.queueHoldersLocked(slices.Sorted(maps.Keys(left)), func(id string) time.Duration { return left[id] })
+}
+
+func (t *term) queueHoldersLocked(ids []string, left func(id string) time.Duration) {
+	runs := map[string][]job.ItemID{}
+	for _, id := range ids {
+		if items, known := t.core.MayRun(id); known {
+			runs[id] = items
 		}
-		holders.MayRun[id] = names
-	}
-	value, err := json.Marshal(holders)
-	if err != nil {
-		t.options.Log.Error().Str("event", "record_not_encoded").Str("key", jobstore.HoldersKey).Err(err).Msg("")
-		return
 	}
+	value := jobstore.EncodeLeaseHolders(ids, left, runs)
 	// The record is written even if the store has it already, because a different
 	// one may be queued or being written.
-	if t.queuedHolders != string(value) {
-		t.queuedHolders = string(value)
+	if !bytes.Equal(t.queuedHolders, value) {
+		t.queuedHolders, t.queuedHolderIDs, t.queuedHolderRuns = value, ids, slices.Sorted(maps.Keys(runs))
 		t.queuedRecords[jobstore.HoldersKey] = value
 	}
 }
@@ -363,14 +356,14 @@
 			t.horizonWrittenLocked(r.Value)
 		}
 		if r.Key == jobstore.HoldersKey {
-			// This process wrote the record, so that it can be decoded.
-			if holders, err := jobstore.DecodeLeaseHolders(r.Value); err == nil {
+			if bytes.Equal(t.queuedHolders, r.Value) {
+				t.core.HoldersRecorded(t.queuedHolderIDs, t.queuedHolderRuns...)
+				t.queuedHolders, t.queuedHolderIDs, t.queuedHolderRuns = nil, nil, nil
+			} else if holders, err := jobstore.DecodeLeaseHolders(r.Value); err == nil {
+				// This process wrote the record, so that it can be decoded.
 				all, withItems := holders.IDs()
 				t.core.HoldersRecorded(all, withItems...)
 			}
-			if t.queuedHolders == string(r.Value) {
-				t.queuedHolders = ""
-			}
 		}
 	}
 	t.mu.Unlock()
--- a/owner/write_test.go
+++ b/owner/write_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -116,3 +117,28 @@
 		t.Errorf("the finished job is not deleted: %v", err)
 	}
 }
+
+// Guards against a record of lease holders that the next owner cannot decode, or that names
+// less time than is left: it would not wait for the leases.
+func TestRecordOfHoldersIsDecoded(t *testing.T) {
+	left := map[string]time.Duration{"i-1": 1500 * time.Microsecond, `a"b\c<d>`: time.Second, "": 0, "é": time.Millisecond}
+	ids := slices.Sorted(maps.Keys(left))
+	runs := map[string][]job.ItemID{ids[0]: {{Job: testJob, Step: 1, Index: 2}}, ids[1]: nil}
+	value := jobstore.EncodeLeaseHolders(ids, func(id string) time.Duration { return left[id] }, runs)
+	record, err := jobstore.DecodeLeaseHolders(value)
+	if err != nil {
+		t.Fatalf("decode %s: %v", value, err)
+	}
+	if items := record.MayRun[ids[0]]; len(record.MayRun) != 2 || len(items) != 1 || items[0] != testJob+".0.1.2" {
+		t.Errorf("items %v, want those of two workers", record.MayRun)
+	}
+	decoded := record.LeaseMillis
+	for id, d := range left {
+		if got, known := decoded[id]; !known || time.Duration(got)*time.Millisecond < d {
+			t.Errorf("%q has %d ms, want at least %v", id, got, d)
+		}
+	}
+	if len(decoded) != len(left) {
+		t.Errorf("%d workers, want %d", len(decoded), len(left))
+	}
+}
--- a/scheduler/execution/outlast.go
+++ b/scheduler/execution/outlast.go
@@ -86,7 +86,7 @@
 	c.compareSpeeds(now)
 	busy := c.servicesWithWaitingWork()
 	var eligible map[string]*eligibleWorkers
-	for _, w := range c.sortedWorkers {
+	for _, w := range c.busyWorkers {
 		for _, cp := range w.orderedCopies {
 			if !cp.item.step.spec.Speculative {
 				continue
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -98,6 +98,7 @@
 	if w.runsListed || w.runsRecorded {
 		w.holderRecorded, c.checkHolders = false, true
 	}
+	c.lapseScan.wanted = c.lapseScan.wanted || !w.present
 	w.endedAt, w.endedWithOthers = 0, false
 	c.settleLostRuns(w.Worker, true, now)
 	w.endsCutOff = len(r.Ended) >= maxEndsPerReport
@@ -169,6 +170,7 @@
 		return
 	}
 	w.silent, w.silentAt = true, now
+	c.lapseScan.wanted, c.holdScan.wanted = true, true
 	if ended {
 		c.processEnded(w, now)
 	}
@@ -260,6 +262,7 @@
 		}
 	}
 	w.orphans[row.Run] = o
+	c.updateBusy(w)
 	w.lapseAt = max(w.lapseAt, now+c.maxLeaseTime())
 	w.used = w.used.Add(o.charge, 1)
 	w.fillerCPU += o.fillerCPU
@@ -288,6 +291,7 @@
 		w.fillerCPU -= o.fillerCPU
 		o.organisation.charge(o.needs, -1)
 		delete(w.orphans, r)
+		c.updateBusy(w)
 		c.checkHoldersOf(w)
 	}
 }
