--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/jobstore"
+	"dotterelhead.example/dotterelhead/store"
 	"dotterelhead.example/dotterelhead/store/storetest"
 	"dotterelhead.example/dotterelhead/telemetry"
 )
@@ -93,3 +95,50 @@
 		t.Errorf("a process that has run for a month waits %v", d)
 	}
 }
+
+// A small entry VM that could not read the jobs kept the ownership until its time limit for
+// that: a challenge was looked for only once the jobs were read.
+func TestOwnerHandsOverWhileItReadsTheJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := New(Options{
+			Node: "entry-0", Store: unreadableJobs{storetest.New()}, Log: telemetry.Discard(), Lease: time.Minute, CPUShare: 0.2,
+			Manifest: func() *job.Manifest { return &job.Manifest{} },
+		})
+		ctx := context.Background()
+		if err := jobstore.Challenge(ctx, o.options.Store, jobstore.Claim{Node: "entry-1", Process: "p", CPUShare: 0.8}, time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		tm := o.contend(ctx)
+		if tm == nil {
+			t.Fatal("not acquired")
+		}
+		started := time.Now()
+		if err := tm.run(ctx); !errors.Is(err, errHandedOver) || time.Since(started) > 2*challengeEvery {
+			t.Errorf("the term ended after %v: %v", time.Since(started), err)
+		}
+	})
+}
+
+// unreadableJobs is a store that does not answer when a range is read.
+type unreadableJobs struct{ *storetest.Store }
+
+func (unreadableJobs) Range(ctx context.Context, _, _ string) (store.Page, error) {
+	return store.Page{}, errors.Wrap(store.ErrOutcomeUnknown, "no answer")
+}
+
+// After a loss of power an entry VM of 0.192 of a core became the owner, because its process
+// started 60 ms before those of 0.8 of a core.
+func TestSmallEntryVMWaitsForLargerOnesAfterItsStart(t *testing.T) {
+	const startSpread = 300 * time.Millisecond
+	small := New(Options{ContendDelay: 61 * time.Millisecond, Scope: tally.NoopScope})
+	large := New(Options{Scope: tally.NoopScope})
+	if got := small.contendDelay(100 * time.Millisecond); got < startSpread*3/4 || got > startSpread {
+		t.Errorf("a small entry VM waits for %v after its start, want most of the spread of %v", got, startSpread)
+	}
+	if got := small.contendDelay(time.Minute); got > 150*time.Millisecond {
+		t.Errorf("a small entry VM waits for %v later on", got)
+	}
+	if got := large.contendDelay(100 * time.Millisecond); got > 5*time.Millisecond {
+		t.Errorf("a large entry VM waits for %v after its start", got)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -132,6 +132,11 @@
 	// differences between the times at which processes hear of a vacancy.
 	uptimeDelay    = 20 * time.Millisecond
 	maxUptimeDelay = 100 * time.Millisecond
+	// After a loss of power all processes start within 0.3 s of each other, so that a small
+	// entry VM may be the first by more than its ContendDelay. For startupSpread after its
+	// start it waits startupDelayFactor times as long.
+	startupSpread      = time.Second
+	startupDelayFactor = 4
 	// ownerWait is how long one watch call on the owner's key waits for changes.
 	ownerWait = 5 * time.Second
 )
@@ -169,7 +174,7 @@
 			return
 		case <-vacant:
 		}
-		wait(ctx, nil, o.options.ContendDelay+delayForUptime(boottime.Now()-o.startedAt))
+		wait(ctx, nil, o.contendDelay(boottime.Now()-o.startedAt))
 		if o.options.Manifest() != nil {
 			if t := o.contend(ctx); t != nil {
 				o.runTerm(ctx, t)
@@ -179,6 +184,15 @@
 	}
 }
 
+// contendDelay returns how long this process waits before it contends for the ownership.
+func (o *Owner) contendDelay(uptime time.Duration) time.Duration {
+	delay := o.options.ContendDelay + delayForUptime(uptime)
+	if uptime < startupSpread {
+		delay += (startupDelayFactor - 1) * o.options.ContendDelay
+	}
+	return delay
+}
+
 // delayForUptime returns how long a process waits before it contends for the
 // ownership, in addition to ContendDelay.
 func delayForUptime(uptime time.Duration) time.Duration {
--- a/owner/term.go
+++ b/owner/term.go
@@ -150,6 +150,8 @@
 	defer t.metrics.ownerGauge.Update(0)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { t.renew(ctx); return nil })
+	// A small entry VM may not be able to read the jobs: it has to hand over before.
+	group.Go(func() error { t.watchChallenges(ctx); return nil })
 	started := time.Now()
 	inbox, revision, err := t.load(ctx)
 	if err != nil {
@@ -181,7 +183,6 @@
 	})
 	group.Go(func() error { t.writeLoop(ctx); return nil })
 	group.Go(func() error { t.rounds(ctx); return nil })
-	group.Go(func() error { t.watchChallenges(ctx); return nil })
 	if t.options.VMs != nil {
 		group.Go(func() error { t.vmLoop(ctx); return nil })
 	}
