Let TestWithdrawnKeys open its connection before it judges an answer

Cause: in one run of all process tests at once, beside other load (load average 33 on 7 cores), the test's own client could not open a connection to an entry VM within 300 ms, and the test took that for a wrong answer. The log of the entry VMs shows 401 and 503 only. Change: a connection that cannot be opened is tried again; the first answer is judged as before, and must be a refusal of the key.

--- a/processtest/organisations_test.go
+++ b/processtest/organisations_test.go
@@ -203,8 +203,14 @@
 	c.start(restarted)
 	checker.rotate(4)
 	time.Sleep(manifestBound())
-	withdrawn := func(e *jobEntryVM) error {
-		_, err := c.requesterAt(e, temporary).Waiting(context.Background())
+	// withdrawn returns the first answer to a request with the withdrawn key. A connection that
+	// this process could not open in time is no answer.
+	withdrawn := func(e *jobEntryVM) (err error) {
+		for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
+			if _, err = c.requesterAt(e, temporary).Waiting(context.Background()); err == nil || !strings.Contains(err.Error(), "dial tcp") {
+				break
+			}
+		}
 		return err
 	}
 	if err := withdrawn(calm); !errors.Is(err, platform.ErrUnknownKey) {
