Bound the time for which a cap is kept for a gang, and count unseen runs of later steps

A gang that fits the cap and finds no workers kept the organisation from starting anything. A former owner may have started a step after ends that it could not record.

--- a/scheduler/execution/caps.go
+++ b/scheduler/execution/caps.go
@@ -14,9 +14,7 @@
 // organisation is what the owner knows of an organisation that has, or had, jobs.
 type organisation struct {
 	name string
-	// known is set once a manifest had the organisation; cap and weight are those of the
-	// newest such manifest.
-	known  bool
+	// cap and weight are those of the newest manifest that had the organisation.
 	cap    job.Resources
 	weight float64
 	// running is what the copies of its items and its orphans request. It includes the CPU
@@ -25,8 +23,9 @@
 	// unseen is what runs of a former owner that no worker has listed yet may request.
 	unseen job.Resources
 	// gang, if set, is a gang for which the rest of the cap is kept since gangSince, and
-	// nextGang when the next one may be.
+	// nextGang when the next one may be. gangFits is set once the gang fitted the cap.
 	gang                *step
+	gangFits            bool
 	gangPriority        int
 	gangSince, nextGang Time
 	// sent tells which of its jobs it sent beyond its rate.
@@ -84,7 +83,7 @@
 // lacks keeps those that it had last: its accepted jobs still run.
 func (o *organisation) update(m *job.Manifest) {
 	if in := m.Organisations.ByName(o.name); in != nil {
-		o.known, o.cap, o.weight = true, in.Cap, in.Weight
+		o.cap, o.weight = in.Cap, in.Weight
 	}
 }
 
@@ -134,9 +133,10 @@
 }
 
 // countUnseen counts, for each organisation, the runs of a former owner that no worker may
-// have listed yet: those of each inherited job's items that are ready, not done and without a
-// copy, and of the items of inherited jobs that have ended. Once the takeover is settled
-// there are none.
+// have listed yet: those of each inherited job's items that are not done and have no copy,
+// and of the items of inherited jobs that have ended. Once the takeover is settled there are
+// none. Steps that are not ready count as well: the former owner may have started them after
+// ends whose records it could not write any more.
 func (c *Core) countUnseen() {
 	if c.unseenCleared || len(c.organisations) == 0 {
 		return
@@ -163,7 +163,7 @@
 		default:
 			for _, o := range j.open {
 				for _, s := range o.steps {
-					if s.ready && !s.done() {
+					if !s.done() {
 						j.organisation.unseen = addBounded(j.organisation.unseen, s.spec.Needs, s.itemsWithoutCopy())
 					}
 				}
--- a/scheduler/execution/caps_test.go
+++ b/scheduler/execution/caps_test.go
@@ -136,3 +136,37 @@
 		t.Errorf("usage %+v", usage)
 	}
 }
+
+// A gang that fits the cap and that no worker can hold must not keep the rest of the cap.
+func TestCapIsNotKeptForAGangWithoutWorkers(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.setCap(4000)
+	b.worker(testWorker("w1", 4000), Report{})
+	b.add(jobA, job.Step{}, job.Progress{}, false)
+	first := b.wantStarts(1, "small job")[0]
+	b.core.StartDone(first, Started, b.now)
+	b.add(jobB, job.Step{Count: 4, Gang: true, Label: "absent"}, job.Progress{}, false)
+	b.wantStarts(0, "the gang does not fit the cap")
+	b.now += minReserveWait
+	b.wantStarts(0, "the rest of the cap is kept from now on")
+	b.add(jobC, job.Step{}, job.Progress{}, false)
+	b.wantStarts(0, "the rest of the cap is kept")
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: first.Run, Kind: EndDone}}})
+	b.wantStarts(0, "the gang fits the cap")
+	b.wantStarts(1, "the gang has found no workers")
+}
+
+// The former owner started a second step, but could not record the end of the first one.
+func TestUnseenRunsOfLaterStepsCount(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.setCap(4000)
+	b.core.SetFormerHolders(map[string]time.Duration{"w1": testHold, "w2": testHold}, b.now)
+	b.core.WorkerSeen(testWorker("w1", 4000), b.now)
+	j := oneStep(jobA, job.Step{})
+	j.Organisation = testOrganisation
+	j.Steps = append(j.Steps, job.Step{Count: 3, Needs: j.Steps[0].Needs, After: []int{0}})
+	b.core.AddJob(j, job.Progress{Phase: job.Running}, true, wall, b.now)
+	b.worker(testWorker("w2", 4000), Report{})
+	b.add(jobC, job.Step{Count: 3}, job.Progress{}, false)
+	b.wantStarts(0, "w1 may run three items of the second step")
+}
--- a/scheduler/execution/reserve.go
+++ b/scheduler/execution/reserve.go
@@ -45,6 +45,9 @@
 			c.reserveCap(cand.step, now)
 			continue
 		}
+		if o := cand.step.job.organisation; o.gang == cand.step {
+			o.gangFits = true
+		}
 		if kept[service] != nil || cand.share.reached() || now < c.nextReservation[service] {
 			continue
 		}
@@ -85,21 +88,36 @@
 func (c *Core) reserveCap(s *step, now Time) {
 	o := s.job.organisation
 	if o.gang == nil && c.settled && now >= o.nextGang && s.spec.Needs.FitsCap(o.cap, job.Resources{}, s.spec.Count) {
-		o.gang, o.gangPriority, o.gangSince = s, c.queueOf(s.job).Priority, now
+		o.gang, o.gangPriority, o.gangSince, o.gangFits = s, c.queueOf(s.job).Priority, now, false
 	}
 }
 
-// endCapReservations ends those of gangs that have started or need not start any more. The
-// organisation has a pause after it, so that its gangs don't keep smaller steps from starting.
+// maxCapReservation is how long the rest of a cap is kept for a gang at most: all runs of the
+// organisation but long-running ones have ended by then.
+const maxCapReservation = longestRunTime
+
+// endCapReservations ends those of gangs that have started, need not start any more, or fit
+// the cap and find no workers. The organisation has a pause after it, so that its gangs don't
+// keep smaller steps from starting.
 func (c *Core) endCapReservations(now Time) {
 	for _, o := range c.organisations {
-		if o.gang != nil && (!o.gang.waitsAsGang() || !o.gang.spec.Needs.FitsCap(o.cap, job.Resources{}, o.gang.spec.Count)) {
+		if o.gang == nil {
+			continue
+		}
+		noWorkers := o.gangFits && !c.reservesFor(o.gang)
+		if noWorkers || !o.gang.waitsAsGang() || now-o.gangSince > maxCapReservation {
 			o.nextGang = now + (now - o.gangSince) + c.runTime(o.gang, now)
 			o.gang = nil
 		}
 	}
 }
 
+// reservesFor reports whether workers are reserved for a gang.
+func (c *Core) reservesFor(s *step) bool {
+	r := c.reservations[c.queueOf(s.job).Service]
+	return r != nil && r.step == s
+}
+
 // keepsCapFor reports whether a step has to leave what the cap allows to a gang.
 func (o *organisation) keepsCapFor(s *step, priority func() int) bool {
 	return o.gang != nil && o.gang != s && !s.spec.LongRunning && priority() >= o.gangPriority
@@ -109,7 +127,7 @@
 // that has waited for longer than its queue's target latency.
 func (cand *candidate) mayReserve(now Time) bool {
 	s := cand.step
-	return s.spec.Gang && s.job.organisation != nil && !s.job.beyondRate && s.waitsAsGang() && now-s.readyAt >= max(cand.queue.TargetLatency, minReserveWait) &&
+	return s.spec.Gang && s.job.organisation != nil && !s.job.beyondRate && s.toIsolate == 0 && s.waitsAsGang() && now-s.readyAt >= max(cand.queue.TargetLatency, minReserveWait) &&
 		!slices.ContainsFunc(s.tracked, func(i *item) bool { return now < i.notBefore })
 }
 
