Refuse for the load only what no reaction in time can still serve

Cause: a burst of six times for 8 s, played with admission, told requesters to return after 117 s, and entry VMs accept jobs again some 0.5 s after the decision, so that jobs were refused that could have been in time.

Change: the time to drain ends when all that waits has started or has lost its value, and the limit of work that can be in time includes the lag.

--- a/scheduler/execution/admission.go
+++ b/scheduler/execution/admission.go
@@ -15,6 +15,10 @@
 	// still be done in time. admitLoad is the share below which they are accepted again, so
 	// that the refusal does not change with every job.
 	refuseLoad, admitLoad = 1.25, 0.9
+	// refusalLag is how much later than it was decided entry VMs accept jobs again: a pause
+	// between two decisions, a write and a watch. Without waiting work for that long, the pool
+	// would turn to late jobs although jobs that can be in time were sent.
+	refusalLag = 500 * time.Millisecond
 	// minReturnSpread is the least range of times over which refused requesters return.
 	// They are told whole seconds.
 	minReturnSpread = 2 * time.Second
@@ -52,7 +56,7 @@
 	// all organisations with work in the pool: then the jobs of any are.
 	Organisations []string
 	All           bool
-	// Drain is how long the pool takes until jobs are accepted again if no further work
+	// Drain is how long it takes until jobs are accepted again if no further work
 	// arrives. Requesters return within Spread after that.
 	Drain, Spread time.Duration
 	// Work is the accepted work in core-seconds.
@@ -85,7 +89,10 @@
 	}
 	slices.Sort(r.Organisations)
 	r.All = len(r.Organisations) == len(load.Claims)
-	r.Drain = max(time.Duration((r.Work-admitLoad*valuable)/max(load.Cores+load.GainableCores, 1)*float64(time.Second)), 0)
+	drain := (r.Work - admitLoad*valuable) / max(load.Cores+load.GainableCores, 1)
+	// After StartWithin, what waits now has started or has lost its value, and comes after
+	// new jobs.
+	r.Drain = min(max(time.Duration(drain*float64(time.Second)), 0), load.StartWithin)
 	r.Spread = max(r.Drain, minReturnSpread)
 	return r, true
 }
@@ -163,7 +170,7 @@
 			Queue: q.Name, Cores: max(c.registeredCores(q.Service)-d.LongRunningCores, 0), GainableCores: float64(totalIdle-free.Idle[q.Service]+free.Arriving[q.Service]) * d.CoresPerVM,
 			MoveTime: moveTime, StartWithin: lateFactor*objectiveOf(q, path) - path,
 			// All cores may become free at once, so that work of one run time can be started.
-			StartInTime: max(objectiveOf(q, path)-path, path),
+			StartInTime: max(objectiveOf(q, path)-path, path) + refusalLag,
 		}
 		for _, name := range slices.Sorted(maps.Keys(claims)) {
 			load.Claims = append(load.Claims, *claims[name])
