Keep a burst certain while its need falls for a moment

Cause: after all entry VMs had lost power in a queue's turn, the new owner saw the burst begin and then its need fall below that of a burst.

Change: the size of a burst that has begun is certain by three quarters throughout its ramp.

--- a/scheduler/capacity/rebalancing.go
+++ b/scheduler/capacity/rebalancing.go
@@ -99,9 +99,9 @@
 	// growthShare is the share of the free VMs that a growth may take which is not
 	// certain. Large jobs are few, and without VMs ahead of them the next ones wait.
 	growthShare = 0.25
-	// burstSureness is how certain the size of a burst is while it begins, once the
-	// work that has arrived alone makes it one. It leaves a quarter of the spare VMs
-	// to a pool whose turn begins next.
+	// burstSureness is how certain the size of a burst is while it begins. It leaves a
+	// quarter of the free VMs to a pool whose turn begins next. It holds also while the
+	// need falls for a moment: after a change of owner a pool waited for 2 s.
 	burstSureness = 0.75
 	// forecastSureness is how certain a burst is that is expected by the intervals
 	// of the ones before.
@@ -291,9 +291,7 @@
 	switch {
 	case h.burstJustStarted(now, r.options.MoveTime+rampTime):
 		t.Wanted = max(t.Wanted, int(r.burstGrowth(now)*float64(h.initialSize)))
-		if t.Needed >= base+h.threshold() {
-			t.Sure = max(t.Sure, burstSureness)
-		}
+		t.Sure = max(t.Sure, burstSureness)
 	case h.burstDue(now, r.options.MoveTime+forecastLead):
 		t.Wanted, t.Sure = max(t.Wanted, h.lastPeak), max(t.Sure, forecastSureness)
 	}
