Allow for lag in renewals of the owner's lease

A new owner of 3,003 workers calls all of them in its first 2 s, in which its renewals may be answered in time and read late. Their time limit grows with the measured lag, up to twice. The renewals measure it as well, as no rounds run while the jobs are loaded.

--- a/owner/lag.go
+++ b/owner/lag.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -66,3 +67,11 @@
 func (t *term) callTimeoutNow() time.Duration {
 	return callTimeout + t.lag.allowance(boottime.Now())
 }
+
+// waitMeasured waits for d or until ctx ends, and records how late this process goes on.
+func (t *term) waitMeasured(ctx context.Context, d time.Duration) {
+	from := boottime.Now()
+	wait(ctx, nil, d)
+	now := boottime.Now()
+	t.lag.observe(now-from-d, now)
+}
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -52,11 +52,7 @@
 		}
 		started := time.Now()
 		t.round(ctx)
-		pause := pauseAfter(time.Since(started))
-		pausedAt := boottime.Now()
-		wait(ctx, nil, pause)
-		now := boottime.Now()
-		t.lag.observe(now-pausedAt-pause, now)
+		t.waitMeasured(ctx, pauseAfter(time.Since(started)))
 	}
 }
 
--- a/owner/term.go
+++ b/owner/term.go
@@ -237,7 +237,7 @@
 	reachable := true
 	for ctx.Err() == nil {
 		requestedAt := boottime.Now()
-		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, renewTimeout+min(t.lag.allowance(requestedAt), renewTimeout))
 		err := t.options.Store.RenewLease(callCtx, t.ownership.Lease)
 		cancel()
 		if errors.Is(err, store.ErrNotFound) {
@@ -260,10 +260,7 @@
 			// The lease keeps running out, so a failed renewal is repeated sooner.
 			pause = renewEvery / 5
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+		t.waitMeasured(ctx, pause)
 	}
 }
 
