--- a/scheduler/execution/admission.go
+++ b/scheduler/execution/admission.go
@@ -11,10 +11,11 @@
 
 const (
 	// refuseLoad is the share of the work that a pool can do in time from which on further
-	// jobs are refused. Run times are expected to within a quarter, so that less work may
-	// still be done in time. admitLoad is the share below which they are accepted again, so
-	// that the refusal does not change with every job.
-	refuseLoad, admitLoad = 1.25, 0.9
+	// jobs are refused. Run times are expected to within a quarter, and as short jobs go
+	// first, more jobs than in proportion to their work may still be done in time. admitLoad
+	// is the share below which they are accepted again, so that the refusal does not change
+	// with every job.
+	refuseLoad, admitLoad = 1.5, 0.9
 	// refusalLag is how much later than it was decided entry VMs accept jobs again: a pause
 	// between two decisions, a write and a watch. Without waiting work for that long, the pool
 	// would turn to late jobs although jobs that can be in time were sent.
