--- a/command/job.go
+++ b/command/job.go
@@ -80,7 +80,7 @@
 func (t *tool) job() *cobra.Command {
 	var entries []string
 	var queue, key string
-	c := &cobra.Command{Use: "job", Short: "Submit, show and cancel jobs"}
+	c := &cobra.Command{Use: "job", Short: "Submit, show and cancel jobs, and check a manifest of their queues"}
 	c.PersistentFlags().StringSliceVar(&entries, "entry", []string{"127.0.0.1:8080"}, "address of an entry VM's caller listener, repeatable; tried in turn")
 	c.PersistentFlags().StringVar(&queue, "queue", "", "the queue as HOST/PREFIX")
 	c.PersistentFlags().StringVar(&key, "key", "", "key of your organisation; the variable "+keyVariable+" keeps it out of the list of processes")
@@ -153,7 +153,7 @@
 			return nil
 		}),
 	}
-	c.AddCommand(submit, show, cancel, waiting)
+	c.AddCommand(submit, show, cancel, waiting, t.checkManifest())
 	return c
 }
 
