--- a/jsonfile/jsonfile.go
+++ b/jsonfile/jsonfile.go
@@ -27,7 +27,7 @@
 	text    []byte
 	lines   []int
 	offsets map[string]int
-	// decoder is at the token to read, unknown has the fields in Unknown, and err is the first
+	// decoder is at the token to read, unknown has the fields in Unknown and the ignored ones, and err is the first
 	// error of the decoder.
 	decoder *json.Decoder
 	unknown map[string]bool
@@ -80,7 +80,11 @@
 }
 
 // Read reads the file once and adds the values for which a struct type has fields. The text has to be valid JSON.
-func (x *Index) Read(into reflect.Type) error {
+// Fields in ignored, in the form rows.name, are not reported as unknown.
+func (x *Index) Read(into reflect.Type, ignored []string) error {
+	for _, name := range ignored {
+		x.unknown[name] = true
+	}
 	x.value("", "", into)
 	return errors.Wrapf(x.err, "index %s", x.file)
 }
