Rank steps in progress by the whole run time of their items again

Cause: with what is left of running items by their progress, jobs in progress counted as in time that were late, and the first starts of others waited longer.

--- a/scheduler/execution/expect.go
+++ b/scheduler/execution/expect.go
@@ -48,12 +48,13 @@
 			endsLeft[n] = max(endsLeft[n], endsLeft[before])
 		}
 		ends[n] += run
-		left, itemSecondsLeft := c.timeLeft(s, run, now)
-		endsLeft[n] += left
+		if !s.done() {
+			endsLeft[n] += run
+		}
 		estimate.criticalPath, estimate.criticalPathLeft = max(estimate.criticalPath, ends[n]), max(estimate.criticalPathLeft, endsLeft[n])
 		cores := float64(s.spec.Needs.MilliCPU) / 1000
 		estimate.work += float64(s.spec.Count) * cores * run.Seconds()
-		estimate.workLeft += cores * itemSecondsLeft
+		estimate.workLeft += float64(s.itemsLeft) * cores * run.Seconds()
 	}
 	return estimate
 }
--- a/scheduler/execution/runtime.go
+++ b/scheduler/execution/runtime.go
@@ -105,49 +105,6 @@
 	return expected
 }
 
-// timeLeft returns how long a step is expected to take to its end once its waiting items
-// can start, and how long its items will still run in all, in seconds. run is the expected
-// run time of an item.
-func (c *Core) timeLeft(s *step, run time.Duration, now Time) (longest time.Duration, itemSeconds float64) {
-	if s.done() {
-		return 0, 0
-	}
-	if c.options.TrustDeclared {
-		return run, float64(s.itemsLeft) * run.Seconds()
-	}
-	waiting := s.itemsLeft
-	for _, i := range s.tracked {
-		if i.done || len(i.copies) == 0 {
-			continue
-		}
-		waiting--
-		left := c.runLeft(i.copies[0], run, now)
-		for _, cp := range i.copies[1:] {
-			left = min(left, c.runLeft(cp, run, now))
-		}
-		longest = max(longest, left)
-		itemSeconds += left.Seconds()
-	}
-	if waiting > 0 {
-		longest = max(longest, run)
-		itemSeconds += float64(waiting) * run.Seconds()
-	}
-	return longest, itemSeconds
-}
-
-// runLeft returns how long a run is expected to go on: as its progress so far tells, else by
-// the expected run time of its item.
-func (c *Core) runLeft(cp *itemCopy, run time.Duration, now Time) time.Duration {
-	elapsed := now - cp.startedAt
-	if total, ok := cp.projected(); ok {
-		return max(total-elapsed, 0)
-	}
-	if elapsed >= run {
-		run = c.beyond(cp.item.step, elapsed)
-	}
-	return max(run-elapsed, 0)
-}
-
 // projected returns how long a run takes in all if it goes on at its speed so far. It
 // returns false if that is not known: the run has hardly begun, it is long-running or a
 // filler, it began from a checkpoint, or a former owner started it.
