Free the cap of unwanted runs when their worker is removed

Terminated and replaceFormerWorker dropped the copies of a worker but not its orphans, which count against the cap of their organisation since caps were added. The organisation lost that part of its cap until the owner changed. removeWorker drops the orphans.

--- a/scheduler/execution/caps_test.go
+++ b/scheduler/execution/caps_test.go
@@ -170,3 +170,32 @@
 	b.add(jobC, job.Step{Count: 3}, job.Progress{}, false)
 	b.wantStarts(0, "w1 may run three items of the second step")
 }
+
+// Guards against a cap that stays charged for unwanted runs whose worker was taken or replaced:
+// the organisation could never use that part of its cap again.
+func TestUnwantedRunsOfRemovedWorkersFreeTheCap(t *testing.T) {
+	for name, remove := range map[string]func(b *testbed){
+		"taken": func(b *testbed) { b.core.Terminated("w2", 1, b.now) },
+		"replaced": func(b *testbed) {
+			next := testWorker("w3", 1000)
+			next.VM, next.StartMillis = "vm-2", 2
+			b.core.WorkerSeen(next, b.now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 0)
+			b.setCap(2000)
+			b.worker(testWorker("w1", 8000), Report{})
+			b.add(jobA, job.Step{}, job.Progress{}, false)
+			start := b.wantStarts(1, "first item")[0]
+			b.core.StartDone(start, Started, b.now)
+			second := testWorker("w2", 1000)
+			second.VM = "vm-2"
+			b.worker(second, Report{Running: []RunningItem{{Run: Run{start.Run.Item, start.Run.Number + 1}}}})
+			b.add(jobB, job.Step{}, job.Progress{}, false)
+			b.wantStarts(0, "beside an unwanted run")
+			remove(b)
+			b.wantStarts(1, "without the unwanted run")
+		})
+	}
+}
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -385,6 +385,10 @@
 }
 
 func (c *Core) removeWorker(w *worker, now Time) {
+	// Orphans count against the caps of their organisations.
+	for _, r := range orphansOf(w) {
+		c.dropOrphan(w, r)
+	}
 	delete(c.workers, w.ID)
 	maps.DeleteFunc(c.droppedLifetimes, func(_ string, d droppedLifetime) bool { return now-d.at > maxStopDelay })
 	c.droppedLifetimes[w.ID] = droppedLifetime{w.StartMillis, now}
