Refuse no organisation for the load of others

If only some organisations had work in a pool and all of these were beyond their shares, the record named none, which refuses all: an organisation without work got 503 although its jobs come first up to its share. Such a record is now written only if no further organisation may send jobs.

Work beyond an organisation's cap took its whole share in the division of a pool's limits, although the cap keeps it from running. With one of two organisations capped to 10 of 320 cores, the other was refused from 3/4 of what the pool does in time. Such work no longer counts.

--- a/scheduler/execution/admission.go
+++ b/scheduler/execution/admission.go
@@ -37,8 +37,9 @@
 	// objective, and StartWithin the same so that it ends before it has lost its value.
 	StartInTime, StartWithin time.Duration
 	// Claims are the work that does not come after that of the queue, one claim for each
-	// organisation.
-	Claims []WorkClaim
+	// organisation. OthersMaySend is set if further organisations may send jobs to the queue.
+	Claims        []WorkClaim
+	OthersMaySend bool
 }
 
 // WorkClaim is the accepted work of an organisation in core-seconds that can still have a
@@ -47,6 +48,18 @@
 type WorkClaim struct {
 	Organisation         string
 	Weight, Work, InTime float64
+	// CapCores are the cores of the organisation's cap, or 0 if it has none. Work that the
+	// cap keeps from running takes no room from the others, and does not count.
+	CapCores float64
+}
+
+// within returns how much of the given work counts, as the cap allows at most so much to be
+// done within a time. share is the factor of the limit.
+func (c *WorkClaim) within(work, share float64, d time.Duration) float64 {
+	if c.CapCores == 0 {
+		return work
+	}
+	return min(work, share*c.CapCores*max(d, 0).Seconds())
 }
 
 // Refusal says that jobs of a queue are refused, because they would certainly end after
@@ -54,7 +67,7 @@
 type Refusal struct {
 	Queue string
 	// Organisations are those whose jobs are refused, sorted, and All is set if these are
-	// all organisations with work in the pool: then the jobs of any are.
+	// all organisations that may send jobs to the queue.
 	Organisations []string
 	All           bool
 	// Drain is how long it takes until jobs are accepted again if no further work
@@ -71,17 +84,20 @@
 // afterwards, behind all that can have a value.
 func Admit(load QueueLoad, refused map[string]bool) (Refusal, bool) {
 	valuable, early := load.capacityWithin(load.StartWithin), load.capacityWithin(load.StartInTime)
-	ofAll := func(c WorkClaim) float64 { return c.Work }
-	ofInTime := func(c WorkClaim) float64 { return c.InTime }
 	r := Refusal{Queue: load.Queue}
-	limits := map[bool][2][]float64{}
+	type limit struct{ share, work, inTime float64 }
+	limits := map[bool][]limit{}
 	for wasRefused, share := range map[bool]float64{false: refuseLoad, true: admitLoad} {
-		limits[wasRefused] = [2][]float64{fairWork(share*valuable, load.Claims, ofAll), fairWork(share*early, load.Claims, ofInTime)}
+		work := fairWork(share*valuable, load.Claims, func(c WorkClaim) float64 { return c.within(c.Work, share, load.StartWithin) })
+		inTime := fairWork(share*early, load.Claims, func(c WorkClaim) float64 { return c.within(c.InTime, share, load.StartInTime) })
+		for n := range load.Claims {
+			limits[wasRefused] = append(limits[wasRefused], limit{share, work[n], inTime[n]})
+		}
 	}
 	for n, c := range load.Claims {
 		r.Work += c.Work
-		limit := limits[refused[c.Organisation]]
-		if c.Work > limit[0][n] && c.InTime > limit[1][n] {
+		l := limits[refused[c.Organisation]][n]
+		if c.within(c.Work, l.share, load.StartWithin) > l.work && c.within(c.InTime, l.share, load.StartInTime) > l.inTime {
 			r.Organisations = append(r.Organisations, c.Organisation)
 		}
 	}
@@ -89,7 +105,7 @@
 		return Refusal{}, false
 	}
 	slices.Sort(r.Organisations)
-	r.All = len(r.Organisations) == len(load.Claims)
+	r.All = len(r.Organisations) == len(load.Claims) && !load.OthersMaySend
 	drain := (r.Work - admitLoad*valuable) / max(load.Cores+load.GainableCores, 1)
 	// After StartWithin, what waits now has started or has lost its value, and comes after
 	// new jobs.
@@ -160,7 +176,7 @@
 			if claim == nil {
 				claim = &WorkClaim{Organisation: key.organisation, Weight: 1}
 				if o := c.manifest.Organisations.ByName(key.organisation); o != nil && o.Weight > 0 {
-					claim.Weight = o.Weight
+					claim.Weight, claim.CapCores = o.Weight, cores(o.Cap.MilliCPU)
 				}
 				claims[key.organisation] = claim
 			}
@@ -173,8 +189,17 @@
 			// All cores may become free at once, so that work of one run time can be started.
 			StartInTime: max(objectiveOf(q, path)-path, path) + refusalLag,
 		}
+		senders := 0
 		for _, name := range slices.Sorted(maps.Keys(claims)) {
 			load.Claims = append(load.Claims, *claims[name])
+			if q.Public && name == "" || !q.Public && c.manifest.Organisations.ByName(name) != nil {
+				senders++
+			}
+		}
+		load.OthersMaySend = senders < c.manifest.Organisations.Len()
+		if q.Public {
+			// The jobs of a public queue belong to no organisation.
+			load.OthersMaySend = senders == 0
 		}
 		loads = append(loads, load)
 	}
--- a/scheduler/execution/admission_test.go
+++ b/scheduler/execution/admission_test.go
@@ -172,7 +172,7 @@
 // Guards against refusals that change with every job: an organisation is accepted again only
 // once the work has clearly fallen below what is done in time.
 func TestRefusalHasHysteresis(t *testing.T) {
-	load := QueueLoad{Queue: "q", Cores: 100, StartWithin: 4 * time.Second, Claims: []WorkClaim{{"a", 1, 440, 440}}}
+	load := QueueLoad{Queue: "q", Cores: 100, StartWithin: 4 * time.Second, Claims: []WorkClaim{{Organisation: "a", Weight: 1, Work: 440, InTime: 440}}}
 	if r, refuse := Admit(load, nil); refuse {
 		t.Errorf("refused %v at 1.1 times the work that is done in time", r.Organisations)
 	}
@@ -193,3 +193,41 @@
 		t.Errorf("refused %v although the VMs that the pool can get do the work in time", r.Organisations)
 	}
 }
+
+// Guards against jobs that are refused for the load of others: if only one organisation had
+// work in the pool, the others, which had none, were refused with it.
+func TestOverloadOfOneRefusesNoOrganisationWithoutWork(t *testing.T) {
+	o := newOverload(t, false)
+	for n := range 400 {
+		o.submit(n+1, "large")
+	}
+	o.tick()
+	loads := o.core.QueueLoads(FreeVMs{}, 0, o.now)
+	if r, refuse := Admit(loads[0], nil); !refuse || r.All || !slices.Equal(r.Organisations, []string{"large"}) {
+		t.Errorf("refusal %+v, want that of %q alone", r, "large")
+	}
+	for n, name := range []string{"b", "c"} {
+		for k := range 400 {
+			o.submit(1000*(n+1)+k, name)
+		}
+	}
+	o.tick()
+	if r, _ := Admit(o.core.QueueLoads(FreeVMs{}, 0, o.now)[0], nil); !r.All {
+		t.Errorf("refusal %+v, want that of all organisations", r)
+	}
+}
+
+// Guards against jobs that are refused for the work of an organisation at its cap, which leaves
+// most of the pool to the others.
+func TestWorkBeyondCapTakesNoShareOfOthers(t *testing.T) {
+	load := QueueLoad{
+		Cores: 320, StartWithin: 4 * time.Second, StartInTime: time.Second,
+		Claims: []WorkClaim{
+			{Organisation: "capped", Weight: 1, Work: 10000, InTime: 10000, CapCores: 10},
+			{Organisation: "other", Weight: 1, Work: 1500, InTime: 400},
+		},
+	}
+	if r, _ := Admit(load, nil); slices.Contains(r.Organisations, "other") {
+		t.Errorf("refusal %+v, although the capped organisation leaves 310 of 320 cores", r)
+	}
+}
