Keep no cap for a gang that does not fit beside long-running items

The rest of a cap was kept for a gang that fits the cap alone. If long-running items of the organisation take so much of the cap that the gang cannot fit beside them, its smaller items waited for 20 s in each 40 s for nothing.

--- a/scheduler/execution/caps_test.go
+++ b/scheduler/execution/caps_test.go
@@ -199,3 +199,19 @@
 		})
 	}
 }
+
+// Guards against a cap whose rest is kept for a gang that cannot fit beside long-running items:
+// the smaller items of the organisation waited for 20 s for nothing.
+func TestCapIsNotKeptForGangThatCannotFit(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.setCap(4000)
+	b.worker(testWorker("w1", 8000), Report{})
+	b.add(jobA, job.Step{LongRunning: true}, job.Progress{}, false)
+	b.core.StartDone(b.wantStarts(1, "long-running item")[0], Started, b.now)
+	b.add(jobB, job.Step{Count: 4, Gang: true}, job.Progress{}, false)
+	b.wantStarts(0, "gang of 4 beside a long-running item")
+	b.now += minReserveWait
+	b.wantStarts(0, "gang that has waited")
+	b.add(jobC, job.Step{Count: 2}, job.Progress{}, false)
+	b.wantStarts(2, "smaller items")
+}
--- a/scheduler/execution/reserve.go
+++ b/scheduler/execution/reserve.go
@@ -87,17 +87,32 @@
 // gang fits.
 func (c *Core) reserveCap(s *step, now Time) {
 	o := s.job.organisation
-	if o.gang == nil && c.settled && now >= o.nextGang && s.spec.Needs.FitsCap(o.cap, job.Resources{}, s.spec.Count) {
+	if o.gang == nil && c.settled && now >= o.nextGang && c.mayFitCap(s) {
 		o.gang, o.gangPriority, o.gangSince, o.gangFits = s, c.queueOf(s.job).Priority, now, false
 	}
 }
 
+// mayFitCap reports whether a gang fits the cap of its organisation beside the organisation's
+// long-running items, once all its other runs have ended.
+func (c *Core) mayFitCap(s *step) bool {
+	o := s.job.organisation
+	var lasting job.Resources
+	for _, w := range c.busyWorkers {
+		for _, cp := range w.orderedCopies {
+			if spec := cp.item.step.spec; spec.LongRunning && cp.item.step.job.organisation == o {
+				lasting = lasting.Add(spec.Needs, 1)
+			}
+		}
+	}
+	return s.spec.Needs.FitsCap(o.cap, lasting, s.spec.Count)
+}
+
 // maxCapReservation is how long the rest of a cap is kept for a gang at most: all runs of the
 // organisation but long-running ones have ended by then.
 const maxCapReservation = longestRunTime
 
-// endCapReservations ends those of gangs that have started, need not start any more, or fit
-// the cap and find no workers. The organisation has a pause after it, so that its gangs don't
+// endCapReservations ends those of gangs that have started, need not start any more, cannot
+// fit the cap any more, or fit the cap and find no workers. The organisation has a pause after it, so that its gangs don't
 // keep smaller steps from starting.
 func (c *Core) endCapReservations(now Time) {
 	for _, o := range c.organisations {
@@ -105,7 +120,7 @@
 			continue
 		}
 		noWorkers := o.gangFits && !c.reservesFor(o.gang)
-		if noWorkers || !o.gang.waitsAsGang() || now-o.gangSince > maxCapReservation {
+		if noWorkers || !o.gang.waitsAsGang() || !c.mayFitCap(o.gang) || now-o.gangSince > maxCapReservation {
 			o.nextGang = now + (now - o.gangSince) + c.runTime(o.gang, now)
 			o.gang = nil
 		}
