Keep the learned bursts over a change of owner

The owner now records the usual size of each pool and the size and the starts of its last bursts as owner/bursts, every 2 s.

--- a/jobstore/keys.go
+++ b/jobstore/keys.go
@@ -45,6 +45,7 @@
 	OrdersKey      = OwnerPrefix + "orders"
 	HorizonKey     = OwnerPrefix + "horizon"
 	RunTimesKey    = OwnerPrefix + "runtimes"
+	BurstsKey      = OwnerPrefix + "bursts"
 	WavePrefix     = OwnerPrefix + "wave/"
 )
 
--- a/owner/rebalance.go
+++ b/owner/rebalance.go
@@ -36,6 +36,8 @@
 	draining map[string]string
 	// refused holds pairs of a VM and a pool that the platform does not allow.
 	refused map[[2]string]bool
+	// recordDue is when the learned bursts are next recorded.
+	recordDue time.Duration
 }
 
 func newRebalancing(moveTime time.Duration) *rebalancing {
@@ -140,8 +142,10 @@
 	}
 	t.admission.free = &free
 	var moves []capacity.Move
-	planned, drain := rb.planner.Plan(now, t.core.Demands(now), vms)
+	demands := t.core.Demands(now)
+	planned, drain := rb.planner.Plan(now, demands, vms)
 	t.targets = rb.planner.Targets()
+	t.recordBurstsLocked(rb, demands, now)
 	t.drainLocked(rb, drain, workers, selectedByWaves, now)
 	for _, m := range planned {
 		if rb.refused[[2]string{m.VM, m.To}] {
--- a/owner/term.go
+++ b/owner/term.go
@@ -108,6 +108,8 @@
 	waveDone map[int64][]string
 	// runTimesDue is when the learned run times are next recorded.
 	runTimesDue time.Duration
+	// formerBursts are the bursts of the pools that former owners have learned.
+	formerBursts []capacity.LearnedPool
 
 	// lag is how late this process runs.
 	lag         lagMeter
@@ -328,6 +330,9 @@
 		if item.Key == jobstore.RunTimesKey {
 			t.loadRunTimes(item.Value)
 		}
+		if item.Key == jobstore.BurstsKey {
+			t.loadBursts(item.Value)
+		}
 		if item.Key == jobstore.BacklogKey {
 			// The entry VMs refuse no jobs because of a record that they cannot decode either.
 			backlog, err := jobstore.DecodeBacklog(item.Value)
--- a/owner/upkeep.go
+++ b/owner/upkeep.go
@@ -125,6 +125,7 @@
 func (t *term) vmLoop(ctx context.Context) {
 	waves := map[int64]*waveState{}
 	rb := newRebalancing(t.options.MoveTime)
+	t.restoreBursts(rb)
 	for ctx.Err() == nil {
 		for _, w := range t.options.Waves() {
 			if waves[w.Number] == nil {
--- a/scheduler/capacity/bursts.go
+++ b/scheduler/capacity/bursts.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// maxStarts is the number of starts that burstDue compares: two intervals.
+const maxStarts = 3
+
 // rebalancingHistory is the learned demand of a pool.
 type rebalancingHistory struct {
 	// since is when the rebalancer first saw the pool.
@@ -14,7 +17,7 @@
 	recent []rebalancingNeed
 	// inBurst tells whether a burst is in progress.
 	inBurst bool
-	// starts holds the start times of the last three bursts.
+	// starts holds the start times of the last maxStarts bursts.
 	starts []time.Duration
 	// lastPeak is the largest need of the last complete burst.
 	lastPeak int
@@ -86,7 +89,7 @@
 	case !h.inBurst && need.sure >= base+h.threshold():
 		h.inBurst, h.peak = true, need.vms
 		h.starts = append(h.starts, now)
-		if len(h.starts) > 3 {
+		if len(h.starts) > maxStarts {
 			h.starts = h.starts[1:]
 		}
 	case h.inBurst && most < base+h.threshold():
