Test what mutations of the takeover and of second copies left unnoticed

No test failed when the record of lease holders listed the runs of a worker with uncommitted ends, or when a second copy could start on the worker of the first one.

--- a/scheduler/execution/holders_test.go
+++ b/scheduler/execution/holders_test.go
@@ -347,3 +347,22 @@
 		t.Fatalf("%d starts after the record without runs, want 1", len(o.Starts))
 	}
 }
+
+// Guards against a list of runs without those whose ends the store does not have: the next
+// owner would start these items again, although they are done.
+func TestRunsAreUnknownUntilEndsAreCommitted(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{}), job.Progress{}, false, wall, b.now)
+	start := b.round().Starts[0]
+	b.core.StartDone(start, Started, b.now)
+	b.report("w1", Report{Ended: []EndedItem{{Number: 1, Run: start.Run, Kind: EndDone}}})
+	b.core.HoldFailed("w1", "timeout", b.now)
+	if items, known := b.core.MayRun("w1"); known {
+		t.Errorf("runs %v are known before the end is committed", items)
+	}
+	b.core.MarkCommitted(b.core.TakeWrites(10))
+	if items, known := b.core.MayRun("w1"); !known || len(items) > 0 {
+		t.Errorf("runs %v, known %t, want none", items, known)
+	}
+}
--- a/scheduler/execution/outlast_test.go
+++ b/scheduler/execution/outlast_test.go
@@ -176,3 +176,15 @@
 		}
 	}
 }
+
+// Guards against a second copy on the worker that runs the first one.
+func TestSecondCopyNeedsAnotherWorker(t *testing.T) {
+	b := newTestbed(t, 0)
+	b.worker(testWorker("w1", 8000), Report{})
+	b.core.AddJob(oneStep(jobA, job.Step{Speculative: true}), job.Progress{}, false, wall, b.now)
+	start := b.wantStarts(1, "first copy")[0]
+	i := b.core.jobs[jobA].item(start.Item)
+	if w := b.core.chooseWorker(i, []*worker{b.core.workers["w1"]}, nil); w != nil {
+		t.Errorf("second copy on %s beside the first", w.ID)
+	}
+}
