--- a/scheduler/execution/simulation_shares_test.go
+++ b/scheduler/execution/simulation_shares_test.go
@@ -1,6 +1,8 @@
 package execution
 
 import (
+	"slices"
+
 	"dotterelhead.example/dotterelhead/job"
 	"dotterelhead.example/dotterelhead/scheduler/fairness"
 )
@@ -35,6 +37,10 @@
 	after := func(o *organisation, charge job.Resources, n int64) float64 {
 		return fairness.Dominant(used[poolKey{testService, o}].Add(charge, n), capacity)
 	}
+	eligible := s.core.eligibleByService(s.now)[testService]
+	if eligible == nil {
+		eligible = &eligibleWorkers{}
+	}
 	for _, st := range starts {
 		j := s.core.jobs[st.Item.Job]
 		i := j.item(st.Item)
@@ -48,6 +54,10 @@
 			if o == nil || o == j.organisation || !s.core.mayStart(p.job) || !p.spec.Charge().Fits(charge) || !rank.sameClass(s.core.rankOf(p, s.queue(), s.now)) {
 				continue
 			}
+			if w := s.core.workers[st.Worker.ID]; w != nil && w.isolatedRuns > 0 && !slices.Contains(eligible.lastChoice(p, s.now), w) {
+				// Beside an isolated item, only items that have waited for that may start.
+				continue
+			}
 			if o.allows(p.spec, 1) && p.couldStart(s.now) && after(o, p.spec.Charge(), 1) < fair[o.name]-1e-6 {
 				s.t.Fatalf("%v starts above the share of %s (%v), while work of job %s waits and %s is below its share (%v)", st.Run, j.Organisation, fair[j.Organisation], p.job.ID, o.name, fair[o.name])
 			}
