--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -21,7 +21,7 @@
 func (w *world) deploy(pool int) ([]*worker, error) {
 	var workers []*worker
 	for n := range pool {
-		k, err := w.startWorker(fmt.Sprintf("i-%d", n), fmt.Sprintf("m-%d", n), service, fmt.Sprintf("r-%d", n/workersPerRack), "")
+		k, err := w.startWorker(fmt.Sprintf("i-%d", n), fmt.Sprintf("m-%d", n), service, fmt.Sprintf("r-%d", n/workersPerRack), "", 0)
 		if err != nil {
 			return nil, err
 		}
@@ -46,20 +46,44 @@
 type requester struct {
 	world    *world
 	accepted []string
-	items    map[string]int
+	steps    map[string][]step
 }
 
-// submitSmall hands in a job of one step.
-func (r *requester) submitSmall(id string, s step, workMs int) {
-	if r.world.submit(path, id, jobBody{Spec: fmt.Sprint(workMs), Steps: []step{s}}) {
+// submit hands in a job whose items each take the given time, and keeps it if it was accepted.
+func (r *requester) submit(id string, workMs int, steps ...step) {
+	if r.world.submit(path, id, jobBody{Spec: fmt.Sprint(workMs), Steps: steps}) {
 		r.accepted = append(r.accepted, id)
-		if r.items == nil {
-			r.items = map[string]int{}
+		if r.steps == nil {
+			r.steps = map[string][]step{}
 		}
-		r.items[id] = s.Count
+		r.steps[id] = steps
 	}
 }
 
+// turnHasCome reports whether an item of a job that runs once has not ended as done, and all
+// items of the steps before it have, as the workers have seen it.
+func (r *requester) turnHasCome(id string) bool {
+	seen := r.world.history.doneItems(id)
+	done := func(n int) bool {
+		for index := range r.steps[id][n].Count {
+			if !seen[fmt.Sprintf("%s.0.%d.%d", id, n, index)] {
+				return false
+			}
+		}
+		return true
+	}
+	for n, s := range r.steps[id] {
+		ready := !done(n)
+		for _, before := range s.After {
+			ready = ready && done(before)
+		}
+		if ready {
+			return true
+		}
+	}
+	return false
+}
+
 // busyShare returns the share of the pool's processors that runs take, each of which takes the
 // given number of thousandths of a core.
 func busyShare(workers []*worker, milliCPU func(item string) int) float64 {
--- a/review/standin-3/flapping.go
+++ b/review/standin-3/flapping.go
@@ -28,12 +28,13 @@
 	}
 	r := &requester{world: w}
 	for n := range wideJobs {
-		r.submitSmall(fmt.Sprintf("%016x", 0x2000+n), step{Count: wideItems, CPU: wideCPU, MemMB: 1800, EstimateMs: wideWorkMs}, wideWorkMs)
+		r.submit(fmt.Sprintf("%016x", 0x2000+n), wideWorkMs, step{Count: wideItems, CPU: wideCPU, MemMB: 1800, EstimateMs: wideWorkMs})
 		time.Sleep(300 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
 	if trouble {
-		if err := w.flap(workers[flapWorkers/2]); err != nil {
+		noJump := func(time.Duration) time.Duration { return 0 }
+		if _, err := w.flap(workers[flapWorkers/2], noJump); err != nil {
 			return false, err
 		}
 	}
@@ -69,20 +70,24 @@
 	return broken, nil
 }
 
-// flap lets a worker crash and start again under its ID, until flapTime is over.
-func (w *world) flap(k *worker) error {
-	for until := time.Now().Add(flapTime); time.Now().Before(until); {
+// flap lets a worker crash and start again under its ID, until flapTime is over. clockAhead
+// returns how far the time of day of its machine is ahead at a time since the beginning. It
+// returns the last life of the worker.
+func (w *world) flap(k *worker, clockAhead func(since time.Duration) time.Duration) (*worker, error) {
+	began := time.Now()
+	for time.Since(began) < flapTime {
 		w.note("%s crashes", k.id)
 		k.crash()
 		time.Sleep(flapPeriod / 2)
-		next, err := w.startWorker(k.id, k.machine, k.service, k.rack, k.address)
+		ahead := clockAhead(time.Since(began))
+		next, err := w.startWorker(k.id, k.machine, k.service, k.rack, k.address, ahead)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		k = next
-		w.note("%s is up again", k.id)
+		w.note("%s is up again, born %d; its time of day is ahead by %s", k.id, k.born, ahead)
 		time.Sleep(flapPeriod / 2)
 	}
-	w.note("the worker stays up")
-	return nil
+	w.note("%s stays up", k.id)
+	return k, nil
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"progress": progressCase,
 	"flapping": flappingCase,
+	"clock":    clockCase,
 }
 
 func main() {
--- a/review/standin-3/progress.go
+++ b/review/standin-3/progress.go
@@ -44,7 +44,7 @@
 	}
 	end := time.Now().Add(trafficTime)
 	for n, noted := 0, false; time.Now().Before(end); n++ {
-		r.submitSmall(fmt.Sprintf("%016x", 0x1000+n), step{Count: smallItems, CPU: smallCPU, MemMB: 256, EstimateMs: smallWorkMs}, smallWorkMs)
+		r.submit(fmt.Sprintf("%016x", 0x1000+n), smallWorkMs, step{Count: smallItems, CPU: smallCPU, MemMB: 256, EstimateMs: smallWorkMs})
 		if n%10 == 9 {
 			w.noteProgress(r)
 		}
@@ -61,7 +61,13 @@
 	w.note("the traffic ends; %d small jobs were accepted", len(r.accepted))
 	w.noteProgress(r)
 	time.Sleep(finishTime)
-	return w.checkLost(r, workers)
+	milliCPU := func(item string) int {
+		if jobOf(item) == largeJob {
+			return largeCPU
+		}
+		return smallCPU
+	}
+	return w.checkLost(r, workers, milliCPU), nil
 }
 
 // sizes returns how many values the store refused for their size, and the longest and its key.
@@ -79,58 +85,3 @@
 		w.note("owners so far: %d", len(w.logLines("event=ownership_acquired")))
 	}
 }
-
-// checkLost asks for all accepted jobs, and watches those that are not completed for idleTime:
-// one breaks the rule if it has no answer, or nothing of it runs while the pool is less than
-// half in use.
-func (w *world) checkLost(r *requester, workers []*worker) (bool, error) {
-	jobs := r.accepted
-	if w.history.seen(largeJob).starts > 0 {
-		jobs = append([]string{largeJob}, jobs...)
-	}
-	milliCPU := func(item string) int {
-		if jobOf(item) == largeJob {
-			return largeCPU
-		}
-		return smallCPU
-	}
-	left := map[string]string{}
-	completed := 0
-	for _, id := range jobs {
-		if state := w.state(path, id); state != "completed" {
-			left[id] = state
-			w.note("GET %s%s: %q; the workers: %s", path, id, state, w.history.summary(id))
-			continue
-		}
-		completed++
-	}
-	w.note("%d jobs are shown as completed, %d are not", completed, len(left))
-	idle := map[string]bool{}
-	for id := range left {
-		idle[id] = true
-	}
-	for until := time.Now().Add(idleTime); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
-		busy := busyShare(workers, milliCPU)
-		for id := range idle {
-			if w.history.seen(id).running > 0 || busy >= 0.5 {
-				delete(idle, id)
-			}
-		}
-	}
-	broken := 0
-	for id := range idle {
-		state := w.state(path, id)
-		if state == "completed" {
-			continue
-		}
-		broken++
-		w.note("LOST: job %s is shown as %q, and nothing of it ran for %s beside an idle pool; the workers: %s", id, state, idleTime, w.history.summary(id))
-	}
-	for id, state := range left {
-		if state == "" || state == "gone" {
-			broken++
-			w.note("LOST: job %s has no state", id)
-		}
-	}
-	return broken > 0, nil
-}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -66,8 +67,9 @@
 	connectionsGuard sync.Mutex
 }
 
-// startWorker starts a life of a worker. An address of "" picks a free port.
-func (w *world) startWorker(id, machine, service, rack, address string) (*worker, error) {
+// startWorker starts a life of a worker. An address of "" picks a free port. clockAhead is how far
+// the time of day of its machine is ahead.
+func (w *world) startWorker(id, machine, service, rack, address string, clockAhead time.Duration) (*worker, error) {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
@@ -77,7 +79,7 @@
 	}
 	now := time.Now()
 	k := &worker{
-		world: w, id: id, machine: machine, service: service, rack: rack, address: l.Addr().String(), born: now.UnixMilli(), bornAt: now,
+		world: w, id: id, machine: machine, service: service, rack: rack, address: l.Addr().String(), born: now.Add(clockAhead).UnixMilli(), bornAt: now,
 		listener: l, stopHeartbeat: make(chan struct{}), runs: map[runID]*run{}, highest: map[string]int64{}, endSignal: make(chan struct{}),
 		connections: map[net.Conn]bool{},
 	}
@@ -397,6 +399,13 @@
 	return *h.job(id)
 }
 
+// doneItems returns the work items of a job that have ended as done.
+func (h *history) doneItems(id string) map[string]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.job(id).done)
+}
+
 // summary says, for the record, what has run of a job.
 func (h *history) summary(id string) string {
 	h.mu.Lock()
