Review: drop cases that earlier ones show; hand-overs during upkeep is case 11

The fault of the former 11 is that of review/8, of 12 and 15 that of review/2, of 13 that of review/5. Change: these four and their parts of the stand-in are removed.

--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -21,7 +21,7 @@
 func (w *world) deploy(pool int) ([]*worker, error) {
 	var workers []*worker
 	for n := range pool {
-		k, err := w.startWorker(fmt.Sprintf("i-%d", n), fmt.Sprintf("m-%d", n), service, fmt.Sprintf("r-%d", n/workersPerRack), "", 0)
+		k, err := w.startWorker(fmt.Sprintf("i-%d", n), fmt.Sprintf("m-%d", n), service, fmt.Sprintf("r-%d", n/workersPerRack), "")
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,9 +17,8 @@
 
 // cases holds the scripts by the name of the case. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"progress": progressCase,
-	"flapping": flappingCase,
-	"clock":    clockCase,
+	"new-machines": newMachinesCase,
+	"isolation":    isolationCase,
 }
 
 func main() {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -67,9 +67,8 @@
 	connectionsGuard sync.Mutex
 }
 
-// startWorker starts a life of a worker. An address of "" picks a free port. clockAhead is how far
-// the time of day of its machine is ahead.
-func (w *world) startWorker(id, machine, service, rack, address string, clockAhead time.Duration) (*worker, error) {
+// startWorker starts a life of a worker. An address of "" picks a free port.
+func (w *world) startWorker(id, machine, service, rack, address string) (*worker, error) {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
@@ -79,7 +78,7 @@
 	}
 	now := time.Now()
 	k := &worker{
-		world: w, id: id, machine: machine, service: service, rack: rack, address: l.Addr().String(), born: now.Add(clockAhead).UnixMilli(), bornAt: now,
+		world: w, id: id, machine: machine, service: service, rack: rack, address: l.Addr().String(), born: now.UnixMilli(), bornAt: now,
 		listener: l, stopHeartbeat: make(chan struct{}), runs: map[runID]*run{}, highest: map[string]int64{}, endSignal: make(chan struct{}),
 		connections: map[net.Conn]bool{},
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -31,7 +31,8 @@
 
 	mu       sync.Mutex
 	record   *os.File
-	machines []map[string]string
+	machines []*machine
+	listings []listing
 }
 
 // entry is one entry VM.
@@ -61,26 +62,13 @@
 	mux := http.NewServeMux()
 	w.store.routes(mux)
 	mux.HandleFunc("GET /dotterelhead/machines", w.serveMachines)
+	mux.HandleFunc("POST /dotterelhead/machine-upkeep", w.serveUpkeep)
+	mux.HandleFunc("POST /dotterelhead/machine-move", w.serveMove)
 	w.server = &http.Server{Handler: mux}
 	go w.server.Serve(l)
 	return w, nil
 }
 
-// serveMachines lists the machines. None of them moves: no service is spare, and there are no
-// waves.
-func (w *world) serveMachines(rw http.ResponseWriter, _ *http.Request) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	respond(rw, http.StatusOK, map[string]any{"machines": w.machines, "nextToken": nil})
-}
-
-// addMachine adds a machine to the list, with the worker that runs on it.
-func (w *world) addMachine(k *worker) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.machines = append(w.machines, map[string]string{"machine": k.machine, "pool": k.service, "state": "up", "id": k.id})
-}
-
 // note writes a line to the record.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
