--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -162,27 +162,6 @@
 	return nil
 }
 
-// logLines returns the lines of the entry VMs' logs that contain all of the words.
-func (w *world) logLines(words ...string) []string {
-	var found []string
-	for _, e := range w.entries {
-		text, err := os.ReadFile(filepath.Join(w.folder, e.name+".log"))
-		if err != nil {
-			continue
-		}
-	line:
-		for _, line := range strings.Split(string(text), "\n") {
-			for _, word := range words {
-				if !strings.Contains(line, word) {
-					continue line
-				}
-			}
-			found = append(found, line)
-		}
-	}
-	return found
-}
-
 // close ends all processes and removes the temporary folder.
 func (w *world) close() {
 	for _, e := range w.entries {
