--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"new-machines": newMachinesCase,
 	"isolation":    isolationCase,
+	"restart-cut":  restartCutCase,
 }
 
 func main() {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -65,10 +65,23 @@
 	endSignal        chan struct{}
 	connections      map[net.Conn]bool
 	connectionsGuard sync.Mutex
+	cutUntil         time.Time
+	cutGuard         sync.Mutex
 }
 
-// startWorker starts a life of a worker. An address of "" picks a free port.
+// startWorker starts a life of a worker, which writes its entry at once. An address of "" picks a
+// free port.
 func (w *world) startWorker(id, machine, service, rack, address string) (*worker, error) {
+	k, err := w.startUnregistered(id, machine, service, rack, address)
+	if err == nil {
+		k.register()
+	}
+	return k, err
+}
+
+// startUnregistered starts a life of a worker that writes its entry for the first time after
+// heartbeat.
+func (w *world) startUnregistered(id, machine, service, rack, address string) (*worker, error) {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
@@ -84,7 +97,6 @@
 	}
 	k.server = &http.Server{Handler: k, ConnState: k.noteConnection}
 	go k.server.Serve(l)
-	k.register()
 	go k.heartbeats()
 	return k, nil
 }
@@ -102,6 +114,9 @@
 
 // register writes the worker's entry in the store.
 func (k *worker) register() {
+	if k.isCut() {
+		return
+	}
 	k.world.store.write("servers/"+k.id, map[string]any{
 		"service": k.service, "addr": k.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 		"seq": time.Since(k.bornAt).Milliseconds()/heartbeat.Milliseconds() + 1, "born": k.born, "machine": k.machine, "clockMs": k.clock(),
@@ -122,6 +137,27 @@
 	}
 }
 
+// cut cuts the worker off from everybody for a time. It runs on.
+func (k *worker) cut(d time.Duration) {
+	k.cutGuard.Lock()
+	defer k.cutGuard.Unlock()
+	k.cutUntil = time.Now().Add(d)
+}
+
+func (k *worker) isCut() bool {
+	k.cutGuard.Lock()
+	defer k.cutGuard.Unlock()
+	return time.Now().Before(k.cutUntil)
+}
+
+// silence keeps a call without a response until its caller gives it up, if the worker is cut off.
+func (k *worker) silence(r *http.Request) {
+	if k.isCut() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // crash ends the life of the worker: all that it runs and knows is gone, and its connections
 // are reset.
 func (k *worker) crash() {
@@ -172,12 +208,15 @@
 		respond(rw, http.StatusBadRequest, struct{}{})
 		return
 	}
+	k.silence(r)
 	status, reason := k.obey(r.URL.Path, o)
 	if status == http.StatusOK && r.URL.Path == "/dotterelhead/hold" {
 		k.waitForEnd(time.Duration(o.WaitMs)*time.Millisecond, r.Context().Done())
+		k.silence(r)
 		respond(rw, status, k.lists())
 		return
 	}
+	k.silence(r)
 	body := map[string]any{"clockMs": k.clock(), "born": k.born}
 	if reason != "" {
 		body["reason"] = reason
@@ -327,9 +366,12 @@
 
 // history is what the workers have run.
 type history struct {
-	mu    sync.Mutex
-	jobs  map[string]*jobHistory
-	quiet map[string]bool
+	mu   sync.Mutex
+	jobs map[string]*jobHistory
+	// runs holds the worker and the run of each work item that runs, and twice says which have
+	// run twice at the same time.
+	runs  map[string]map[*worker]int64
+	twice []string
 	world *world
 }
 
@@ -363,9 +405,15 @@
 	j := h.job(jobOf(id.item))
 	j.starts++
 	j.running++
-	if !h.quiet[jobOf(id.item)] {
-		h.world.note("%s starts %s run %d, spec %q", k.id, id.item, id.run, spec)
+	h.world.note("%s starts %s run %d, spec %q", k.id, id.item, id.run, spec)
+	for other, run := range h.runs[id.item] {
+		h.twice = append(h.twice, id.item)
+		h.world.note("TWICE: run %d of %s goes on at %s", run, id.item, other.id)
 	}
+	if h.runs[id.item] == nil {
+		h.runs[id.item] = map[*worker]int64{}
+	}
+	h.runs[id.item][k] = id.run
 }
 
 func (h *history) end(k *worker, id runID, how string, number int64) {
@@ -380,15 +428,12 @@
 	if j.running == 0 {
 		j.idleSince = time.Now()
 	}
-	if !h.quiet[jobOf(id.item)] {
-		h.world.note("%s ends %s run %d: %s (end %d)", k.id, id.item, id.run, how, number)
-	}
+	delete(h.runs[id.item], k)
+	h.world.note("%s ends %s run %d: %s (end %d)", k.id, id.item, id.run, how, number)
 }
 
 func (h *history) taken(k *worker, e ended) {
-	if !h.quiet[jobOf(e.id.item)] {
-		h.world.note("%s: end %d (%s run %d) is taken note of", k.id, e.number, e.id.item, e.id.run)
-	}
+	h.world.note("%s: end %d (%s run %d) is taken note of", k.id, e.number, e.id.item, e.id.run)
 }
 
 // seen returns a copy of what has run of a job.
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	w := &world{started: time.Now(), folder: folder, store: newStore(), record: file}
-	w.history = &history{jobs: map[string]*jobHistory{}, quiet: map[string]bool{}, world: w}
+	w.history = &history{jobs: map[string]*jobHistory{}, runs: map[string]map[*worker]int64{}, world: w}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
