--- a/review/standin-3/newmachines.go
+++ b/review/standin-3/newmachines.go
@@ -36,8 +36,8 @@
 		pause = soonAfter
 	}
 	time.Sleep(pause)
-	w.store.write("op/wave/1", asked)
-	w.note("op/wave/1: %+v", asked)
+	w.store.write(names.Wave+"1", asked)
+	w.note("%s1: %+v", names.Wave, asked)
 	state := ""
 	for until := time.Now().Add(waveLength); time.Now().Before(until) && state != "completed"; time.Sleep(20 * time.Millisecond) {
 		if next := w.waveState(1); next != state {
