Log how long an item of a silent worker waited

Without it the log cannot tell a run that its worker has confirmed from one whose start may have reached a later lifetime of the worker, nor what a longer wait costs.

--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -138,10 +138,18 @@
 // requeueLost drops a copy that certainly does not run any more, so that its
 // item can start again.
 func (c *Core) requeueLost(cp *itemCopy, reason string, now Time) {
+	detail := ""
+	if reason == lostLeaseLapsed {
+		detail = fmt.Sprintf("listed=%t,report_age_ms=%d", cp.listed, (now - cp.worker.reportedAt).Milliseconds())
+	}
 	c.dropCopy(cp)
-	c.trace(Event{Name: "run_lost", Item: cp.item.id().String(), Run: cp.run, Worker: cp.worker.ID, Reason: reason, Took: now - cp.startedAt})
+	c.trace(Event{Name: "run_lost", Item: cp.item.id().String(), Run: cp.run, Worker: cp.worker.ID, Reason: reason, Detail: detail, Took: now - cp.startedAt})
 }
 
+// lostLeaseLapsed is the reason for which a run is lost whose worker did not answer until its
+// lease had lapsed.
+const lostLeaseLapsed = "lease_lapsed"
+
 // dropLapsed drops what ran on workers whose leases have lapsed, and such
 // workers themselves if the registry has no entry for them.
 func (c *Core) dropLapsed(now Time) {
@@ -161,7 +169,7 @@
 			c.suspectRuns(w, cmp.Or(w.endedAt, now))
 		}
 		for _, cp := range copiesOf(w) {
-			c.requeueLost(cp, "lease_lapsed", now)
+			c.requeueLost(cp, lostLeaseLapsed, now)
 		}
 		for _, r := range orphansOf(w) {
 			c.dropOrphan(w, r)
