Wait for the longest lease of a run that a later lifetime may have

A work item ran on two workers for 2.5 s.

Cause: a worker that starts again under its ID carries out orders that were meant for its former lifetime, as they name the ID alone. Their deadlines are times on the former clock, far ahead on the new one, so that the lease lasts as long as the worker allows (6 s). The owner reckoned each lease by the clock that it had read last (3.5 s), unless it knew of the restart. The answer to a start does not tell it, the registry lags, and the worker was cut off before its first list.

A play in which the worker is cut off as it gets the first start, before any answer, is broken alike, so that reading more from answers does not help.

Change: only a list names the lifetime. A run that a list has shown ends with that lifetime and is reckoned by its clock as before. Any other run is given up when the longest lease has lapsed since the last call with a deadline had its result, whatever that was. Clocks are not compared. The record of lease holders names the longest lease for each worker that may get work, a new owner assumes it for what it adopts, and a planned change of owner passes on what is left. What is left is also recorded for workers that the owner cannot give work, so that the longer wait does not begin anew with each owner. Holds to a silent worker no longer extend its lease if it may have an unlisted long-running item.

TestRecordOfFormerHoldersKeepsTheirLeaseTime asked an owner without workers for the time; it asks for workers that the owner has contacted and for silent ones now, with the same check.

--- a/owner/lifetimes_test.go
+++ b/owner/lifetimes_test.go
@@ -141,7 +141,10 @@
 
 // lifetimeTerm runs the rounds of a term whose workers may start again.
 func lifetimeTerm(t *testing.T) (*term, *restartingWorkers) {
-	tm := testTerm(t, nil)
+	return runLifetimeTerm(t, testTerm(t, nil))
+}
+
+func runLifetimeTerm(t *testing.T, tm *term) (*term, *restartingWorkers) {
 	r := &restartingWorkers{workers: map[string]*restartingWorker{}, starts: map[job.ItemID]int{}}
 	tm.options.Workers = r
 	manifest := &job.Manifest{Queues: []job.Queue{{Name: "q", Service: "a", Attempts: 2}}}
@@ -162,6 +165,10 @@
 	r.mu.Lock()
 	r.restart(id, startMillis)
 	r.mu.Unlock()
+	t.registerWorker(id, startMillis)
+}
+
+func (t *term) registerWorker(id string, startMillis int64) {
 	t.changeWorkers([]execution.Worker{{
 		ID: id, Service: "a", StartMillis: startMillis, Capacity: job.Resources{MilliCPU: 1000, MemoryMB: 10},
 	}}, nil)
@@ -270,6 +277,53 @@
 	}
 }
 
+// Guards against two runs of an item at the same time: a worker that had started again unknown
+// to the owner got a start by the clock of its former lifetime, and then could not be reached
+// for as long as its lease lasted.
+func TestRunOfAnUnseenLifetimeIsNotStartedElsewhere(t *testing.T) {
+	// Longer than what the owner takes the lease of the former lifetime to last: it extends it for
+	// up to 2 s after the last answer.
+	const maxLease = 3500 * time.Millisecond
+	tm := testTerm(t, nil)
+	tm.mu.Lock()
+	tm.core = execution.New(execution.Options{LeaseDuration: 300 * time.Millisecond, MaxLease: maxLease, StopTimeout: time.Second, Trace: tm.trace}, 0)
+	tm.core.SetFence(tm.ownership.Fence)
+	tm.mu.Unlock()
+	tm, r := runLifetimeTerm(t, tm)
+	r.mu.Lock()
+	r.restart("w1", 1)
+	r.workers["w1"].startedAt -= time.Hour
+	r.mu.Unlock()
+	tm.registerWorker("w1", 1)
+	tm.contacted(t, r, "w1")
+	var leaseUntil, startedAgain time.Duration
+	r.mu.Lock()
+	r.restart("w1", 2)
+	r.keep = func(call any) bool {
+		s, start := call.(execution.Start)
+		switch {
+		case start && s.Worker.ID == "w1":
+			leaseUntil = boottime.Now() + min(s.Deadline-(boottime.Now()-r.workers["w1"].startedAt), maxLease)
+		case start:
+			startedAgain = boottime.Now()
+		default:
+			h, hold := call.(execution.Hold)
+			return hold && h.Worker.ID == "w1" && leaseUntil > 0
+		}
+		return false
+	}
+	r.mu.Unlock()
+	item := tm.addJob(lifetimeJobA)
+	r.eventually(t, "the item runs on w1", func() bool { return r.starts[item] == 1 })
+	tm.addWorker(r, "w2", 1)
+	r.eventually(t, "the item is started again", func() bool { return r.starts[item] == 2 })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if startedAgain <= leaseUntil {
+		t.Errorf("the item started on w2 %v before the end of its lease on w1", leaseUntil-startedAgain)
+	}
+}
+
 // Guards against an owner that gives up because a worker rejected a call that was meant
 // for its former lifetime.
 func TestCallForAFormerLifetimeDoesNotEndTheTerm(t *testing.T) {
--- a/owner/rounds.go
+++ b/owner/rounds.go
@@ -220,7 +220,7 @@
 	report, sent, limit, err := t.callHold(ctx, hold)
 	if errors.Is(err, context.DeadlineExceeded) && boottime.Now()-sent > limit+pauseNoticed {
 		t.mu.Lock()
-		t.core.HoldInterrupted(hold.Worker.ID)
+		t.core.HoldInterrupted(hold.Worker.ID, boottime.Now())
 		t.mu.Unlock()
 		t.options.Log.Debug().Str("event", "hold_interrupted").Str("worker", hold.Worker.ID).Dur("took", boottime.Now()-sent).Msg("")
 		return
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -113,28 +113,44 @@
 		switch {
 		case w.hasUncommittedEnds(), w.lapsed(now) && !w.silent && len(w.copies) > 0:
 			holders[w.ID] = c.RecordedLeaseTime(w.ID, now)
-		case !w.lapsed(now) && c.RunCount(w.ID) > 0:
-			holders[w.ID] = w.lapseAt - now
+		case c.RunCount(w.ID) > 0:
+			if !w.silent && w.hasUnlisted() {
+				// Calls that got no answer yet may be carried out up to now.
+				c.extendSuccessorLease(w, now)
+			}
+			if until := w.runsLapseAt(); until > now {
+				holders[w.ID] = until - now
+			}
 		}
 	}
 	return holders
 }
 
-// RecordedLeaseTime returns the longest time that a possible lease holder has
-// to be recorded with in the store: maxLeaseTime plus lapseMargin, which
-// maxLeaseTime already includes once. A worker whose lease may last longer is recorded
-// with longestLeaseTime instead; the time that is left would change the record in each
-// round.
+// RecordedLeaseTime returns the longest time that a possible lease holder has to be recorded
+// with in the store: that of the leases it may hold once this owner gives no more orders.
+//   - A worker that may get work may have started again since its last answer, so that the
+//     last start before the change of owner reaches a lifetime that holds the longest lease.
+//   - A worker whose runs the record lists gets no more work. It holds a longer lease than
+//     the usual one only if its present one is longer. The time that is left would change the
+//     record in each round.
+//   - A worker that this owner has not contacted, and whose runs the record lists or that has
+//     no entry in the registry, gets no orders with a deadline. What is left counts, so that
+//     the wait does not begin anew with each owner.
 func (c *Core) RecordedLeaseTime(id string, now Time) time.Duration {
-	until := c.formerHolders[id]
-	if w := c.workers[id]; w != nil {
-		until = max(until, w.lapseAt)
+	w := c.workers[id]
+	if w == nil {
+		return max(c.formerHolders[id]-now, 0)
 	}
+	_, listed := c.MayRun(id)
+	left := max(c.formerHolders[id], w.runsLapseAt()) - now
 	usual := c.maxLeaseTime() + lapseMargin
-	if until-now > usual {
-		return c.longestLeaseTime() + lapseMargin
+	switch {
+	case listed && !w.contacted:
+		return max(left, 0)
+	case listed && left <= usual:
+		return usual
 	}
-	return usual
+	return c.longestLeaseTime()
 }
 
 // HoldersToRecord returns the workers that have to be in the record of possible
--- a/scheduler/execution/lifetimes_test.go
+++ b/scheduler/execution/lifetimes_test.go
@@ -220,14 +220,24 @@
 }
 
 // Guards against work that waits longer after each change of owner: a new owner recorded
-// the lease holders that it knew from the record with the longest lease.
+// the lease holders that it knew from the record with a longer lease.
 func TestRecordOfFormerHoldersKeepsTheirLeaseTime(t *testing.T) {
 	b := newTestbed(t, 0)
 	b.core.options.MaxLease = testHold + 2*time.Second
-	want := b.core.RecordedLeaseTime("w1", b.now)
-	b.core.SetFormerHolders(map[string]time.Duration{"w1": want}, b.now)
-	b.core.WorkerSeen(testWorker("w1", 1000), b.now)
-	if got := b.core.RecordedLeaseTime("w1", b.now); got != want {
-		t.Errorf("recorded with %v, want %v", got, want)
+	b.worker(testWorker("w1", 1000), Report{})
+	b.worker(testWorker("w2", 1000), Report{})
+	b.core.HoldFailed("w2", "no_answer", b.now)
+	for _, id := range []string{"w1", "w2"} {
+		want := b.core.RecordedLeaseTime(id, b.now)
+		next := newTestbed(t, 1)
+		next.core.options.MaxLease = b.core.options.MaxLease
+		next.core.SetFormerHolders(map[string]time.Duration{id: want}, next.now)
+		if id == "w2" {
+			next.core.SetFormerRuns(map[string][]job.ItemID{id: nil})
+		}
+		next.core.WorkerSeen(testWorker(id, 1000), next.now)
+		if got := next.core.RecordedLeaseTime(id, next.now); got != want {
+			t.Errorf("%s is recorded with %v, want %v", id, got, want)
+		}
 	}
 }
--- a/scheduler/execution/property_test.go
+++ b/scheduler/execution/property_test.go
@@ -73,6 +73,16 @@
 	})
 }
 
+// TestNoItemRunsTwiceAfterUnseenRestarts guards against the same where workers start again
+// under their IDs and the owner learns of it late: from the registry up to
+// simRegisteredWithin later, from an answer, or after they were out of reach for any time.
+func TestNoItemRunsTwiceAfterUnseenRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulationWith(t, true)
+		s.playFaults()
+	})
+}
+
 func (s *simulation) playFaults() {
 	for range rapid.IntRange(20, 150).Draw(s.t, "steps") {
 		s.event()
@@ -84,8 +94,8 @@
 // event lets one of the faults of TestNoItemRunsTwice happen, or adds or cancels a job.
 func (s *simulation) event() {
 	id := fmt.Sprintf("w%d", rapid.IntRange(0, len(s.workers)-1).Draw(s.t, "worker"))
-	// Most steps come without an event: 20 to 28 stand for none, and 15 to 18 unless
-	// many workers crash.
+	// Most steps come without an event: 21 to 28 stand for none, 20 unless workers start again
+	// unseen, and 15 to 18 unless many workers crash.
 	switch rapid.IntRange(0, 28).Draw(s.t, "event") {
 	case 0, 1, 2:
 		s.addJob()
@@ -136,6 +146,10 @@
 		}
 	case 19:
 		s.changeManifest()
+	case 20:
+		if s.unseenRestarts {
+			s.restartUnseen(s.workers[id])
+		}
 	case 9:
 		s.advance(time.Duration(rapid.IntRange(1, 6000).Draw(s.t, "pause")) * time.Millisecond)
 	}
@@ -170,7 +184,7 @@
 	s.healthy = true
 	s.raiseCaps()
 	for _, w := range s.workers {
-		w.silent = false
+		w.silent, w.cutAfterStart = false, false
 		s.setCapacity(w, simMilliCPU)
 		s.core.WorkerSeen(w.Worker, s.now)
 		s.core.SetClosed(w.ID, false)
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -33,9 +34,11 @@
 		return Hold{}, false
 	}
 	h := Hold{Worker: w.Worker, Fence: w.fence, AcknowledgedEnd: w.endToAcknowledge()}
-	if w.contacted && len(w.copies) > 0 && now-w.clockAt < maxReportAge {
+	if w.mayExtendLease(now) {
 		h.Deadline = w.clockNow(now) + c.options.LeaseDuration
 		w.grant(h.Deadline)
+		c.extendSuccessorLease(w, now)
+		w.extendsLease = true
 	}
 	if w.contacted && !w.silent && !w.needsImmediateAnswer() {
 		h.LongPollTimeout = holdWait
@@ -43,6 +46,24 @@
 	return h, true
 }
 
+// mayExtendLease reports whether the next hold extends the lease. A hold to a silent worker
+// does not if the worker has not listed a long-running item: the lease of a later lifetime,
+// which may have it, would be extended as well, and the item would be unavailable for longer.
+func (w *worker) mayExtendLease(now Time) bool {
+	if !w.contacted || len(w.copies) == 0 || now-w.clockAt >= maxReportAge {
+		return false
+	}
+	return !w.silent || !slices.ContainsFunc(w.orderedCopies, func(cp *itemCopy) bool { return cp.unlisted() && cp.item.step.spec.LongRunning })
+}
+
+// holdEnded records that there is a result of the last hold, or that there will be none.
+func (c *Core) holdEnded(w *worker, now Time) {
+	if w.extendsLease {
+		w.extendsLease = false
+		c.extendSuccessorLease(w, now)
+	}
+}
+
 // endToAcknowledge returns the number of the last end that the next hold acknowledges,
 // or zero. The worker may have started again since its last answer and number its ends
 // anew, so that a hold acknowledges only what the worker has not been told to forget,
@@ -82,6 +103,7 @@
 	if w == nil {
 		return
 	}
+	c.holdEnded(w, now)
 	if r.StartMillis != 0 && r.StartMillis < w.StartMillis {
 		return
 	}
@@ -106,8 +128,7 @@
 		w.contacted = true
 		if w.restarted {
 			w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
-			// The record of lease holders that is being written names the usual time, which is
-			// too short from now on.
+			// The record of lease holders that is being written may name a shorter time.
 			w.holder, w.holderRecorded = false, false
 		}
 		c.checkHolders = true
@@ -119,7 +140,7 @@
 	}
 	if r.Clock < w.clock {
 		// The clock was read too high before. The worker may hold the longest lease, and the
-		// record of lease holders names the usual one.
+		// record of lease holders may name a shorter one.
 		w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 		w.holder, w.holderRecorded, c.checkHolders = false, false, true
 		w.clock, w.clockAt, w.reportedAt = r.Clock, now, sent
@@ -162,6 +183,7 @@
 	if w == nil {
 		return
 	}
+	c.holdEnded(w, now)
 	ended := reason == ConnectionRefused || reason == ConnectionClosed
 	if w.silent {
 		if ended {
@@ -196,8 +218,9 @@
 
 // HoldInterrupted records that the owner was paused during a hold, so that it is not known
 // whether the worker has answered it.
-func (c *Core) HoldInterrupted(id string) {
+func (c *Core) HoldInterrupted(id string, now Time) {
 	if w := c.workers[id]; w != nil {
+		c.holdEnded(w, now)
 		w.interrupted = true
 	}
 }
@@ -231,7 +254,8 @@
 }
 
 // adopt adds a copy for a run that a former owner started if its item needs
-// one, and otherwise makes the run an orphan, which is stopped.
+// one, and otherwise makes the run an orphan, which is stopped. The run may have been
+// started by a call for a former lifetime of the worker.
 func (c *Core) adopt(w *worker, row RunningItem, now Time) {
 	j := c.jobs[row.Item.Job]
 	var i *item
@@ -243,7 +267,7 @@
 	}
 	if i != nil && !i.done && !j.final() && len(i.copies) == 0 {
 		cp := c.addCopy(i, w, row.Run.Number, running, now)
-		w.lapseAt = max(w.lapseAt, now+c.maxLeaseTime())
+		w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 		cp.adopted, cp.listed = true, true
 		c.confirm(cp, now)
 		cp.percent, cp.tailMillis = row.Percent, row.Load
@@ -263,14 +287,15 @@
 	}
 	w.orphans[row.Run] = o
 	c.updateBusy(w)
-	w.lapseAt = max(w.lapseAt, now+c.maxLeaseTime())
+	w.lapseAt = max(w.lapseAt, now+c.longestLeaseTime())
 	w.used = w.used.Add(o.charge, 1)
 	w.fillerCPU += o.fillerCPU
 	c.trace(Event{Name: "run_unwanted", Item: row.Item.String(), Run: row.Run.Number, Worker: w.ID})
 }
 
 // maxLeaseTime returns the longest time from now in which runs under a lease that
-// was granted up to now can go on, including lapseMargin.
+// was granted up to now can go on in the lifetime that it was meant for, including
+// lapseMargin.
 func (c *Core) maxLeaseTime() time.Duration { return longestTime(c.options.LeaseDuration) }
 
 // longestLeaseTime is maxLeaseTime for a lease that a call for a former lifetime of the
--- a/scheduler/execution/simulation_calls_test.go
+++ b/scheduler/execution/simulation_calls_test.go
@@ -28,11 +28,13 @@
 	s.orderedAt[st.Run] = s.now - ago
 	w := s.workers[st.Worker.ID]
 	outcome := s.outcome("outcome of a start")
-	switch {
-	case w.backAt > 0:
+	if w.backAt > 0 || st.Worker.StartMillis < w.StartMillis {
 		// The worker has crashed already, but the owner cannot know this.
 		s.item(st.Item).possibleCrashes++
 		s.item(st.Item).outsideCrashes++
+	}
+	switch {
+	case w.backAt > 0:
 		s.core.StartDone(st, StartUnknown, s.now)
 	case w.silent || outcome == 0:
 		w.unanswered[st.Item] = true
--- a/scheduler/execution/simulation_test.go
+++ b/scheduler/execution/simulation_test.go
@@ -55,6 +55,10 @@
 	healthy bool
 	// calm is set once no call is lost or late any more.
 	calm bool
+	// unseenRestarts is set if workers start again without the owner hearing of it at once. They
+	// accept leases of up to maxLease, which the deadlines of their former lifetime exceed.
+	unseenRestarts bool
+	maxLease       time.Duration
 	// harmless is set if no item crashes its worker.
 	harmless bool
 	// maxLongRunningItems is the largest number of items of a long-running step.
@@ -138,11 +142,17 @@
 	simNotice = 4500 * time.Millisecond
 )
 
-func newSimulation(t *rapid.T) *simulation {
+func newSimulation(t *rapid.T) *simulation { return newSimulationWith(t, false) }
+
+func newSimulationWith(t *rapid.T, unseenRestarts bool) *simulation {
 	s := &simulation{
 		t: t, now: time.Minute, workers: map[string]*simWorker{}, jobs: map[string]*job.Job{}, deadly: map[string]bool{},
+		unseenRestarts: unseenRestarts, maxLease: testHold,
 		maxLongRunningItems: 3, progress: map[string]job.Progress{}, cancelled: map[string]bool{}, items: map[job.ItemID]*simItem{},
 	}
+	if unseenRestarts {
+		s.maxLease = testMaxLease
+	}
 	s.pauses, s.startup = rapid.Bool().Draw(t, "pauses"), simRunTime
 	if s.pauses {
 		s.startup = simStartup
@@ -182,6 +192,7 @@
 	w.unanswered, w.crashAt, w.crashedLate = map[job.ItemID]bool{}, 0, false
 	w.running, w.ended, w.lastEnd, w.highest = map[Run]Time{}, nil, 0, map[job.ItemID]int64{}
 	w.listed = map[Run]bool{}
+	w.cutAfterStart = false
 	w.deadline, w.fence, w.bootedAt, w.unacknowledged = 0, 0, s.now, map[int64]unacknowledgedEnd{}
 	w.StartMillis++
 }
@@ -193,7 +204,7 @@
 	}
 	s.queuedHolders, s.writtenHolders = nil, nil
 	s.forgetCrashes()
-	s.core = New(Options{LeaseDuration: testHold, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
+	s.core = New(Options{LeaseDuration: testHold, MaxLease: s.maxLease, StopTimeout: 50 * time.Millisecond, Trace: func(e Event) {
 		s.t.Logf("%v owner %d: %s %s%s run %d on %s %s %s", s.now, s.term, e.Name, e.Job, e.Item, e.Run, e.Worker, e.Reason, e.Detail)
 		if e.Name == "job_failed" {
 			s.failed[e.Job] = true
@@ -316,6 +327,9 @@
 		s.t.Fatalf("%v takes %s over its capacity: %d of %d", st.Run, w.ID, used, limit)
 	}
 	w.running[st.Run] = s.now
+	if w.cutAfterStart {
+		w.cutAfterStart, w.silent, w.registeredAt = false, true, 0
+	}
 	s.checkCap(st.Run)
 	if s.deadly[st.Item.Job] {
 		w.crashAt, w.crashedLate = s.now+simCrashAfter, w.crashedLate || late
--- a/scheduler/execution/simulation_worker_test.go
+++ b/scheduler/execution/simulation_worker_test.go
@@ -25,6 +25,9 @@
 	fence    int64
 	bootedAt Time
 	silent   bool
+	// cutAfterStart is set if the worker is cut off from the owner and the registry once it has
+	// started an item.
+	cutAfterStart bool
 	// failing is set while the worker fails all items.
 	failing bool
 	// unacknowledged are the ends that were not acknowledged yet, by number. It
@@ -90,5 +93,17 @@
 // to the longest that they accept; a deadline that was meant for a former lifetime may be
 // far ahead.
 func (s *simulation) extendLease(w *simWorker, deadline time.Duration) {
-	w.deadline = max(w.deadline, s.now+min(deadline-s.clock(w), testHold))
+	w.deadline = max(w.deadline, s.now+min(deadline-s.clock(w), s.maxLease))
+}
+
+// restartUnseen starts a worker again. Its registry entry shows that later, and it may be out
+// of reach for the owner from now on or once it has got a start.
+func (s *simulation) restartUnseen(w *simWorker) {
+	if w.backAt > 0 {
+		return
+	}
+	s.t.Logf("%v %s starts again unseen", s.now, w.ID)
+	s.boot(w)
+	w.registeredAt = s.now + time.Duration(rapid.IntRange(1, int(simRegisteredWithin/time.Millisecond)).Draw(s.t, "registered after"))*time.Millisecond
+	w.cutAfterStart = rapid.Bool().Draw(s.t, "cut off after a start")
 }
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -258,9 +258,12 @@
 	// reportedAt is the earliest time at which the worker can have made the last report.
 	// It is clockAt, unless the owner was paused before it processed the report.
 	reportedAt Time
-	// lapseAt is when all leases that the worker may hold, of this owner or a
-	// former one, have certainly lapsed.
-	lapseAt Time
+	// lapseAt is when all leases that the worker may hold in its present lifetime, of this
+	// owner or a former one, have certainly lapsed. successorLapseAt is the same for a later
+	// lifetime that the owner does not know of: see unlisted.
+	lapseAt, successorLapseAt Time
+	// extendsLease is set while a hold that extends the lease has no result.
+	extendsLease bool
 	// processedEnd is the number of the last end that was processed,
 	// committedEnd of the last one whose consequences are committed to the
 	// store, and acknowledgedEnd of the last one that the worker was told to
@@ -346,10 +349,40 @@
 	w.lapseAt = max(w.lapseAt, w.clockAt+left+lapseMargin)
 }
 
-// lapsed reports whether all leases that the worker may hold have certainly
-// lapsed, so that no run that was started under them can still go on there.
+// lapsed reports whether all leases that the worker may hold in its present lifetime have
+// certainly lapsed, so that no run that it has listed can still go on there.
 func (w *worker) lapsed(now Time) bool { return now > w.lapseAt }
 
+// unlisted reports whether the present lifetime of the worker has not listed the run. The
+// worker may have started again, unknown to the owner, before it got the start: then a later
+// lifetime has the run. For that one the deadlines of orders are times on another clock, so
+// that nothing but the worker's own limit bounds its lease. The lists, unlike the answers to
+// starts, name the lifetime; a run that they hold ends with it.
+func (cp *itemCopy) unlisted() bool { return !cp.listed }
+
+// mayRun reports whether the run of a copy may still go on under a lease.
+func (cp *itemCopy) mayRun(now Time) bool {
+	return !cp.worker.lapsed(now) || cp.unlisted() && now <= cp.worker.successorLapseAt
+}
+
+func (w *worker) hasUnlisted() bool {
+	return slices.ContainsFunc(w.orderedCopies, (*itemCopy).unlisted)
+}
+
+// runsLapseAt returns when no run on the worker can go on any more under a lease.
+func (w *worker) runsLapseAt() Time {
+	if w.hasUnlisted() {
+		return max(w.lapseAt, w.successorLapseAt)
+	}
+	return w.lapseAt
+}
+
+// extendSuccessorLease records that an order with a deadline may have been carried out up
+// to now, by a lifetime of the worker that the owner does not know of.
+func (c *Core) extendSuccessorLease(w *worker, now Time) {
+	w.successorLapseAt = max(w.successorLapseAt, now+c.longestLeaseTime())
+}
+
 const (
 	// workerClockError is the largest fraction by which a worker's clock may
 	// run slow.
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -169,11 +169,16 @@
 			c.suspectRuns(w, cmp.Or(w.endedAt, now))
 		}
 		for _, cp := range copiesOf(w) {
-			c.requeueLost(cp, lostLeaseLapsed, now)
+			if !cp.mayRun(now) {
+				c.requeueLost(cp, lostLeaseLapsed, now)
+			}
 		}
 		for _, r := range orphansOf(w) {
 			c.dropOrphan(w, r)
 		}
+		if len(w.copies) > 0 {
+			continue
+		}
 		if w.silent && !w.silentSinceLapse {
 			w.silentSinceLapse = true
 			c.checkHoldersOf(w)
