Name the lease of a later lifetime by the term used elsewhere

Renamed only: successor to later lifetime, and mayRun, which Core.MayRun has for something else, to leaseLapsed. Tests of execution that concern leases, holders and takeovers pass.

--- a/scheduler/execution/core.go
+++ b/scheduler/execution/core.go
@@ -63,8 +63,8 @@
 	formerRuns        map[string][]job.ItemID
 	heldBy            map[string][]*item
 	formerRunsUnknown bool
-	// listsAllRuns is set once this owner gives no more orders, so that the runs of workers that
-	// answer are known for the record of lease holders.
+	// listsAllRuns is set once this owner gives no more orders, unless it has very many runs: the
+	// record of lease holders lists those of workers that answer as well.
 	listsAllRuns bool
 	// startHorizon is the revision up to which the store lets this owner start jobs.
 	startHorizon int64
--- a/scheduler/execution/holders.go
+++ b/scheduler/execution/holders.go
@@ -126,7 +126,7 @@
 	for _, w := range c.sortedWorkers {
 		if !w.silent && w.hasUnlisted() {
 			// Calls that got no answer yet may be carried out up to now.
-			c.extendSuccessorLease(w, now)
+			c.extendLaterLease(w, now)
 		}
 		switch {
 		case w.hasUncommittedEnds(), w.lapsed(now) && !w.silent && len(w.copies) > 0:
--- a/scheduler/execution/leases.go
+++ b/scheduler/execution/leases.go
@@ -28,27 +28,27 @@
 // starts, name the lifetime; a run that they hold ends with it.
 func (cp *itemCopy) unlisted() bool { return !cp.listed }
 
-// mayRun reports whether the run of a copy may still go on under a lease.
-func (cp *itemCopy) mayRun(now Time) bool {
-	return !cp.worker.lapsed(now) || cp.unlisted() && now <= cp.worker.successorLapseAt
-}
-
 func (w *worker) hasUnlisted() bool {
 	return slices.ContainsFunc(w.orderedCopies, (*itemCopy).unlisted)
 }
 
-// runsLapseAt returns when no run on the worker can go on any more under a lease.
+// leaseLapsed reports whether all leases under which the run can go on have certainly lapsed.
+func (cp *itemCopy) leaseLapsed(now Time) bool {
+	return cp.worker.lapsed(now) && (!cp.unlisted() || now > cp.worker.laterLapseAt)
+}
+
+// runsLapseAt returns when leaseLapsed begins to hold for all runs on the worker.
 func (w *worker) runsLapseAt() Time {
 	if w.hasUnlisted() {
-		return max(w.lapseAt, w.successorLapseAt)
+		return max(w.lapseAt, w.laterLapseAt)
 	}
 	return w.lapseAt
 }
 
-// extendSuccessorLease records that an order with a deadline may have been carried out up
-// to now, by a lifetime of the worker that the owner does not know of.
-func (c *Core) extendSuccessorLease(w *worker, now Time) {
-	w.successorLapseAt = max(w.successorLapseAt, now+c.longestLeaseTime())
+// extendLaterLease records that a call with a deadline may have been carried out up to now,
+// by a later lifetime of the worker that the owner does not know of.
+func (c *Core) extendLaterLease(w *worker, now Time) {
+	w.laterLapseAt = max(w.laterLapseAt, now+c.longestLeaseTime())
 }
 
 const (
@@ -74,7 +74,7 @@
 func (c *Core) holdEnded(w *worker, now Time) {
 	if w.extendsLease {
 		w.extendsLease = false
-		c.extendSuccessorLease(w, now)
+		c.extendLaterLease(w, now)
 	}
 }
 
--- a/scheduler/execution/recheck.go
+++ b/scheduler/execution/recheck.go
@@ -15,7 +15,7 @@
 // StartSent records that a start is being sent. The age of the run counts from then on.
 func (c *Core) StartSent(s Start, now Time) {
 	if w := c.workers[s.Worker.ID]; w != nil {
-		c.extendSuccessorLease(w, now)
+		c.extendLaterLease(w, now)
 		if cp := w.copies[s.Run]; cp != nil {
 			cp.sentAt = now
 		}
--- a/scheduler/execution/reports.go
+++ b/scheduler/execution/reports.go
@@ -36,7 +36,7 @@
 	if w.mayExtendLease(now) {
 		h.Deadline = w.clockNow(now) + c.options.LeaseDuration
 		w.grant(h.Deadline)
-		c.extendSuccessorLease(w, now)
+		c.extendLaterLease(w, now)
 		w.extendsLease = true
 	}
 	if w.contacted && !w.silent && !w.needsImmediateAnswer() {
--- a/scheduler/execution/round.go
+++ b/scheduler/execution/round.go
@@ -154,7 +154,7 @@
 		return
 	}
 	// A start that the worker rejects extends its lease as well.
-	c.extendSuccessorLease(w, now)
+	c.extendLaterLease(w, now)
 	cp := w.copies[s.Run]
 	if cp == nil || cp.phase == running {
 		return
@@ -318,7 +318,7 @@
 	c.trace(Event{Name: "run_placed", Item: i.id().String(), Run: run, Worker: w.ID, Service: w.Service, Took: now - i.step.readyAt})
 	deadline := w.clockNow(now) + c.options.LeaseDuration
 	w.grant(deadline)
-	c.extendSuccessorLease(w, now)
+	c.extendLaterLease(w, now)
 	return Start{
 		Run: Run{i.id(), run}, Worker: w.Worker, Spec: i.step.job.Spec, Saved: saved,
 		Ticket: tickets[w.ID], Deadline: deadline, Fence: w.fence,
--- a/scheduler/execution/state.go
+++ b/scheduler/execution/state.go
@@ -259,9 +259,9 @@
 	// It is clockAt, unless the owner was paused before it processed the report.
 	reportedAt Time
 	// lapseAt is when all leases that the worker may hold in its present lifetime, of this
-	// owner or a former one, have certainly lapsed. successorLapseAt is the same for a later
+	// owner or a former one, have certainly lapsed. laterLapseAt is the same for a later
 	// lifetime that the owner does not know of: see unlisted.
-	lapseAt, successorLapseAt Time
+	lapseAt, laterLapseAt Time
 	// extendsLease is set while a hold that extends the lease has no result.
 	extendsLease bool
 	// processedEnd is the number of the last end that was processed,
--- a/scheduler/execution/workers.go
+++ b/scheduler/execution/workers.go
@@ -169,7 +169,7 @@
 			c.suspectRuns(w, cmp.Or(w.endedAt, now))
 		}
 		for _, cp := range copiesOf(w) {
-			if !cp.mayRun(now) {
+			if cp.leaseLapsed(now) {
 				c.requeueLost(cp, lostLeaseLapsed, now)
 			}
 		}
